Add the thin whole path

Cause: the project is empty; everything else builds on the path from a caller to a runner. Change: packages by role, result codes, configuration schema, timer service, routers, sidecars with resumable answers and settlement, stand-ins, and a local fleet in one process. Conclusion: the layout is settled; decisions grow inside it.

--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,21 @@
+const shared = {
+  paths: ["packages/*/src/**/*.feature"],
+  import: ["packages/*/dist/**/*_test.js"],
+};
+
+/** Every test that has to pass. */
+export default {
+  ...shared,
+  tags: "not @known-red",
+  format: [
+    "progress",
+    "./packages/testing/dist/summary/mod.js:reports/summary.txt",
+  ],
+};
+
+/** Tests of faults listed in KNOWN-RED.txt. */
+export const knownRed = {
+  ...shared,
+  tags: "@known-red",
+  format: ["progress"],
+};
--- /dev/null
+++ b/packages/core/src/admission/mod.ts
@@ -0,0 +1,2 @@
+/** Admission of requests to one runner. */
+export * from "./admission.ts";
--- /dev/null
+++ b/packages/core/src/attempts/mod.ts
@@ -0,0 +1,2 @@
+/** Attempts at requests and their settlement. */
+export * from "./attempt_table.ts";
--- /dev/null
+++ b/packages/core/src/configuration/mod.ts
@@ -0,0 +1,4 @@
+/** The operators' declaration: schema, parsing and effective settings. */
+export * from "./parse.ts";
+export * from "./resolve.ts";
+export * from "./schema.ts";
--- /dev/null
+++ b/packages/core/src/results/errors.ts
@@ -0,0 +1,87 @@
+import ModernError, { type InstanceOptions } from "modern-errors";
+import { type Executed, resultCodes, type ResultName } from "./codes.ts";
+
+/** What an error carries besides its name and message. */
+export type AppErrorOptions = {
+  /** Overrides what the code says about execution. */
+  executed?: Executed;
+  /** When the caller may come back, in milliseconds. */
+  retryAfterMs?: number;
+  /** The error that led to this one. */
+  cause?: unknown;
+};
+
+type ErrorState = InstanceOptions & AppErrorOptions & { result?: ResultName };
+
+const BaseError = ModernError.subclass("BaseError");
+
+class CustomError extends BaseError {
+  readonly result: ResultName;
+  readonly executed: Executed;
+  readonly retryAfterMs: number | undefined;
+
+  constructor(message = "", state?: ErrorState) {
+    super(message, state);
+    this.result = state?.result ?? "internal";
+    this.executed = state?.executed ?? resultCodes[this.result].executed;
+    this.retryAfterMs = state?.retryAfterMs;
+  }
+
+  /** Number of the result code. */
+  get code(): number {
+    return resultCodes[this.result].code;
+  }
+
+  /** HTTP status of the result code. */
+  get status(): number {
+    return resultCodes[this.result].status;
+  }
+
+  /** Creates an error for a result code. */
+  static create(
+    result: ResultName,
+    message: string,
+    options: AppErrorOptions = {},
+  ): CustomError {
+    return new AppError(message, { ...options, result });
+  }
+}
+
+/** An error with a numbered result code. */
+export const AppError = BaseError.subclass("AppError", { custom: CustomError });
+
+/** An error with a numbered result code. */
+export type AppError = CustomError;
+
+/** Problem document towards callers (RFC 9457). */
+export type Problem = {
+  type: string;
+  title: string;
+  status: number;
+  detail: string;
+  code: number;
+  executed: Executed;
+  /** The same facts in the shape that OpenAI clients read. */
+  error: { message: string; type: string; code: string };
+};
+
+/** Formats an error as a problem document. */
+export function formatProblem(error: AppError): Problem {
+  const { code, status, title } = resultCodes[error.result];
+  return {
+    type: `urn:jasminetide:result:${code}`,
+    title,
+    status,
+    detail: error.message,
+    code,
+    executed: error.executed,
+    error: { message: error.message, type: error.result, code: String(code) },
+  };
+}
+
+/** Turns anything thrown into an error with a result code. */
+export function normalizeError(thrown: unknown): AppError {
+  if (thrown instanceof AppError) return thrown;
+  const message = thrown instanceof Error ? thrown.message : String(thrown);
+  return AppError.create("internal", message, { cause: thrown });
+}
--- /dev/null
+++ b/packages/core/src/results/result_codes.feature
@@ -0,0 +1,7 @@
+Feature: Result codes
+
+  Scenario: The page in the docs lists exactly the codes of the program
+    Then docs/result-codes.md has the rows of the program's table
+
+  Scenario: Each code stands for one result
+    Then no two results share a code
--- /dev/null
+++ b/packages/core/src/results/result_codes_test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { readFile } from "node:fs/promises";
+import { Then } from "@cucumber/cucumber";
+import { resultCodes } from "./codes.ts";
+import { formatResultTable } from "./table.ts";
+
+const page = new URL("../../../../docs/result-codes.md", import.meta.url);
+
+/** Cells of each table row, without the padding of the formatter. */
+function getRows(text: string): string[] {
+  return text.split("\n")
+    .filter((line) => line.startsWith("|") && !/^[| -]+$/.test(line))
+    .map((line) => line.split("|").map((cell) => cell.trim()).join("|"));
+}
+
+Then(
+  "docs\\/result-codes.md has the rows of the program's table",
+  async () => {
+    const text = await readFile(page, "utf8");
+    assert.deepEqual(getRows(text), getRows(formatResultTable()));
+  },
+);
+
+Then("no two results share a code", () => {
+  const codes = Object.values(resultCodes).map((row) => row.code);
+  assert.equal(new Set(codes).size, codes.length);
+});
--- /dev/null
+++ b/packages/core/src/tables/mod.ts
@@ -0,0 +1,4 @@
+/** Entities that the decision code keeps in tables. */
+export * from "./ids.ts";
+export * from "./runner.ts";
+export * from "./table.ts";
--- /dev/null
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -0,0 +1,178 @@
+import type { RequestListener } from "node:http";
+import { createSystemRandom } from "@jasminetide/core/random";
+import type { TimerService } from "@jasminetide/core/timers";
+import { Router } from "@jasminetide/router";
+import { configurationObject } from "@jasminetide/runtime/configuration";
+import { ResourceStack } from "@jasminetide/runtime/disposal";
+import { startServer } from "@jasminetide/runtime/http";
+import type { Logger } from "@jasminetide/runtime/logging";
+import type { HostRecord } from "@jasminetide/runtime/platform";
+import { Sidecar, type SidecarSettings } from "@jasminetide/sidecar";
+import {
+  createDepositState,
+  DepositLedger,
+  type DepositState,
+  Engine,
+  HostList,
+  ObjectApi,
+  startPlatformServer,
+} from "@jasminetide/stand_in";
+import type { FleetDefinition } from "./load_fleet.ts";
+
+/** How a fleet in one process is started. */
+export type LocalFleetOptions = {
+  definition: FleetDefinition;
+  timers: TimerService;
+  createLogger: (process: string) => Logger;
+  /** Whether each listener takes a free port instead of the one in settings. */
+  useFreePorts?: boolean;
+};
+
+/** A whole fleet, stand-ins included, in one process on one loop. */
+export class LocalFleet {
+  readonly routers: Router[] = [];
+  readonly sidecars: Sidecar[] = [];
+  readonly engines = new Map<string, Engine>();
+  readonly deposits: DepositState = createDepositState();
+  readonly objects: ObjectApi;
+  readonly hosts: HostList;
+  readonly #options: LocalFleetOptions;
+  readonly #resources = ResourceStack.create();
+  #platformAddress = "";
+
+  private constructor(options: LocalFleetOptions) {
+    const { definition, timers } = options;
+    const random = createSystemRandom();
+    this.#options = options;
+    this.objects = ObjectApi.create({ timers, getRandom: random.getFloat });
+    this.hosts = HostList.create({
+      timers,
+      lagMs: definition.standIns.hostListLagMs,
+    });
+  }
+
+  /** Starts the stand-ins, then the sidecars, then the routers. */
+  static async create(options: LocalFleetOptions): Promise<LocalFleet> {
+    const fleet = new LocalFleet(options);
+    await fleet.#start();
+    return fleet;
+  }
+
+  /** `ip:port` of the platform. */
+  get platformAddress(): string {
+    return this.#platformAddress;
+  }
+
+  /** Stops the routers, then the sidecars, then the stand-ins. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#resources[Symbol.asyncDispose]();
+  }
+
+  async #start(): Promise<void> {
+    const { definition } = this.#options;
+    await this.#startPlatform();
+    const records: HostRecord[] = [];
+    for (const settings of definition.sidecars) {
+      records.push(await this.#startSidecar(settings));
+    }
+    this.hosts.set(records);
+    for (const settings of definition.routers) {
+      await this.#startRouter(settings);
+    }
+  }
+
+  async #startPlatform(): Promise<void> {
+    const { definition } = this.#options;
+    const { kind, name } = configurationObject;
+    const value = JSON.stringify(definition.configuration);
+    this.objects.store.put(`${kind}/${name}`, value, "any");
+    const server = await startPlatformServer({
+      address: this.#getAddress(definition.standIns.platformAddress),
+      objects: this.objects,
+      hosts: this.hosts,
+    });
+    this.#resources.use(server);
+    this.#platformAddress = server.address;
+  }
+
+  async #startSidecar(settings: SidecarSettings): Promise<HostRecord> {
+    const runner = await startServer(
+      this.#getAddress(settings.runnerAddress),
+      this.#createRunner(settings),
+    );
+    this.#resources.use(runner);
+    const sidecar = await Sidecar.create({
+      settings: {
+        ...settings,
+        runnerAddress: runner.address,
+        platformAddress: this.#platformAddress,
+        dataAddress: this.#getAddress(settings.dataAddress),
+        controlAddress: this.#getAddress(settings.controlAddress),
+      },
+      timers: this.#options.timers,
+      logger: this.#options.createLogger(settings.name),
+    });
+    this.#resources.use(sidecar);
+    this.sidecars.push(sidecar);
+    return createHostRecord(settings, sidecar);
+  }
+
+  async #startRouter(
+    settings: FleetDefinition["routers"][number],
+  ): Promise<void> {
+    const router = await Router.create({
+      settings: {
+        ...settings,
+        platformAddress: this.#platformAddress,
+        callerAddress: this.#getAddress(settings.callerAddress),
+        controlAddress: this.#getAddress(settings.controlAddress),
+      },
+      timers: this.#options.timers,
+      logger: this.#options.createLogger(settings.name),
+    });
+    this.#resources.use(router);
+    this.routers.push(router);
+  }
+
+  #createRunner(settings: SidecarSettings): RequestListener {
+    if (settings.kind === "service") {
+      const service = DepositLedger.create(this.deposits);
+      return (request, response) => void service.handle(request, response);
+    }
+    const { firstTokenMs, betweenTokensMs } = this.#options.definition.standIns;
+    const engine = Engine.create({
+      timers: this.#options.timers,
+      models: settings.pools,
+      firstTokenMs,
+      betweenTokensMs,
+    });
+    this.engines.set(settings.runner, engine);
+    return (request, response) => void engine.handle(request, response);
+  }
+
+  #getAddress(address: string): string {
+    return this.#options.useFreePorts === true ? "127.0.0.1:0" : address;
+  }
+}
+
+function createHostRecord(
+  settings: SidecarSettings,
+  sidecar: Sidecar,
+): HostRecord {
+  return {
+    id: settings.host,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+    state: "live",
+    processes: [{
+      type: "sidecar",
+      name: settings.name,
+      runner: settings.runner,
+      kind: settings.kind,
+      pools: settings.pools,
+      capacity: settings.capacity,
+      dataAddress: sidecar.dataAddress,
+      controlAddress: sidecar.controlAddress,
+    }],
+  };
+}
--- /dev/null
+++ b/packages/local_fleet/src/main.ts
@@ -0,0 +1,29 @@
+import { fileURLToPath } from "node:url";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import { createLogger } from "@jasminetide/runtime/logging";
+import { runProgram } from "@jasminetide/runtime/process";
+import { loadFleet } from "./load_fleet.ts";
+import { LocalFleet } from "./local_fleet.ts";
+
+const folder = fileURLToPath(
+  new URL("../../../examples/local", import.meta.url),
+);
+const logger = createLogger({ process: "local-fleet" });
+const readyPollMs = 50;
+
+await runProgram(async () => {
+  const timers = RealTimerService.create();
+  const fleet = await LocalFleet.create({
+    definition: await loadFleet(folder),
+    timers,
+    createLogger: (process) => createLogger({ process, level: "warn" }),
+  });
+  while (!fleet.routers.every((router) => router.isReady)) {
+    await new Promise((resolve) => timers.schedule(readyPollMs, resolve));
+  }
+  logger.info("ready", {
+    callers: fleet.routers.map((router) => router.callerAddress).join(","),
+    platform: fleet.platformAddress,
+  });
+  return fleet;
+}, logger);
--- /dev/null
+++ b/packages/local_fleet/src/mod.ts
@@ -0,0 +1,3 @@
+/** A whole fleet in one process, for trials and tests. */
+export * from "./load_fleet.ts";
+export * from "./local_fleet.ts";
--- /dev/null
+++ b/packages/router/src/callers/mod.ts
@@ -0,0 +1,3 @@
+/** Who calls, and how long the call may take. */
+export * from "./authenticate.ts";
+export * from "./deadline.ts";
--- /dev/null
+++ b/packages/router/src/chats/handle_chat.ts
@@ -0,0 +1,94 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AppError } from "@jasminetide/core/results";
+import { getChatKey, rankRunners } from "@jasminetide/core/routing";
+import { readBody, sendJson } from "@jasminetide/runtime/http";
+import { dispatchRequest } from "../attempts/mod.ts";
+import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
+import { relayAnswer } from "../relay/mod.ts";
+import type { RouterContext } from "../router_context.ts";
+import {
+  type ChatRequest,
+  getCostTokens,
+  parseChatRequest,
+} from "./chat_request.ts";
+
+const chatIdHeader = "x-chat-id";
+
+/** Handles `POST /v1/chat/completions`. */
+export async function handleChat(
+  request: IncomingMessage,
+  response: ServerResponse,
+  context: RouterContext,
+): Promise<void> {
+  const arrivedAtMs = context.timers.nowMs();
+  const { body: configuration } = context.configuration.get();
+  const workspace = authenticateCaller(request, context.getKeyIndex());
+  const { settings, requestClass } = context.resolve({ workspace });
+  const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
+  const body = await readBody(request, settings.request.maximumBodyBytes);
+  const chat = parseChatRequest(body);
+  if (!configuration.models.some((model) => model.name === chat.model)) {
+    throw AppError.create("unknownModel", `No model "${chat.model}"`);
+  }
+  const key = getKey(request, { workspace, chat });
+  const ranked = rankRunners(key, context.directory.getCandidates(chat.model));
+  const dispatched = await dispatchRequest({
+    request: {
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: { "content-type": "application/json" },
+      body,
+    },
+    envelope: {
+      workspace,
+      priority: requestClass.priority,
+      weight: settings.workspace.weight,
+      costTokens: getCostTokens(chat, body.length),
+      pool: chat.model,
+      chatKey: key.toString(16),
+      configurationVersion: context.configuration.version,
+    },
+    isIdempotent: true,
+    deadlineAtMs: arrivedAtMs + deadlineMs,
+    maximumAttempts: settings.retry.maximumAttempts,
+    chooseRunner: (tried) => ranked.find((runner) => !tried.has(runner.id)),
+  }, { ...context, stream: settings.stream });
+  await relayAnswer(dispatched, response, {
+    ...context,
+    stream: settings.stream,
+    isStream: chat.stream === true,
+  });
+}
+
+/** Handles `GET /v1/models`. */
+export function handleModels(
+  request: IncomingMessage,
+  response: ServerResponse,
+  context: RouterContext,
+): void {
+  authenticateCaller(request, context.getKeyIndex());
+  const { models } = context.configuration.get().body;
+  const data = models.map((model) => ({
+    id: model.name,
+    object: "model",
+    created: 0,
+    owned_by: "jasminetide",
+  }));
+  sendJson(response, { object: "list", data });
+}
+
+function getKey(
+  request: IncomingMessage,
+  options: { workspace: string; chat: ChatRequest },
+): bigint {
+  const chatId = request.headers[chatIdHeader];
+  return getChatKey({
+    workspace: options.workspace,
+    model: options.chat.model,
+    messages: options.chat.messages.map(({ role, content }) => ({
+      role,
+      content,
+    })),
+    chatId: typeof chatId === "string" ? chatId : undefined,
+  });
+}
--- /dev/null
+++ b/packages/router/src/chats/mod.ts
@@ -0,0 +1,2 @@
+/** Chats with models. */
+export * from "./handle_chat.ts";
--- /dev/null
+++ b/packages/router/src/membership/mod.ts
@@ -0,0 +1,2 @@
+/** What a router knows of the runners. */
+export * from "./runner_directory.ts";
--- /dev/null
+++ b/packages/router/src/mod.ts
@@ -0,0 +1,3 @@
+/** The process between callers and sidecars. */
+export * from "./router.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/router/src/relay/mod.ts
@@ -0,0 +1,2 @@
+/** Passing answers on to callers. */
+export * from "./relay_answer.ts";
--- /dev/null
+++ b/packages/router/src/router_context.ts
@@ -0,0 +1,32 @@
+import type {
+  Match,
+  RequestClass,
+  Settings,
+} from "@jasminetide/core/configuration";
+import type { RandomSource } from "@jasminetide/core/random";
+import type { TimerService } from "@jasminetide/core/timers";
+import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
+import type { Logger } from "@jasminetide/runtime/logging";
+import type { Metrics } from "@jasminetide/runtime/metrics";
+import type { Connections } from "./attempts/mod.ts";
+import type { KeyIndex } from "./callers/mod.ts";
+import type { RunnerDirectory } from "./membership/mod.ts";
+
+/** Settings in force for one request. */
+export type RequestSettings = {
+  settings: Settings;
+  requestClass: RequestClass;
+};
+
+/** What the handlers of a router work with. */
+export type RouterContext = {
+  configuration: ConfigurationHolder;
+  directory: RunnerDirectory;
+  connections: Connections;
+  timers: TimerService;
+  random: RandomSource;
+  metrics: Metrics;
+  logger: Logger;
+  getKeyIndex: () => KeyIndex;
+  resolve: (subject: Match) => RequestSettings;
+};
--- /dev/null
+++ b/packages/router/src/services/handle_service.ts
@@ -0,0 +1,92 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Service } from "@jasminetide/core/configuration";
+import { AppError } from "@jasminetide/core/results";
+import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
+import { readBody } from "@jasminetide/runtime/http";
+import { dispatchRequest } from "../attempts/mod.ts";
+import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
+import { relayAnswer } from "../relay/mod.ts";
+import type { RouterContext } from "../router_context.ts";
+
+const safeMethods = new Set(["GET", "HEAD", "OPTIONS"]);
+
+const serviceCostTokens = 1;
+
+/** Handles `/<service>/…`. */
+export async function handleService(
+  request: IncomingMessage,
+  response: ServerResponse,
+  context: RouterContext,
+): Promise<void> {
+  const arrivedAtMs = context.timers.nowMs();
+  const service = findService(request, context);
+  const workspace = authenticateCaller(request, context.getKeyIndex());
+  const { settings, requestClass } = context.resolve({
+    workspace,
+    service: service.name,
+  });
+  const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
+  const body = await readBody(request, settings.request.maximumBodyBytes);
+  const runners = context.directory.getCandidates(service.name);
+  const method = request.method ?? "GET";
+  const path = request.url ?? "/";
+  const headers = copyForwardedHeaders(request.headers);
+  delete headers["authorization"];
+  const isIdempotent = getIsIdempotent(service, { method, path });
+  const dispatched = await dispatchRequest({
+    request: { method, path, headers, body },
+    envelope: {
+      workspace,
+      priority: requestClass.priority,
+      weight: settings.workspace.weight,
+      costTokens: serviceCostTokens,
+      pool: service.name,
+      chatKey: "0",
+      configurationVersion: context.configuration.version,
+    },
+    isIdempotent,
+    deadlineAtMs: arrivedAtMs + deadlineMs,
+    maximumAttempts: settings.retry.maximumAttempts,
+    chooseRunner: (tried) => {
+      const left = runners.filter((runner) => !tried.has(runner.id));
+      return left[context.random.getInteger(left.length)];
+    },
+  }, { ...context, stream: settings.stream });
+  await relayAnswer(dispatched, response, {
+    ...context,
+    stream: settings.stream,
+    isStream: false,
+  });
+}
+
+/** Says whether a call may be repeated: as declared, else by its method. */
+export function getIsIdempotent(
+  service: Service,
+  call: { method: string; path: string },
+): boolean {
+  const path = call.path.split("?")[0].slice(service.name.length + 1);
+  const route = service.routes.find((route) =>
+    route.method === call.method && isPathMatch(route.path, path)
+  );
+  return route?.idempotent ?? safeMethods.has(call.method);
+}
+
+function isPathMatch(pattern: string, path: string): boolean {
+  const wanted = pattern.split("/");
+  const given = path.split("/");
+  return wanted.length === given.length &&
+    wanted.every((segment, index) =>
+      segment === "*" || segment === given[index]
+    );
+}
+
+function findService(
+  request: IncomingMessage,
+  context: RouterContext,
+): Service {
+  const name = (request.url ?? "/").split("/")[1].split("?")[0];
+  const { services } = context.configuration.get().body;
+  const service = services.find((service) => service.name === name);
+  if (service !== undefined) return service;
+  throw AppError.create("unknownService", `No service "${name}"`);
+}
--- /dev/null
+++ b/packages/router/src/services/mod.ts
@@ -0,0 +1,2 @@
+/** Calls of plain services. */
+export * from "./handle_service.ts";
--- /dev/null
+++ b/packages/runtime/src/clock/mod.ts
@@ -0,0 +1,2 @@
+/** The timer service under a real clock. */
+export * from "./real_timer_service.ts";
--- /dev/null
+++ b/packages/runtime/src/clock/real_timer_service.ts
@@ -0,0 +1,32 @@
+import type {
+  TimerHandler,
+  TimerService,
+  TimerSubscription,
+} from "@jasminetide/core/timers";
+
+/** Reads the clock and the event loop's timers of this process. */
+export class RealTimerService implements TimerService {
+  readonly #originMs = Date.now() - performance.now();
+
+  private constructor() {}
+
+  /** Creates the timer service of a process. */
+  static create(): RealTimerService {
+    return new RealTimerService();
+  }
+
+  nowMs(): number {
+    return this.#originMs + performance.now();
+  }
+
+  subscribe(periodMs: number, handler: TimerHandler): TimerSubscription {
+    const timer = setInterval(() => handler(this.nowMs()), periodMs);
+    timer.unref();
+    return { [Symbol.dispose]: () => clearInterval(timer) };
+  }
+
+  schedule(delayMs: number, handler: TimerHandler): TimerSubscription {
+    const timer = setTimeout(() => handler(this.nowMs()), delayMs);
+    return { [Symbol.dispose]: () => clearTimeout(timer) };
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/configuration/mod.ts
@@ -0,0 +1,3 @@
+/** The configuration in force in one process. */
+export * from "./configuration_holder.ts";
+export * from "./configuration_watcher.ts";
--- /dev/null
+++ b/packages/runtime/src/control/control_client.ts
@@ -0,0 +1,36 @@
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { type Dispatcher, fetch } from "undici";
+import type { PeerRouter, SidecarRouter } from "./peer_router.ts";
+
+/** How a client reaches a peer. */
+export type ControlClientOptions = {
+  address: string;
+  dispatcher: Dispatcher;
+};
+
+/** Creates a client of the procedures of any process. */
+export function createPeerClient(options: ControlClientOptions) {
+  return createTRPCClient<PeerRouter>({ links: [createLink(options)] });
+}
+
+/** Creates a client of the procedures of a sidecar. */
+export function createSidecarClient(options: ControlClientOptions) {
+  return createTRPCClient<SidecarRouter>({ links: [createLink(options)] });
+}
+
+/** Client of any process. */
+export type PeerClient = ReturnType<typeof createPeerClient>;
+
+/** Client of a sidecar. */
+export type SidecarClient = ReturnType<typeof createSidecarClient>;
+
+function createLink(options: ControlClientOptions) {
+  return httpLink({
+    url: `http://${options.address}/rpc`,
+    fetch: (url, init) =>
+      fetch(url as string, {
+        ...(init as object),
+        dispatcher: options.dispatcher,
+      }) as unknown as Promise<Response>,
+  });
+}
--- /dev/null
+++ b/packages/runtime/src/exchange/headers.ts
@@ -0,0 +1,121 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { AppError } from "@jasminetide/core/results";
+
+/** Prefix of all headers that only processes of the fleet may send. */
+export const internalPrefix = "jt-";
+
+/** Names of the headers between processes. */
+export const headerNames = {
+  attempt: "jt-attempt",
+  epoch: "jt-epoch",
+  workspace: "jt-workspace",
+  priority: "jt-priority",
+  weight: "jt-weight",
+  costTokens: "jt-cost-tokens",
+  /** Milliseconds that remain until the deadline. */
+  remainingMs: "jt-remaining-ms",
+  pool: "jt-pool",
+  chatKey: "jt-chat-key",
+  configurationVersion: "jt-configuration",
+  digest: "jt-digest",
+  executed: "jt-executed",
+  /** Trailer: bytes of the whole answer. */
+  answerBytes: "jt-answer-bytes",
+  /** Trailer: how the answer ended. */
+  answerEnd: "jt-answer-end",
+} as const;
+
+/** What a router tells a sidecar of a request besides the request itself. */
+export type RequestEnvelope = {
+  attempt: string;
+  epoch: number;
+  workspace: string;
+  priority: number;
+  weight: number;
+  costTokens: number;
+  remainingMs: number;
+  pool: string;
+  chatKey: string;
+  configurationVersion: number;
+};
+
+/** Formats an envelope as headers. */
+export function formatEnvelope(
+  envelope: RequestEnvelope,
+): Record<string, string> {
+  return {
+    [headerNames.attempt]: envelope.attempt,
+    [headerNames.epoch]: String(envelope.epoch),
+    [headerNames.workspace]: encodeURIComponent(envelope.workspace),
+    [headerNames.priority]: String(envelope.priority),
+    [headerNames.weight]: String(envelope.weight),
+    [headerNames.costTokens]: String(envelope.costTokens),
+    [headerNames.remainingMs]: String(Math.floor(envelope.remainingMs)),
+    [headerNames.pool]: encodeURIComponent(envelope.pool),
+    [headerNames.chatKey]: envelope.chatKey,
+    [headerNames.configurationVersion]: String(envelope.configurationVersion),
+  };
+}
+
+/**
+ * Parses an envelope.
+ *
+ * @throws AppError `invalidMessage` when a header is absent or not a number.
+ */
+export function parseEnvelope(headers: IncomingHttpHeaders): RequestEnvelope {
+  return {
+    attempt: getText(headers, headerNames.attempt),
+    epoch: getNumber(headers, headerNames.epoch),
+    workspace: decodeURIComponent(getText(headers, headerNames.workspace)),
+    priority: getNumber(headers, headerNames.priority),
+    weight: getNumber(headers, headerNames.weight),
+    costTokens: getNumber(headers, headerNames.costTokens),
+    remainingMs: getNumber(headers, headerNames.remainingMs),
+    pool: decodeURIComponent(getText(headers, headerNames.pool)),
+    chatKey: getText(headers, headerNames.chatKey),
+    configurationVersion: getNumber(headers, headerNames.configurationVersion),
+  };
+}
+
+/** Copies headers without hop-by-hop ones and without the fleet's own. */
+export function copyForwardedHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> {
+  const copied: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || isHopHeader(name)) continue;
+    if (name.startsWith(internalPrefix)) continue;
+    copied[name] = value;
+  }
+  return copied;
+}
+
+const hopHeaders = new Set([
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+function isHopHeader(name: string): boolean {
+  return hopHeaders.has(name);
+}
+
+function getText(headers: IncomingHttpHeaders, name: string): string {
+  const value = headers[name];
+  if (typeof value === "string" && value !== "") return value;
+  throw AppError.create("invalidMessage", `Header ${name} is absent`);
+}
+
+function getNumber(headers: IncomingHttpHeaders, name: string): number {
+  const value = Number(getText(headers, name));
+  if (Number.isFinite(value)) return value;
+  throw AppError.create("invalidMessage", `Header ${name} is not a number`);
+}
--- /dev/null
+++ b/packages/runtime/src/exchange/mod.ts
@@ -0,0 +1,2 @@
+/** Exchanges on the data path between routers and sidecars. */
+export * from "./headers.ts";
--- /dev/null
+++ b/packages/runtime/src/http/mod.ts
@@ -0,0 +1,2 @@
+/** HTTP servers and answers. */
+export * from "./server.ts";
--- /dev/null
+++ b/packages/runtime/src/http/server.ts
@@ -0,0 +1,130 @@
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:http";
+import {
+  AppError,
+  formatProblem,
+  normalizeError,
+} from "@jasminetide/core/results";
+import { parseAddress } from "../settings/mod.ts";
+
+/** Handles one HTTP request. */
+export type RequestHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** A listening server; disposing of it closes it and its connections. */
+export type ListeningServer = {
+  /** `ip:port` that was bound. */
+  address: string;
+  server: Server;
+  /** Stops accepting connections and waits for the open requests. */
+  close(): Promise<void>;
+  [Symbol.asyncDispose](): Promise<void>;
+};
+
+/** Largest total of request headers that a listener takes. */
+const maxHeaderBytes = 16_384;
+
+/** Starts a server at `ip:port`; port 0 takes a free one. */
+export async function startServer(
+  address: string,
+  handler: RequestHandler,
+): Promise<ListeningServer> {
+  const server = createServer({ maxHeaderSize: maxHeaderBytes }, handler);
+  const { ip, port } = parseAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, ip, resolve);
+  });
+  const bound = server.address() as AddressInfo;
+  const close = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve());
+      server.closeIdleConnections();
+    });
+  return {
+    address: `${ip}:${bound.port}`,
+    server,
+    close,
+    async [Symbol.asyncDispose]() {
+      const closed = close();
+      server.closeAllConnections();
+      await closed;
+    },
+  };
+}
+
+/**
+ * Reads a whole request body.
+ *
+ * @throws AppError `bodyTooLarge` beyond `limitBytes`.
+ */
+export function readBody(
+  request: IncomingMessage,
+  limitBytes: number,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      // The rest of an oversized body is read and dropped, so that the caller
+      // gets to read the answer.
+      if (sizeBytes <= limitBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      reject(
+        AppError.create("bodyTooLarge", `Body exceeds ${limitBytes} bytes`),
+      );
+    });
+    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("error", reject);
+  });
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  response: ServerResponse,
+  value: unknown,
+  options: { status?: number; headers?: Record<string, string> } = {},
+): void {
+  const body = Buffer.from(JSON.stringify(value));
+  response.writeHead(options.status ?? 200, {
+    "content-type": "application/json",
+    "content-length": body.length,
+    ...options.headers,
+  });
+  response.end(body);
+}
+
+/** Sends an error as problem JSON (RFC 9457). */
+export function sendProblem(
+  response: ServerResponse,
+  thrown: unknown,
+  headers: Record<string, string> = {},
+): void {
+  const error = normalizeError(thrown);
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const problemHeaders: Record<string, string> = {
+    "content-type": "application/problem+json",
+    ...headers,
+  };
+  if (!response.req.complete) problemHeaders["connection"] = "close";
+  if (error.retryAfterMs !== undefined) {
+    problemHeaders["retry-after"] = String(
+      Math.ceil(error.retryAfterMs / 1000),
+    );
+  }
+  sendJson(response, formatProblem(error), {
+    status: error.status,
+    headers: problemHeaders,
+  });
+}
--- /dev/null
+++ b/packages/runtime/src/mod.ts
@@ -0,0 +1,2 @@
+/** Parts that all processes share. */
+export {};
--- /dev/null
+++ b/packages/runtime/src/platform/mod.ts
@@ -0,0 +1,3 @@
+/** The platform's object API and host list. */
+export * from "./client.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/sidecar/src/answers/send_answer.ts
@@ -0,0 +1,39 @@
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import { headerNames } from "@jasminetide/runtime/exchange";
+import type { AnswerBuffer } from "./answer_buffer.ts";
+
+/** From where and with what headers an answer is sent. */
+export type SendAnswerOptions = {
+  offsetBytes: number;
+  /** Headers between processes. */
+  headers: { [name: string]: string };
+};
+
+/**
+ * Sends an answer from a byte offset. Trailers tell how the answer ended, so
+ * that the reader can tell a whole answer from one cut short.
+ */
+export async function sendAnswer(
+  buffer: AnswerBuffer,
+  response: ServerResponse,
+  options: SendAnswerOptions,
+): Promise<void> {
+  const head = await buffer.getHead();
+  response.writeHead(head.status, {
+    ...head.headers,
+    ...options.headers,
+    trailer: `${headerNames.answerEnd}, ${headerNames.answerBytes}`,
+  });
+  response.flushHeaders();
+  for await (const chunk of buffer.read(options.offsetBytes)) {
+    if (response.closed) return;
+    if (response.write(chunk)) continue;
+    await Promise.race([once(response, "drain"), once(response, "close")]);
+  }
+  response.addTrailers({
+    [headerNames.answerEnd]: buffer.state,
+    [headerNames.answerBytes]: String(buffer.sizeBytes),
+  });
+  response.end();
+}
--- /dev/null
+++ b/packages/sidecar/src/mod.ts
@@ -0,0 +1,3 @@
+/** The process beside one runner. */
+export * from "./settings.ts";
+export * from "./sidecar.ts";
--- /dev/null
+++ b/packages/sidecar/src/settings.ts
@@ -0,0 +1,23 @@
+import {
+  addressSchema,
+  processSettingsShape,
+} from "@jasminetide/runtime/settings";
+import { z } from "zod";
+
+/** Settings of a sidecar. */
+export const sidecarSettingsSchema = z.strictObject({
+  ...processSettingsShape,
+  /** Name of the runner beside this sidecar. */
+  runner: z.string().min(1),
+  kind: z.enum(["engine", "service"]),
+  /** Models or the service that the runner serves. */
+  pools: z.array(z.string().min(1)).min(1),
+  capacity: z.number().positive().default(1),
+  /** Address for routers. */
+  dataAddress: addressSchema,
+  /** Address of the runner itself. */
+  runnerAddress: addressSchema,
+});
+
+/** Settings of a sidecar, parsed. */
+export type SidecarSettings = z.output<typeof sidecarSettingsSchema>;
--- /dev/null
+++ b/packages/stand_in/src/engine/mod.ts
@@ -0,0 +1,3 @@
+/** Stand-in of a model engine. */
+export * from "./chat_answer.ts";
+export * from "./engine.ts";
--- /dev/null
+++ b/packages/stand_in/src/object_api/mod.ts
@@ -0,0 +1,3 @@
+/** Stand-in of the platform's object API. */
+export * from "./object_api.ts";
+export * from "./object_store.ts";
--- /dev/null
+++ b/packages/stand_in/src/service/deposit_ledger.ts
@@ -0,0 +1,84 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AppError } from "@jasminetide/core/results";
+import { readBody, sendJson, sendProblem } from "@jasminetide/runtime/http";
+import { z } from "zod";
+
+const refundSchema = z.object({
+  account: z.string().min(1),
+  amount: z.number().positive(),
+});
+
+const maxBodyBytes = 65_536;
+
+/** What runners of one service share: balances and effects. */
+export type DepositState = {
+  balances: Map<string, number>;
+  /** Refunds that took effect, by idempotency key. */
+  effects: Map<string, number>;
+};
+
+/** Creates the state behind a service. */
+export function createDepositState(): DepositState {
+  return { balances: new Map(), effects: new Map() };
+}
+
+/**
+ * A plain service that moves money and does not protect itself against
+ * repeated calls.
+ */
+export class DepositLedger {
+  readonly #state: DepositState;
+
+  private constructor(state: DepositState) {
+    this.#state = state;
+  }
+
+  /** Creates a runner of the service on shared state. */
+  static create(state: DepositState): DepositLedger {
+    return new DepositLedger(state);
+  }
+
+  /** Handles one HTTP request. */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      const path = request.url ?? "/";
+      if (request.method === "POST" && path === "/deposit-ledger/refunds") {
+        await this.#refund(request, response);
+      } else if (
+        request.method === "GET" && path.startsWith("/deposit-ledger/balances/")
+      ) {
+        this.#getBalance(path, response);
+      } else throw AppError.create("notFound", `No path ${path}`);
+    } catch (error) {
+      sendProblem(response, error);
+    }
+  }
+
+  async #refund(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(request, maxBodyBytes);
+    const result = refundSchema.safeParse(JSON.parse(body.toString("utf8")));
+    if (!result.success) {
+      throw AppError.create("invalidRequest", result.error.message);
+    }
+    const { account, amount } = result.data;
+    const key = request.headers["idempotency-key"];
+    if (typeof key === "string") {
+      this.#state.effects.set(key, (this.#state.effects.get(key) ?? 0) + 1);
+    }
+    const balance = (this.#state.balances.get(account) ?? 0) - amount;
+    this.#state.balances.set(account, balance);
+    sendJson(response, { account, refunded: amount, balance }, { status: 201 });
+  }
+
+  #getBalance(path: string, response: ServerResponse): void {
+    const account = path.slice("/deposit-ledger/balances/".length);
+    const balance = this.#state.balances.get(account) ?? 0;
+    sendJson(response, { account, balance });
+  }
+}
--- /dev/null
+++ b/packages/stand_in/src/service/mod.ts
@@ -0,0 +1,2 @@
+/** Stand-in of a plain service that moves money. */
+export * from "./deposit_ledger.ts";
--- /dev/null
+++ b/packages/testing/src/mod.ts
@@ -0,0 +1,2 @@
+/** Parts that only tests use. */
+export { default as SummaryFormatter } from "./summary/mod.ts";
