Settle and resume attempts on new connections

Cause: a connection that goes silent left the caller waiting, and an answer lost on the way could not be told from a request that never ran. Change: interim responses show that a sidecar is alive; silence and broken connections lead to settlement on a new connection, which either withdraws the attempt for good or goes on from the byte after the last received; retries keep to a budget with full jitter; lookups are hedged; a failing pool is refused at once; attempts that nobody reads are cancelled. Conclusion: executed "no" now rests on a refusal or a settlement only.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -1,4 +1,5 @@
 const shared = {
+  forceExit: true,
   paths: ["packages/*/src/**/*.feature"],
   import: ["packages/*/dist/**/*_test.js"],
 };
--- /dev/null
+++ b/packages/core/src/retries/mod.ts
@@ -0,0 +1,6 @@
+/** Retries, hedging, circuit breaking and limits on silence. */
+export * from "./backoff.ts";
+export * from "./circuit_breaker.ts";
+export * from "./latency_tracker.ts";
+export * from "./limits.ts";
+export * from "./retry_budget.ts";
--- a/packages/router/src/attempts/connections.ts
+++ b/packages/router/src/attempts/connections.ts
@@ -3,23 +3,40 @@
 /** Connections to one address. */
 const connectionsPerAddress = 128;
 
+/**
+ * Time after which an idle connection is no longer used. It stays below the
+ * time after which state between the two ends is commonly dropped.
+ */
+const idleLimitMs = 4000;
+
+const connectTimeoutMs = 1500;
+
+/** Creates the connections to one origin. */
+export type PoolFactory = (address: string, options: Pool.Options) => Pool;
+
 /** Pooled connections by address, replaceable when they have gone silent. */
 export class Connections {
   readonly #pools = new Map<string, Pool>();
+  readonly #createPool: PoolFactory;
 
-  private constructor() {}
+  private constructor(createPool: PoolFactory) {
+    this.#createPool = createPool;
+  }
 
   /** Creates an empty set; connections are opened on demand. */
-  static create(): Connections {
-    return new Connections();
+  static create(createPool: PoolFactory = createPlainPool): Connections {
+    return new Connections(createPool);
   }
 
   /** Gets the pool of an address (`ip:port`). */
   get(address: string): Pool {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
-      pool = new Pool(`http://${address}`, {
+      pool = this.#createPool(address, {
         connections: connectionsPerAddress,
+        keepAliveTimeout: idleLimitMs,
+        keepAliveMaxTimeout: idleLimitMs,
+        connectTimeout: connectTimeoutMs,
         bodyTimeout: 0,
         headersTimeout: 0,
       });
@@ -40,7 +57,16 @@
     return this.get(address);
   }
 
+  /** Retires every pool, so that new connections use new credentials. */
+  replaceAll(): void {
+    for (const [address, pool] of this.#pools) this.replace(address, pool);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
   }
 }
+
+function createPlainPool(address: string, options: Pool.Options): Pool {
+  return new Pool(`http://${address}`, options);
+}
--- /dev/null
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -0,0 +1,189 @@
+import type { Settings } from "@jasminetide/core/configuration";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import { getBackoffMs } from "@jasminetide/core/retries";
+import type { RandomSource } from "@jasminetide/core/random";
+import type { RunnerRow } from "@jasminetide/core/tables";
+import {
+  headerNames,
+  type RequestEnvelope,
+} from "@jasminetide/runtime/exchange";
+import { v7 as createAttemptId } from "uuid";
+import type { RunnerDirectory } from "../membership/mod.ts";
+import type {
+  AnswerStart,
+  Attempt,
+  AttemptContext,
+  OutgoingRequest,
+} from "./attempt.ts";
+import { isRefusal, openAnswer, readRefusal } from "./open_answer.ts";
+import type { PoolState } from "./pool_state.ts";
+
+/** A request to be brought to some runner. */
+export type DispatchRequest = {
+  request: OutgoingRequest;
+  envelope: Omit<RequestEnvelope, "attempt" | "epoch" | "remainingMs">;
+  deadlineAtMs: number;
+  settings: Settings;
+  /** Chooses a runner that is not among those already tried. */
+  chooseRunner: (tried: ReadonlySet<string>) => RunnerRow | undefined;
+};
+
+/** What dispatching works with. */
+export type DispatchContext = Omit<AttemptContext, "stream" | "silences"> & {
+  directory: RunnerDirectory;
+  random: RandomSource;
+  pool: PoolState;
+};
+
+/** An answer that has begun, with the attempt that it belongs to. */
+export type Dispatched = {
+  attempt: Attempt;
+  start: AnswerStart;
+  context: AttemptContext;
+};
+
+/**
+ * Brings a request to a runner. A failed attempt is repeated at another runner
+ * when the request is idempotent or the attempt is proven not run, inside the
+ * pool's retry budget and the deadline.
+ */
+export async function dispatchRequest(
+  dispatch: DispatchRequest,
+  context: DispatchContext,
+): Promise<Dispatched> {
+  checkCircuit(dispatch, context);
+  context.pool.retries.recordAttempt();
+  const tried = new Set<string>();
+  let lastError: AppError | undefined;
+  for (
+    let count = 0;
+    count < dispatch.settings.retry.maximumAttempts;
+    count++
+  ) {
+    const runner = dispatch.chooseRunner(tried);
+    if (runner === undefined) break;
+    if (lastError !== undefined) {
+      await checkRetry(dispatch, context, { lastError, retryCount: count - 1 });
+    }
+    try {
+      return await tryRunner(dispatch, runner, context);
+    } catch (thrown) {
+      lastError = normalizeError(thrown);
+      if (lastError.result !== "epochMismatch") tried.add(runner.id);
+      recordFailure(runner, lastError, context);
+    }
+  }
+  throw lastError ?? createNoRunnerError(dispatch);
+}
+
+async function tryRunner(
+  dispatch: DispatchRequest,
+  runner: RunnerRow,
+  context: DispatchContext,
+): Promise<Dispatched> {
+  const attempt: Attempt = {
+    runner,
+    request: dispatch.request,
+    deadlineAtMs: dispatch.deadlineAtMs,
+    envelope: {
+      ...dispatch.envelope,
+      attempt: createAttemptId(),
+      epoch: runner.epoch,
+      remainingMs: 0,
+    },
+  };
+  const attemptContext = {
+    ...context,
+    stream: dispatch.settings.stream,
+    silences: context.pool.silences,
+  };
+  const sentAtMs = context.timers.nowMs();
+  const start = await openAnswer(attempt, attemptContext);
+  recordEpoch(runner, start, context);
+  if (isRefusal(start)) throw await readRefusal(start);
+  const nowMs = context.timers.nowMs();
+  context.pool.firstBytes.record(nowMs - sentAtMs, nowMs);
+  context.pool.circuit.record("succeeded", nowMs);
+  return { attempt, start, context: attemptContext };
+}
+
+function recordEpoch(
+  runner: RunnerRow,
+  start: AnswerStart,
+  context: DispatchContext,
+): void {
+  const epoch = Number(start.headers[headerNames.epoch]);
+  if (Number.isSafeInteger(epoch)) {
+    context.directory.recordEpoch(runner.id, epoch);
+  }
+}
+
+/** Waits before a repetition, or throws why there is none. */
+async function checkRetry(
+  dispatch: DispatchRequest,
+  context: DispatchContext,
+  options: { lastError: AppError; retryCount: number },
+): Promise<void> {
+  const { lastError, retryCount } = options;
+  const { envelope, settings } = dispatch;
+  if (!envelope.isIdempotent && lastError.executed !== "no") throw lastError;
+  if (lastError.result === "callerGone") throw lastError;
+  // A refusal has cost the pool nothing: the next rank is asked at once.
+  if (isCheapRefusal(lastError)) return;
+  if (!context.pool.retries.tryTake()) {
+    context.metrics.count("retry-budget-spent");
+    throw lastError;
+  }
+  context.metrics.count("retries");
+  const delayMs = getBackoffMs(retryCount, {
+    ...settings.retry,
+    random: context.random,
+  });
+  const leftMs = dispatch.deadlineAtMs - context.timers.nowMs();
+  if (delayMs >= leftMs) throw lastError;
+  await new Promise((resolve) => context.timers.schedule(delayMs, resolve));
+}
+
+const cheapRefusals = new Set([
+  "epochMismatch",
+  "overLoadCap",
+  "runnerLeaving",
+]);
+
+function isCheapRefusal(error: AppError): boolean {
+  return cheapRefusals.has(error.result);
+}
+
+function recordFailure(
+  runner: RunnerRow,
+  error: AppError,
+  context: DispatchContext,
+): void {
+  context.metrics.count(`attempt-failed-${error.result}`);
+  if (error.result === "runnerFailed" || error.result === "runnerUnreachable") {
+    context.pool.circuit.record("failed", context.timers.nowMs());
+    context.directory.recordFailure(runner.id, context.timers.nowMs());
+  } else context.pool.circuit.release();
+}
+
+function checkCircuit(
+  dispatch: DispatchRequest,
+  context: DispatchContext,
+): void {
+  const nowMs = context.timers.nowMs();
+  const { circuit } = context.pool;
+  if (circuit.tryAdmit(nowMs)) return;
+  throw AppError.create(
+    "circuitOpen",
+    `Almost every attempt at "${dispatch.envelope.pool}" fails`,
+    { retryAfterMs: circuit.getRetryAfterMs(nowMs) },
+  );
+}
+
+function createNoRunnerError(dispatch: DispatchRequest): AppError {
+  return AppError.create(
+    "noRunner",
+    `No live runner for "${dispatch.envelope.pool}"`,
+    { retryAfterMs: 1000 },
+  );
+}
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -4,7 +4,7 @@
 import { readBody, sendJson } from "@jasminetide/runtime/http";
 import { dispatchRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
-import { relayAnswer } from "../relay/mod.ts";
+import { sendRequest } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 import {
   type ChatRequest,
@@ -31,33 +31,39 @@
     throw AppError.create("unknownModel", `No model "${chat.model}"`);
   }
   const key = getKey(request, { workspace, chat });
-  const ranked = rankRunners(key, context.directory.getCandidates(chat.model));
-  const dispatched = await dispatchRequest({
-    request: {
-      method: "POST",
-      path: "/v1/chat/completions",
-      headers: { "content-type": "application/json" },
-      body,
+  const ranked = rankRunners(
+    key,
+    context.directory.getCandidates(chat.model, arrivedAtMs),
+  );
+  await sendRequest(
+    {
+      request: {
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { "content-type": "application/json" },
+        body,
+      },
+      envelope: {
+        workspace,
+        priority: requestClass.priority,
+        weight: settings.workspace.weight,
+        costTokens: getCostTokens(chat, body.length),
+        pool: chat.model,
+        chatKey: key.toString(16),
+        isIdempotent: true,
+        configurationVersion: context.configuration.version,
+      },
+      deadlineAtMs: arrivedAtMs + deadlineMs,
+      settings,
+      chooseRunner: (tried) => ranked.find((runner) => !tried.has(runner.id)),
     },
-    envelope: {
-      workspace,
-      priority: requestClass.priority,
-      weight: settings.workspace.weight,
-      costTokens: getCostTokens(chat, body.length),
-      pool: chat.model,
-      chatKey: key.toString(16),
-      configurationVersion: context.configuration.version,
+    response,
+    {
+      context,
+      form: chat.stream === true ? "event-stream" : "whole",
+      dispatch: dispatchRequest,
     },
-    isIdempotent: true,
-    deadlineAtMs: arrivedAtMs + deadlineMs,
-    maximumAttempts: settings.retry.maximumAttempts,
-    chooseRunner: (tried) => ranked.find((runner) => !tried.has(runner.id)),
-  }, { ...context, stream: settings.stream });
-  await relayAnswer(dispatched, response, {
-    ...context,
-    stream: settings.stream,
-    isStream: chat.stream === true,
-  });
+  );
 }
 
 /** Handles `GET /v1/models`. */
--- a/packages/router/src/membership/runner_directory.ts
+++ b/packages/router/src/membership/runner_directory.ts
@@ -7,10 +7,14 @@
   PlatformClient,
 } from "@jasminetide/runtime/platform";
 
+/** How long a runner that failed gets no new work while others are left. */
+const holdDownMs = 1000;
+
 /** The runners that this router knows of. */
 export class RunnerDirectory {
   readonly runners = Table.create<string, RunnerRow>();
   readonly #logger: Logger;
+  readonly #heldUntilMs = new Map<string, number>();
 
   private constructor(logger: Logger) {
     this.#logger = logger;
@@ -22,10 +26,14 @@
   }
 
   /** Gets the runners that take new work for a model or service. */
-  getCandidates(pool: string): RunnerRow[] {
-    return [...this.runners.rows()].filter((runner) =>
+  getCandidates(pool: string, nowMs: number): RunnerRow[] {
+    const active = [...this.runners.rows()].filter((runner) =>
       runner.state === "active" && runner.pools.includes(pool)
     );
+    const healthy = active.filter((runner) =>
+      (this.#heldUntilMs.get(runner.id) ?? 0) <= nowMs
+    );
+    return healthy.length > 0 ? healthy : active;
   }
 
   /** Loads the host list; on failure what is known stays. */
@@ -55,6 +63,11 @@
     row.state = "active";
   }
 
+  /** Records that an attempt at a runner failed. */
+  recordFailure(id: string, nowMs: number): void {
+    this.#heldUntilMs.set(id, nowMs + holdDownMs);
+  }
+
   #apply(
     host: HostRecord,
     process: Extract<HostProcess, { type: "sidecar" }>,
--- a/packages/router/src/relay/mod.ts
+++ b/packages/router/src/relay/mod.ts
@@ -1,2 +1,2 @@
-/** Passing answers on to callers. */
-export * from "./relay_answer.ts";
+/** Passing requests on to runners and their answers back to callers. */
+export * from "./send_request.ts";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -22,7 +22,7 @@
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import polka from "polka";
-import { Connections } from "./attempts/mod.ts";
+import { Connections, PoolStates } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { RunnerDirectory } from "./membership/mod.ts";
@@ -49,6 +49,7 @@
   readonly #configuration = ConfigurationHolder.create();
   readonly #directory: RunnerDirectory;
   readonly #connections = Connections.create();
+  readonly #pools = PoolStates.create();
   readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
   readonly #resolved = new Map<string, RequestSettings>();
@@ -99,6 +100,7 @@
     this.#resources.use(this.#configuration.subscribe(({ body }) => {
       this.#keyIndex = createKeyIndex(body);
       this.#resolved.clear();
+      this.#pools.clear();
     }));
     void watchConfiguration(this.#abort.signal, {
       platform,
@@ -175,6 +177,7 @@
       configuration: this.#configuration,
       directory: this.#directory,
       connections: this.#connections,
+      pools: this.#pools,
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -8,7 +8,7 @@
 import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { Metrics } from "@jasminetide/runtime/metrics";
-import type { Connections } from "./attempts/mod.ts";
+import type { Connections, PoolStates } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
 import type { RunnerDirectory } from "./membership/mod.ts";
 
@@ -23,6 +23,7 @@
   configuration: ConfigurationHolder;
   directory: RunnerDirectory;
   connections: Connections;
+  pools: PoolStates;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -3,9 +3,9 @@
 import { AppError } from "@jasminetide/core/results";
 import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
 import { readBody } from "@jasminetide/runtime/http";
-import { dispatchRequest } from "../attempts/mod.ts";
+import { dispatchRequest, hedgeRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
-import { relayAnswer } from "../relay/mod.ts";
+import { sendRequest } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 
 const safeMethods = new Set(["GET", "HEAD", "OPTIONS"]);
@@ -27,36 +27,39 @@
   });
   const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
   const body = await readBody(request, settings.request.maximumBodyBytes);
-  const runners = context.directory.getCandidates(service.name);
+  const runners = context.directory.getCandidates(service.name, arrivedAtMs);
   const method = request.method ?? "GET";
   const path = request.url ?? "/";
   const headers = copyForwardedHeaders(request.headers);
   delete headers["authorization"];
   const isIdempotent = getIsIdempotent(service, { method, path });
-  const dispatched = await dispatchRequest({
-    request: { method, path, headers, body },
-    envelope: {
-      workspace,
-      priority: requestClass.priority,
-      weight: settings.workspace.weight,
-      costTokens: serviceCostTokens,
-      pool: service.name,
-      chatKey: "0",
-      configurationVersion: context.configuration.version,
+  await sendRequest(
+    {
+      request: { method, path, headers, body },
+      envelope: {
+        workspace,
+        priority: requestClass.priority,
+        weight: settings.workspace.weight,
+        costTokens: serviceCostTokens,
+        pool: service.name,
+        chatKey: "0",
+        isIdempotent,
+        configurationVersion: context.configuration.version,
+      },
+      deadlineAtMs: arrivedAtMs + deadlineMs,
+      settings,
+      chooseRunner: (tried) => {
+        const left = runners.filter((runner) => !tried.has(runner.id));
+        return left[context.random.getInteger(left.length)];
+      },
     },
-    isIdempotent,
-    deadlineAtMs: arrivedAtMs + deadlineMs,
-    maximumAttempts: settings.retry.maximumAttempts,
-    chooseRunner: (tried) => {
-      const left = runners.filter((runner) => !tried.has(runner.id));
-      return left[context.random.getInteger(left.length)];
+    response,
+    {
+      context,
+      form: "whole",
+      dispatch: isIdempotent ? hedgeRequest : dispatchRequest,
     },
-  }, { ...context, stream: settings.stream });
-  await relayAnswer(dispatched, response, {
-    ...context,
-    stream: settings.stream,
-    isStream: false,
-  });
+  );
 }
 
 /** Says whether a call may be repeated: as declared, else by its method. */
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -16,6 +16,7 @@
   remainingMs: "jt-remaining-ms",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
+  idempotent: "jt-idempotent",
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
   executed: "jt-executed",
@@ -36,6 +37,8 @@
   remainingMs: number;
   pool: string;
   chatKey: string;
+  /** Whether the request may be cancelled and repeated. */
+  isIdempotent: boolean;
   configurationVersion: number;
 };
 
@@ -53,6 +56,7 @@
     [headerNames.remainingMs]: String(Math.floor(envelope.remainingMs)),
     [headerNames.pool]: encodeURIComponent(envelope.pool),
     [headerNames.chatKey]: envelope.chatKey,
+    [headerNames.idempotent]: envelope.isIdempotent ? "1" : "0",
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
   };
 }
@@ -73,6 +77,7 @@
     remainingMs: getNumber(headers, headerNames.remainingMs),
     pool: decodeURIComponent(getText(headers, headerNames.pool)),
     chatKey: getText(headers, headerNames.chatKey),
+    isIdempotent: getText(headers, headerNames.idempotent) === "1",
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
   };
 }
--- a/packages/sidecar/src/requests/attempt_store.ts
+++ b/packages/sidecar/src/requests/attempt_store.ts
@@ -7,17 +7,38 @@
 export type StoredAttempt = {
   answer: AnswerBuffer;
   abort: AbortController;
+  /** Whether it may be cancelled when nobody waits for its answer. */
+  isIdempotent: boolean;
+  /** Connections that wait for the answer or read it. */
+  readers: number;
+  /** Time since which nobody has read. */
+  unreadSinceMs: number;
 };
 
 /** How attempts are kept. */
-export type AttemptStoreOptions = { epoch: Epoch; retentionMs: number };
+export type AttemptStoreOptions = {
+  epoch: Epoch;
+  /** Time for which answers and tombstones are kept. */
+  retentionMs: number;
+  /** Time after which an idempotent attempt without readers is cancelled. */
+  orphanMs: number;
+};
+
+/** What begins an attempt. */
+export type BeginOptions = {
+  epoch: Epoch;
+  isIdempotent: boolean;
+  nowMs: number;
+};
 
 /** The attempts of one sidecar with their answers. */
 export class AttemptStore {
+  readonly #options: AttemptStoreOptions;
   readonly #table: AttemptTable;
-  readonly #answers = new Map<AttemptId, StoredAttempt>();
+  readonly #attempts = new Map<AttemptId, StoredAttempt>();
 
   private constructor(options: AttemptStoreOptions) {
+    this.#options = options;
     this.#table = AttemptTable.create(options);
   }
 
@@ -34,25 +55,38 @@
     return this.#table.size;
   }
 
+  /** Attempts that run or whose answer is still read. */
+  get active(): number {
+    let count = 0;
+    for (const attempt of this.#attempts.values()) {
+      if (attempt.answer.state === "open" || attempt.readers > 0) count += 1;
+    }
+    return count;
+  }
+
   /** Begins an attempt, or throws that it is not run. */
-  begin(
-    id: AttemptId,
-    options: { epoch: Epoch; nowMs: number },
-  ): StoredAttempt {
+  begin(id: AttemptId, options: BeginOptions): StoredAttempt {
     this.#table.begin(id, options);
     const attempt = {
       answer: AnswerBuffer.create(),
       abort: new AbortController(),
+      isIdempotent: options.isIdempotent,
+      readers: 0,
+      unreadSinceMs: options.nowMs,
     };
-    this.#answers.set(id, attempt);
+    this.#attempts.set(id, attempt);
     return attempt;
   }
 
-  /** Gets an attempt whose answer is kept. */
-  get(id: AttemptId): StoredAttempt {
-    const attempt = this.#answers.get(id);
-    if (attempt !== undefined) return attempt;
-    throw AppError.create("notFound", `No answer is kept for attempt ${id}`);
+  /** Counts a reader until disposed. */
+  addReader(attempt: StoredAttempt, getNowMs: () => number): Disposable {
+    attempt.readers += 1;
+    return {
+      [Symbol.dispose]: () => {
+        attempt.readers -= 1;
+        attempt.unreadSinceMs = getNowMs();
+      },
+    };
   }
 
   /** Records that the answer has ended, whole or not. */
@@ -63,15 +97,18 @@
   /** Records that the attempt was refused and not run. */
   refuse(id: AttemptId, nowMs: number): void {
     this.#table.refuse(id, nowMs);
-    this.#answers.delete(id);
   }
 
-  /** Cancels an attempt if it still runs. */
+  /** Cancels an attempt if it may be cancelled. */
   cancel(id: AttemptId): void {
-    this.#answers.get(id)?.abort.abort();
+    const attempt = this.#attempts.get(id);
+    if (attempt?.isIdempotent !== true) return;
+    attempt.abort.abort(
+      AppError.create("callerGone", "Nobody waits for the answer"),
+    );
   }
 
-  /** Says what became of an attempt. */
+  /** Says what became of an attempt; one never received is withdrawn. */
   settle(
     id: AttemptId,
     options: { epoch: Epoch; nowMs: number },
@@ -79,11 +116,40 @@
     return this.#table.settle(id, options);
   }
 
-  /** Forgets attempts and answers whose time is over. */
+  /**
+   * Settles an attempt and gets its answer.
+   *
+   * @throws AppError `attemptTombstoned`, which is a promise that it was not
+   * run, or `epochMismatch` with nothing known of its execution.
+   */
+  settleAnswer(
+    id: AttemptId,
+    options: { epoch: Epoch; nowMs: number },
+  ): StoredAttempt {
+    const settlement = this.settle(id, options);
+    const attempt = this.#attempts.get(id);
+    if (settlement.type !== "unknown" && attempt !== undefined) return attempt;
+    if (settlement.type === "tombstoned") {
+      throw AppError.create("attemptTombstoned", `Attempt ${id} was not run`);
+    }
+    throw AppError.create(
+      "epochMismatch",
+      `Nothing is known of attempt ${id} of epoch ${options.epoch}`,
+      { executed: "unknown" },
+    );
+  }
+
+  /** Cancels attempts without readers and forgets those long ended. */
   expire(nowMs: number): void {
     this.#table.expire(nowMs);
-    for (const id of this.#answers.keys()) {
-      if (this.#table.get(id) === undefined) this.#answers.delete(id);
+    for (const [id, attempt] of this.#attempts) {
+      if (this.#table.get(id) === undefined) this.#attempts.delete(id);
+      else if (this.#isOrphan(attempt, nowMs)) this.cancel(id);
     }
   }
+
+  #isOrphan(attempt: StoredAttempt, nowMs: number): boolean {
+    return attempt.answer.state === "open" && attempt.readers === 0 &&
+      nowMs - attempt.unreadSinceMs >= this.#options.orphanMs;
+  }
 }
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -27,7 +27,10 @@
   maximumBodyBytes: number;
 };
 
-const attemptPath = /^\/attempts\/([0-9a-f-]+)(?:\?offset=(\d+))?$/;
+const attemptPath = /^\/attempts\/([0-9a-f-]+)(?:\?offset=(\d+)&epoch=(\d+))?$/;
+
+/** Period of the interim responses (102) while a request waits. */
+const heartbeatPeriodMs = 500;
 
 /** Handles one request of a router. */
 export async function handleRequest(
@@ -35,28 +38,40 @@
   response: ServerResponse,
   context: RequestContext,
 ): Promise<void> {
+  const match = attemptPath.exec(request.url ?? "");
+  const id = match?.[1] ?? String(request.headers[headerNames.attempt] ?? "");
   try {
-    const match = attemptPath.exec(request.url ?? "");
     if (match === null) await handleNew(request, response, context);
     else if (request.method === "DELETE") {
-      context.attempts.cancel(match[1]);
-      response.writeHead(204, context.getAnswerHeaders()).end();
-    } else await handleResume(match, response, context);
+      context.attempts.cancel(id);
+      response.writeHead(204, createHeaders(id, context)).end();
+    } else {
+      const [, , offset, epoch] = match;
+      await handleSettlement(
+        { id, offsetBytes: Number(offset), epoch: Number(epoch) },
+        response,
+        context,
+      );
+    }
   } catch (error) {
-    sendRefusal(response, error, context);
+    sendRefusal(response, { id, error: normalizeError(error) }, context);
   }
 }
 
-async function handleResume(
-  match: RegExpExecArray,
+async function handleSettlement(
+  wanted: { id: string; offsetBytes: number; epoch: number },
   response: ServerResponse,
   context: RequestContext,
 ): Promise<void> {
-  const [, id, offset] = match;
+  const attempt = context.attempts.settleAnswer(wanted.id, {
+    epoch: wanted.epoch,
+    nowMs: context.timers.nowMs(),
+  });
   context.metrics.count("answers-resumed");
-  await sendAnswer(context.attempts.get(id).answer, response, {
-    offsetBytes: Number(offset ?? "0"),
-    headers: createHeaders(id, context),
+  await passAnswer(attempt, response, {
+    id: wanted.id,
+    offsetBytes: wanted.offsetBytes,
+    context,
   });
 }
 
@@ -73,6 +88,7 @@
   }
   const attempt = context.attempts.begin(envelope.attempt, {
     epoch: envelope.epoch,
+    isIdempotent: envelope.isIdempotent,
     nowMs: arrivedAtMs,
   });
   const runnerRequest = {
@@ -82,17 +98,39 @@
     body,
     deadlineMs: envelope.remainingMs,
   };
-  const work = admitAttempt(
-    attempt,
-    { envelope, runnerRequest, arrivedAtMs },
+  void admitAttempt(attempt, { envelope, runnerRequest, arrivedAtMs }, context);
+  await passAnswer(attempt, response, {
+    id: envelope.attempt,
+    offsetBytes: 0,
     context,
+  });
+}
+
+/** Sends an answer; interim responses show that the connection is alive. */
+async function passAnswer(
+  attempt: StoredAttempt,
+  response: ServerResponse,
+  options: { id: string; offsetBytes: number; context: RequestContext },
+): Promise<void> {
+  const { id, offsetBytes, context } = options;
+  using _reader = context.attempts.addReader(
+    attempt,
+    () => context.timers.nowMs(),
   );
-  await Promise.race([work, attempt.answer.getHead()]);
-  await sendAnswer(attempt.answer, response, {
-    offsetBytes: 0,
-    headers: createHeaders(envelope.attempt, context),
+  const closed = new Promise<void>((resolve) => {
+    response.once("close", resolve);
   });
-  await work;
+  response.writeProcessing();
+  using _heartbeat = context.timers.subscribe(heartbeatPeriodMs, () => {
+    if (!response.headersSent) response.writeProcessing();
+  });
+  await Promise.race([
+    closed,
+    sendAnswer(attempt.answer, response, {
+      offsetBytes,
+      headers: createHeaders(id, context),
+    }),
+  ]);
 }
 
 type Work = {
@@ -107,7 +145,7 @@
   work: Work,
   context: RequestContext,
 ): Promise<void> {
-  const { envelope, runnerRequest, arrivedAtMs } = work;
+  const { envelope, arrivedAtMs } = work;
   let hasBegun = false;
   try {
     await context.admission.run({
@@ -117,48 +155,52 @@
       costTokens: envelope.costTokens,
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
     }, async () => {
+      attempt.abort.signal.throwIfAborted();
       hasBegun = true;
-      const waitedMs = context.timers.nowMs() - arrivedAtMs;
-      context.metrics.record("admission-wait-ms", waitedMs);
-      await runAttempt(attempt, {
-        ...runnerRequest,
-        deadlineMs: envelope.remainingMs - waitedMs,
-      }, context.runner);
+      await runAdmitted(attempt, work, context);
     });
   } catch (error) {
-    if (!hasBegun) {
-      context.attempts.refuse(envelope.attempt, context.timers.nowMs());
-    }
     attempt.answer.fail(normalizeError(error));
-    throw error;
-  } finally {
-    if (hasBegun) {
-      context.attempts.complete(envelope.attempt, context.timers.nowMs());
-    }
   }
+  const nowMs = context.timers.nowMs();
+  if (hasBegun) context.attempts.complete(envelope.attempt, nowMs);
+  else context.attempts.refuse(envelope.attempt, nowMs);
+}
+
+async function runAdmitted(
+  attempt: StoredAttempt,
+  work: Work,
+  context: RequestContext,
+): Promise<void> {
+  const { envelope, runnerRequest, arrivedAtMs } = work;
+  const waitedMs = context.timers.nowMs() - arrivedAtMs;
+  context.metrics.record("admission-wait-ms", waitedMs);
+  await runAttempt(attempt, {
+    ...runnerRequest,
+    deadlineMs: envelope.remainingMs - waitedMs,
+  }, context.runner);
 }
 
 function createHeaders(
-  attempt: string,
+  id: string,
   context: RequestContext,
 ): { [name: string]: string } {
   return {
     ...context.getAnswerHeaders(),
-    [headerNames.attempt]: attempt,
+    [headerNames.attempt]: id,
     [headerNames.epoch]: String(context.attempts.epoch),
   };
 }
 
 function sendRefusal(
   response: ServerResponse,
-  thrown: unknown,
+  refusal: { id: string; error: AppError },
   context: RequestContext,
 ): void {
-  const error = normalizeError(thrown);
+  const { id, error } = refusal;
   context.metrics.count(`refused-${error.result}`);
   sendProblem(response, error, {
-    ...context.getAnswerHeaders(),
-    [headerNames.epoch]: String(context.attempts.epoch),
+    ...createHeaders(id, context),
     [headerNames.executed]: error.executed,
   });
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -34,6 +34,9 @@
 /** How long answers and tombstones are kept. */
 const attemptRetentionMs = 60_000;
 
+/** Time after which an idempotent attempt that nobody reads is cancelled. */
+const orphanMs = 5000;
+
 const expirePeriodMs = 1000;
 
 const runnerConnections = 256;
@@ -63,6 +66,7 @@
     this.#attempts = AttemptStore.create({
       epoch: createEpoch(timers.nowMs()),
       retentionMs: attemptRetentionMs,
+      orphanMs,
     });
     this.#admission = Admission.create({
       maximumConcurrency: 64,
