Spread digests between processes

**Cause**: routers knew runners from the host list alone and learned an epoch from the first refusal; the load cap compared with a mean of zero.

**Change**: core/membership merges records by epoch and sequence, keeps "leaving" until a new epoch, damps flaps and gives the mean load of a pool with its age and error bound. A digest is CBOR with one typed array a column; 11 bytes a load, 28 a whole record. Digests go by UDP datagrams with an authentication code, within a byte budget asserted in each process. runtime/membership replaces the router's directory and serves sidecars too. Every answer of a sidecar carries its record.

--- /dev/null
+++ b/packages/core/src/membership/answer_record.ts
@@ -0,0 +1,55 @@
+import { Buffer } from "node:buffer";
+import { Encoder } from "cbor-x";
+import { AppError } from "../results/mod.ts";
+import type { DigestRecord, WireId } from "./record.ts";
+
+type EncodedRecord = [number, number, number, number, number, number];
+
+const encoder = new Encoder({ useRecords: false });
+
+/** Encodes a sidecar's record for the header of its answers. */
+export function encodeAnswerRecord(record: DigestRecord): string {
+  const fields: EncodedRecord = [
+    record.epoch,
+    record.sequence,
+    Math.round(record.loadTokens),
+    record.capacity,
+    record.isLeaving ? 1 : 0,
+    record.configurationVersion,
+  ];
+  return Buffer.from(encoder.encode(fields)).toString("base64url");
+}
+
+/**
+ * Decodes the header of an answer of a member; the record is as old as the
+ * answer.
+ *
+ * @throws AppError `invalidMessage` when the text is not a record.
+ */
+export function decodeAnswerRecord(text: string, wireId: WireId): DigestRecord {
+  const fields = decodeFields(text);
+  if (fields.length !== 6 || !fields.every(Number.isFinite)) {
+    throw AppError.create("invalidMessage", "Cannot read an answer's record");
+  }
+  const [epoch, sequence, loadTokens, capacity, flag, configurationVersion] =
+    fields;
+  return {
+    wireId,
+    epoch,
+    sequence,
+    loadTokens,
+    capacity,
+    isLeaving: flag === 1,
+    configurationVersion,
+    ageMs: 0,
+  };
+}
+
+function decodeFields(text: string): number[] {
+  try {
+    const fields = encoder.decode(Buffer.from(text, "base64url"));
+    return Array.isArray(fields) ? fields.map(Number) : [];
+  } catch {
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/codec.ts
@@ -0,0 +1,249 @@
+import { Encoder } from "cbor-x";
+import { AppError } from "../results/mod.ts";
+import type { RunnerKind } from "../tables/mod.ts";
+import type {
+  DigestRecord,
+  MemberIdentity,
+  MemberType,
+  WireId,
+} from "./record.ts";
+
+/**
+ * The frequent part of a record. Epoch and sequence are cut to 16 bits; a
+ * receiver that does not know the epoch asks the member itself.
+ */
+export type LoadRecord = {
+  wireId: WireId;
+  epochTag: number;
+  sequenceTag: number;
+  loadTokens: number;
+  ageMs: number;
+};
+
+/** One datagram between members. */
+export type Digest = {
+  sender: WireId;
+  /** Highest configuration version that the sender holds. */
+  configurationVersion: number;
+  records: DigestRecord[];
+  loads: LoadRecord[];
+  /** Members whose whole record the sender asks for. */
+  wanted: WireId[];
+  identities: MemberIdentity[];
+};
+
+/** Bytes of a whole record inside a digest. */
+export const recordBytes = 28;
+
+/** Bytes of a load record inside a digest. */
+export const loadBytes = 11;
+
+/** Bytes of a wanted identifier inside a digest. */
+export const wantedBytes = 4;
+
+/** Upper bound of a digest's bytes besides its entries. */
+export const digestOverheadBytes = 72;
+
+const formatNumber = 1;
+const tagModulus = 65_536;
+const ageUnitMs = 100;
+const maxAgeUnits = 255;
+const loadStepsPerDoubling = 2048;
+const leavingFlag = 1;
+
+const encoder = new Encoder({ useRecords: false });
+
+/** Cuts an epoch or sequence to 16 bits. */
+export function getTag(value: number): number {
+  return value % tagModulus;
+}
+
+/** Completes a cut sequence to the value nearest to a known one. */
+export function getNearest(tag: number, known: number): number {
+  const difference = (tag - getTag(known) + tagModulus) % tagModulus;
+  return known +
+    (difference < tagModulus / 2 ? difference : difference - tagModulus);
+}
+
+/** Encodes a digest as CBOR with one typed array a column. */
+export function encodeDigest(digest: Digest): Uint8Array {
+  return encoder.encode([
+    formatNumber,
+    digest.sender,
+    digest.configurationVersion,
+    digest.records.length === 0 ? 0 : encodeRecords(digest.records),
+    digest.loads.length === 0 ? 0 : encodeLoads(digest.loads),
+    digest.wanted.length === 0 ? 0 : Uint32Array.from(digest.wanted),
+    digest.identities.length === 0 ? 0 : digest.identities.map(encodeIdentity),
+  ]);
+}
+
+/**
+ * Decodes a digest.
+ *
+ * @throws AppError `invalidMessage` when the bytes are not a digest.
+ */
+export function decodeDigest(bytes: Uint8Array): Digest {
+  try {
+    const [format, sender, configurationVersion, records, loads, wanted, rest] =
+      encoder.decode(bytes) as EncodedDigest;
+    if (format !== formatNumber) throw new Error(`format ${format}`);
+    if (records !== 0) checkColumns(records);
+    if (loads !== 0) checkColumns(loads);
+    return {
+      sender,
+      configurationVersion,
+      records: records === 0 ? [] : decodeRecords(records),
+      loads: loads === 0 ? [] : decodeLoads(loads),
+      wanted: wanted === 0 ? [] : [...wanted],
+      identities: rest === 0 ? [] : rest.map(decodeIdentity),
+    };
+  } catch (cause) {
+    throw AppError.create("invalidMessage", "Cannot decode a digest", {
+      cause,
+    });
+  }
+}
+
+type RecordColumns = [
+  Uint32Array,
+  Float64Array,
+  Uint32Array,
+  Uint16Array,
+  Float32Array,
+  Uint8Array,
+  Uint32Array,
+  Uint8Array,
+];
+
+type LoadColumns = [
+  Uint32Array,
+  Uint16Array,
+  Uint16Array,
+  Uint16Array,
+  Uint8Array,
+];
+
+type EncodedDigest = [
+  number,
+  WireId,
+  number,
+  RecordColumns | 0,
+  LoadColumns | 0,
+  Uint32Array | 0,
+  EncodedIdentity[] | 0,
+];
+
+type EncodedIdentity = [
+  MemberType,
+  string,
+  string,
+  string,
+  string,
+  string,
+  [string, RunnerKind, string[], string] | 0,
+];
+
+function encodeRecords(records: DigestRecord[]): RecordColumns {
+  return [
+    Uint32Array.from(records, (record) => record.wireId),
+    Float64Array.from(records, (record) => record.epoch),
+    Uint32Array.from(records, (record) => record.sequence),
+    Uint16Array.from(records, (record) => encodeLoad(record.loadTokens)),
+    Float32Array.from(records, (record) => record.capacity),
+    Uint8Array.from(
+      records,
+      (record) => record.isLeaving ? leavingFlag : 0,
+    ),
+    Uint32Array.from(records, (record) => record.configurationVersion),
+    Uint8Array.from(records, (record) => encodeAge(record.ageMs)),
+  ];
+}
+
+function decodeRecords(columns: RecordColumns): DigestRecord[] {
+  const [ids, epochs, sequences, loads, capacities, flags, versions, ages] =
+    columns;
+  return Array.from(ids, (wireId, index) => ({
+    wireId,
+    epoch: epochs[index],
+    sequence: sequences[index],
+    loadTokens: decodeLoad(loads[index]),
+    capacity: capacities[index],
+    isLeaving: (flags[index] & leavingFlag) !== 0,
+    configurationVersion: versions[index],
+    ageMs: ages[index] * ageUnitMs,
+  }));
+}
+
+function encodeLoads(loads: LoadRecord[]): LoadColumns {
+  return [
+    Uint32Array.from(loads, (load) => load.wireId),
+    Uint16Array.from(loads, (load) => load.epochTag),
+    Uint16Array.from(loads, (load) => load.sequenceTag),
+    Uint16Array.from(loads, (load) => encodeLoad(load.loadTokens)),
+    Uint8Array.from(loads, (load) => encodeAge(load.ageMs)),
+  ];
+}
+
+function decodeLoads(columns: LoadColumns): LoadRecord[] {
+  const [ids, epochTags, sequenceTags, loads, ages] = columns;
+  return Array.from(ids, (wireId, index) => ({
+    wireId,
+    epochTag: epochTags[index],
+    sequenceTag: sequenceTags[index],
+    loadTokens: decodeLoad(loads[index]),
+    ageMs: ages[index] * ageUnitMs,
+  }));
+}
+
+function encodeIdentity(identity: MemberIdentity): EncodedIdentity {
+  const { runner } = identity;
+  return [
+    identity.type,
+    identity.name,
+    identity.host,
+    identity.failureDomain,
+    identity.region,
+    identity.controlAddress,
+    runner === undefined
+      ? 0
+      : [runner.id, runner.kind, runner.pools, runner.dataAddress],
+  ];
+}
+
+function decodeIdentity(encoded: EncodedIdentity): MemberIdentity {
+  const [type, name, host, failureDomain, region, controlAddress, runner] =
+    encoded;
+  const identity: MemberIdentity = {
+    type,
+    name,
+    host,
+    failureDomain,
+    region,
+    controlAddress,
+  };
+  if (runner === 0) return identity;
+  const [id, kind, pools, dataAddress] = runner;
+  return { ...identity, runner: { id, kind, pools, dataAddress } };
+}
+
+function checkColumns(columns: { length: number }[]): void {
+  if (columns.every((column) => column.length === columns[0].length)) return;
+  throw new Error("Columns differ in length");
+}
+
+function encodeAge(ageMs: number): number {
+  return Math.min(maxAgeUnits, Math.round(ageMs / ageUnitMs));
+}
+
+/** Logarithmic steps, so that the relative error stays below 0.02 %. */
+function encodeLoad(tokens: number): number {
+  return Math.min(
+    tagModulus - 1,
+    Math.round(Math.log2(1 + tokens) * loadStepsPerDoubling),
+  );
+}
+
+function decodeLoad(steps: number): number {
+  return 2 ** (steps / loadStepsPerDoubling) - 1;
+}
--- /dev/null
+++ b/packages/core/src/membership/membership_test.ts
@@ -0,0 +1,275 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import type { RunnerRow } from "../tables/mod.ts";
+import {
+  applyHostList,
+  createMembershipTables,
+  decodeAnswerRecord,
+  decodeDigest,
+  defaultMembershipLimits,
+  type Digest,
+  type DigestRecord,
+  encodeAnswerRecord,
+  encodeDigest,
+  getPoolMean,
+  getWireId,
+  isHeldDown,
+  isLeaving,
+  loadBytes,
+  type MemberIdentity,
+  type MembershipTables,
+  mergeIdentity,
+  mergeRecord,
+  recordBytes,
+} from "./mod.ts";
+
+type World = { tables: MembershipTables; nowMs: number; runners: RunnerRow[] };
+
+const identity: MemberIdentity = {
+  type: "sidecar",
+  name: "sidecar-a",
+  host: "host-a",
+  failureDomain: "domain-a",
+  region: "region-a",
+  controlAddress: "127.0.0.1:1",
+  runner: {
+    id: "runner-a",
+    kind: "engine",
+    pools: ["model"],
+    dataAddress: "127.0.0.1:2",
+  },
+};
+const wireId = getWireId(identity);
+const startMs = 1_000_000;
+
+function createTables(): MembershipTables {
+  const tables = createMembershipTables({
+    identity: { ...identity, type: "router", name: "router-a" },
+    epoch: 1,
+    capacity: 1,
+    limits: defaultMembershipLimits,
+    nowMs: startMs,
+  });
+  mergeIdentity(tables, identity);
+  return tables;
+}
+
+function createRecord(fields: Partial<DigestRecord>): DigestRecord {
+  return {
+    wireId,
+    epoch: 5,
+    sequence: 1,
+    loadTokens: 0,
+    capacity: 1,
+    isLeaving: false,
+    configurationVersion: 0,
+    ageMs: 0,
+    ...fields,
+  };
+}
+
+const recordArbitrary = fc.record({
+  epoch: fc.integer({ min: 1, max: 3 }),
+  sequence: fc.integer({ min: 1, max: 4 }),
+  isLeaving: fc.boolean(),
+}).map((fields) =>
+  // A member tells one load a sequence.
+  createRecord({ ...fields, loadTokens: fields.epoch * 10 + fields.sequence })
+);
+
+function mergeAll(records: DigestRecord[]) {
+  const tables = createTables();
+  for (const record of records) mergeRecord(tables, record, startMs);
+  const member = tables.members.get(wireId);
+  assert.ok(member !== undefined);
+  return { record: member.record, isLeaving: isLeaving(member) };
+}
+
+Then(
+  "{int} random sets of records give the same member in any order, seed {int}",
+  function (numRuns: number, seed: number) {
+    const sets = fc.array(recordArbitrary, { minLength: 1, maxLength: 8 });
+    fc.assert(
+      fc.property(sets, (records) => {
+        const { epoch } = mergeAll(records).record;
+        const leaves = records.some((record) =>
+          record.epoch === epoch && record.isLeaving
+        );
+        const merged = mergeAll(records);
+        assert.deepEqual(mergeAll([...records].reverse()), merged);
+        assert.deepEqual(mergeAll([...records, ...records]), merged);
+        assert.equal(merged.isLeaving, leaves);
+      }),
+      { seed, numRuns },
+    );
+  },
+);
+
+const uint32 = fc.integer({ min: 0, max: 0xffffffff });
+const digestArbitrary: fc.Arbitrary<Digest> = fc.record({
+  sender: uint32,
+  configurationVersion: uint32,
+  records: fc.array(fc.record({
+    wireId: uint32,
+    epoch: fc.maxSafeNat(),
+    sequence: uint32,
+    loadTokens: fc.constant(0),
+    capacity: fc.integer({ min: 1, max: 8 }),
+    isLeaving: fc.boolean(),
+    configurationVersion: uint32,
+    ageMs: fc.integer({ min: 0, max: 255 }).map((units) => units * 100),
+  }, { noNullPrototype: true })),
+  loads: fc.constant([]),
+  wanted: fc.array(uint32),
+  identities: fc.constantFrom([], [identity]),
+}, { noNullPrototype: true });
+
+Then(
+  "{int} random digests are the same after encoding, seed {int}",
+  function (numRuns: number, seed: number) {
+    fc.assert(
+      fc.property(
+        digestArbitrary,
+        (digest) =>
+          assert.deepEqual(decodeDigest(encodeDigest(digest)), digest),
+      ),
+      { seed, numRuns },
+    );
+  },
+);
+
+Then(
+  "a load in a digest takes {int} bytes and a whole record {int}",
+  function (load: number, record: number) {
+    assert.deepEqual([loadBytes, recordBytes], [load, record]);
+    const empty = fc.sample(digestArbitrary, { numRuns: 1, seed: 1 })[0];
+    const count = (digest: Partial<Digest>) =>
+      encodeDigest({ ...empty, ...digest }).length;
+    const records = Array.from({ length: 11 }, () => createRecord({}));
+    const loads = records.map((entry) => ({
+      ...entry,
+      epochTag: 1,
+      sequenceTag: 1,
+    }));
+    const tenRecords = count({ records }) -
+      count({ records: records.slice(0, 1) });
+    const tenLoads = count({ loads }) - count({ loads: loads.slice(0, 1) });
+    assert.ok(tenRecords <= 10 * record + 8);
+    assert.ok(tenLoads <= 10 * load + 5);
+  },
+);
+
+Then(
+  "bytes that are no digest are refused as an invalid message",
+  function () {
+    for (const bytes of [[], [0x80], [1, 2, 3], [0x85, 1, 2, 3, 4, 5]]) {
+      assert.throws(
+        () => decodeDigest(Uint8Array.from(bytes)),
+        { result: "invalidMessage" },
+      );
+    }
+  },
+);
+
+Given("a member at epoch {int}", function (this: World, epoch: number) {
+  this.nowMs = startMs;
+  this.tables = createTables();
+  mergeRecord(this.tables, createRecord({ epoch }), this.nowMs);
+});
+
+When("the host list calls it leaving", function (this: World) {
+  applyHostList(this.tables, [{ identity, capacity: 1, state: "leaving" }]);
+});
+
+When(
+  "a record of epoch {int} and sequence {int} says that it stays",
+  function (this: World, epoch: number, sequence: number) {
+    mergeRecord(this.tables, createRecord({ epoch, sequence }), this.nowMs);
+  },
+);
+
+Then(/^the member is (leaving|active)$/, function (this: World, state: string) {
+  assert.equal(this.tables.runners.get("runner-a")?.state, state);
+});
+
+When(
+  "it comes back under a new epoch once a second for {int} seconds",
+  function (this: World, seconds: number) {
+    for (let second = 1; second <= seconds; second++) {
+      this.nowMs += 1000;
+      const epoch = 5 + second;
+      mergeRecord(this.tables, createRecord({ epoch }), this.nowMs);
+    }
+  },
+);
+
+Then(
+  "it is held back for {int} seconds",
+  function (this: World, seconds: number) {
+    const endMs = this.nowMs + seconds * 1000;
+    assert.ok(isHeldDown(this.tables, "runner-a", endMs - 1));
+    assert.ok(!isHeldDown(this.tables, "runner-a", endMs));
+  },
+);
+
+Then("a member that only joined is not held back", function () {
+  const tables = createTables();
+  mergeRecord(tables, createRecord({}), startMs);
+  assert.ok(!isHeldDown(tables, "runner-a", startMs));
+});
+
+Given(
+  "runners with loads {int} and {int}, and one of {int} told {int} s ago",
+  function (
+    this: World,
+    left: number,
+    right: number,
+    old: number,
+    ageS: number,
+  ) {
+    const createRow = (loadTokens: number, ageMs: number) => {
+      const tables = createTables();
+      mergeRecord(tables, createRecord({ loadTokens, ageMs }), startMs);
+      return [...tables.runners.rows()][0];
+    };
+    this.runners = [
+      createRow(left, 0),
+      createRow(right, 2000),
+      createRow(old, ageS * 1000),
+    ];
+  },
+);
+
+Then(
+  "the mean is {int}, {int} s old, with {int} stale runner",
+  function (this: World, tokens: number, ageS: number, stale: number) {
+    const mean = getPoolMean(this.runners, {
+      pools: ["model"],
+      nowMs: startMs,
+      staleAfterMs: 10_000,
+      publishRatio: 0.05,
+      publishTokens: 256,
+    });
+    assert.deepEqual(mean, {
+      tokens,
+      ageMs: ageS * 1000,
+      errorTokens: 256,
+      runners: 2,
+      stale,
+    });
+  },
+);
+
+Then(
+  "a record read from an answer's header is the one that was told",
+  function () {
+    const record = createRecord({ epoch: 1.7e15, loadTokens: 12_345 });
+    const text = encodeAnswerRecord(record);
+    assert.ok(text.length <= 40);
+    assert.deepEqual(decodeAnswerRecord(text, wireId), record);
+    assert.throws(() => decodeAnswerRecord("!!", wireId), {
+      result: "invalidMessage",
+    });
+  },
+);
--- /dev/null
+++ b/packages/core/src/membership/spreading.ts
@@ -0,0 +1,178 @@
+import { assertInvariant } from "../results/mod.ts";
+import { askUnknown } from "./asking.ts";
+import { framingBytes, spendBudget, updateBudget } from "./budget.ts";
+import {
+  type Digest,
+  digestOverheadBytes,
+  encodeDigest,
+  getTag,
+  loadBytes,
+  recordBytes,
+} from "./codec.ts";
+import { publishOwnLoad } from "./own_record.ts";
+import type { MemberIdentity } from "./record.ts";
+import {
+  createDigest,
+  createRecord,
+  type SendDigest,
+  type Spreader,
+} from "./spreader.ts";
+import type { MemberRow } from "./tables.ts";
+
+/** Largest digest, so that a datagram is not fragmented. */
+export const maxDigestBytes = 1200;
+
+/** Time between two ticks, and so between two rounds of urgent records. */
+export const tickPeriodMs = 200;
+
+/** Sends what is due; called every `tickPeriodMs`. */
+export function spreadDigests(
+  spreader: Spreader,
+  nowMs: number,
+): SendDigest[] {
+  const { tables } = spreader;
+  updateBudget(spreader.budget, { tables, nowMs });
+  publishOwnLoad(spreader, nowMs);
+  const commands = askUnknown(spreader, nowMs);
+  const isLoadDue = nowMs >= spreader.nextLoadAtMs;
+  if (isLoadDue) {
+    spreader.nextLoadAtMs = nowMs + tables.limits.digestPeriodMs;
+    refreshState(spreader);
+  }
+  const due = selectDue(spreader, isLoadDue);
+  if (due.length > 0 || spreader.versionRounds > 0) {
+    commands.push(...sendRound(spreader, due, nowMs));
+  }
+  return commands;
+}
+
+/** Repeats one member's whole record, for those whom it did not reach. */
+function refreshState(spreader: Spreader): void {
+  const { members, pending } = spreader.tables;
+  if (spreader.refreshQueue.length === 0) {
+    spreader.refreshQueue = [...members.rows()];
+  }
+  const member = spreader.refreshQueue.pop();
+  if (member === undefined || member.record.epoch === 0) return;
+  if (!members.has(member.record.wireId) || member.roundsLeft > 0) return;
+  member.isUrgent = true;
+  member.roundsLeft = 1;
+  pending.add(member);
+}
+
+/** Own state first, then others' state, then the youngest loads. */
+function selectDue(spreader: Spreader, isLoadDue: boolean): MemberRow[] {
+  const { pending, self } = spreader.tables;
+  const getRank = (member: MemberRow) =>
+    (member.isUrgent ? 0 : 2) + (member === self ? 0 : 1);
+  return [...pending]
+    .filter((member) => member.isUrgent || isLoadDue)
+    .sort((left, right) =>
+      getRank(left) - getRank(right) || right.madeAtMs - left.madeAtMs
+    );
+}
+
+function sendRound(
+  spreader: Spreader,
+  due: MemberRow[],
+  nowMs: number,
+): SendDigest[] {
+  const { tables } = spreader;
+  const peers = tables.members.size > 1
+    ? spreader.scheme.choosePeers(tables)
+    : [];
+  if (peers.length === 0 || spreader.budget.allowanceBytes < 0) return [];
+  const commands: SendDigest[] = [];
+  let rest = due;
+  spreader.versionRounds = Math.max(0, spreader.versionRounds - 1);
+  do {
+    const members = selectFitting(spreader, rest, peers.length);
+    if (members.length === 0 && rest.length > 0) break;
+    rest = rest.slice(members.length);
+    const bytes = encodeDigest(fillDigest(spreader, members, nowMs));
+    assertInvariant(
+      bytes.length <= maxDigestBytes || members.length === 1,
+      "digest-fits-datagram",
+      () => `${bytes.length} bytes`,
+    );
+    for (const peer of peers) {
+      spendBudget(spreader.budget, { tables, sizeBytes: bytes.length });
+      commands.push({ type: "send-digest", peer, bytes });
+    }
+    for (const member of members) completeRound(spreader, member);
+  } while (rest.length > 0);
+  return commands;
+}
+
+/** Takes as many records as one datagram and the budget hold. */
+function selectFitting(
+  spreader: Spreader,
+  due: MemberRow[],
+  peers: number,
+): MemberRow[] {
+  const { budget, tables } = spreader;
+  const affordable = budget.allowanceBytes / peers - framingBytes;
+  const members: MemberRow[] = [];
+  let sizeBytes = digestOverheadBytes;
+  for (const member of due) {
+    sizeBytes += getEntryBytes(member);
+    if (sizeBytes > maxDigestBytes && members.length > 0) break;
+    const isOwnState = member.isUrgent && member === tables.self;
+    if (sizeBytes > affordable && !isOwnState) break;
+    members.push(member);
+  }
+  return members;
+}
+
+function getEntryBytes(member: MemberRow): number {
+  if (!member.isUrgent) return loadBytes;
+  if (!member.isNew) return recordBytes;
+  return recordBytes + getIdentityBytes(member.identity);
+}
+
+const identityBytes = new WeakMap<MemberIdentity, number>();
+
+/** JSON, with its field names, is longer than what is sent. */
+function getIdentityBytes(identity: MemberIdentity): number {
+  const known = identityBytes.get(identity);
+  if (known !== undefined) return known;
+  const bytes = JSON.stringify(identity).length;
+  identityBytes.set(identity, bytes);
+  return bytes;
+}
+
+function fillDigest(
+  spreader: Spreader,
+  members: MemberRow[],
+  nowMs: number,
+): Digest {
+  const digest = createDigest(spreader);
+  for (const member of members) {
+    if (member.isUrgent) {
+      digest.records.push(createRecord(member, nowMs));
+      if (member.isNew) digest.identities.push(member.identity);
+    } else digest.loads.push(createLoad(member, nowMs));
+  }
+  return digest;
+}
+
+function createLoad(
+  member: MemberRow,
+  nowMs: number,
+): Digest["loads"][number] {
+  return {
+    wireId: member.record.wireId,
+    epochTag: getTag(member.record.epoch),
+    sequenceTag: getTag(member.record.sequence),
+    loadTokens: member.record.loadTokens,
+    ageMs: nowMs - member.madeAtMs,
+  };
+}
+
+function completeRound(spreader: Spreader, member: MemberRow): void {
+  member.roundsLeft -= 1;
+  if (member.roundsLeft > 0) return;
+  member.isUrgent = false;
+  member.isNew = false;
+  spreader.tables.pending.delete(member);
+}
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -77,7 +77,8 @@
     }
     this.hosts.set(records);
     for (const settings of definition.routers) {
-      await this.#startRouter(settings);
+      records.push(await this.#startRouter(settings));
+      this.hosts.set([...records]);
     }
   }
 
@@ -119,7 +120,7 @@
 
   async #startRouter(
     settings: FleetDefinition["routers"][number],
-  ): Promise<void> {
+  ): Promise<HostRecord> {
     const router = await Router.create({
       settings: {
         ...settings,
@@ -132,6 +133,17 @@
     });
     this.#resources.use(router);
     this.routers.push(router);
+    return {
+      id: settings.host,
+      failureDomain: settings.failureDomain,
+      region: settings.region,
+      state: "live",
+      processes: [{
+        type: "router",
+        name: settings.name,
+        controlAddress: router.controlAddress,
+      }],
+    };
   }
 
   #createRunner(settings: SidecarSettings): RequestListener {
--- a/packages/router/src/attempts/dispatch.ts
+++ b/packages/router/src/attempts/dispatch.ts
@@ -4,8 +4,8 @@
   headerNames,
   type RequestEnvelope,
 } from "@jasminetide/runtime/exchange";
+import type { Membership } from "@jasminetide/runtime/membership";
 import { v7 as createAttemptId } from "uuid";
-import type { RunnerDirectory } from "../membership/mod.ts";
 import {
   type AnswerStart,
   type Attempt,
@@ -35,7 +35,7 @@
  */
 export async function dispatchRequest(
   dispatch: DispatchRequest,
-  context: AttemptContext & { directory: RunnerDirectory },
+  context: AttemptContext & { directory: Membership },
 ): Promise<Dispatched> {
   const tried = new Set<string>();
   let lastError: AppError | undefined;
@@ -47,6 +47,9 @@
     } catch (thrown) {
       lastError = normalizeError(thrown);
       context.metrics.count(`attempt-failed-${lastError.result}`);
+      if (lastError.result === "runnerFailed") {
+        context.directory.recordFailure(runner.id);
+      }
       if (!canRepeat(dispatch, lastError)) throw lastError;
       if (lastError.result !== "epochMismatch") tried.add(runner.id);
     }
@@ -64,7 +67,7 @@
 async function tryRunner(
   dispatch: DispatchRequest,
   runner: RunnerRow,
-  context: AttemptContext & { directory: RunnerDirectory },
+  context: AttemptContext & { directory: Membership },
 ): Promise<Dispatched> {
   const attempt: Attempt = {
     runner,
@@ -78,10 +81,7 @@
     },
   };
   const start = await sendAttempt(attempt, context);
-  const epoch = Number(start.headers[headerNames.epoch]);
-  if (Number.isSafeInteger(epoch)) {
-    context.directory.recordEpoch(runner.id, epoch);
-  }
+  context.directory.recordAnswer(runner.id, start.headers);
   if (start.headers[headerNames.executed] !== undefined) {
     throw await readRefusal(start);
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Match, resolveSettings } from "@jasminetide/core/configuration";
+import {
+  createEpoch,
+  defaultMembershipLimits,
+} from "@jasminetide/core/membership";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
@@ -19,13 +23,13 @@
   startServer,
 } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import polka from "polka";
 import { Connections } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
-import { RunnerDirectory } from "./membership/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -37,8 +41,6 @@
   logger: Logger;
 };
 
-const hostListPeriodMs = 1000;
-
 /** Settings of requests that are kept before the cache is emptied. */
 const maxResolvedSubjects = 50_000;
 
@@ -47,18 +49,17 @@
   readonly #options: RouterOptions;
   readonly #metrics = Metrics.create();
   readonly #configuration = ConfigurationHolder.create();
-  readonly #directory: RunnerDirectory;
   readonly #connections = Connections.create();
   readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
   readonly #resolved = new Map<string, RequestSettings>();
+  #membership: Membership | undefined;
   #keyIndex: KeyIndex = new Map();
   #callerAddress = "";
   #controlAddress = "";
 
   private constructor(options: RouterOptions) {
     this.#options = options;
-    this.#directory = RunnerDirectory.create(options.logger);
   }
 
   /** Starts a router and its listeners. */
@@ -80,7 +81,8 @@
 
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
-    return this.#configuration.isLoaded && this.#directory.runners.size > 0;
+    return this.#configuration.isLoaded &&
+      this.#membership?.hasActiveRunner === true;
   }
 
   /** Stops accepting, finishes the requests in flight, and closes. */
@@ -95,7 +97,6 @@
     });
     this.#resources.use(platform);
     this.#resources.use(this.#connections);
-    this.#startMembership(platform);
     this.#resources.use(this.#configuration.subscribe(({ body }) => {
       this.#keyIndex = createKeyIndex(body);
       this.#resolved.clear();
@@ -111,17 +112,41 @@
     const control = await this.#startControl();
     this.#resources.use(control);
     this.#controlAddress = control.address;
-    const callers = await this.#startCallers();
+    const membership = await this.#startMembership(platform);
+    const callers = await this.#startCallers(membership);
     this.#resources.defer(() => callers.close());
     this.#callerAddress = callers.address;
     logger.info("router-started", { callers: callers.address });
   }
 
-  #startMembership(platform: PlatformClient): void {
-    const { timers } = this.#options;
-    const load = (nowMs: number) => void this.#directory.load(platform, nowMs);
-    load(timers.nowMs());
-    this.#resources.use(timers.subscribe(hostListPeriodMs, load));
+  async #startMembership(platform: PlatformClient): Promise<Membership> {
+    const { logger, settings, timers } = this.#options;
+    const random = createSystemRandom();
+    const membership = await Membership.create({
+      identity: {
+        type: "router",
+        name: settings.name,
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        controlAddress: this.#controlAddress,
+      },
+      epoch: createEpoch(timers.nowMs(), random),
+      capacity: 1,
+      limits: defaultMembershipLimits,
+      digestKey: settings.digestKey,
+      timers,
+      random,
+      logger,
+      platform,
+    });
+    this.#resources.use(membership);
+    this.#membership = membership;
+    this.#resources.use(this.#configuration.subscribe(({ body, version }) => {
+      membership.setConfigurationVersion(version);
+      membership.setLimits(body.defaults.membership);
+    }));
+    return membership;
   }
 
   #startControl(): Promise<ListeningServer> {
@@ -139,8 +164,8 @@
     });
   }
 
-  #startCallers(): Promise<ListeningServer> {
-    const context = this.#createContext();
+  #startCallers(membership: Membership): Promise<ListeningServer> {
+    const context = this.#createContext(membership);
     const app = polka({
       onNoMatch: (_request, response) =>
         sendProblem(response, AppError.create("notFound", "No such path")),
@@ -170,10 +195,10 @@
     });
   }
 
-  #createContext(): RouterContext {
+  #createContext(membership: Membership): RouterContext {
     return {
       configuration: this.#configuration,
-      directory: this.#directory,
+      directory: membership,
       connections: this.#connections,
       timers: this.#options.timers,
       random: createSystemRandom(),
@@ -203,7 +228,8 @@
     return {
       process: { type: "router", name: this.#options.settings.name },
       configurationVersion: this.#configuration.version,
-      runners: [...this.#directory.runners.rows()],
+      runners: [...this.#membership?.runners.rows() ?? []],
+      membership: this.#membership?.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -7,10 +7,10 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
 import type { Logger } from "@jasminetide/runtime/logging";
+import type { Membership } from "@jasminetide/runtime/membership";
 import type { Metrics } from "@jasminetide/runtime/metrics";
 import type { Connections } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
-import type { RunnerDirectory } from "./membership/mod.ts";
 
 /** Settings in force for one request. */
 export type RequestSettings = {
@@ -21,7 +21,7 @@
 /** What the handlers of a router work with. */
 export type RouterContext = {
   configuration: ConfigurationHolder;
-  directory: RunnerDirectory;
+  directory: Membership;
   connections: Connections;
   timers: TimerService;
   random: RandomSource;
--- /dev/null
+++ b/packages/runtime/src/membership/datagrams.ts
@@ -0,0 +1,101 @@
+import { Buffer } from "node:buffer";
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { AppError } from "@jasminetide/core/results";
+import { parseAddress } from "../settings/mod.ts";
+
+/** Bytes of the authentication code of a datagram. */
+const codeBytes = 16;
+
+/** Adds an authentication code (HMAC-SHA-256, cut to 128 bits). */
+export function encodeDatagram(bytes: Uint8Array, key: string): Buffer {
+  return Buffer.concat([getCode(bytes, key), bytes]);
+}
+
+/**
+ * Checks the authentication code and takes it off.
+ *
+ * @throws AppError `peerUnauthorized` when the code is wrong.
+ */
+export function decodeDatagram(datagram: Uint8Array, key: string): Uint8Array {
+  const bytes = datagram.subarray(codeBytes);
+  const code = datagram.subarray(0, codeBytes);
+  if (
+    code.length === codeBytes && timingSafeEqual(code, getCode(bytes, key))
+  ) return bytes;
+  throw AppError.create("peerUnauthorized", "Datagram has a wrong code");
+}
+
+/** What a datagram socket is bound with. */
+export type DatagramOptions = {
+  /** `ip:port` of the control listener; UDP takes the same. */
+  address: string;
+  key: string;
+  receive: (bytes: Uint8Array) => void;
+  refuse: (error: unknown) => void;
+};
+
+/** A UDP socket whose datagrams carry an authentication code. */
+export class DatagramSocket {
+  readonly #socket: Socket;
+  readonly #key: string;
+  #sentBytes = 0;
+  #receivedBytes = 0;
+
+  private constructor(socket: Socket, key: string) {
+    this.#socket = socket;
+    this.#key = key;
+  }
+
+  /** Binds the socket. */
+  static async create(options: DatagramOptions): Promise<DatagramSocket> {
+    const { ip, port } = parseAddress(options.address);
+    const socket = createSocket(ip.includes(":") ? "udp6" : "udp4");
+    socket.bind(port, ip);
+    await once(socket, "listening");
+    const own = new DatagramSocket(socket, options.key);
+    socket.on("error", options.refuse);
+    socket.on("message", (datagram: Buffer) => own.#handle(datagram, options));
+    return own;
+  }
+
+  /** Bytes of UDP payload sent since the start. */
+  get sentBytes(): number {
+    return this.#sentBytes;
+  }
+
+  /** Bytes of UDP payload received since the start. */
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
+  /** Sends a datagram; a lost one is made good by a later one. */
+  send(address: string, bytes: Uint8Array): void {
+    const { ip, port } = parseAddress(address);
+    if (port === 0) return;
+    const datagram = encodeDatagram(bytes, this.#key);
+    this.#sentBytes += datagram.length;
+    this.#socket.send(datagram, port, ip, () => {});
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = once(this.#socket, "close");
+    this.#socket.close();
+    await closed;
+  }
+
+  #handle(datagram: Buffer, options: DatagramOptions): void {
+    this.#receivedBytes += datagram.length;
+    try {
+      options.receive(decodeDatagram(datagram, this.#key));
+    } catch (error) {
+      options.refuse(error);
+    }
+  }
+}
+
+function getCode(bytes: Uint8Array, key: string): Buffer {
+  return createHmac("sha256", key).update(bytes).digest()
+    .subarray(0, codeBytes);
+}
--- /dev/null
+++ b/packages/runtime/src/membership/membership.ts
@@ -0,0 +1,299 @@
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  applyHostList,
+  createMembershipTables,
+  createRotatingScheme,
+  createSpreader,
+  decodeAnswerRecord,
+  decodeDigest,
+  encodeAnswerRecord,
+  expireFlaps,
+  expireMembers,
+  getCandidates,
+  getOwnRecord,
+  getPoolMean,
+  getWireId,
+  type MemberIdentity,
+  type MemberRow,
+  type MembershipLimits,
+  type MembershipTables,
+  mergeRecord,
+  passOn,
+  type PoolMean,
+  publishRatio,
+  publishTokens,
+  receiveDigest,
+  recordFailure,
+  type SendDigest,
+  setOwnLeaving,
+  setOwnLoad,
+  setOwnVersion,
+  setPending,
+  spreadDigests,
+  type Spreader,
+  tickPeriodMs,
+} from "@jasminetide/core/membership";
+import type { RandomSource } from "@jasminetide/core/random";
+import { normalizeError } from "@jasminetide/core/results";
+import type { RunnerRow, Table } from "@jasminetide/core/tables";
+import type { TimerService } from "@jasminetide/core/timers";
+import { ResourceStack } from "../disposal/mod.ts";
+import { headerNames } from "../exchange/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { PlatformClient } from "../platform/mod.ts";
+import { DatagramSocket } from "./datagrams.ts";
+import { getReadPeriodMs, listMembers } from "./host_list.ts";
+
+/** Called when a member holds a configuration version. */
+export type VersionObserver = (version: number, controlAddress: string) => void;
+
+/** What membership is started with. */
+export type MembershipOptions = {
+  identity: MemberIdentity;
+  epoch: number;
+  capacity: number;
+  limits: MembershipLimits;
+  timers: TimerService;
+  random: RandomSource;
+  logger: Logger;
+  platform: PlatformClient;
+  /** Shared secret of the fleet's datagrams. */
+  digestKey: string;
+  /** Gets the load of the runner beside this process. */
+  getLoadTokens?: () => number;
+  observeVersion?: VersionObserver;
+};
+
+/** What this process tells of itself. */
+export type OwnState = { loadTokens?: number; isLeaving?: boolean };
+
+/** The members that one process knows, with its own record among them. */
+export class Membership {
+  readonly #options: MembershipOptions;
+  readonly #tables: MembershipTables;
+  readonly #spreader: Spreader;
+  readonly #resources = ResourceStack.create();
+  readonly #wireIds = new Map<string, number>();
+  #socket: DatagramSocket | undefined;
+  #nextReadAtMs = 0;
+  #isReading = false;
+
+  private constructor(options: MembershipOptions) {
+    const nowMs = options.timers.nowMs();
+    this.#options = options;
+    this.#tables = createMembershipTables({ ...options, nowMs });
+    this.#spreader = createSpreader({
+      tables: this.#tables,
+      scheme: createRotatingScheme(options.random),
+      nowMs,
+      phaseMs: options.random.getInteger(options.limits.digestPeriodMs),
+    });
+  }
+
+  /** Binds the socket, begins to read the host list and to spread digests. */
+  static async create(options: MembershipOptions): Promise<Membership> {
+    const membership = new Membership(options);
+    await membership.#start();
+    return membership;
+  }
+
+  /** Runners by name. */
+  get runners(): Table<string, RunnerRow> {
+    return this.#tables.runners;
+  }
+
+  /** Members by number, this process among them. */
+  get members(): Table<number, MemberRow> {
+    return this.#tables.members;
+  }
+
+  /** Whether a runner takes new work. */
+  get hasActiveRunner(): boolean {
+    return [...this.runners.rows()].some((row) => row.state === "active");
+  }
+
+  /** Gets the runners that take new work for a model or service. */
+  getCandidates(pool: string): RunnerRow[] {
+    return getCandidates(this.#tables, pool, this.#options.timers.nowMs());
+  }
+
+  /**
+   * Gets the mean load over the runners of a pool, or of any of several pools,
+   * with its age and error bound.
+   */
+  getPoolMean(pool: string | readonly string[]): PoolMean {
+    this.#readLoad();
+    return getPoolMean(this.runners.rows(), {
+      pools: typeof pool === "string" ? [pool] : pool,
+      nowMs: this.#options.timers.nowMs(),
+      staleAfterMs: this.#tables.limits.staleAfterMs,
+      publishRatio,
+      publishTokens,
+    });
+  }
+
+  /** Sets what this process tells of itself. */
+  setOwn(state: OwnState): void {
+    if (state.loadTokens !== undefined) {
+      setOwnLoad(this.#spreader, state.loadTokens);
+    }
+    if (state.isLeaving === true) {
+      setOwnLeaving(this.#spreader);
+      this.#tick();
+    }
+  }
+
+  /** Raises the configuration version that peers are told. */
+  setConfigurationVersion(version: number): void {
+    setOwnVersion(this.#spreader, version);
+  }
+
+  /** Applies limits that came into force. */
+  setLimits(limits: MembershipLimits): void {
+    this.#tables.limits = limits;
+  }
+
+  /** Gets the headers that each answer of this process carries. */
+  getAnswerHeaders(): { [name: string]: string } {
+    this.#readLoad();
+    const record = getOwnRecord(
+      this.#spreader,
+      this.#options.timers.nowMs(),
+    );
+    return { [headerNames.digest]: encodeAnswerRecord(record) };
+  }
+
+  /** Takes in the record that an answer of a runner's sidecar carries. */
+  recordAnswer(runner: string, headers: IncomingHttpHeaders): void {
+    const text = headers[headerNames.digest];
+    const wireId = this.#findWireId(runner);
+    if (typeof text !== "string" || wireId === undefined) return;
+    try {
+      const record = decodeAnswerRecord(text, wireId);
+      const nowMs = this.#options.timers.nowMs();
+      const result = mergeRecord(this.#tables, record, nowMs);
+      if (result === "state") passOn(this.#spreader, wireId, result);
+    } catch (thrown) {
+      this.#warn("answer-record-refused", thrown);
+    }
+  }
+
+  /** Records that a runner did not answer; it is held back for a while. */
+  recordFailure(runner: string): void {
+    const wireId = this.#findWireId(runner);
+    const member = wireId === undefined ? undefined : this.members.get(wireId);
+    if (member === undefined) return;
+    recordFailure(this.#tables, member, this.#options.timers.nowMs());
+  }
+
+  /** Gets figures for the dump of the process. */
+  getSnapshot() {
+    const { budget } = this.#spreader;
+    return {
+      members: this.members.size,
+      unknown: this.#tables.unknown.size,
+      heldDown: [...this.#tables.flaps.entries()].map(([runner, row]) => ({
+        runner,
+        ...row,
+      })),
+      digestBytesSent: budget.sentBytes,
+      digestsSent: budget.datagrams,
+      digestBytesReceived: this.#socket?.receivedBytes ?? 0,
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#resources[Symbol.asyncDispose]();
+  }
+
+  async #start(): Promise<void> {
+    const { identity, digestKey, timers } = this.#options;
+    this.#socket = this.#resources.use(
+      await DatagramSocket.create({
+        address: identity.controlAddress,
+        key: digestKey,
+        receive: (bytes) => this.#receive(bytes),
+        refuse: (error) => this.#warn("datagram-refused", error),
+      }),
+    );
+    this.#resources.use(timers.subscribe(tickPeriodMs, () => this.#tick()));
+    this.#tick();
+  }
+
+  #tick(): void {
+    const nowMs = this.#options.timers.nowMs();
+    this.#readLoad();
+    if (nowMs >= this.#nextReadAtMs && !this.#isReading) {
+      void this.#loadHosts(nowMs);
+    }
+    expireMembers(this.#tables, nowMs);
+    expireFlaps(this.#tables, nowMs);
+    this.#send(spreadDigests(this.#spreader, nowMs));
+  }
+
+  #receive(bytes: Uint8Array): void {
+    const digest = decodeDigest(bytes);
+    const nowMs = this.#options.timers.nowMs();
+    this.#send(receiveDigest(this.#spreader, digest, nowMs));
+    const sender = this.members.get(digest.sender);
+    if (sender === undefined) return;
+    this.#options.observeVersion?.(
+      digest.configurationVersion,
+      sender.identity.controlAddress,
+    );
+  }
+
+  #send(commands: SendDigest[]): void {
+    for (const { peer, bytes } of commands) {
+      this.#socket?.send(peer.identity.controlAddress, bytes);
+    }
+  }
+
+  /** Reads the host list; on failure what is known stays. */
+  async #loadHosts(nowMs: number): Promise<void> {
+    this.#isReading = true;
+    this.#nextReadAtMs = nowMs + getReadPeriodMs(this.#tables);
+    try {
+      const hosts = await this.#options.platform.loadHosts();
+      const news = applyHostList(this.#tables, listMembers(hosts));
+      for (const member of news) {
+        setPending(this.#spreader, member, {
+          origin: "received",
+          urgency: "state",
+        });
+      }
+      this.#send(spreadDigests(this.#spreader, this.#options.timers.nowMs()));
+    } catch (thrown) {
+      this.#warn("host-list-failed", thrown);
+    } finally {
+      this.#isReading = false;
+    }
+  }
+
+  #readLoad(): void {
+    const { getLoadTokens, timers } = this.#options;
+    if (getLoadTokens === undefined) return;
+    setOwnLoad(this.#spreader, getLoadTokens());
+    getOwnRecord(this.#spreader, timers.nowMs());
+  }
+
+  #findWireId(runner: string): number | undefined {
+    const known = this.#wireIds.get(runner);
+    if (known !== undefined && this.members.has(known)) return known;
+    for (const { identity } of this.members.rows()) {
+      if (identity.runner?.id !== runner) continue;
+      const wireId = getWireId(identity);
+      this.#wireIds.set(runner, wireId);
+      return wireId;
+    }
+    return undefined;
+  }
+
+  #warn(event: string, thrown: unknown): void {
+    const error = normalizeError(thrown);
+    this.#options.logger.warn(event, {
+      code: error.code,
+      detail: error.message,
+    });
+  }
+}
--- a/packages/runtime/src/settings/mod.ts
+++ b/packages/runtime/src/settings/mod.ts
@@ -30,6 +30,11 @@
   platformAddress: addressSchema,
   /** SHA-256 of the operators' key, in hexadecimal. */
   operatorKeyHash: z.string().regex(/^[0-9a-f]{64}$/),
+  /**
+   * Secret of the fleet that authenticates digests; empty where the network
+   * is trusted.
+   */
+  digestKey: z.string().default(""),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
   tls: tlsSchema.optional(),
 };
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,4 +1,8 @@
-import { Admission } from "@jasminetide/core/admission";
+import { Admission, type MeanLoad } from "@jasminetide/core/admission";
+import {
+  createEpoch,
+  defaultMembershipLimits,
+} from "@jasminetide/core/membership";
 import { createSystemRandom } from "@jasminetide/core/random";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
@@ -14,6 +18,7 @@
 import { headerNames } from "@jasminetide/runtime/exchange";
 import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
@@ -40,9 +45,6 @@
 
 const maxBodyBytes = 4_194_304;
 
-/** Random numbers that tell apart two starts in the same millisecond. */
-const epochsPerMs = 1024;
-
 /** The process beside one runner. */
 export class Sidecar {
   readonly #options: SidecarOptions;
@@ -53,6 +55,7 @@
   readonly #runner: Pool;
   readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
+  #membership: Membership | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -61,7 +64,7 @@
     const { settings, timers } = options;
     this.#options = options;
     this.#attempts = AttemptStore.create({
-      epoch: createEpoch(timers.nowMs()),
+      epoch: createEpoch(timers.nowMs(), createSystemRandom()),
       retentionMs: attemptRetentionMs,
     });
     this.#admission = Admission.create({
@@ -70,7 +73,7 @@
       capMultiple: 1.25,
       minimumTokens: Number.MAX_SAFE_INTEGER,
       capacity: settings.capacity,
-      getMeanLoad: () => ({ tokens: 0, ageMs: 0 }),
+      getMeanLoad: () => this.#getMeanLoad(),
       getNowMs: () => timers.nowMs(),
     });
     this.#runner = new Pool(`http://${settings.runnerAddress}`, {
@@ -102,6 +105,7 @@
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#isLeaving = true;
+    this.#membership?.setOwn({ isLeaving: true });
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -117,6 +121,7 @@
     const control = await this.#startControl();
     this.#controlAddress = control.address;
     this.#resources.use(control);
+    await this.#startMembership(platform);
     this.#resources.defer(() => data.close());
     this.#resources.defer(() => this.#abort.abort());
     const expiry = timers.subscribe(
@@ -147,6 +152,7 @@
       isLeaving: () => this.#isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
+        ...this.#membership?.getAnswerHeaders(),
       }),
       maximumBodyBytes: maxBodyBytes,
     };
@@ -175,6 +181,53 @@
     });
   }
 
+  async #startMembership(platform: PlatformClient): Promise<void> {
+    const { logger, settings, timers } = this.#options;
+    const membership = await Membership.create({
+      identity: {
+        type: "sidecar",
+        name: settings.name,
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        controlAddress: this.#controlAddress,
+        runner: {
+          id: settings.runner,
+          kind: settings.kind,
+          pools: settings.pools,
+          dataAddress: this.#dataAddress,
+        },
+      },
+      epoch: this.epoch,
+      capacity: settings.capacity,
+      limits: defaultMembershipLimits,
+      digestKey: settings.digestKey,
+      timers,
+      random: createSystemRandom(),
+      logger,
+      platform,
+      getLoadTokens: () => this.#admission.loadTokens,
+    });
+    this.#membership = this.#resources.use(membership);
+    this.#resources.use(this.#configuration.subscribe(({ body, version }) => {
+      membership.setConfigurationVersion(version);
+      membership.setLimits(body.defaults.membership);
+    }));
+  }
+
+  /**
+   * Gets the mean that the load cap compares with. A runner that knows of no
+   * other in its pools has no mean to exceed.
+   */
+  #getMeanLoad(): MeanLoad {
+    const { pools } = this.#options.settings;
+    const mean = this.#membership?.getPoolMean(pools);
+    if (mean === undefined || mean.runners <= 1) {
+      return { tokens: Number.POSITIVE_INFINITY, ageMs: 0 };
+    }
+    return mean;
+  }
+
   #getDump() {
     const { settings } = this.#options;
     return {
@@ -192,12 +245,8 @@
         queueLength: this.#admission.queueLength,
         running: this.#admission.running,
       },
+      membership: this.#membership?.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
 }
-
-function createEpoch(nowMs: number): Epoch {
-  return Math.floor(nowMs) * epochsPerMs +
-    createSystemRandom().getInteger(epochsPerMs);
-}
