Bring declarations into force through peers

**Cause**: every process watched the platform and took the declaration whole; at 24000 workspaces it exceeds the platform's 1 MB, and an outage right after the acceptance kept it from most processes. The hash covered the parsed body, so fields of a newer product were lost.

**Change**: a declaration above 64 KB is stored as a manifest and parts named by content; boundaries are chosen by content, so a change rewrites one part. A few processes of each failure domain watch; others hear the version by digest and in each exchange, and fetch manifest and missing parts from a peer. The hash covers the stored text. A process that starts during an outage asks peerAddresses.

--- a/packages/core/src/configuration/mod.ts
+++ b/packages/core/src/configuration/mod.ts
@@ -1,4 +1,8 @@
 /** The operators' declaration: schema, parsing and effective settings. */
+export * from "./accepted.ts";
+export * from "./compare.ts";
+export * from "./json.ts";
 export * from "./parse.ts";
+export * from "./parts.ts";
 export * from "./resolve.ts";
 export * from "./schema.ts";
--- /dev/null
+++ b/packages/core/src/configuration/parts.ts
@@ -0,0 +1,161 @@
+import { createHash } from "node:crypto";
+import { hash32 } from "../hashing/mod.ts";
+import { AppError } from "../results/mod.ts";
+import { isJsonObject, type Json, type JsonObject } from "./json.ts";
+import { formatCanonical } from "./parse.ts";
+
+/** Sections of a declaration that are long lists and are stored in parts. */
+export const partedSections = ["workspaces", "exceptions"] as const;
+
+/** A section that is stored in parts. */
+export type PartedSection = typeof partedSections[number];
+
+/** Texts of parts by their hash. */
+export type Parts = ReadonlyMap<string, string>;
+
+/** A declaration as it is stored: one object, and its parts if any. */
+export type StoredDeclaration = { text: string; parts: Parts };
+
+/** How a declaration is stored. */
+export type SplitOptions = {
+  /** Declarations up to this size are stored whole. */
+  maximumWholeBytes?: number;
+  /** Mean number of list entries in a part. */
+  meanPartEntries?: number;
+};
+
+const defaultMaximumWholeBytes = 65_536;
+const defaultMeanPartEntries = 64;
+const partHashBytes = 16;
+
+/** Name of the field that tells a manifest from a whole declaration. */
+const manifestField = "manifest";
+
+/**
+ * Splits a declaration into a manifest and parts named by their content. A
+ * part ends after an entry chosen by its own hash, so that a change moves no
+ * boundary but those beside it.
+ */
+export function splitDeclaration(
+  body: JsonObject,
+  options: SplitOptions = {},
+): StoredDeclaration {
+  const whole = JSON.stringify(body);
+  const limit = options.maximumWholeBytes ?? defaultMaximumWholeBytes;
+  if (whole.length <= limit) return { text: whole, parts: new Map() };
+  const parts = new Map<string, string>();
+  const manifest: JsonObject = {};
+  const base: JsonObject = { ...body };
+  for (const section of partedSections) {
+    const entries = body[section];
+    if (!Array.isArray(entries)) continue;
+    delete base[section];
+    manifest[section] = splitEntries(entries, options).map((part) =>
+      addPart(parts, part)
+    );
+  }
+  manifest["base"] = addPart(parts, base);
+  return { text: JSON.stringify({ [manifestField]: manifest }), parts };
+}
+
+/** Lists the hashes of the parts that a stored text needs. */
+export function listPartHashes(
+  text: string,
+  sections: readonly PartedSection[] = partedSections,
+): string[] {
+  const manifest = readManifest(parseObject(text));
+  if (manifest === undefined) return [];
+  return [
+    manifest.base,
+    ...sections.flatMap((section) => manifest[section] ?? []),
+  ];
+}
+
+/**
+ * Joins a stored text and its parts to the declaration. Sections that are not
+ * asked for are empty.
+ *
+ * @throws AppError `hashMismatch` when a part is absent or not the one named.
+ */
+export function joinDeclaration(
+  stored: StoredDeclaration,
+  sections: readonly PartedSection[] = partedSections,
+): JsonObject {
+  const object = parseObject(stored.text);
+  const manifest = readManifest(object);
+  if (manifest === undefined) return object;
+  const body = { ...parseObject(requirePart(stored.parts, manifest.base)) };
+  for (const section of partedSections) {
+    const hashes = manifest[section];
+    if (hashes === undefined) continue;
+    body[section] = sections.includes(section)
+      ? hashes.flatMap((hash) =>
+        JSON.parse(requirePart(stored.parts, hash)) as Json[]
+      )
+      : [];
+  }
+  return body;
+}
+
+/** Hashes a stored text, in hexadecimal. */
+export function hashText(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+/** Hashes a part: SHA-256 cut to 128 bits. */
+export function hashPart(text: string): string {
+  return createHash("sha256").update(text).digest()
+    .subarray(0, partHashBytes).toString("base64url");
+}
+
+type Manifest = { base: string } & { [section in PartedSection]?: string[] };
+
+function splitEntries(entries: Json[], options: SplitOptions): Json[][] {
+  const meanEntries = options.meanPartEntries ?? defaultMeanPartEntries;
+  const parts: Json[][] = [];
+  let part: Json[] = [];
+  for (const entry of entries) {
+    part.push(entry);
+    if (hash32(formatCanonical(getEntryKey(entry))) % meanEntries !== 0) {
+      continue;
+    }
+    parts.push(part);
+    part = [];
+  }
+  if (part.length > 0) parts.push(part);
+  return parts;
+}
+
+/** An entry with an identifier keeps its boundary when it changes. */
+function getEntryKey(entry: Json): Json {
+  return isJsonObject(entry) ? entry["id"] ?? entry : entry;
+}
+
+function addPart(parts: Map<string, string>, value: Json): string {
+  const text = JSON.stringify(value);
+  const hash = hashPart(text);
+  parts.set(hash, text);
+  return hash;
+}
+
+function requirePart(parts: Parts, hash: string): string {
+  const text = parts.get(hash);
+  if (text !== undefined && hashPart(text) === hash) return text;
+  throw AppError.create(
+    "hashMismatch",
+    text === undefined
+      ? `Part ${hash} is absent`
+      : `Part ${hash} has other content`,
+  );
+}
+
+function readManifest(object: JsonObject): Manifest | undefined {
+  const manifest = object[manifestField];
+  return isJsonObject(manifest) ? manifest as Manifest : undefined;
+}
+
+function parseObject(text: string): JsonObject {
+  const value = JSON.parse(text) as Json;
+  if (isJsonObject(value)) return value;
+  throw AppError.create("invalidConfiguration", "Declaration is no object");
+}
--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -193,12 +193,3 @@
 
 /** A plain service that the fleet offers. */
 export type Service = Configuration["services"][number];
-
-/** A configuration that the platform has accepted. */
-export type AcceptedConfiguration = {
-  /** Version that the platform gave it. */
-  version: number;
-  /** SHA-256 of the canonical body, in hexadecimal. */
-  hash: string;
-  body: Configuration;
-};
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -63,6 +63,12 @@
     return this.#platformAddress;
   }
 
+  /** Takes ownership of a router that was started beside the others. */
+  add(router: Router): void {
+    this.#resources.use(router);
+    this.routers.push(router);
+  }
+
   /** Stops the routers, then the sidecars, then the stand-ins. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#resources[Symbol.asyncDispose]();
--- a/packages/router/src/attempts/dispatch.ts
+++ b/packages/router/src/attempts/dispatch.ts
@@ -78,6 +78,7 @@
       attempt: createAttemptId(),
       epoch: runner.epoch,
       remainingMs: 0,
+      sender: context.directory.controlAddress,
     },
   };
   const start = await sendAttempt(attempt, context);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -8,11 +8,14 @@
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
+  ConfigurationFollower,
   ConfigurationHolder,
-  watchConfiguration,
+  formatForPeer,
+  selectParts,
 } from "@jasminetide/runtime/configuration";
 import {
   createPeerRouter,
+  PeerClients,
   startControlServer,
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
@@ -50,10 +53,11 @@
   readonly #metrics = Metrics.create();
   readonly #configuration = ConfigurationHolder.create();
   readonly #connections = Connections.create();
-  readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
   readonly #resolved = new Map<string, RequestSettings>();
+  readonly #peers = PeerClients.create();
   #membership: Membership | undefined;
+  #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
   #callerAddress = "";
   #controlAddress = "";
@@ -79,6 +83,11 @@
     return this.#controlAddress;
   }
 
+  /** Version of the configuration in force, 0 before the first. */
+  get configurationVersion(): number {
+    return this.#configuration.version;
+  }
+
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
     return this.#configuration.isLoaded &&
@@ -91,28 +100,22 @@
   }
 
   async #start(): Promise<void> {
-    const { settings, timers, logger } = this.#options;
+    const { settings, logger } = this.#options;
     const platform = PlatformClient.create({
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
     this.#resources.use(this.#connections);
+    this.#resources.use(this.#peers);
     this.#resources.use(this.#configuration.subscribe(({ body }) => {
       this.#keyIndex = createKeyIndex(body);
       this.#resolved.clear();
     }));
-    void watchConfiguration(this.#abort.signal, {
-      platform,
-      holder: this.#configuration,
-      logger,
-      wait: (durationMs) =>
-        new Promise((resolve) => timers.schedule(durationMs, () => resolve())),
-    });
-    this.#resources.defer(() => this.#abort.abort());
     const control = await this.#startControl();
     this.#resources.use(control);
     this.#controlAddress = control.address;
     const membership = await this.#startMembership(platform);
+    this.#startFollower(platform, membership);
     const callers = await this.#startCallers(membership);
     this.#resources.defer(() => callers.close());
     this.#callerAddress = callers.address;
@@ -139,6 +142,8 @@
       random,
       logger,
       platform,
+      getPeer: (address) => this.#peers.get(address),
+      peerAddresses: settings.peerAddresses,
     });
     this.#resources.use(membership);
     this.#membership = membership;
@@ -149,6 +154,24 @@
     return membership;
   }
 
+  #startFollower(platform: PlatformClient, membership: Membership): void {
+    const { logger, timers } = this.#options;
+    const follower = ConfigurationFollower.create({
+      platform,
+      holder: this.#configuration,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      isWatcher: () => membership.isWatcher,
+      listPeers: () => membership.listRouterAddresses(),
+      whenReady: membership.whenReady,
+    });
+    membership.setVersionObserver((version, address) =>
+      follower.observeVersion(version, address)
+    );
+    this.#follower = this.#resources.use(follower);
+  }
+
   #startControl(): Promise<ListeningServer> {
     const { settings } = this.#options;
     return startControlServer({
@@ -158,8 +181,10 @@
       router: createPeerRouter({
         getConfiguration: (afterVersion) =>
           this.#configuration.version > afterVersion
-            ? this.#configuration.get()
+            ? formatForPeer(this.#configuration.get())
             : undefined,
+        getParts: (hashes) => selectParts(this.#configuration, hashes),
+        getMembers: () => this.#membership?.listMembers() ?? [],
       }),
     });
   }
@@ -204,6 +229,7 @@
       random: createSystemRandom(),
       metrics: this.#metrics,
       logger: this.#options.logger,
+      syncConfiguration: () => this.#follower?.sync(),
       getKeyIndex: () => this.#keyIndex,
       resolve: (subject) => this.#resolve(subject),
     };
@@ -245,6 +271,7 @@
 function handleWith(context: RouterContext, handler: Handler) {
   return async (request: IncomingMessage, response: ServerResponse) => {
     try {
+      await context.syncConfiguration();
       await handler(request, response, context);
     } catch (thrown) {
       const error = normalizeError(thrown);
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -27,6 +27,8 @@
   random: RandomSource;
   metrics: Metrics;
   logger: Logger;
+  /** Waits for a newer configuration that was heard of, but not for long. */
+  syncConfiguration: () => Promise<void> | undefined;
   getKeyIndex: () => KeyIndex;
   resolve: (subject: Match) => RequestSettings;
 };
--- a/packages/runtime/src/configuration/configuration_holder.ts
+++ b/packages/runtime/src/configuration/configuration_holder.ts
@@ -1,6 +1,6 @@
 import {
   type AcceptedConfiguration,
-  hashConfiguration,
+  hashText,
 } from "@jasminetide/core/configuration";
 import { AppError, assertInvariant } from "@jasminetide/core/results";
 
@@ -57,8 +57,11 @@
    * @throws AppError `hashMismatch` when the body is not the accepted one.
    */
   apply(accepted: AcceptedConfiguration): boolean {
-    if (accepted.version <= this.version) return false;
-    if (hashConfiguration(accepted.body) !== accepted.hash) {
+    if (accepted.version <= this.version) {
+      this.#checkSameBody(accepted);
+      return false;
+    }
+    if (hashText(accepted.text) !== accepted.hash) {
       throw AppError.create(
         "hashMismatch",
         `Body of configuration ${accepted.version} does not match its hash`,
@@ -74,4 +77,13 @@
     for (const listener of this.#listeners) listener(accepted);
     return true;
   }
+
+  #checkSameBody(accepted: AcceptedConfiguration): void {
+    const current = this.#current;
+    assertInvariant(
+      accepted.version !== current?.version || accepted.hash === current.hash,
+      "one-body-per-version",
+      () => `version ${accepted.version} came with another hash`,
+    );
+  }
 }
--- a/packages/runtime/src/control/mod.ts
+++ b/packages/runtime/src/control/mod.ts
@@ -2,4 +2,5 @@
 export * from "./control_client.ts";
 export * from "./control_server.ts";
 export * from "./messages.ts";
+export * from "./peer_clients.ts";
 export * from "./peer_router.ts";
--- a/packages/runtime/src/control/peer_router.ts
+++ b/packages/runtime/src/control/peer_router.ts
@@ -1,15 +1,36 @@
 import type { Settlement } from "@jasminetide/core/attempts";
-import type { AcceptedConfiguration } from "@jasminetide/core/configuration";
+import type {
+  DigestRecord,
+  MemberIdentity,
+} from "@jasminetide/core/membership";
 import { initTRPC } from "@trpc/server";
 import { settleSchema } from "./messages.ts";
 import { z } from "zod";
 
 const trpc = initTRPC.create();
 
+/** A configuration as the platform stores it. */
+export type StoredConfiguration = {
+  version: number;
+  /** SHA-256 of `text`, in hexadecimal. */
+  hash: string;
+  text: string;
+};
+
+/** A member as one process tells another. */
+export type KnownMember = { identity: MemberIdentity; record: DigestRecord };
+
+/** Parts of a configuration that one request may ask for. */
+const maximumParts = 64;
+
 /** What every process answers its peers. */
 export type PeerHandlers = {
   /** Gives the configuration if it is newer than the caller's. */
-  getConfiguration(afterVersion: number): AcceptedConfiguration | undefined;
+  getConfiguration(afterVersion: number): StoredConfiguration | undefined;
+  /** Gives the members that it knows, with their records. */
+  getMembers(): KnownMember[];
+  /** Gives those of the asked parts of a configuration that it holds. */
+  getParts(hashes: string[]): { [hash: string]: string };
 };
 
 /** What a sidecar answers besides. */
@@ -45,5 +66,9 @@
       .query(({ input }) =>
         handlers.getConfiguration(input.afterVersion) ?? null
       ),
+    getMembers: trpc.procedure.query(() => handlers.getMembers()),
+    getParts: trpc.procedure
+      .input(z.object({ hashes: z.array(z.string()).max(maximumParts) }))
+      .query(({ input }) => handlers.getParts(input.hashes)),
   };
 }
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -14,6 +14,8 @@
   costTokens: "jt-cost-tokens",
   /** Milliseconds that remain until the deadline. */
   remainingMs: "jt-remaining-ms",
+  /** Control address of the router. */
+  sender: "jt-sender",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
   configurationVersion: "jt-configuration",
@@ -37,6 +39,8 @@
   pool: string;
   chatKey: string;
   configurationVersion: number;
+  /** Control address of the router, from which a sidecar fetches. */
+  sender?: string;
 };
 
 /** Formats an envelope as headers. */
@@ -54,6 +58,9 @@
     [headerNames.pool]: encodeURIComponent(envelope.pool),
     [headerNames.chatKey]: envelope.chatKey,
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
+    ...(envelope.sender === undefined
+      ? {}
+      : { [headerNames.sender]: envelope.sender }),
   };
 }
 
@@ -74,6 +81,9 @@
     pool: decodeURIComponent(getText(headers, headerNames.pool)),
     chatKey: getText(headers, headerNames.chatKey),
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
+    ...(typeof headers[headerNames.sender] === "string"
+      ? { sender: headers[headerNames.sender] as string }
+      : {}),
   };
 }
 
--- a/packages/runtime/src/membership/host_list.ts
+++ b/packages/runtime/src/membership/host_list.ts
@@ -27,17 +27,18 @@
  * the reads of the whole fleet stay bounded.
  */
 export function getReadPeriodMs(tables: MembershipTables): number {
-  const { self } = tables;
-  const readers = listRelays(
-    tables,
-    self.identity.failureDomain,
-    promptReaders,
-  );
-  if (readers.includes(self)) return promptPeriodMs;
+  if (isPromptReader(tables)) return promptPeriodMs;
   return promptPeriodMs *
     Math.max(1, tables.members.size / membersPerReadPerSecond);
 }
 
+/** Says whether this process is one of the few that follow the platform. */
+export function isPromptReader(tables: MembershipTables): boolean {
+  const { failureDomain } = tables.self.identity;
+  return listRelays(tables, failureDomain, promptReaders)
+    .includes(tables.self);
+}
+
 function createListed(host: HostRecord, process: HostProcess): ListedMember {
   const isSidecar = process.type === "sidecar";
   return {
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -2,6 +2,7 @@
 import {
   applyHostList,
   createMembershipTables,
+  createRecord,
   createRotatingScheme,
   createSpreader,
   decodeAnswerRecord,
@@ -13,10 +14,12 @@
   getOwnRecord,
   getPoolMean,
   getWireId,
+  isLeaving,
   type MemberIdentity,
   type MemberRow,
   type MembershipLimits,
   type MembershipTables,
+  mergeIdentity,
   mergeRecord,
   passOn,
   type PoolMean,
@@ -37,12 +40,13 @@
 import { normalizeError } from "@jasminetide/core/results";
 import type { RunnerRow, Table } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
+import type { KnownMember, PeerClient } from "../control/mod.ts";
 import { ResourceStack } from "../disposal/mod.ts";
 import { headerNames } from "../exchange/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { PlatformClient } from "../platform/mod.ts";
 import { DatagramSocket } from "./datagrams.ts";
-import { getReadPeriodMs, listMembers } from "./host_list.ts";
+import { getReadPeriodMs, isPromptReader, listMembers } from "./host_list.ts";
 
 /** Called when a member holds a configuration version. */
 export type VersionObserver = (version: number, controlAddress: string) => void;
@@ -61,9 +65,14 @@
   digestKey: string;
   /** Gets the load of the runner beside this process. */
   getLoadTokens?: () => number;
-  observeVersion?: VersionObserver;
+  getPeer: (controlAddress: string) => PeerClient;
+  /** Peers that are asked for members while the platform is down. */
+  peerAddresses: readonly string[];
 };
 
+/** Peers that are tried for the members at the start. */
+const peersAtStart = 3;
+
 /** What this process tells of itself. */
 export type OwnState = { loadTokens?: number; isLeaving?: boolean };
 
@@ -77,6 +86,8 @@
   #socket: DatagramSocket | undefined;
   #nextReadAtMs = 0;
   #isReading = false;
+  #observeVersion: VersionObserver = () => {};
+  readonly #ready = createDeferred();
 
   private constructor(options: MembershipOptions) {
     const nowMs = options.timers.nowMs();
@@ -107,6 +118,21 @@
     return this.#tables.members;
   }
 
+  /** Settles once members were asked for, whether or not any answered. */
+  get whenReady(): Promise<void> {
+    return this.#ready.promise;
+  }
+
+  /** `ip:port` for peers. */
+  get controlAddress(): string {
+    return this.#options.identity.controlAddress;
+  }
+
+  /** Whether this process is one of the few that watch the platform. */
+  get isWatcher(): boolean {
+    return isPromptReader(this.#tables);
+  }
+
   /** Whether a runner takes new work. */
   get hasActiveRunner(): boolean {
     return [...this.runners.rows()].some((row) => row.state === "active");
@@ -143,6 +169,37 @@
     }
   }
 
+  /** Sets who is told of the versions that members hold. */
+  setVersionObserver(observe: VersionObserver): void {
+    this.#observeVersion = observe;
+  }
+
+  /** Lists the control addresses of routers in random order, then seeds. */
+  listRouterAddresses(): string[] {
+    const { peerAddresses, random } = this.#options;
+    const addresses = [...this.members.rows()]
+      .filter((row) =>
+        row !== this.#tables.self && row.identity.type === "router" &&
+        !isLeaving(row)
+      )
+      .map((row) => ({
+        order: random.getFloat(),
+        address: row.identity.controlAddress,
+      }))
+      .sort((left, right) => left.order - right.order)
+      .map(({ address }) => address);
+    return [...new Set([...addresses, ...peerAddresses])];
+  }
+
+  /** Lists the members with their records, for a process that starts. */
+  listMembers(): KnownMember[] {
+    const nowMs = this.#options.timers.nowMs();
+    return [...this.members.rows()].map((member) => ({
+      identity: member.identity,
+      record: createRecord(member, nowMs),
+    }));
+  }
+
   /** Raises the configuration version that peers are told. */
   setConfigurationVersion(version: number): void {
     setOwnVersion(this.#spreader, version);
@@ -167,6 +224,7 @@
   recordAnswer(runner: string, headers: IncomingHttpHeaders): void {
     const text = headers[headerNames.digest];
     const wireId = this.#findWireId(runner);
+    this.#observeAnswer(runner, headers);
     if (typeof text !== "string" || wireId === undefined) return;
     try {
       const record = decodeAnswerRecord(text, wireId);
@@ -237,7 +295,7 @@
     this.#send(receiveDigest(this.#spreader, digest, nowMs));
     const sender = this.members.get(digest.sender);
     if (sender === undefined) return;
-    this.#options.observeVersion?.(
+    this.#observeVersion(
       digest.configurationVersion,
       sender.identity.controlAddress,
     );
@@ -265,9 +323,38 @@
       this.#send(spreadDigests(this.#spreader, this.#options.timers.nowMs()));
     } catch (thrown) {
       this.#warn("host-list-failed", thrown);
-    } finally {
-      this.#isReading = false;
     }
+    if (!this.#ready.isSettled) await this.#loadFromPeers();
+    this.#ready.settle();
+    this.#isReading = false;
+  }
+
+  /** At the start, asks one peer for what it knows; more if none answers. */
+  async #loadFromPeers(): Promise<void> {
+    for (const address of this.listRouterAddresses().slice(0, peersAtStart)) {
+      try {
+        const known = await this.#options.getPeer(address).getMembers.query();
+        this.#applyKnown(known);
+        return;
+      } catch (thrown) {
+        this.#warn("members-failed", thrown);
+      }
+    }
+  }
+
+  #applyKnown(known: KnownMember[]): void {
+    const nowMs = this.#options.timers.nowMs();
+    for (const { identity, record } of known) {
+      mergeIdentity(this.#tables, identity);
+      if (record.epoch > 0) mergeRecord(this.#tables, record, nowMs);
+    }
+  }
+
+  #observeAnswer(runner: string, headers: IncomingHttpHeaders): void {
+    const version = Number(headers[headerNames.configurationVersion]);
+    const address = this.runners.get(runner)?.controlAddress;
+    if (!Number.isSafeInteger(version) || address === undefined) return;
+    this.#observeVersion(version, address);
   }
 
   #readLoad(): void {
@@ -297,3 +384,22 @@
     });
   }
 }
+
+type Deferred = {
+  promise: Promise<void>;
+  isSettled: boolean;
+  settle: () => void;
+};
+
+function createDeferred(): Deferred {
+  let resolve = () => {};
+  const deferred: Deferred = {
+    promise: new Promise((done) => resolve = done),
+    isSettled: false,
+    settle: () => {
+      deferred.isSettled = true;
+      resolve();
+    },
+  };
+  return deferred;
+}
--- a/packages/runtime/src/settings/mod.ts
+++ b/packages/runtime/src/settings/mod.ts
@@ -30,6 +30,8 @@
   platformAddress: addressSchema,
   /** SHA-256 of the operators' key, in hexadecimal. */
   operatorKeyHash: z.string().regex(/^[0-9a-f]{64}$/),
+  /** Control addresses of peers that are asked while the platform is down. */
+  peerAddresses: z.array(addressSchema).default([]),
   /**
    * Secret of the fleet that authenticates digests; empty where the network
    * is trusted.
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -21,6 +21,14 @@
   runner: Dispatcher;
   timers: TimerService;
   metrics: Metrics;
+  /**
+   * Takes in the version that a router holds, and waits for a newer one, but
+   * not for long.
+   */
+  syncConfiguration: (
+    version: number,
+    sender: string,
+  ) => Promise<void> | undefined;
   isLeaving: () => boolean;
   /** Headers that each answer carries. */
   getAnswerHeaders: () => { [name: string]: string };
@@ -68,6 +76,10 @@
   const envelope = parseEnvelope(request.headers);
   const arrivedAtMs = context.timers.nowMs();
   const body = await readBody(request, context.maximumBodyBytes);
+  await context.syncConfiguration(
+    envelope.configurationVersion,
+    envelope.sender ?? "",
+  );
   if (context.isLeaving()) {
     throw AppError.create("runnerLeaving", "Runner takes no new work");
   }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -7,11 +7,14 @@
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
+  ConfigurationFollower,
   ConfigurationHolder,
-  watchConfiguration,
+  formatForPeer,
+  selectParts,
 } from "@jasminetide/runtime/configuration";
 import {
   createSidecarRouter,
+  PeerClients,
   startControlServer,
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
@@ -53,9 +56,10 @@
   readonly #attempts: AttemptStore;
   readonly #admission: Admission;
   readonly #runner: Pool;
-  readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
+  readonly #peers = PeerClients.create();
   #membership: Membership | undefined;
+  #follower: ConfigurationFollower | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -102,6 +106,11 @@
     return this.#attempts.epoch;
   }
 
+  /** Version of the configuration in force, 0 before the first. */
+  get configurationVersion(): number {
+    return this.#configuration.version;
+  }
+
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#isLeaving = true;
@@ -115,27 +124,21 @@
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
+    this.#resources.use(this.#peers);
     this.#resources.defer(() => this.#runner.close());
     const data = await this.#startData();
     this.#dataAddress = data.address;
     const control = await this.#startControl();
     this.#controlAddress = control.address;
     this.#resources.use(control);
-    await this.#startMembership(platform);
+    const membership = await this.#startMembership(platform);
+    this.#startFollower(platform, membership);
     this.#resources.defer(() => data.close());
-    this.#resources.defer(() => this.#abort.abort());
     const expiry = timers.subscribe(
       expirePeriodMs,
       (nowMs) => this.#attempts.expire(nowMs),
     );
     this.#resources.defer(() => expiry[Symbol.dispose]());
-    void watchConfiguration(this.#abort.signal, {
-      platform,
-      holder: this.#configuration,
-      logger,
-      wait: (durationMs) =>
-        new Promise((resolve) => timers.schedule(durationMs, () => resolve())),
-    });
     logger.info("sidecar-started", {
       runner: settings.runner,
       epoch: this.epoch,
@@ -149,6 +152,10 @@
       runner: this.#runner,
       timers: this.#options.timers,
       metrics: this.#metrics,
+      syncConfiguration: (version, sender) => {
+        this.#follower?.observeVersion(version, sender);
+        return this.#follower?.sync();
+      },
       isLeaving: () => this.#isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
@@ -173,15 +180,17 @@
       router: createSidecarRouter({
         getConfiguration: (afterVersion) =>
           this.#configuration.version > afterVersion
-            ? this.#configuration.get()
+            ? formatForPeer(this.#configuration.get())
             : undefined,
+        getParts: (hashes) => selectParts(this.#configuration, hashes),
+        getMembers: () => this.#membership?.listMembers() ?? [],
         settle: ({ attempt, epoch }) =>
           this.#attempts.settle(attempt, { epoch, nowMs: timers.nowMs() }),
       }),
     });
   }
 
-  async #startMembership(platform: PlatformClient): Promise<void> {
+  async #startMembership(platform: PlatformClient): Promise<Membership> {
     const { logger, settings, timers } = this.#options;
     const membership = await Membership.create({
       identity: {
@@ -206,6 +215,8 @@
       random: createSystemRandom(),
       logger,
       platform,
+      getPeer: (address) => this.#peers.get(address),
+      peerAddresses: settings.peerAddresses,
       getLoadTokens: () => this.#admission.loadTokens,
     });
     this.#membership = this.#resources.use(membership);
@@ -213,6 +224,26 @@
       membership.setConfigurationVersion(version);
       membership.setLimits(body.defaults.membership);
     }));
+    return membership;
+  }
+
+  #startFollower(platform: PlatformClient, membership: Membership): void {
+    const { logger, timers } = this.#options;
+    const follower = ConfigurationFollower.create({
+      platform,
+      holder: this.#configuration,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      isWatcher: () => membership.isWatcher,
+      listPeers: () => membership.listRouterAddresses(),
+      whenReady: membership.whenReady,
+      sections: ["exceptions"],
+    });
+    membership.setVersionObserver((version, address) =>
+      follower.observeVersion(version, address)
+    );
+    this.#follower = this.#resources.use(follower);
   }
 
   /**
