Give loads shorter hops in large fleets

**Cause**: a load took one digest period a hop, so at 1050 members the hops alone made it some 4 s old; refreshed state shared rounds with urgent news.

**Change**: rounds of urgent records, of loads and of one repeated record are apart; loads go round faster where they take more than two hops. The schemes that were weighed moved to the load package; a fourth, which sends loads only to routers and pool mates, is measured with them.

--- a/packages/core/src/membership/spreader.ts
+++ b/packages/core/src/membership/spreader.ts
@@ -23,6 +23,7 @@
   versionRounds: number;
   nextLoadAtMs: number;
   nextOwnAtMs: number;
+  nextRefreshAtMs: number;
   /** Load that peers were last told, and when. */
   toldTokens: number;
   toldAtMs: number;
@@ -51,6 +52,7 @@
     versionRounds: 0,
     nextLoadAtMs: nowMs + phaseMs,
     nextOwnAtMs: nowMs + phaseMs,
+    nextRefreshAtMs: nowMs + phaseMs,
     toldTokens: 0,
     toldAtMs: nowMs,
     loadTokens: 0,
--- a/packages/core/src/membership/spreading.ts
+++ b/packages/core/src/membership/spreading.ts
@@ -1,6 +1,6 @@
 import { assertInvariant } from "../results/mod.ts";
 import { askUnknown } from "./asking.ts";
-import { framingBytes, spendBudget, updateBudget } from "./budget.ts";
+import { canSpend, framingBytes, spendBudget, updateBudget } from "./budget.ts";
 import {
   type Digest,
   digestOverheadBytes,
@@ -11,13 +11,14 @@
 } from "./codec.ts";
 import { publishOwnLoad } from "./own_record.ts";
 import type { MemberIdentity } from "./record.ts";
+import type { Urgency } from "./schemes.ts";
 import {
   createDigest,
   createRecord,
   type SendDigest,
   type Spreader,
 } from "./spreader.ts";
-import type { MemberRow } from "./tables.ts";
+import type { MemberRow, MembershipTables } from "./tables.ts";
 
 /** Largest digest, so that a datagram is not fragmented. */
 export const maxDigestBytes = 1200;
@@ -25,6 +26,12 @@
 /** Time between two ticks, and so between two rounds of urgent records. */
 export const tickPeriodMs = 200;
 
+/** Hops up to which loads take the usual period. */
+const promptHops = 2;
+
+/** Members that hear a record per member that sends it, as a logarithm. */
+const hopBase = 4;
+
 /** Sends what is due; called every `tickPeriodMs`. */
 export function spreadDigests(
   spreader: Spreader,
@@ -34,39 +41,57 @@
   updateBudget(spreader.budget, { tables, nowMs });
   publishOwnLoad(spreader, nowMs);
   const commands = askUnknown(spreader, nowMs);
-  const isLoadDue = nowMs >= spreader.nextLoadAtMs;
-  if (isLoadDue) {
-    spreader.nextLoadAtMs = nowMs + tables.limits.digestPeriodMs;
-    refreshState(spreader);
+  if (tables.members.size === 1) return commands;
+  const urgent = selectDue(spreader, "state");
+  if (urgent.length > 0 || spreader.versionRounds > 0) {
+    commands.push(...sendRound(spreader, urgent, { purpose: "state", nowMs }));
   }
-  const due = selectDue(spreader, isLoadDue);
-  if (due.length > 0 || spreader.versionRounds > 0) {
-    commands.push(...sendRound(spreader, due, nowMs));
+  if (nowMs < spreader.nextLoadAtMs) return commands;
+  spreader.nextLoadAtMs = nowMs + getLoadPeriodMs(tables);
+  const loads = selectDue(spreader, "load");
+  if (loads.length > 0) {
+    commands.push(...sendRound(spreader, loads, { purpose: "load", nowMs }));
   }
+  if (nowMs < spreader.nextRefreshAtMs) return commands;
+  spreader.nextRefreshAtMs = nowMs + tables.limits.digestPeriodMs;
+  commands.push(...sendRefresh(spreader, nowMs));
   return commands;
 }
 
+/**
+ * Gets the time between two rounds of loads. Where a record takes more hops,
+ * each of them is shorter.
+ */
+export function getLoadPeriodMs(tables: MembershipTables): number {
+  const hops = Math.log(tables.members.size) / Math.log(hopBase);
+  const periodMs = tables.limits.digestPeriodMs;
+  return Math.max(tickPeriodMs, periodMs * Math.min(1, promptHops / hops));
+}
+
 /** Repeats one member's whole record, for those whom it did not reach. */
-function refreshState(spreader: Spreader): void {
-  const { members, pending } = spreader.tables;
+function sendRefresh(spreader: Spreader, nowMs: number): SendDigest[] {
+  const { tables } = spreader;
   if (spreader.refreshQueue.length === 0) {
-    spreader.refreshQueue = [...members.rows()];
+    spreader.refreshQueue = [...tables.members.rows()];
   }
   const member = spreader.refreshQueue.pop();
-  if (member === undefined || member.record.epoch === 0) return;
-  if (!members.has(member.record.wireId) || member.roundsLeft > 0) return;
-  member.isUrgent = true;
-  member.roundsLeft = 1;
-  pending.add(member);
+  if (member === undefined || member.record.epoch === 0) return [];
+  const bytes = encodeDigest({
+    ...createDigest(spreader),
+    records: [createRecord(member, nowMs)],
+  });
+  const [peer] = spreader.scheme.choosePeers(tables, "refresh");
+  if (peer === undefined || !canSpend(spreader.budget, bytes.length)) return [];
+  spendBudget(spreader.budget, { tables, sizeBytes: bytes.length });
+  return [{ type: "send-digest", peer, bytes }];
 }
 
-/** Own state first, then others' state, then the youngest loads. */
-function selectDue(spreader: Spreader, isLoadDue: boolean): MemberRow[] {
+/** Own records first, then the youngest. */
+function selectDue(spreader: Spreader, urgency: Urgency): MemberRow[] {
   const { pending, self } = spreader.tables;
-  const getRank = (member: MemberRow) =>
-    (member.isUrgent ? 0 : 2) + (member === self ? 0 : 1);
+  const getRank = (member: MemberRow) => member === self ? 0 : 1;
   return [...pending]
-    .filter((member) => member.isUrgent || isLoadDue)
+    .filter((member) => member.isUrgent === (urgency === "state"))
     .sort((left, right) =>
       getRank(left) - getRank(right) || right.madeAtMs - left.madeAtMs
     );
@@ -75,21 +100,19 @@
 function sendRound(
   spreader: Spreader,
   due: MemberRow[],
-  nowMs: number,
+  options: { purpose: Urgency; nowMs: number },
 ): SendDigest[] {
   const { tables } = spreader;
-  const peers = tables.members.size > 1
-    ? spreader.scheme.choosePeers(tables)
-    : [];
+  const peers = spreader.scheme.choosePeers(tables, options.purpose);
   if (peers.length === 0 || spreader.budget.allowanceBytes < 0) return [];
   const commands: SendDigest[] = [];
   let rest = due;
-  spreader.versionRounds = Math.max(0, spreader.versionRounds - 1);
+  if (options.purpose === "state") completeVersionRound(spreader);
   do {
     const members = selectFitting(spreader, rest, peers.length);
     if (members.length === 0 && rest.length > 0) break;
     rest = rest.slice(members.length);
-    const bytes = encodeDigest(fillDigest(spreader, members, nowMs));
+    const bytes = encodeDigest(fillDigest(spreader, members, options.nowMs));
     assertInvariant(
       bytes.length <= maxDigestBytes || members.length === 1,
       "digest-fits-datagram",
@@ -104,6 +127,10 @@
   return commands;
 }
 
+function completeVersionRound(spreader: Spreader): void {
+  spreader.versionRounds = Math.max(0, spreader.versionRounds - 1);
+}
+
 /** Takes as many records as one datagram and the budget hold. */
 function selectFitting(
   spreader: Spreader,
--- a/packages/load/src/measure_membership/digest_fleet.ts
+++ b/packages/load/src/measure_membership/digest_fleet.ts
@@ -25,6 +25,8 @@
   phaseMs: number;
   receivedBytes: number;
   isStopped: boolean;
+  /** A declaration that is being fetched from a peer. */
+  fetching: { version: number; doneAtMs: number } | undefined;
 };
 
 /** What a fleet of decision code is made of. */
@@ -43,6 +45,9 @@
 /** Time between two steps of the virtual clock. */
 export const stepMs = 20;
 
+/** Manifest and part from a peer: two exchanges of two steps each. */
+const fetchMs = 4 * stepMs;
+
 const startMs = 1_000_000;
 
 const meanTokens = 20_000;
@@ -108,6 +113,7 @@
       phaseMs: random.getInteger(tickPeriodMs / stepMs) * stepMs,
       receivedBytes: 0,
       isStopped: false,
+      fetching: undefined,
       spreader: createSpreader({
         tables,
         scheme: createScheme(random),
@@ -127,6 +133,7 @@
       this.#nowMs += stepMs;
       this.#deliver();
       for (const member of this.members) {
+        this.#completeFetch(member);
         if (this.#nowMs % tickPeriodMs === member.phaseMs) this.#tick(member);
       }
     }
@@ -173,11 +180,24 @@
       if (to.isStopped || this.#isLost(from, to)) continue;
       to.receivedBytes += bytes.length + framingBytes;
       const digest = decodeDigest(bytes);
-      this.setVersion(to, digest.configurationVersion);
+      this.#fetch(to, digest.configurationVersion);
       this.send(to, receiveDigest(to.spreader, digest, this.#nowMs));
     }
   }
 
+  /** Begins to fetch a declaration, unless another fetch is under way. */
+  #fetch(member: FleetMember, version: number): void {
+    if (version <= member.spreader.configurationVersion) return;
+    member.fetching ??= { version, doneAtMs: this.#nowMs + fetchMs };
+  }
+
+  #completeFetch(member: FleetMember): void {
+    if (member.fetching === undefined) return;
+    if (this.#nowMs < member.fetching.doneAtMs) return;
+    this.setVersion(member, member.fetching.version);
+    member.fetching = undefined;
+  }
+
   #isLost(from: FleetMember, to: FleetMember): boolean {
     const { lossRatio, random } = this.#options;
     return random.getFloat() < lossRatio ||
--- a/packages/load/src/measure_membership/measure.ts
+++ b/packages/load/src/measure_membership/measure.ts
@@ -1,11 +1,8 @@
 import {
-  createMeshScheme,
-  createRelayScheme,
   createRotatingScheme,
   getOwnPeriodMs,
   getPoolMean,
   getWireId,
-  listRelays,
   type MembershipLimits,
   publishRatio,
   publishTokens,
@@ -17,10 +14,15 @@
   type RandomSource,
 } from "@jasminetide/core/random";
 import { createIdentity, DigestFleet, stepMs } from "./digest_fleet.ts";
+import {
+  createInterestScheme,
+  createMeshScheme,
+  createRelayScheme,
+} from "./weighed_schemes.ts";
 import { summarize, type Summary } from "./summary.ts";
 
 /** Names of the spreading schemes that are compared. */
-export const schemeNames = ["rotating", "mesh", "relays"] as const;
+export const schemeNames = ["rotating", "interest", "mesh", "relays"] as const;
 
 /** Name of a spreading scheme. */
 export type SchemeName = typeof schemeNames[number];
@@ -52,7 +54,7 @@
   leavingMs: Summary;
   /** Time until a router has a new runner as candidate. */
   joiningMs: Summary;
-  /** Time until a member knows a configuration version. */
+  /** Time until a member holds a declaration that one process got. */
   versionMs: Summary;
 };
 
@@ -74,11 +76,11 @@
 const sampleSeconds = 10;
 const cutMs = 10_000;
 const eventLimitMs = 15_000;
-const watchersPerDomain = 3;
 
 const schemes: {
   [name in SchemeName]: (random: RandomSource) => SpreadingScheme;
 } = {
+  interest: createInterestScheme,
   rotating: createRotatingScheme,
   mesh: createMeshScheme,
   relays: createRelayScheme,
@@ -108,7 +110,7 @@
     sidecars: options.sidecars,
     failureDomains,
     pools: getPools(options),
-    limits: options.scheme === "rotating"
+    limits: options.scheme === "rotating" || options.scheme === "interest"
       ? limits
       : { ...limits, budgetBytesPerSecond: unlimitedBytesPerSecond },
     random: createSeededRandom(options.seed),
@@ -220,21 +222,10 @@
   );
 }
 
+/** One process got the declaration before the platform went down. */
 function measureVersion(fleet: DigestFleet): Summary {
   const version = 7;
-  const [{ spreader }] = fleet.routers;
-  const domains = new Set(
-    fleet.members.map(({ identity }) => identity.failureDomain),
-  );
-  const names = new Set(
-    [...domains].flatMap((domain) =>
-      listRelays(spreader.tables, domain, watchersPerDomain)
-        .map((member) => member.identity.name)
-    ),
-  );
-  for (const member of fleet.members) {
-    if (names.has(member.identity.name)) fleet.setVersion(member, version);
-  }
+  fleet.setVersion(fleet.routers[0], version);
   return measureSpread(
     fleet,
     fleet.members,
--- a/packages/runtime/src/membership/host_list.ts
+++ b/packages/runtime/src/membership/host_list.ts
@@ -1,7 +1,7 @@
 import {
   type ListedMember,
-  listRelays,
   type MembershipTables,
+  selectByHash,
 } from "@jasminetide/core/membership";
 import type { HostProcess, HostRecord } from "../platform/mod.ts";
 
@@ -35,7 +35,7 @@
 /** Says whether this process is one of the few that follow the platform. */
 export function isPromptReader(tables: MembershipTables): boolean {
   const { failureDomain } = tables.self.identity;
-  return listRelays(tables, failureDomain, promptReaders)
+  return selectByHash(tables, failureDomain, promptReaders)
     .includes(tables.self);
 }
 
