Hold duties by leases and refuse orders of older ones

**Cause**: nothing decided which router does what one router has to do, and a paused holder's orders could reach an engine after those of its successor.

**Change**: core/leases decides by rendezvous rank who watches a duty and takes it over; a lease is written when its holder changes, never to keep it, and its fencing number rises with each holder. Whether a holder lives is asked of itself. A sidecar carries out orders one at a time, refuses older numbers, and after a start learns the highest from the platform (a read confirmed by a conditional write) or from the runner before it takes any order.

--- /dev/null
+++ b/packages/core/src/leases/leases_test.ts
@@ -0,0 +1,368 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import { createSeededRandom, type RandomSource } from "../random/mod.ts";
+import {
+  addDuty,
+  applyHolderAlive,
+  applyLeaseFailure,
+  applyLeaseRead,
+  applyLeaseWritten,
+  createLeaseTables,
+  FencedOrders,
+  FencingGuard,
+  isHeld,
+  isHeldBySelf,
+  type LeaseCommand,
+  type LeaseTables,
+  type StoredLease,
+  updateLeases,
+} from "./mod.ts";
+
+const duty = "placement-region-1";
+const leaseMs = 10_000;
+const stepMs = 500;
+
+type Router = {
+  tables: LeaseTables;
+  isDead: boolean;
+  isLeaving: boolean;
+  pausedUntilMs: number;
+  /** What it last decided, acted on after a pause. */
+  waiting: LeaseCommand[];
+};
+
+type Faults = {
+  outage: boolean;
+  lostAnswers: number;
+  staleReads: number;
+};
+
+/** Routers, one lease object and the guard of one sidecar. */
+class LeaseWorld {
+  readonly routers: Router[];
+  readonly random: RandomSource;
+  readonly faults: Faults = { outage: false, lostAnswers: 0, staleReads: 0 };
+  guard = FencingGuard.create();
+  history: StoredLease[] = [];
+  accepted: number[] = [];
+  reads = 0;
+  writes = 0;
+  nowMs = 1_000_000;
+  #attempts = 0;
+
+  constructor(count: number, seed: number) {
+    this.random = createSeededRandom(seed);
+    this.routers = Array.from({ length: count }, (_, index) => {
+      const self = {
+        name: `router-${index}`,
+        epoch: 1,
+        controlAddress: "127.0.0.1:1",
+      };
+      const tables = createLeaseTables({ self, leaseMs });
+      addDuty(tables, duty);
+      return {
+        tables,
+        isDead: false,
+        isLeaving: false,
+        pausedUntilMs: 0,
+        waiting: [],
+      };
+    });
+    this.guard.learn(0);
+  }
+
+  advance(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += stepMs;
+      for (const router of this.routers) this.#tick(router);
+    }
+  }
+
+  listHolders(): Router[] {
+    return this.routers.filter((router) =>
+      !router.isDead && isHeld(router.tables, duty, this.nowMs)
+    );
+  }
+
+  /** Gives an order as one that believes to hold the duty. */
+  order(router: Router): void {
+    const row = router.tables.duties.get(duty);
+    assert.ok(row?.lease !== undefined);
+    this.guard.admit(row.lease.fencingNumber);
+    this.accepted.push(row.lease.fencingNumber);
+  }
+
+  /** As a sidecar learns it: a read that a conditional write confirms. */
+  learn(): boolean {
+    if (this.faults.outage) return false;
+    const stored = this.#read();
+    const current = this.history.at(-1);
+    if (stored?.version !== current?.version) return false;
+    this.guard.learn(current?.lease.fencingNumber ?? 0);
+    return true;
+  }
+
+  #tick(router: Router): void {
+    if (router.isDead || this.nowMs < router.pausedUntilMs) return;
+    const commands = router.waiting;
+    router.waiting = [];
+    for (const command of commands) this.#run(router, command);
+    router.waiting = updateLeases(router.tables, {
+      nowMs: this.nowMs,
+      candidates: this.routers
+        .filter((other) => !other.isDead && !other.isLeaving)
+        .map(({ tables }) => tables.self),
+      isLeaving: router.isLeaving,
+      createAttempt: () => String(this.#attempts++),
+    });
+  }
+
+  #run({ tables }: Router, command: LeaseCommand): void {
+    const { nowMs } = this;
+    const fail = () => applyLeaseFailure(tables, duty, nowMs);
+    switch (command.type) {
+      case "ping-holder": {
+        const holder = this.routers.find((router) =>
+          router.tables.self.name === command.holder.name
+        );
+        const isAlive = holder !== undefined && !holder.isDead &&
+          nowMs >= holder.pausedUntilMs;
+        return isAlive ? applyHolderAlive(tables, duty, nowMs) : fail();
+      }
+      case "read-lease":
+        if (this.faults.outage) return fail();
+        return applyLeaseRead(tables, duty, { stored: this.#read(), nowMs });
+      case "write-lease": {
+        const version = this.#write(command);
+        if (version === undefined) return fail();
+        return applyLeaseWritten(tables, duty, { version, nowMs });
+      }
+    }
+  }
+
+  #read(): StoredLease | undefined {
+    this.reads += 1;
+    const isStale = this.random.getFloat() < this.faults.staleReads;
+    return this.history.at(isStale ? -2 : -1);
+  }
+
+  #write(
+    command: Extract<LeaseCommand, { type: "write-lease" }>,
+  ): number | undefined {
+    if (this.faults.outage) return undefined;
+    this.writes += 1;
+    const version = this.history.at(-1)?.version ?? 0;
+    if (version !== command.expectedVersion) return undefined;
+    this.history.push({ lease: command.lease, version: version + 1 });
+    return this.random.getFloat() < this.faults.lostAnswers
+      ? undefined
+      : version + 1;
+  }
+}
+
+type World = { leases: LeaseWorld; holder: Router; fencingNumber: number };
+
+function getHolder(world: World): Router {
+  const [holder, ...others] = world.leases.listHolders();
+  assert.ok(holder !== undefined && others.length === 0);
+  return holder;
+}
+
+function getNumber(router: Router): number {
+  return router.tables.duties.get(duty)?.lease?.fencingNumber ?? 0;
+}
+
+Given(
+  "{int} routers with one duty, seed {int}",
+  function (this: World, count: number, seed: number) {
+    this.leases = new LeaseWorld(count, seed);
+  },
+);
+
+When("{int} seconds pass", function (this: World, seconds: number) {
+  this.leases.advance(seconds * 1000);
+});
+
+Then("exactly one router holds the duty", function (this: World) {
+  this.holder = getHolder(this);
+  this.fencingNumber = getNumber(this.holder);
+});
+
+When(
+  /^its holder (dies|leaves) and (\d+) seconds pass$/,
+  function (this: World, event: string, seconds: string) {
+    this.holder = getHolder(this);
+    this.fencingNumber = getNumber(this.holder);
+    if (event === "dies") this.holder.isDead = true;
+    else this.holder.isLeaving = true;
+    this.leases.advance(Number(seconds) * 1000);
+  },
+);
+
+Then(
+  "exactly one other router holds it with a higher fencing number",
+  function (this: World) {
+    const holder = getHolder(this);
+    assert.notEqual(holder, this.holder);
+    assert.ok(getNumber(holder) > this.fencingNumber);
+  },
+);
+
+When(
+  "its holder is paused for {int} seconds and then gives an order at once",
+  function (this: World, seconds: number) {
+    this.holder = getHolder(this);
+    this.holder.pausedUntilMs = this.leases.nowMs + seconds * 1000;
+    this.leases.advance(seconds * 1000 - stepMs);
+    this.leases.order(getHolder(this));
+  },
+);
+
+Then("the order is refused for its fencing number", function (this: World) {
+  const row = this.holder.tables.duties.get(duty);
+  assert.ok(row !== undefined && isHeldBySelf(this.holder.tables, row));
+  assert.throws(() => this.leases.order(this.holder), {
+    result: "staleFencingNumber",
+    executed: "no",
+  });
+});
+
+When("the sidecar restarts", function (this: World) {
+  this.leases.guard = FencingGuard.create();
+});
+
+Then(
+  "an order is refused until the highest number is learned",
+  function (this: World) {
+    const holder = getHolder(this);
+    assert.throws(() => this.leases.order(holder), {
+      result: "platformUnavailable",
+      executed: "no",
+    });
+    assert.ok(this.leases.learn());
+    this.leases.order(holder);
+  },
+);
+
+const eventArbitrary = fc.record({
+  kind: fc.constantFrom(
+    "pause",
+    "outage",
+    "restart-sidecar",
+    "restart-router",
+    "calm",
+  ),
+  router: fc.nat(4),
+  durationMs: fc.integer({ min: 1, max: 40 }).map((units) => units * 1000),
+});
+
+/** Applies one event and lets every believer give an order at each step. */
+function playEvent(
+  world: LeaseWorld,
+  event: { kind: string; router: number; durationMs: number },
+): void {
+  const router = world.routers[event.router];
+  if (event.kind === "pause") {
+    router.pausedUntilMs = world.nowMs + event.durationMs;
+  }
+  if (event.kind === "restart-sidecar") world.guard = FencingGuard.create();
+  if (event.kind === "restart-router") {
+    const { self } = router.tables;
+    router.tables = createLeaseTables({
+      self: { ...self, epoch: self.epoch + 1 },
+      leaseMs,
+    });
+    addDuty(router.tables, duty);
+    router.waiting = [];
+  }
+  world.faults.outage = event.kind === "outage";
+  const endMs = world.nowMs + event.durationMs;
+  while (world.nowMs < endMs) {
+    world.advance(stepMs);
+    if (!world.guard.isLearned) world.learn();
+    for (const believer of world.routers) tryOrder(world, believer);
+  }
+}
+
+function tryOrder(world: LeaseWorld, router: Router): void {
+  const row = router.tables.duties.get(duty);
+  if (row === undefined || !isHeldBySelf(router.tables, row)) return;
+  try {
+    world.order(router);
+  } catch (error) {
+    const { result } = error as { result: string };
+    assert.ok(["staleFencingNumber", "platformUnavailable"].includes(result));
+  }
+}
+
+Then(
+  "orders never go back to an older holder in {int} random runs, seed {int}",
+  function (numRuns: number, seed: number) {
+    const events = fc.array(eventArbitrary, { minLength: 4, maxLength: 12 });
+    fc.assert(
+      fc.property(events, fc.integer(), (list, randomSeed) => {
+        const world = new LeaseWorld(5, randomSeed);
+        Object.assign(world.faults, { lostAnswers: 0.2, staleReads: 0.2 });
+        for (const event of list) playEvent(world, event);
+        const sorted = [...world.accepted].sort((a, b) => a - b);
+        assert.deepEqual(world.accepted, sorted);
+        Object.assign(world.faults, {
+          outage: false,
+          lostAnswers: 0,
+          staleReads: 0,
+        });
+        for (const router of world.routers) router.pausedUntilMs = 0;
+        world.advance(40_000);
+        assert.equal(world.listHolders().length, 1);
+      }),
+      { seed, numRuns },
+    );
+  },
+);
+
+Then(
+  "no write and at most {int} reads happen in {int} seconds",
+  function (this: World, reads: number, seconds: number) {
+    const { reads: before, writes } = this.leases;
+    this.leases.advance(seconds * 1000);
+    assert.equal(this.leases.writes, writes);
+    assert.ok(this.leases.reads - before <= reads);
+  },
+);
+
+type OrderWorld = { orders: FencedOrders; received: string[] };
+
+Given(
+  "a runner that ignores fencing numbers and takes orders slowly",
+  function (this: OrderWorld) {
+    this.received = [];
+    this.orders = FencedOrders.create({ learn: () => Promise.resolve(4) });
+  },
+);
+
+When(
+  "orders with numbers {int}, {int} and {int} arrive at once",
+  async function (this: OrderWorld, a: number, b: number, c: number) {
+    await Promise.allSettled(
+      [a, b, c].map((number) =>
+        this.orders.run(number, async () => {
+          this.received.push(`begin ${number}`);
+          await new Promise((resolve) => setImmediate(resolve));
+          this.received.push(`end ${number}`);
+        })
+      ),
+    );
+  },
+);
+
+Then(
+  "the runner gets orders {int} and {int}, one after the other",
+  function (this: OrderWorld, first: number, second: number) {
+    assert.deepEqual(
+      this.received,
+      [first, second].flatMap((number) => [`begin ${number}`, `end ${number}`]),
+    );
+  },
+);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,8 +4,14 @@
   createEpoch,
   defaultMembershipLimits,
 } from "@jasminetide/core/membership";
+import {
+  type Duty,
+  getPlacementDuty,
+  statusDuty,
+} from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { AppError, normalizeError } from "@jasminetide/core/results";
+import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationFollower,
@@ -25,6 +31,7 @@
   sendProblem,
   startServer,
 } from "@jasminetide/runtime/http";
+import { LeaseKeeper } from "@jasminetide/runtime/leases";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics } from "@jasminetide/runtime/metrics";
@@ -57,6 +64,8 @@
   readonly #resolved = new Map<string, RequestSettings>();
   readonly #peers = PeerClients.create();
   #membership: Membership | undefined;
+  #leases: LeaseKeeper | undefined;
+  readonly #epoch: Epoch;
   #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
   #callerAddress = "";
@@ -64,6 +73,7 @@
 
   private constructor(options: RouterOptions) {
     this.#options = options;
+    this.#epoch = createEpoch(options.timers.nowMs(), createSystemRandom());
   }
 
   /** Starts a router and its listeners. */
@@ -88,6 +98,11 @@
     return this.#configuration.version;
   }
 
+  /** Gets the fencing number of a duty while this router holds it. */
+  getFencingNumber(duty: Duty): number | undefined {
+    return this.#leases?.getFencingNumber(duty);
+  }
+
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
     return this.#configuration.isLoaded &&
@@ -96,6 +111,7 @@
 
   /** Stops accepting, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#membership?.setOwn({ isLeaving: true });
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -116,6 +132,7 @@
     this.#controlAddress = control.address;
     const membership = await this.#startMembership(platform);
     this.#startFollower(platform, membership);
+    this.#startLeases(platform, membership);
     const callers = await this.#startCallers(membership);
     this.#resources.defer(() => callers.close());
     this.#callerAddress = callers.address;
@@ -134,7 +151,7 @@
         region: settings.region,
         controlAddress: this.#controlAddress,
       },
-      epoch: createEpoch(timers.nowMs(), random),
+      epoch: this.#epoch,
       capacity: 1,
       limits: defaultMembershipLimits,
       digestKey: settings.digestKey,
@@ -154,6 +171,25 @@
     return membership;
   }
 
+  #startLeases(platform: PlatformClient, membership: Membership): void {
+    const { logger, settings, timers } = this.#options;
+    const leases = LeaseKeeper.create({
+      self: {
+        name: settings.name,
+        epoch: this.#epoch,
+        controlAddress: this.#controlAddress,
+      },
+      duties: [getPlacementDuty(settings.region), statusDuty],
+      platform,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      listCandidates: () => membership.listRouters(),
+    });
+    this.#leases = this.#resources.use(leases);
+    this.#resources.defer(() => leases.release());
+  }
+
   #startFollower(platform: PlatformClient, membership: Membership): void {
     const { logger, timers } = this.#options;
     const follower = ConfigurationFollower.create({
@@ -184,6 +220,8 @@
             ? formatForPeer(this.#configuration.get())
             : undefined,
         getParts: (hashes) => selectParts(this.#configuration, hashes),
+        isDutyHeld: (duty, epoch) =>
+          epoch === this.#epoch && this.#leases?.isHeld(duty) === true,
         getMembers: () => this.#membership?.listMembers() ?? [],
       }),
     });
@@ -256,6 +294,7 @@
       configurationVersion: this.#configuration.version,
       runners: [...this.#membership?.runners.rows() ?? []],
       membership: this.#membership?.getSnapshot(),
+      duties: this.#leases?.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
--- a/packages/runtime/src/control/peer_router.ts
+++ b/packages/runtime/src/control/peer_router.ts
@@ -3,6 +3,8 @@
   DigestRecord,
   MemberIdentity,
 } from "@jasminetide/core/membership";
+import { type FencedOrder, fencedOrderSchema } from "@jasminetide/core/leases";
+import type { Executed } from "@jasminetide/core/results";
 import { initTRPC } from "@trpc/server";
 import { settleSchema } from "./messages.ts";
 import { z } from "zod";
@@ -29,13 +31,21 @@
   getConfiguration(afterVersion: number): StoredConfiguration | undefined;
   /** Gives the members that it knows, with their records. */
   getMembers(): KnownMember[];
+  /** Says whether it holds a duty as the start that the asker names. */
+  isDutyHeld(duty: string, epoch: number): boolean;
   /** Gives those of the asked parts of a configuration that it holds. */
   getParts(hashes: string[]): { [hash: string]: string };
 };
 
+/** What became of an order. */
+export type OrderOutcome =
+  | { type: "done" }
+  | { type: "refused"; code: number; executed: Executed; detail: string };
+
 /** What a sidecar answers besides. */
 export type SidecarHandlers = PeerHandlers & {
   settle(request: z.output<typeof settleSchema>): Settlement;
+  order(request: FencedOrder): Promise<OrderOutcome>;
 };
 
 /** Creates the procedures that every process serves. */
@@ -50,6 +60,9 @@
     settle: trpc.procedure.input(settleSchema).mutation(({ input }) =>
       handlers.settle(input)
     ),
+    order: trpc.procedure.input(fencedOrderSchema).mutation(({ input }) =>
+      handlers.order(input)
+    ),
   });
 }
 
@@ -67,6 +80,9 @@
         handlers.getConfiguration(input.afterVersion) ?? null
       ),
     getMembers: trpc.procedure.query(() => handlers.getMembers()),
+    isDutyHeld: trpc.procedure
+      .input(z.object({ duty: z.string(), epoch: z.number().int() }))
+      .query(({ input }) => handlers.isDutyHeld(input.duty, input.epoch)),
     getParts: trpc.procedure
       .input(z.object({ hashes: z.array(z.string()).max(maximumParts) }))
       .query(({ input }) => handlers.getParts(input.hashes)),
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -191,6 +191,16 @@
     return [...new Set([...addresses, ...peerAddresses])];
   }
 
+  /** Lists the routers that live and do not leave, this one among them. */
+  listRouters(): { name: string; epoch: number }[] {
+    return [...this.members.rows()]
+      .filter((row) => row.identity.type === "router" && !isLeaving(row))
+      .map(({ identity, record }) => ({
+        name: identity.name,
+        epoch: record.epoch,
+      }));
+  }
+
   /** Lists the members with their records, for a process that starts. */
   listMembers(): KnownMember[] {
     const nowMs = this.#options.timers.nowMs();
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -3,7 +3,9 @@
   createEpoch,
   defaultMembershipLimits,
 } from "@jasminetide/core/membership";
+import { getPlacementDuty } from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
+import { AppError } from "@jasminetide/core/results";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
@@ -25,6 +27,7 @@
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import { OrderGate } from "./orders/mod.ts";
 import {
   AttemptStore,
   handleRequest,
@@ -59,6 +62,7 @@
   readonly #resources = ResourceStack.create();
   readonly #peers = PeerClients.create();
   #membership: Membership | undefined;
+  #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
   #isLeaving = false;
   #dataAddress = "";
@@ -125,6 +129,12 @@
     });
     this.#resources.use(platform);
     this.#resources.use(this.#peers);
+    this.#orders = OrderGate.create({
+      duty: getPlacementDuty(settings.region),
+      platform,
+      runner: this.#runner,
+      logger,
+    });
     this.#resources.defer(() => this.#runner.close());
     const data = await this.#startData();
     this.#dataAddress = data.address;
@@ -183,6 +193,8 @@
             ? formatForPeer(this.#configuration.get())
             : undefined,
         getParts: (hashes) => selectParts(this.#configuration, hashes),
+        order: (order) => this.#requireOrders().apply(order),
+        isDutyHeld: () => false,
         getMembers: () => this.#membership?.listMembers() ?? [],
         settle: ({ attempt, epoch }) =>
           this.#attempts.settle(attempt, { epoch, nowMs: timers.nowMs() }),
@@ -259,6 +271,11 @@
     return mean;
   }
 
+  #requireOrders(): OrderGate {
+    if (this.#orders !== undefined) return this.#orders;
+    throw AppError.create("internal", "Sidecar has not started");
+  }
+
   #getDump() {
     const { settings } = this.#options;
     return {
@@ -277,6 +294,7 @@
         running: this.#admission.running,
       },
       membership: this.#membership?.getSnapshot(),
+      highestFencingNumber: this.#orders?.highestFencingNumber,
       metrics: this.#metrics.getSnapshot(),
     };
   }
