--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -3,12 +3,9 @@
 import { getBackoffMs } from "@jasminetide/core/retries";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { RunnerRow } from "@jasminetide/core/tables";
-import {
-  headerNames,
-  type RequestEnvelope,
-} from "@jasminetide/runtime/exchange";
+import type { RequestEnvelope } from "@jasminetide/runtime/exchange";
+import type { Membership } from "@jasminetide/runtime/membership";
 import { v7 as createAttemptId } from "uuid";
-import type { RunnerDirectory } from "../membership/mod.ts";
 import type {
   AnswerStart,
   Attempt,
@@ -21,7 +18,10 @@
 /** A request to be brought to some runner. */
 export type DispatchRequest = {
   request: OutgoingRequest;
-  envelope: Omit<RequestEnvelope, "attempt" | "epoch" | "remainingMs">;
+  envelope: Omit<
+    RequestEnvelope,
+    "attempt" | "epoch" | "remainingMs" | "sender"
+  >;
   deadlineAtMs: number;
   settings: Settings;
   /** Chooses a runner that is not among those already tried. */
@@ -30,7 +30,7 @@
 
 /** What dispatching works with. */
 export type DispatchContext = Omit<AttemptContext, "stream" | "silences"> & {
-  directory: RunnerDirectory;
+  directory: Membership;
   random: RandomSource;
   pool: PoolState;
 };
@@ -90,6 +90,7 @@
       attempt: createAttemptId(),
       epoch: runner.epoch,
       remainingMs: 0,
+      sender: context.directory.controlAddress,
     },
   };
   const attemptContext = {
@@ -99,7 +100,7 @@
   };
   const sentAtMs = context.timers.nowMs();
   const start = await openAnswer(attempt, attemptContext);
-  recordEpoch(runner, start, context);
+  context.directory.recordAnswer(runner.id, start.headers);
   if (isRefusal(start)) throw await readRefusal(start);
   const nowMs = context.timers.nowMs();
   context.pool.firstBytes.record(nowMs - sentAtMs, nowMs);
@@ -107,17 +108,6 @@
   return { attempt, start, context: attemptContext };
 }
 
-function recordEpoch(
-  runner: RunnerRow,
-  start: AnswerStart,
-  context: DispatchContext,
-): void {
-  const epoch = Number(start.headers[headerNames.epoch]);
-  if (Number.isSafeInteger(epoch)) {
-    context.directory.recordEpoch(runner.id, epoch);
-  }
-}
-
 /** Waits before a repetition, or throws why there is none. */
 async function checkRetry(
   dispatch: DispatchRequest,
@@ -162,7 +152,7 @@
   context.metrics.count(`attempt-failed-${error.result}`);
   if (error.result === "runnerFailed" || error.result === "runnerUnreachable") {
     context.pool.circuit.record("failed", context.timers.nowMs());
-    context.directory.recordFailure(runner.id, context.timers.nowMs());
+    context.directory.recordFailure(runner.id);
   } else context.pool.circuit.release();
 }
 
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -33,7 +33,7 @@
   const key = getKey(request, { workspace, chat });
   const ranked = rankRunners(
     key,
-    context.directory.getCandidates(chat.model, arrivedAtMs),
+    context.directory.getCandidates(chat.model),
   );
   await sendRequest(
     {
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -27,7 +27,7 @@
   });
   const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
   const body = await readBody(request, settings.request.maximumBodyBytes);
-  const runners = context.directory.getCandidates(service.name, arrivedAtMs);
+  const runners = context.directory.getCandidates(service.name);
   const method = request.method ?? "GET";
   const path = request.url ?? "/";
   const headers = copyForwardedHeaders(request.headers);
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -14,6 +14,8 @@
   costTokens: "jt-cost-tokens",
   /** Milliseconds that remain until the deadline. */
   remainingMs: "jt-remaining-ms",
+  /** Control address of the router. */
+  sender: "jt-sender",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
   idempotent: "jt-idempotent",
@@ -40,6 +42,8 @@
   /** Whether the request may be cancelled and repeated. */
   isIdempotent: boolean;
   configurationVersion: number;
+  /** Control address of the router, from which a sidecar fetches. */
+  sender?: string;
 };
 
 /** Formats an envelope as headers. */
@@ -58,6 +62,9 @@
     [headerNames.chatKey]: envelope.chatKey,
     [headerNames.idempotent]: envelope.isIdempotent ? "1" : "0",
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
+    ...(envelope.sender === undefined
+      ? {}
+      : { [headerNames.sender]: envelope.sender }),
   };
 }
 
@@ -79,6 +86,9 @@
     chatKey: getText(headers, headerNames.chatKey),
     isIdempotent: getText(headers, headerNames.idempotent) === "1",
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
+    ...(typeof headers[headerNames.sender] === "string"
+      ? { sender: headers[headerNames.sender] as string }
+      : {}),
   };
 }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,22 +1,33 @@
-import { Admission } from "@jasminetide/core/admission";
+import { Admission, type MeanLoad } from "@jasminetide/core/admission";
+import {
+  createEpoch,
+  defaultMembershipLimits,
+} from "@jasminetide/core/membership";
+import { getPlacementDuty } from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
+import { AppError } from "@jasminetide/core/results";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
+  ConfigurationFollower,
   ConfigurationHolder,
-  watchConfiguration,
+  formatForPeer,
+  selectParts,
 } from "@jasminetide/runtime/configuration";
 import {
   createSidecarRouter,
+  PeerClients,
   startControlServer,
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import { headerNames } from "@jasminetide/runtime/exchange";
 import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import { OrderGate } from "./orders/mod.ts";
 import {
   AttemptStore,
   handleRequest,
@@ -43,9 +54,6 @@
 
 const maxBodyBytes = 4_194_304;
 
-/** Random numbers that tell apart two starts in the same millisecond. */
-const epochsPerMs = 1024;
-
 /** The process beside one runner. */
 export class Sidecar {
   readonly #options: SidecarOptions;
@@ -54,8 +62,11 @@
   readonly #attempts: AttemptStore;
   readonly #admission: Admission;
   readonly #runner: Pool;
-  readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
+  readonly #peers = PeerClients.create();
+  #membership: Membership | undefined;
+  #orders: OrderGate | undefined;
+  #follower: ConfigurationFollower | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -64,7 +75,7 @@
     const { settings, timers } = options;
     this.#options = options;
     this.#attempts = AttemptStore.create({
-      epoch: createEpoch(timers.nowMs()),
+      epoch: createEpoch(timers.nowMs(), createSystemRandom()),
       retentionMs: attemptRetentionMs,
       orphanMs,
     });
@@ -74,7 +85,7 @@
       capMultiple: 1.25,
       minimumTokens: Number.MAX_SAFE_INTEGER,
       capacity: settings.capacity,
-      getMeanLoad: () => ({ tokens: 0, ageMs: 0 }),
+      getMeanLoad: () => this.#getMeanLoad(),
       getNowMs: () => timers.nowMs(),
     });
     this.#runner = new Pool(`http://${settings.runnerAddress}`, {
@@ -103,9 +114,15 @@
     return this.#attempts.epoch;
   }
 
+  /** Version of the configuration in force, 0 before the first. */
+  get configurationVersion(): number {
+    return this.#configuration.version;
+  }
+
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#isLeaving = true;
+    this.#membership?.setOwn({ isLeaving: true });
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -115,26 +132,27 @@
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
+    this.#resources.use(this.#peers);
+    this.#orders = OrderGate.create({
+      duty: getPlacementDuty(settings.region),
+      platform,
+      runner: this.#runner,
+      logger,
+    });
     this.#resources.defer(() => this.#runner.close());
     const data = await this.#startData();
     this.#dataAddress = data.address;
     const control = await this.#startControl();
     this.#controlAddress = control.address;
     this.#resources.use(control);
+    const membership = await this.#startMembership(platform);
+    this.#startFollower(platform, membership);
     this.#resources.defer(() => data.close());
-    this.#resources.defer(() => this.#abort.abort());
     const expiry = timers.subscribe(
       expirePeriodMs,
       (nowMs) => this.#attempts.expire(nowMs),
     );
     this.#resources.defer(() => expiry[Symbol.dispose]());
-    void watchConfiguration(this.#abort.signal, {
-      platform,
-      holder: this.#configuration,
-      logger,
-      wait: (durationMs) =>
-        new Promise((resolve) => timers.schedule(durationMs, () => resolve())),
-    });
     logger.info("sidecar-started", {
       runner: settings.runner,
       epoch: this.epoch,
@@ -148,9 +166,14 @@
       runner: this.#runner,
       timers: this.#options.timers,
       metrics: this.#metrics,
+      syncConfiguration: (version, sender) => {
+        this.#follower?.observeVersion(version, sender);
+        return this.#follower?.sync();
+      },
       isLeaving: () => this.#isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
+        ...this.#membership?.getAnswerHeaders(),
       }),
       maximumBodyBytes: maxBodyBytes,
     };
@@ -171,14 +194,92 @@
       router: createSidecarRouter({
         getConfiguration: (afterVersion) =>
           this.#configuration.version > afterVersion
-            ? this.#configuration.get()
+            ? formatForPeer(this.#configuration.get())
             : undefined,
+        getParts: (hashes) => selectParts(this.#configuration, hashes),
+        order: (order) => this.#requireOrders().apply(order),
+        isDutyHeld: () => false,
+        getMembers: () => this.#membership?.listMembers() ?? [],
         settle: ({ attempt, epoch }) =>
           this.#attempts.settle(attempt, { epoch, nowMs: timers.nowMs() }),
       }),
     });
   }
 
+  async #startMembership(platform: PlatformClient): Promise<Membership> {
+    const { logger, settings, timers } = this.#options;
+    const membership = await Membership.create({
+      identity: {
+        type: "sidecar",
+        name: settings.name,
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        controlAddress: this.#controlAddress,
+        runner: {
+          id: settings.runner,
+          kind: settings.kind,
+          pools: settings.pools,
+          dataAddress: this.#dataAddress,
+        },
+      },
+      epoch: this.epoch,
+      capacity: settings.capacity,
+      limits: defaultMembershipLimits,
+      digestKey: settings.digestKey,
+      timers,
+      random: createSystemRandom(),
+      logger,
+      platform,
+      getPeer: (address) => this.#peers.get(address),
+      peerAddresses: settings.peerAddresses,
+      getLoadTokens: () => this.#admission.loadTokens,
+    });
+    this.#membership = this.#resources.use(membership);
+    this.#resources.use(this.#configuration.subscribe(({ body, version }) => {
+      membership.setConfigurationVersion(version);
+      membership.setLimits(body.defaults.membership);
+    }));
+    return membership;
+  }
+
+  #startFollower(platform: PlatformClient, membership: Membership): void {
+    const { logger, timers } = this.#options;
+    const follower = ConfigurationFollower.create({
+      platform,
+      holder: this.#configuration,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      isWatcher: () => membership.isWatcher,
+      listPeers: () => membership.listRouterAddresses(),
+      whenReady: membership.whenReady,
+      sections: ["exceptions"],
+    });
+    membership.setVersionObserver((version, address) =>
+      follower.observeVersion(version, address)
+    );
+    this.#follower = this.#resources.use(follower);
+  }
+
+  /**
+   * Gets the mean that the load cap compares with. A runner that knows of no
+   * other in its pools has no mean to exceed.
+   */
+  #getMeanLoad(): MeanLoad {
+    const { pools } = this.#options.settings;
+    const mean = this.#membership?.getPoolMean(pools);
+    if (mean === undefined || mean.runners <= 1) {
+      return { tokens: Number.POSITIVE_INFINITY, ageMs: 0 };
+    }
+    return mean;
+  }
+
+  #requireOrders(): OrderGate {
+    if (this.#orders !== undefined) return this.#orders;
+    throw AppError.create("internal", "Sidecar has not started");
+  }
+
   #getDump() {
     const { settings } = this.#options;
     return {
@@ -196,12 +297,9 @@
         queueLength: this.#admission.queueLength,
         running: this.#admission.running,
       },
+      membership: this.#membership?.getSnapshot(),
+      highestFencingNumber: this.#orders?.highestFencingNumber,
       metrics: this.#metrics.getSnapshot(),
     };
   }
 }
-
-function createEpoch(nowMs: number): Epoch {
-  return Math.floor(nowMs) * epochsPerMs +
-    createSystemRandom().getInteger(epochsPerMs);
-}
