Add the engine model

**Cause** Policies for cache reuse, skew and admission can only be measured against engines whose time follows load and cache; the stand-in engine waited a fixed time for each token.

**Conclusion** The model can drive virtual-time measurements and the stand-in.

--- a/packages/stand_in/src/engine/mod.ts
+++ b/packages/stand_in/src/engine/mod.ts
@@ -1,3 +1,4 @@
 /** Stand-in of a model engine. */
 export * from "./chat_answer.ts";
 export * from "./engine.ts";
+export * from "./model/mod.ts";
