Serve the stand-in engine from the engine model

**Cause** The stand-in engine had no cache, no load and no faults, so nothing that a router or sidecar does could show in its answers.

**Change** Drive the engine model by the timer service behind the OpenAI-compatible protocol: usage with cached tokens, cancel by id, resume by token offset, load reports, cache events, KV export and import, orders, and switches for faults. The stand-ins' settings take the engine's profile.

**Conclusion** The local fleet runs on engines whose time follows load and cache.

--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -10,12 +10,14 @@
 import { Sidecar, type SidecarSettings } from "@jasminetide/sidecar";
 import {
   createDepositState,
+  createEngineProfile,
   DepositLedger,
   type DepositState,
   Engine,
   HostList,
   ObjectApi,
   startPlatformServer,
+  WeightStore,
 } from "@jasminetide/stand_in";
 import type { FleetDefinition } from "./load_fleet.ts";
 
@@ -36,6 +38,7 @@
   readonly deposits: DepositState = createDepositState();
   readonly objects: ObjectApi;
   readonly hosts: HostList;
+  readonly weights: WeightStore;
   readonly #options: LocalFleetOptions;
   readonly #resources = ResourceStack.create();
   #platformAddress = "";
@@ -45,6 +48,9 @@
     const random = createSystemRandom();
     this.#options = options;
     this.objects = ObjectApi.create({ timers, getRandom: random.getFloat });
+    this.weights = WeightStore.create({
+      bytesPerSecond: definition.standIns.weightStoreBytesPerSecond,
+    });
     this.hosts = HostList.create({
       timers,
       lagMs: definition.standIns.hostListLagMs,
@@ -139,12 +145,12 @@
       const service = DepositLedger.create(this.deposits);
       return (request, response) => void service.handle(request, response);
     }
-    const { firstTokenMs, betweenTokensMs } = this.#options.definition.standIns;
+    const { standIns } = this.#options.definition;
     const engine = Engine.create({
       timers: this.#options.timers,
       models: settings.pools,
-      firstTokenMs,
-      betweenTokensMs,
+      profile: createEngineProfile(standIns),
+      weights: this.weights,
     });
     this.engines.set(settings.runner, engine);
     return (request, response) => void engine.handle(request, response);
--- /dev/null
+++ b/packages/stand_in/src/engine/control.ts
@@ -0,0 +1,103 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AppError } from "@jasminetide/core/results";
+import { sendJson } from "@jasminetide/runtime/http";
+import { z } from "zod";
+import type { EngineDriver } from "./engine_driver.ts";
+import { type EngineFaults, engineFaultsSchema } from "./faults.ts";
+import { engineOrderSchema } from "./model/mod.ts";
+
+const blocksSchema = z.strictObject({
+  blocks: z.array(z.number().int().nonnegative()),
+});
+
+/** One request besides chats. */
+export type ControlRequest = { request: IncomingMessage; text: string };
+
+/** What control requests work with. */
+export type ControlContext = {
+  driver: EngineDriver;
+  faults: EngineFaults;
+  nowMs: number;
+};
+
+/**
+ * Handles load reports, cache events, KV blocks, orders and fault switches.
+ *
+ * @throws AppError `notFound`, `invalidRequest` or what an order refuses.
+ */
+export async function handleControl(
+  control: ControlRequest,
+  response: ServerResponse,
+  context: ControlContext,
+): Promise<void> {
+  const { request, text } = control;
+  const url = new URL(request.url ?? "/", "http://engine");
+  const { driver, nowMs } = context;
+  const { model } = driver;
+  switch (`${request.method} ${url.pathname}`) {
+    case "GET /load":
+      return sendJson(response, model.getLoadReport(nowMs) ?? null);
+    case "GET /cache/events": {
+      const after = Number(url.searchParams.get("after") ?? "0");
+      const events = model.listCacheEvents(after, nowMs);
+      return sendJson(response, { events });
+    }
+    case "GET /kv/blocks":
+      return sendJson(response, {
+        sequence: model.cacheSequence,
+        blocks: model.listBlocks(),
+      });
+    case "GET /kv/export": {
+      const chain = parseChain(url.searchParams.get("blocks"));
+      return sendJson(response, { blocks: model.getHeldPrefix(chain) });
+    }
+    case "POST /kv/import": {
+      const { blocks } = parse(text, blocksSchema);
+      await driver.importBlocks(blocks);
+      return sendJson(response, { blocks: model.getHeldPrefix(blocks) });
+    }
+    case "POST /orders": {
+      const order = parse(text, engineOrderSchema);
+      const doneAtMs = model.applyOrder(order, nowMs);
+      return sendJson(response, { doneInMs: doneAtMs - nowMs });
+    }
+    case "GET /state":
+      return sendJson(response, {
+        role: model.role,
+        models: Object.fromEntries(model.models),
+        highestFencingNumber: model.highestFencingNumber,
+      });
+    case "PUT /faults": {
+      const faults = parse(text, engineFaultsSchema);
+      return sendJson(response, setFaults(context.faults, faults));
+    }
+  }
+  throw AppError.create("notFound", `No path ${request.url}`);
+}
+
+function setFaults(faults: EngineFaults, wanted: EngineFaults): EngineFaults {
+  delete faults.cutAfterTokens;
+  delete faults.stallAfterTokens;
+  delete faults.requests;
+  return Object.assign(faults, wanted);
+}
+
+function parseChain(text: string | null): number[] {
+  if (text === null || text === "") return [];
+  const { blocks } = blocksSchema.parse({
+    blocks: text.split(",").map(Number),
+  });
+  return blocks;
+}
+
+function parse<Schema extends z.ZodType>(
+  text: string,
+  schema: Schema,
+): z.output<Schema> {
+  try {
+    return schema.parse(JSON.parse(text));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw AppError.create("invalidRequest", reason, { cause: error });
+  }
+}
--- a/packages/stand_in/src/engine/mod.ts
+++ b/packages/stand_in/src/engine/mod.ts
@@ -1,4 +1,5 @@
 /** Stand-in of a model engine. */
 export * from "./chat_answer.ts";
 export * from "./engine.ts";
+export * from "./faults.ts";
 export * from "./model/mod.ts";
--- a/packages/stand_in/src/engine/model/batch.ts
+++ b/packages/stand_in/src/engine/model/batch.ts
@@ -84,10 +84,14 @@
     this.#waiting.sort(compareSequences);
   }
 
+  /** Says whether a request waits or runs. */
+  has(id: string): boolean {
+    return this.#find(id) !== undefined;
+  }
+
   /** Drops a request; says whether it was there. */
   cancel(id: string): boolean {
-    const sequence = this.#waiting.find(({ request }) => request.id === id) ??
-      this.#running.find(({ request }) => request.id === id);
+    const sequence = this.#find(id);
     if (sequence === undefined) return false;
     this.#remove(sequence);
     return true;
@@ -116,6 +120,11 @@
     if (this.#step === undefined) this.#beginStep(nowMs);
   }
 
+  #find(id: string): Sequence | undefined {
+    return this.#waiting.find(({ request }) => request.id === id) ??
+      this.#running.find(({ request }) => request.id === id);
+  }
+
   #beginStep(nowMs: number): void {
     this.#startSequences(nowMs);
     if (this.#running.length === 0) return;
--- a/packages/stand_in/src/engine/model/profile.ts
+++ b/packages/stand_in/src/engine/model/profile.ts
@@ -32,8 +32,8 @@
   modelBytes: z.number().nonnegative().default(1_000_000_000),
 };
 
-/** Schema of an engine's profile. */
-export const engineProfileSchema = z.strictObject(engineProfileShape);
+/** Schema of an engine's profile; other fields are left out. */
+export const engineProfileSchema = z.object(engineProfileShape);
 
 /** How fast, how large and how truthful an engine is. */
 export type EngineProfile = z.output<typeof engineProfileSchema>;
--- a/packages/stand_in/src/settings.ts
+++ b/packages/stand_in/src/settings.ts
@@ -1,12 +1,13 @@
 import { addressSchema } from "@jasminetide/runtime/settings";
 import { z } from "zod";
+import { engineProfileShape } from "./engine/mod.ts";
 
 /** Settings of the stand-ins of one fleet. */
 export const standInSettingsSchema = z.strictObject({
   platformAddress: addressSchema,
   hostListLagMs: z.number().int().nonnegative().default(500),
-  firstTokenMs: z.number().nonnegative().default(20),
-  betweenTokensMs: z.number().nonnegative().default(5),
+  weightStoreBytesPerSecond: z.number().positive().default(10_000_000_000),
+  ...engineProfileShape,
 });
 
 /** Settings of the stand-ins, parsed. */
