Admit by fair share, deadline and adaptive concurrency

**Cause** Admission had fixed limits, one order for all workspaces and a queue bounded by length alone: a surge delayed everybody, and requests waited that could not be answered in time. A request that was cancelled while it waited kept its load and still ran.

**Change** Add a queue class for p-queue with strict priority between classes and start-time fair queueing between workspaces; refuse at once what cannot meet its deadline, with a time to come back; adapt concurrency to first-token time and time between tokens; take the error and the age of the pool's mean off the load cap; let a workspace with little queued take the place of one with much; withdraw waiting requests with their load. The sidecar reads the limits from the effective configuration and passes the class to the engine.

Seven faults planted one at a time (error of the mean, age of the mean, priority, weight, release, victim, limit) each fail a scenario.

**Conclusion** Limits follow the configuration, and no workspace or class waits behind a surge of another.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,47 +1,45 @@
 import PQueue from "p-queue";
 import { AppError, assertInvariant } from "../results/mod.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { FairQueue } from "./fair_queue.ts";
+import {
+  assertLoadCap,
+  createCapError,
+  getCapTokens,
+  isUnderCap,
+} from "./load_cap.ts";
+import { ServiceRate } from "./service_rate.ts";
+import { createTaskObserver } from "./task_observer.ts";
+import type {
+  AdmissionOptions,
+  AdmissionRequest,
+  AdmissionTask,
+} from "./types.ts";
+import { WaitingTable } from "./waiting_table.ts";
+import { createWithdrawal, type Withdrawal } from "./withdrawal.ts";
 
-/** What admission reads of a request. */
-export type AdmissionRequest = {
-  workspace: string;
-  /** Lower is served first. */
-  priority: number;
-  /** Share of the workspace inside its class. */
-  weight: number;
-  /** Estimated work in weighted tokens. */
-  costTokens: number;
-  /** Time by which the request has to be answered. */
-  deadlineAtMs: number;
-};
-
-/** What the cap compares a runner's load with. */
-export type MeanLoad = {
-  /** Mean load of the pool in weighted tokens for a capacity of 1. */
-  tokens: number;
-  /** Age of the oldest record in the mean. */
-  ageMs: number;
-};
-
-/** Limits and inputs of admission, read at each decision. */
-export type AdmissionOptions = {
-  maximumConcurrency: number;
-  maximumQueueLength: number;
-  capMultiple: number;
-  minimumTokens: number;
-  capacity: number;
-  getMeanLoad: () => MeanLoad;
-  getNowMs: () => number;
-};
+const minimumRetryAfterMs = 1000;
 
 /** Admits requests to one runner. */
 export class Admission {
-  readonly #queue: PQueue;
   readonly #options: AdmissionOptions;
+  readonly #queue: PQueue<FairQueue>;
+  readonly #waiting = WaitingTable.create();
+  readonly #limit: ConcurrencyLimit;
+  readonly #rate = ServiceRate.create();
   #loadTokens = 0;
+  #running = 0;
+  #lastId = 0;
 
   private constructor(options: AdmissionOptions) {
     this.#options = options;
-    this.#queue = new PQueue({ concurrency: options.maximumConcurrency });
+    this.#limit = ConcurrencyLimit.create(() =>
+      options.getSettings().admission
+    );
+    this.#queue = new PQueue({
+      concurrency: this.#limit.limit,
+      queueClass: FairQueue,
+    });
   }
 
   /** Creates the admission of one runner. */
@@ -56,77 +54,196 @@
 
   /** Requests that wait for a slot. */
   get queueLength(): number {
-    return this.#queue.size;
+    return this.#waiting.size;
   }
 
   /** Requests that run. */
   get running(): number {
-    return this.#queue.pending;
+    return this.#running;
+  }
+
+  /** Requests that may run at once. */
+  get concurrencyLimit(): number {
+    return this.#limit.limit;
   }
 
   /**
-   * Runs a task once there is room for it.
+   * Runs a task once there is room for it. Its load is released when the task
+   * has ended or, if it never began, when it is refused.
    *
-   * @throws AppError `overLoadCap`, `overloaded` or `deadlineUnreachable`
-   * before the task has begun.
+   * @param options.signal withdraws the request while it waits; a task that
+   * has begun has to end by itself.
+   * @throws AppError `overLoadCap`, `overloaded`, `deadlineUnreachable` or
+   * `callerGone` before the task has begun.
    */
   async run<Result>(
     request: AdmissionRequest,
-    task: () => Promise<Result>,
+    task: AdmissionTask<Result>,
+    options: { signal?: AbortSignal } = {},
   ): Promise<Result> {
+    this.#updateLimit();
+    this.#checkDeadline(request);
+    this.#checkQueue(request);
     this.#checkCap(request);
-    this.#checkQueue();
-    this.#loadTokens += request.costTokens;
+    const release = this.#takeLoad(request.costTokens);
     try {
-      return await this.#queue.add(() => this.#runTask(request, task), {
-        priority: -request.priority,
+      const withdrawal = this.#createWithdrawal(request, {
+        callerSignal: options.signal,
+        release,
       });
+      return await this.#enqueue(request, task, withdrawal);
     } finally {
-      this.#loadTokens -= request.costTokens;
+      release();
     }
   }
 
-  #runTask<Result>(
+  #takeLoad(costTokens: number): () => void {
+    let isReleased = false;
+    this.#loadTokens += costTokens;
+    return () => {
+      if (isReleased) return;
+      isReleased = true;
+      this.#loadTokens -= costTokens;
+      assertInvariant(
+        this.#loadTokens >= 0,
+        "load-not-negative",
+        () => `load ${this.#loadTokens}`,
+      );
+    };
+  }
+
+  #createWithdrawal(
+    request: AdmissionRequest,
+    options: { callerSignal: AbortSignal | undefined; release: () => void },
+  ): Withdrawal {
+    const { timers } = this.#options;
+    const ownMs = this.#rate.getDurationMs(request.costTokens);
+    return createWithdrawal({
+      ...options,
+      timers,
+      delayMs: request.deadlineAtMs - ownMs - timers.nowMs(),
+      createDeadlineError: () => this.#createDeadlineError(ownMs),
+      createCallerError: () =>
+        AppError.create("callerGone", "Request was withdrawn as it waited", {
+          executed: "no",
+        }),
+    });
+  }
+
+  async #enqueue<Result>(
     request: AdmissionRequest,
-    task: () => Promise<Result>,
+    task: AdmissionTask<Result>,
+    withdrawal: Withdrawal,
   ): Promise<Result> {
-    if (this.#options.getNowMs() >= request.deadlineAtMs) {
-      throw AppError.create(
-        "deadlineUnreachable",
-        "Deadline passed while the request waited",
-      );
+    const id = String(++this.#lastId);
+    const stopWaiting = () => {
+      this.#waiting.delete(id);
+      withdrawal[Symbol.dispose]();
+    };
+    const { refuse, signal } = withdrawal;
+    this.#waiting.set({ id, request, refuse });
+    try {
+      const { workspace, weight, costTokens, priority } = request;
+      const options = { id, workspace, weight, costTokens, signal };
+      return await this.#queue.add(() => {
+        stopWaiting();
+        return this.#runTask(request, task);
+      }, { ...options, priority: -priority }) as Result;
+    } finally {
+      stopWaiting();
     }
-    return task();
   }
 
-  #checkCap(request: AdmissionRequest): void {
-    const mean = this.#options.getMeanLoad();
-    const capTokens = Math.max(
-      this.#options.minimumTokens,
-      this.#options.capMultiple * mean.tokens,
-    ) * this.#options.capacity;
-    if (this.#loadTokens + request.costTokens > capTokens) {
-      throw AppError.create(
-        "overLoadCap",
-        `Load ${this.#loadTokens} plus ${request.costTokens} tokens exceeds ` +
-          `${Math.floor(capTokens)}; pool mean ${Math.floor(mean.tokens)}, ` +
-          `${mean.ageMs} ms old`,
-        { retryAfterMs: 1000 },
-      );
+  async #runTask<Result>(
+    request: AdmissionRequest,
+    task: AdmissionTask<Result>,
+  ): Promise<Result> {
+    const { timers } = this.#options;
+    const startMs = timers.nowMs();
+    if (startMs >= request.deadlineAtMs) throw this.#createDeadlineError(0);
+    this.#running += 1;
+    const observer = createTaskObserver({
+      limit: this.#limit,
+      timers,
+      getRunning: () => this.#running,
+    });
+    try {
+      return await task(observer);
+    } finally {
+      this.#running -= 1;
+      this.#rate.observe(timers.nowMs() - startMs, request.costTokens);
+      this.#updateLimit();
     }
-    assertInvariant(
-      this.#loadTokens + request.costTokens <= capTokens,
-      "load-cap",
-      () => `load ${this.#loadTokens} cap ${capTokens}`,
+  }
+
+  #updateLimit(): void {
+    this.#limit.update(this.#options.timers.nowMs());
+    const { limit } = this.#limit;
+    if (this.#queue.concurrency !== limit) this.#queue.concurrency = limit;
+  }
+
+  #checkDeadline(request: AdmissionRequest): void {
+    const waitMs = this.#getWaitMs(request);
+    if (waitMs === 0) return;
+    const ownMs = this.#rate.getDurationMs(request.costTokens);
+    const endMs = this.#options.timers.nowMs() + waitMs + ownMs;
+    if (endMs > request.deadlineAtMs) throw this.#createDeadlineError(waitMs);
+  }
+
+  /** Estimates how long a newcomer would wait for a slot. */
+  #getWaitMs(request: AdmissionRequest): number {
+    const { limit } = this.#limit;
+    if (this.#running < limit) return 0;
+    const ahead = this.#waiting.getTokensAhead(request) + request.costTokens;
+    return this.#rate.getDurationMs(ahead) / limit;
+  }
+
+  #createDeadlineError(waitMs: number): AppError {
+    return AppError.create(
+      "deadlineUnreachable",
+      `Deadline cannot be met: ${this.#waiting.size} requests wait, ` +
+        `${Math.ceil(waitMs)} ms expected`,
+      { retryAfterMs: Math.max(minimumRetryAfterMs, waitMs) },
     );
   }
 
-  #checkQueue(): void {
-    if (this.#queue.size < this.#options.maximumQueueLength) return;
+  #checkQueue(request: AdmissionRequest): void {
+    const { maximumQueueLength } = this.#options.getSettings().admission;
+    const isFull = () =>
+      this.#running >= this.#limit.limit &&
+      this.#waiting.size >= maximumQueueLength;
+    while (isFull() && this.#refuseVictim(request));
+    if (!isFull()) return;
     throw AppError.create(
       "overloaded",
-      `Queue holds ${this.#queue.size} requests`,
-      { retryAfterMs: 1000 },
+      `Queue holds ${this.#waiting.size} requests`,
+      { retryAfterMs: minimumRetryAfterMs },
     );
   }
+
+  #checkCap(request: AdmissionRequest): void {
+    const { getSettings, getMeanLoad, capacity } = this.#options;
+    const { costTokens } = request;
+    const mean = getMeanLoad();
+    const capTokens = getCapTokens(mean, { settings: getSettings(), capacity });
+    const fits = () => isUnderCap(this.#loadTokens, { costTokens, capTokens });
+    while (!fits() && this.#refuseVictim(request));
+    if (!fits()) {
+      throw createCapError(this.#loadTokens, { costTokens, capTokens, mean });
+    }
+    assertLoadCap(this.#loadTokens, { costTokens, capTokens });
+  }
+
+  /** Refuses a waiting request that has less claim than a newcomer. */
+  #refuseVictim(request: AdmissionRequest): boolean {
+    const victim = this.#waiting.findVictim(request);
+    if (victim === undefined) return false;
+    this.#waiting.delete(victim.id);
+    victim.refuse(AppError.create(
+      "overloaded",
+      "Request gave way to one with more claim",
+      { retryAfterMs: minimumRetryAfterMs },
+    ));
+    return true;
+  }
 }
--- /dev/null
+++ b/packages/core/src/admission/fair_queue.ts
@@ -0,0 +1,164 @@
+import type { Queue, QueueAddOptions } from "p-queue";
+
+/** Starts one queued task. */
+export type QueueRun = () => Promise<unknown>;
+
+/** What the order of a task follows from. */
+export type FairQueueOptions = QueueAddOptions & {
+  workspace?: string;
+  weight?: number;
+  costTokens?: number;
+};
+
+type Item = {
+  id: string;
+  run: QueueRun;
+  options: Partial<FairQueueOptions>;
+  startTag: number;
+  order: number;
+};
+
+/** Queued tasks of one workspace in one class. */
+type Flow = { items: Item[]; finishTag: number };
+
+/** Queued tasks of one class. */
+type ClassQueue = {
+  virtualTime: number;
+  flows: Map<string, Flow>;
+  /** Finish tags of workspaces with nothing queued, oldest first. */
+  idleTags: Map<string, number>;
+};
+
+/** Workspaces whose last finish tag a class remembers. */
+const maxIdleTags = 1024;
+
+/**
+ * Queue for `p-queue`: strict priority between classes, and inside a class
+ * start-time fair queueing (Goyal, Vin and Cheng, 1996) by workspace, weighted
+ * by its share and the cost of its tasks. Higher `priority` is served first,
+ * as `p-queue` has it.
+ */
+export class FairQueue implements Queue<QueueRun, FairQueueOptions> {
+  readonly #classes = new Map<number, ClassQueue>();
+  #size = 0;
+  #order = 0;
+
+  get size(): number {
+    return this.#size;
+  }
+
+  enqueue(run: QueueRun, options: Partial<FairQueueOptions> = {}): void {
+    const { workspace = "", weight = 1, costTokens = 1 } = options;
+    const queue = this.#getClass(options.priority ?? 0);
+    const flow = getFlow(queue, workspace);
+    const startTag = Math.max(queue.virtualTime, flow.finishTag);
+    flow.finishTag = startTag + costTokens / weight;
+    flow.items.push({
+      id: options.id ?? "",
+      run,
+      options,
+      startTag,
+      order: this.#order++,
+    });
+    this.#size += 1;
+  }
+
+  dequeue(): QueueRun | undefined {
+    const queue = this.#chooseClass();
+    if (queue === undefined) return undefined;
+    const [workspace, flow] = chooseFlow(queue);
+    const [item] = flow.items.splice(0, 1);
+    queue.virtualTime = item.startTag;
+    this.#size -= 1;
+    expireFlow(queue, workspace);
+    return item.run;
+  }
+
+  /** Takes a task out of the queue. */
+  remove(id: string): void {
+    this.#take(id);
+  }
+
+  /** Moves a task to another class, at the end of its workspace's tasks. */
+  setPriority(id: string, priority: number): void {
+    const item = this.#take(id);
+    if (item !== undefined) {
+      this.enqueue(item.run, { ...item.options, priority });
+    }
+  }
+
+  /** Lists the tasks of a class. */
+  filter(options: Readonly<Partial<FairQueueOptions>>): QueueRun[] {
+    const flows = this.#classes.get(options.priority ?? 0)?.flows.values() ??
+      [];
+    return [...flows].flatMap((flow) => flow.items).map(({ run }) => run);
+  }
+
+  #getClass(priority: number): ClassQueue {
+    const found = this.#classes.get(priority);
+    if (found !== undefined) return found;
+    const created = {
+      virtualTime: 0,
+      flows: new Map<string, Flow>(),
+      idleTags: new Map<string, number>(),
+    };
+    this.#classes.set(priority, created);
+    return created;
+  }
+
+  #chooseClass(): ClassQueue | undefined {
+    let chosen: [number, ClassQueue] | undefined;
+    for (const entry of this.#classes) {
+      if (entry[1].flows.size === 0) continue;
+      if (chosen === undefined || entry[0] > chosen[0]) chosen = entry;
+    }
+    return chosen?.[1];
+  }
+
+  #take(id: string): Item | undefined {
+    for (const queue of this.#classes.values()) {
+      for (const [workspace, flow] of queue.flows) {
+        const index = flow.items.findIndex((item) => item.id === id);
+        if (index < 0) continue;
+        const [item] = flow.items.splice(index, 1);
+        this.#size -= 1;
+        expireFlow(queue, workspace);
+        return item;
+      }
+    }
+    return undefined;
+  }
+}
+
+function getFlow(queue: ClassQueue, workspace: string): Flow {
+  const found = queue.flows.get(workspace);
+  if (found !== undefined) return found;
+  const finishTag = queue.idleTags.get(workspace) ?? 0;
+  const created = { items: [], finishTag };
+  queue.idleTags.delete(workspace);
+  queue.flows.set(workspace, created);
+  return created;
+}
+
+/** Keeps only the finish tag of a workspace with nothing queued. */
+function expireFlow(queue: ClassQueue, workspace: string): void {
+  const flow = queue.flows.get(workspace);
+  if (flow === undefined || flow.items.length > 0) return;
+  queue.flows.delete(workspace);
+  queue.idleTags.set(workspace, flow.finishTag);
+  if (queue.idleTags.size <= maxIdleTags) return;
+  const [oldest] = queue.idleTags.keys();
+  queue.idleTags.delete(oldest);
+}
+
+/** Chooses the workspace whose first task has the lowest start tag. */
+function chooseFlow(queue: ClassQueue): [string, Flow] {
+  return [...queue.flows].reduce((chosen, entry) =>
+    isBefore(entry[1].items[0], chosen[1].items[0]) ? entry : chosen
+  );
+}
+
+function isBefore(left: Item, right: Item): boolean {
+  return left.startTag < right.startTag ||
+    (left.startTag === right.startTag && left.order < right.order);
+}
--- a/packages/core/src/admission/mod.ts
+++ b/packages/core/src/admission/mod.ts
@@ -1,2 +1,6 @@
 /** Admission of requests to one runner. */
 export * from "./admission.ts";
+export * from "./concurrency_limit.ts";
+export * from "./fair_queue.ts";
+export * from "./load_cap.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/core/src/admission/waiting_table.ts
@@ -0,0 +1,99 @@
+import type { AdmissionRequest } from "./types.ts";
+
+/** A request that waits for a slot. */
+export type WaitingRow = {
+  id: string;
+  request: AdmissionRequest;
+  /** Takes the request out of the queue for a reason. */
+  refuse: (reason: unknown) => void;
+};
+
+/** The requests that wait for a slot, in order of arrival. */
+export class WaitingTable {
+  readonly #rows = new Map<string, WaitingRow>();
+
+  private constructor() {}
+
+  /** Creates an empty table. */
+  static create(): WaitingTable {
+    return new WaitingTable();
+  }
+
+  get size(): number {
+    return this.#rows.size;
+  }
+
+  set(row: WaitingRow): void {
+    this.#rows.set(row.id, row);
+  }
+
+  delete(id: string): boolean {
+    return this.#rows.delete(id);
+  }
+
+  /**
+   * Gets the tokens that will be served before a newcomer: all of higher
+   * classes, its workspace's own, and of each other workspace in its class as
+   * much as has the same normalized cost.
+   */
+  getTokensAhead(request: AdmissionRequest): number {
+    const tokens = this.#getTokens(request.priority);
+    const own = tokens.get(request.workspace)?.tokens ?? 0;
+    const share = (own + request.costTokens) / request.weight;
+    let ahead = own + this.#getHigherTokens(request.priority);
+    for (const [workspace, flow] of tokens) {
+      if (workspace === request.workspace) continue;
+      ahead += Math.min(flow.tokens, share * flow.weight);
+    }
+    return ahead;
+  }
+
+  /**
+   * Finds the request to give up for a newcomer: the last of the lowest class
+   * below it, else of the workspace in its class that has the most queued for
+   * its weight, if that is more than the newcomer's would have.
+   */
+  findVictim(request: AdmissionRequest): WaitingRow | undefined {
+    const rows = [...this.#rows.values()];
+    const lowest = Math.max(...rows.map((row) => row.request.priority));
+    if (lowest > request.priority) {
+      return rows.findLast((row) => row.request.priority === lowest);
+    }
+    const tokens = this.#getTokens(request.priority);
+    const own = tokens.get(request.workspace)?.tokens ?? 0;
+    let share = (own + request.costTokens) / request.weight;
+    let heaviest: string | undefined;
+    for (const [workspace, flow] of tokens) {
+      if (flow.tokens / flow.weight <= share) continue;
+      share = flow.tokens / flow.weight;
+      heaviest = workspace;
+    }
+    return rows.findLast((row) =>
+      row.request.priority === request.priority &&
+      row.request.workspace === heaviest
+    );
+  }
+
+  #getHigherTokens(priority: number): number {
+    let tokens = 0;
+    for (const { request } of this.#rows.values()) {
+      if (request.priority < priority) tokens += request.costTokens;
+    }
+    return tokens;
+  }
+
+  #getTokens(
+    priority: number,
+  ): Map<string, { tokens: number; weight: number }> {
+    const flows = new Map<string, { tokens: number; weight: number }>();
+    for (const { request } of this.#rows.values()) {
+      if (request.priority !== priority) continue;
+      const tokens = flows.get(request.workspace)?.tokens ?? 0;
+      flows.set(request.workspace, {
+        tokens: tokens + request.costTokens,
+        weight: request.weight,
+      });
+    }
+    return flows;
+  }
+}
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -79,6 +79,7 @@
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: request.headers,
+    priority: envelope.priority,
     body,
     deadlineMs: envelope.remainingMs,
   };
@@ -116,15 +117,15 @@
       weight: envelope.weight,
       costTokens: envelope.costTokens,
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
-    }, async () => {
+    }, async (observer) => {
       hasBegun = true;
       const waitedMs = context.timers.nowMs() - arrivedAtMs;
       context.metrics.record("admission-wait-ms", waitedMs);
       await runAttempt(attempt, {
         ...runnerRequest,
         deadlineMs: envelope.remainingMs - waitedMs,
-      }, context.runner);
-    });
+      }, { runner: context.runner, observer });
+    }, { signal: attempt.abort.signal });
   } catch (error) {
     if (!hasBegun) {
       context.attempts.refuse(envelope.attempt, context.timers.nowMs());
--- a/packages/sidecar/src/requests/run_attempt.ts
+++ b/packages/sidecar/src/requests/run_attempt.ts
@@ -1,5 +1,6 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
+import type { TaskObserver } from "@jasminetide/core/admission";
 import { AppError } from "@jasminetide/core/results";
 import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
 import type { Dispatcher } from "undici";
@@ -10,6 +11,8 @@
   method: string;
   path: string;
   headers: IncomingHttpHeaders;
+  /** Lower is served first. */
+  priority: number;
   body: Uint8Array;
   deadlineMs: number;
 };
@@ -20,18 +23,26 @@
 /** Bytes at the end of a stream in which the end mark is looked for. */
 const endMarkWindowBytes = 64;
 
+/** Request header by which engines order what waits. */
+const priorityHeader = "x-priority";
+
+const lineFeed = 10;
+
+/** What attempts run with. */
+export type RunOptions = { runner: Dispatcher; observer: TaskObserver };
+
 /** Sends a request to the runner and keeps its answer as it arrives. */
 export async function runAttempt(
   attempt: StoredAttempt,
   request: RunnerRequest,
-  runner: Dispatcher,
+  options: RunOptions,
 ): Promise<void> {
   const signal = AbortSignal.any([
     attempt.abort.signal,
     AbortSignal.timeout(Math.max(1, Math.ceil(request.deadlineMs))),
   ]);
   try {
-    await pumpAnswer(attempt, request, { runner, signal });
+    await pumpAnswer(attempt, request, { ...options, signal });
   } catch (error) {
     attempt.answer.fail(
       AppError.create("runnerFailed", "Runner did not answer in full", {
@@ -44,12 +55,15 @@
 async function pumpAnswer(
   attempt: StoredAttempt,
   request: RunnerRequest,
-  options: { runner: Dispatcher; signal: AbortSignal },
+  options: RunOptions & { signal: AbortSignal },
 ): Promise<void> {
   const response = await options.runner.request({
     method: request.method as Dispatcher.HttpMethod,
     path: request.path,
-    headers: copyForwardedHeaders(request.headers),
+    headers: {
+      ...copyForwardedHeaders(request.headers),
+      [priorityHeader]: String(request.priority),
+    },
     body: request.body.length === 0 ? null : request.body,
     signal: options.signal,
   });
@@ -63,6 +77,7 @@
   for await (const chunk of response.body) {
     tail = (tail + (chunk as Buffer).toString("latin1"))
       .slice(-endMarkWindowBytes);
+    if (isStream) options.observer.observeTokens(countEvents(chunk as Buffer));
     await attempt.answer.append(chunk as Buffer);
   }
   if (isStream && !tail.trimEnd().endsWith(streamEndMark)) {
@@ -70,3 +85,12 @@
   }
   attempt.answer.complete();
 }
+
+/** Counts the events of a piece of a stream; each ends in an empty line. */
+function countEvents(chunk: Uint8Array): number {
+  let count = 0;
+  for (let index = 1; index < chunk.length; index += 1) {
+    if (chunk[index] === lineFeed && chunk[index - 1] === lineFeed) count += 1;
+  }
+  return count;
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,9 +1,11 @@
-import { Admission } from "@jasminetide/core/admission";
+import { Admission, type MeanLoad } from "@jasminetide/core/admission";
+import type { Match } from "@jasminetide/core/configuration";
 import { createSystemRandom } from "@jasminetide/core/random";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationHolder,
+  EffectiveSettings,
   watchConfiguration,
 } from "@jasminetide/runtime/configuration";
 import {
@@ -64,14 +66,15 @@
       epoch: createEpoch(timers.nowMs()),
       retentionMs: attemptRetentionMs,
     });
+    const effective = EffectiveSettings.create({
+      configuration: this.#configuration,
+      subject: getSubject(settings),
+    });
     this.#admission = Admission.create({
-      maximumConcurrency: 64,
-      maximumQueueLength: 512,
-      capMultiple: 1.25,
-      minimumTokens: Number.MAX_SAFE_INTEGER,
+      getSettings: () => effective.get(),
       capacity: settings.capacity,
-      getMeanLoad: () => ({ tokens: 0, ageMs: 0 }),
-      getNowMs: () => timers.nowMs(),
+      getMeanLoad: () => this.#getMeanLoad(),
+      timers,
     });
     this.#runner = new Pool(`http://${settings.runnerAddress}`, {
       connections: runnerConnections,
@@ -175,6 +178,12 @@
     });
   }
 
+  /** The runner's own load is all that the sidecar knows of the pool. */
+  #getMeanLoad(): MeanLoad {
+    const tokens = this.#admission.loadTokens / this.#options.settings.capacity;
+    return { tokens, ageMs: 0, errorTokens: 0, runners: 1, staleRunners: 0 };
+  }
+
   #getDump() {
     const { settings } = this.#options;
     return {
@@ -191,12 +200,25 @@
         loadTokens: this.#admission.loadTokens,
         queueLength: this.#admission.queueLength,
         running: this.#admission.running,
+        concurrencyLimit: this.#admission.concurrencyLimit,
       },
       metrics: this.#metrics.getSnapshot(),
     };
   }
 }
 
+/** What exceptions for this runner may match. */
+function getSubject(settings: SidecarSettings): Match {
+  const { runner, host, failureDomain, kind, pools } = settings;
+  const pool = pools[0];
+  return {
+    runner,
+    host,
+    failureDomain,
+    ...(kind === "engine" ? { model: pool } : { service: pool }),
+  };
+}
+
 function createEpoch(nowMs: number): Epoch {
   return Math.floor(nowMs) * epochsPerMs +
     createSystemRandom().getInteger(epochsPerMs);
