Hold back deferrable work at the busiest minute

**Cause** The supplier bills by the busiest minute, and work that may wait ran at the peak like any other.

**Change** Count computed tokens by calendar minute from the usage in answers. Hold requests of deferrable classes and release them while the minute stays under the running peak, or under the lowest level that releases all of them by the middle of their holds; each at the latest at half of its time to the deadline. A request that is given up on, or whose runner leaves, is refused at once.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -67,6 +67,11 @@
     return this.#limit.limit;
   }
 
+  /** Gets the time that work is expected to take once it runs. */
+  getExpectedMs(costTokens: number): number {
+    return this.#rate.getDurationMs(costTokens);
+  }
+
   /**
    * Runs a task once there is room for it. Its load is released when the task
    * has ended or, if it never began, when it is refused.
--- /dev/null
+++ b/packages/core/src/peak/peak_gate.ts
@@ -0,0 +1,91 @@
+import { AppError } from "../results/mod.ts";
+import type { TimerService } from "../timers/mod.ts";
+import type { HeldRequest, PeakHold } from "./peak_hold.ts";
+
+/** What a gate works with. */
+export type PeakGateOptions = { hold: PeakHold; timers: TimerService };
+
+/** Ends the wait of one request. */
+type Waiter = { resolve: () => void; reject: (reason: unknown) => void };
+
+const tickMs = 250;
+
+/** Lets held requests wait until they are released. */
+export class PeakGate {
+  readonly hold: PeakHold;
+  readonly #timers: TimerService;
+  readonly #waiters = new Map<string, Waiter>();
+  #tick: Disposable | undefined;
+
+  private constructor(options: PeakGateOptions) {
+    this.hold = options.hold;
+    this.#timers = options.timers;
+  }
+
+  /** Creates a gate with nobody waiting. */
+  static create(options: PeakGateOptions): PeakGate {
+    return new PeakGate(options);
+  }
+
+  /**
+   * Waits until a deferrable request may run.
+   *
+   * @throws AppError `callerGone` or `runnerLeaving`; it was not run.
+   */
+  wait(request: HeldRequest, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const abandon = () =>
+        this.#refuse(
+          request.id,
+          AppError.create("callerGone", "Request was withdrawn while held", {
+            executed: "no",
+          }),
+        );
+      signal.addEventListener("abort", abandon, { once: true });
+      const stop = () => signal.removeEventListener("abort", abandon);
+      this.#waiters.set(request.id, {
+        resolve: () => (stop(), resolve()),
+        reject: (reason) => (stop(), reject(reason)),
+      });
+      this.hold.add(request);
+      if (signal.aborted) abandon();
+      else this.#release();
+    });
+  }
+
+  /** Refuses all that is held, so that it runs elsewhere. */
+  refuseAll(): void {
+    for (const id of [...this.#waiters.keys()]) {
+      this.#refuse(
+        id,
+        AppError.create("runnerLeaving", "Runner takes no new work"),
+      );
+    }
+  }
+
+  #refuse(id: string, reason: AppError): void {
+    this.hold.remove(id);
+    this.#take(id)?.reject(reason);
+    this.#schedule();
+  }
+
+  #release(): void {
+    for (const { id } of this.hold.release(this.#timers.nowMs())) {
+      this.#take(id)?.resolve();
+    }
+    this.#schedule();
+  }
+
+  #take(id: string): Waiter | undefined {
+    const waiter = this.#waiters.get(id);
+    this.#waiters.delete(id);
+    return waiter;
+  }
+
+  #schedule(): void {
+    this.#tick?.[Symbol.dispose]();
+    this.#tick = this.hold.size === 0
+      ? undefined
+      : this.#timers.schedule(tickMs, () => this.#release());
+  }
+}
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Admission } from "@jasminetide/core/admission";
+import type { PeakGate } from "@jasminetide/core/peak";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
@@ -18,6 +19,9 @@
 export type RequestContext = {
   attempts: AttemptStore;
   admission: Admission;
+  /** Holds back what may wait, and counts computed tokens. */
+  peak: PeakGate;
+  isDeferrable: (priority: number) => boolean;
   runner: Dispatcher;
   timers: TimerService;
   metrics: Metrics;
@@ -111,6 +115,7 @@
   const { envelope, runnerRequest, arrivedAtMs } = work;
   let hasBegun = false;
   try {
+    await waitForRelease(attempt, work, context);
     await context.admission.run({
       workspace: envelope.workspace,
       priority: envelope.priority,
@@ -119,12 +124,14 @@
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
     }, async (observer) => {
       hasBegun = true;
-      const waitedMs = context.timers.nowMs() - arrivedAtMs;
+      const nowMs = context.timers.nowMs();
+      const waitedMs = nowMs - arrivedAtMs;
       context.metrics.record("admission-wait-ms", waitedMs);
-      await runAttempt(attempt, {
+      const computedTokens = await runAttempt(attempt, {
         ...runnerRequest,
         deadlineMs: envelope.remainingMs - waitedMs,
       }, { runner: context.runner, observer });
+      recordTokens(work, { computedTokens, atMs: nowMs }, context);
     }, { signal: attempt.abort.signal });
   } catch (error) {
     if (!hasBegun) {
@@ -139,6 +146,37 @@
   }
 }
 
+/** Holds a deferrable request back while the minute is at its peak. */
+async function waitForRelease(
+  attempt: StoredAttempt,
+  work: Work,
+  context: RequestContext,
+): Promise<void> {
+  const { envelope, arrivedAtMs } = work;
+  if (!context.isDeferrable(envelope.priority)) return;
+  await context.peak.wait({
+    id: envelope.attempt,
+    costTokens: envelope.costTokens,
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + envelope.remainingMs,
+    durationMs: context.admission.getExpectedMs(envelope.costTokens),
+  }, attempt.abort.signal);
+}
+
+/** Counts what a request computed; a release has counted its estimate. */
+function recordTokens(
+  work: Work,
+  computed: { computedTokens: number | undefined; atMs: number },
+  context: RequestContext,
+): void {
+  const { costTokens, priority } = work.envelope;
+  const isDeferrable = context.isDeferrable(priority);
+  const tokens = (computed.computedTokens ?? costTokens) -
+    (isDeferrable ? costTokens : 0);
+  const { atMs } = computed;
+  context.peak.hold.meter.record(tokens, { atMs, isDeferrable });
+}
+
 function createHeaders(
   attempt: string,
   context: RequestContext,
--- a/packages/sidecar/src/requests/run_attempt.ts
+++ b/packages/sidecar/src/requests/run_attempt.ts
@@ -20,8 +20,8 @@
 /** Last line of a whole event stream (OpenAI's protocol). */
 const streamEndMark = "data: [DONE]";
 
-/** Bytes at the end of a stream in which the end mark is looked for. */
-const endMarkWindowBytes = 64;
+/** Bytes at the end of an answer in which end mark and usage are looked for. */
+const tailBytes = 1024;
 
 /** Request header by which engines order what waits. */
 const priorityHeader = "x-priority";
@@ -31,24 +31,29 @@
 /** What attempts run with. */
 export type RunOptions = { runner: Dispatcher; observer: TaskObserver };
 
-/** Sends a request to the runner and keeps its answer as it arrives. */
+/**
+ * Sends a request to the runner and keeps its answer as it arrives.
+ *
+ * @returns the tokens that the runner computed, where the answer tells.
+ */
 export async function runAttempt(
   attempt: StoredAttempt,
   request: RunnerRequest,
   options: RunOptions,
-): Promise<void> {
+): Promise<number | undefined> {
   const signal = AbortSignal.any([
     attempt.abort.signal,
     AbortSignal.timeout(Math.max(1, Math.ceil(request.deadlineMs))),
   ]);
   try {
-    await pumpAnswer(attempt, request, { ...options, signal });
+    return await pumpAnswer(attempt, request, { ...options, signal });
   } catch (error) {
     attempt.answer.fail(
       AppError.create("runnerFailed", "Runner did not answer in full", {
         cause: error,
       }),
     );
+    return undefined;
   }
 }
 
@@ -56,7 +61,7 @@
   attempt: StoredAttempt,
   request: RunnerRequest,
   options: RunOptions & { signal: AbortSignal },
-): Promise<void> {
+): Promise<number | undefined> {
   const response = await options.runner.request({
     method: request.method as Dispatcher.HttpMethod,
     path: request.path,
@@ -76,7 +81,7 @@
   let tail = "";
   for await (const chunk of response.body) {
     tail = (tail + (chunk as Buffer).toString("latin1"))
-      .slice(-endMarkWindowBytes);
+      .slice(-tailBytes);
     if (isStream) options.observer.observeTokens(countEvents(chunk as Buffer));
     await attempt.answer.append(chunk as Buffer);
   }
@@ -84,6 +89,18 @@
     throw AppError.create("streamInterrupted", "Stream has no end mark");
   }
   attempt.answer.complete();
+  return findComputedTokens(tail);
+}
+
+/** Finds the usage of an OpenAI-compatible answer near its end. */
+function findComputedTokens(tail: string): number | undefined {
+  const [prompt, answer, cached] = [
+    "prompt_tokens",
+    "completion_tokens",
+    "cached_tokens",
+  ].map((name) => new RegExp(`"${name}":\\s*(\\d+)`).exec(tail)?.[1]);
+  if (prompt === undefined || answer === undefined) return undefined;
+  return Number(prompt) + Number(answer) - Number(cached ?? "0");
 }
 
 /** Counts the events of a piece of a stream; each ends in an empty line. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,6 +1,7 @@
 import { Admission, type MeanLoad } from "@jasminetide/core/admission";
 import type { Match } from "@jasminetide/core/configuration";
 import { createSystemRandom } from "@jasminetide/core/random";
+import { MinuteMeter, PeakGate, PeakHold } from "@jasminetide/core/peak";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
@@ -52,6 +53,7 @@
   readonly #configuration = ConfigurationHolder.create();
   readonly #attempts: AttemptStore;
   readonly #admission: Admission;
+  readonly #peak: PeakGate;
   readonly #runner: Pool;
   readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
@@ -70,6 +72,13 @@
       configuration: this.#configuration,
       subject: getSubject(settings),
     });
+    this.#peak = PeakGate.create({
+      hold: PeakHold.create({
+        getSettings: () => effective.get().peak,
+        meter: MinuteMeter.create(),
+      }),
+      timers,
+    });
     this.#admission = Admission.create({
       getSettings: () => effective.get(),
       capacity: settings.capacity,
@@ -105,6 +114,7 @@
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#isLeaving = true;
+    this.#peak.refuseAll();
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -144,6 +154,8 @@
     const context: RequestContext = {
       attempts: this.#attempts,
       admission: this.#admission,
+      peak: this.#peak,
+      isDeferrable: (priority) => this.#isDeferrable(priority),
       runner: this.#runner,
       timers: this.#options.timers,
       metrics: this.#metrics,
@@ -178,6 +190,23 @@
     });
   }
 
+  #getPeakDump() {
+    const { meter, size } = this.#peak.hold;
+    const nowMs = this.#options.timers.nowMs();
+    return {
+      held: size,
+      minuteTokens: meter.getCurrent(nowMs).tokens,
+      peakTokens: meter.getPeakTokens(nowMs),
+    };
+  }
+
+  #isDeferrable(priority: number): boolean {
+    if (!this.#configuration.isLoaded) return false;
+    const { classes } = this.#configuration.get().body;
+    const sharing = classes.filter((each) => each.priority === priority);
+    return sharing.length > 0 && sharing.every((each) => each.deferrable);
+  }
+
   /** The runner's own load is all that the sidecar knows of the pool. */
   #getMeanLoad(): MeanLoad {
     const tokens = this.#admission.loadTokens / this.#options.settings.capacity;
@@ -202,6 +231,7 @@
         running: this.#admission.running,
         concurrencyLimit: this.#admission.concurrencyLimit,
       },
+      peak: this.#getPeakDump(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
