--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -69,6 +69,7 @@
   readonly #epoch: Epoch;
   #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
+  #isStopping = false;
   #callerAddress = "";
   #controlAddress = "";
 
@@ -112,6 +113,8 @@
 
   /** Stops accepting, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
     this.#membership?.setOwn({ isLeaving: true });
     await this.#resources[Symbol.asyncDispose]();
   }
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Admission } from "@jasminetide/core/admission";
+import type { Admission, TaskObserver } from "@jasminetide/core/admission";
+import type { PeakGate } from "@jasminetide/core/peak";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
@@ -18,6 +19,9 @@
 export type RequestContext = {
   attempts: AttemptStore;
   admission: Admission;
+  /** Holds back what may wait, and counts computed tokens. */
+  peak: PeakGate;
+  isDeferrable: (priority: number) => boolean;
   runner: Dispatcher;
   timers: TimerService;
   metrics: Metrics;
@@ -107,6 +111,7 @@
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: request.headers,
+    priority: envelope.priority,
     body,
     deadlineMs: envelope.remainingMs,
   };
@@ -160,17 +165,18 @@
   const { envelope, arrivedAtMs } = work;
   let hasBegun = false;
   try {
+    await waitForRelease(attempt, work, context);
     await context.admission.run({
       workspace: envelope.workspace,
       priority: envelope.priority,
       weight: envelope.weight,
       costTokens: envelope.costTokens,
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
-    }, async () => {
+    }, async (observer) => {
       attempt.abort.signal.throwIfAborted();
       hasBegun = true;
-      await runAdmitted(attempt, work, context);
-    });
+      await runAdmitted(attempt, work, { context, observer });
+    }, { signal: attempt.abort.signal });
   } catch (error) {
     attempt.answer.fail(normalizeError(error));
   }
@@ -182,15 +188,49 @@
 async function runAdmitted(
   attempt: StoredAttempt,
   work: Work,
-  context: RequestContext,
+  options: { context: RequestContext; observer: TaskObserver },
 ): Promise<void> {
+  const { context, observer } = options;
   const { envelope, runnerRequest, arrivedAtMs } = work;
-  const waitedMs = context.timers.nowMs() - arrivedAtMs;
+  const nowMs = context.timers.nowMs();
+  const waitedMs = nowMs - arrivedAtMs;
   context.metrics.record("admission-wait-ms", waitedMs);
-  await runAttempt(attempt, {
+  const computedTokens = await runAttempt(attempt, {
     ...runnerRequest,
     deadlineMs: envelope.remainingMs - waitedMs,
-  }, context.runner);
+  }, { runner: context.runner, observer });
+  recordTokens(work, { computedTokens, atMs: nowMs }, context);
+}
+
+/** Holds a deferrable request back while the minute is at its peak. */
+async function waitForRelease(
+  attempt: StoredAttempt,
+  work: Work,
+  context: RequestContext,
+): Promise<void> {
+  const { envelope, arrivedAtMs } = work;
+  if (!context.isDeferrable(envelope.priority)) return;
+  await context.peak.wait({
+    id: envelope.attempt,
+    costTokens: envelope.costTokens,
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + envelope.remainingMs,
+    durationMs: context.admission.getExpectedMs(envelope.costTokens),
+  }, attempt.abort.signal);
+}
+
+/** Counts what a request computed; a release has counted its estimate. */
+function recordTokens(
+  work: Work,
+  computed: { computedTokens: number | undefined; atMs: number },
+  context: RequestContext,
+): void {
+  const { costTokens, priority } = work.envelope;
+  const isDeferrable = context.isDeferrable(priority);
+  const tokens = (computed.computedTokens ?? costTokens) -
+    (isDeferrable ? costTokens : 0);
+  const { atMs } = computed;
+  context.peak.hold.meter.record(tokens, { atMs, isDeferrable });
 }
 
 function createHeaders(
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -4,13 +4,16 @@
   defaultMembershipLimits,
 } from "@jasminetide/core/membership";
 import { getPlacementDuty } from "@jasminetide/core/leases";
-import { createSystemRandom } from "@jasminetide/core/random";
 import { AppError } from "@jasminetide/core/results";
+import type { Match } from "@jasminetide/core/configuration";
+import { createSystemRandom } from "@jasminetide/core/random";
+import { MinuteMeter, PeakGate, PeakHold } from "@jasminetide/core/peak";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationFollower,
   ConfigurationHolder,
+  EffectiveSettings,
   formatForPeer,
   selectParts,
 } from "@jasminetide/runtime/configuration";
@@ -61,6 +64,7 @@
   readonly #configuration = ConfigurationHolder.create();
   readonly #attempts: AttemptStore;
   readonly #admission: Admission;
+  readonly #peak: PeakGate;
   readonly #runner: Pool;
   readonly #resources = ResourceStack.create();
   readonly #peers = PeerClients.create();
@@ -79,14 +83,22 @@
       retentionMs: attemptRetentionMs,
       orphanMs,
     });
+    const effective = EffectiveSettings.create({
+      configuration: this.#configuration,
+      subject: getSubject(settings),
+    });
+    this.#peak = PeakGate.create({
+      hold: PeakHold.create({
+        getSettings: () => effective.get().peak,
+        meter: MinuteMeter.create(),
+      }),
+      timers,
+    });
     this.#admission = Admission.create({
-      maximumConcurrency: 64,
-      maximumQueueLength: 512,
-      capMultiple: 1.25,
-      minimumTokens: Number.MAX_SAFE_INTEGER,
+      getSettings: () => effective.get(),
       capacity: settings.capacity,
       getMeanLoad: () => this.#getMeanLoad(),
-      getNowMs: () => timers.nowMs(),
+      timers,
     });
     this.#runner = new Pool(`http://${settings.runnerAddress}`, {
       connections: runnerConnections,
@@ -121,8 +133,10 @@
 
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#isLeaving) return;
     this.#isLeaving = true;
     this.#membership?.setOwn({ isLeaving: true });
+    this.#peak.refuseAll();
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -163,6 +177,8 @@
     const context: RequestContext = {
       attempts: this.#attempts,
       admission: this.#admission,
+      peak: this.#peak,
+      isDeferrable: (priority) => this.#isDeferrable(priority),
       runner: this.#runner,
       timers: this.#options.timers,
       metrics: this.#metrics,
@@ -262,17 +278,20 @@
     this.#follower = this.#resources.use(follower);
   }
 
-  /**
-   * Gets the mean that the load cap compares with. A runner that knows of no
-   * other in its pools has no mean to exceed.
-   */
+  /** Gets the mean load that the load cap compares with. */
   #getMeanLoad(): MeanLoad {
     const { pools } = this.#options.settings;
     const mean = this.#membership?.getPoolMean(pools);
-    if (mean === undefined || mean.runners <= 1) {
-      return { tokens: Number.POSITIVE_INFINITY, ageMs: 0 };
+    if (mean === undefined) {
+      return {
+        tokens: 0,
+        ageMs: 0,
+        errorTokens: 0,
+        runners: 1,
+        staleRunners: 0,
+      };
     }
-    return mean;
+    return { ...mean, staleRunners: mean.stale };
   }
 
   #requireOrders(): OrderGate {
@@ -280,6 +299,23 @@
     throw AppError.create("internal", "Sidecar has not started");
   }
 
+  #getPeakDump() {
+    const { meter, size } = this.#peak.hold;
+    const nowMs = this.#options.timers.nowMs();
+    return {
+      held: size,
+      minuteTokens: meter.getCurrent(nowMs).tokens,
+      peakTokens: meter.getPeakTokens(nowMs),
+    };
+  }
+
+  #isDeferrable(priority: number): boolean {
+    if (!this.#configuration.isLoaded) return false;
+    const { classes } = this.#configuration.get().body;
+    const sharing = classes.filter((each) => each.priority === priority);
+    return sharing.length > 0 && sharing.every((each) => each.deferrable);
+  }
+
   #getDump() {
     const { settings } = this.#options;
     return {
@@ -296,10 +332,24 @@
         loadTokens: this.#admission.loadTokens,
         queueLength: this.#admission.queueLength,
         running: this.#admission.running,
+        concurrencyLimit: this.#admission.concurrencyLimit,
       },
       membership: this.#membership?.getSnapshot(),
       highestFencingNumber: this.#orders?.highestFencingNumber,
+      peak: this.#getPeakDump(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
 }
+
+/** What exceptions for this runner may match. */
+function getSubject(settings: SidecarSettings): Match {
+  const { runner, host, failureDomain, kind, pools } = settings;
+  const pool = pools[0];
+  return {
+    runner,
+    host,
+    failureDomain,
+    ...(kind === "engine" ? { model: pool } : { service: pool }),
+  };
+}
