Bring money calls through the owner of their key

**Cause**: the decisions of the ledger were not reachable: a refund sent twice took effect twice.

**Change**: the router finds the owner of the key's shard and sends again with the same key where a connection went silent; the sidecar keeps the journals in the platform, dispatches after the intent is durable and hands its shards on when it leaves. One write limiter for all writes of a process, money first. The number of shards is fixed in the platform at the first use.

**Measured**: local fleet, before: two refunds with one key, two effects. After: one effect through both routers, for ten at once, and over the stop of the owner; a lookup is answered while the platform is down and the refund refused as not run (`packages/local_fleet/src/money_calls.feature`).

--- a/packages/core/src/ledger/history.ts
+++ b/packages/core/src/ledger/history.ts
@@ -98,7 +98,7 @@
 }
 
 /** Tries a segment again later. */
-export function delaySeal(state: ShardState, slot: number): void {
+export function scheduleSeal(state: ShardState, slot: number): void {
   if (state.seal?.slot !== slot) return;
   state.seal.retryAtMs = state.nowMs + sealRetryMs;
 }
--- a/packages/core/src/ledger/owner_search.ts
+++ b/packages/core/src/ledger/owner_search.ts
@@ -90,7 +90,7 @@
       ? noOwner
       : answer;
     if (answer?.type === "moved") {
-      this.#follow(asked, answer.owner?.name);
+      this.#applyMove(asked, answer.owner?.name);
       return false;
     }
     if (answer !== undefined && !isInconclusive(answer)) {
@@ -102,7 +102,7 @@
     return false;
   }
 
-  #follow(asked: string, owner: string | undefined): void {
+  #applyMove(asked: string, owner: string | undefined): void {
     if (owner === undefined) {
       this.#failed.add(asked);
       this.#hint = asked;
--- a/packages/core/src/ledger/ownership.ts
+++ b/packages/core/src/ledger/ownership.ts
@@ -80,7 +80,7 @@
 }
 
 /** Starts the wait for the lease again: the owner may not reach it either. */
-export function restartWait(state: ShardState): void {
+export function beginWait(state: ShardState): void {
   const { role } = state;
   if (role.type !== "waiting") return;
   role.sinceMs = state.nowMs;
@@ -111,7 +111,7 @@
     if (isUsed) slots.push({ slot, version });
   }
   state.role = { type: "loading" };
-  if (slots.length === 0) becomeOwner(state);
+  if (slots.length === 0) beginOwnership(state);
   else state.commands.push({ type: "read-segments", slots });
 }
 
@@ -132,11 +132,11 @@
       if (entry.issuedAtMs === undefined) state.timelessCount += 1;
     }
   }
-  becomeOwner(state);
+  beginOwnership(state);
 }
 
 /** Gives up the shard after another process has written its head. */
-export function depose(
+export function releaseOwnership(
   state: ShardState,
   head: JournalHead | undefined,
 ): void {
@@ -195,7 +195,7 @@
   }
 }
 
-function becomeOwner(state: ShardState): void {
+function beginOwnership(state: ShardState): void {
   state.role = { type: "owner" };
   for (const call of [...state.calls.values()]) {
     if (call.state === "dispatched") continue;
--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -12,9 +12,9 @@
 } from "./commits.ts";
 import {
   completeSeal,
-  delaySeal,
   failSeal,
   retrySeal,
+  scheduleSeal,
   startSeal,
   trimHistory,
 } from "./history.ts";
@@ -24,12 +24,12 @@
   applyRead,
   applySegments,
   applyWaitingRead,
-  depose,
+  beginWait,
   enqueueCall,
   expireWaiting,
   failReading,
   readWhileWaiting,
-  restartWait,
+  releaseOwnership,
   startLoading,
   startReading,
 } from "./ownership.ts";
@@ -94,7 +94,7 @@
       case "head-read-failed":
         if (state.write?.state === "reading") scheduleSettlement(state);
         else if (state.role.type === "reading") failReading(state);
-        else restartWait(state);
+        else beginWait(state);
         break;
       case "head-written":
         this.#handleWritten(event.version);
@@ -118,7 +118,7 @@
         failSeal(state, event);
         break;
       case "segment-write-lost":
-        delaySeal(state, event.slot);
+        scheduleSeal(state, event.slot);
         break;
       case "tick":
         state.wakeAtMs = Number.POSITIVE_INFINITY;
@@ -161,7 +161,7 @@
         this.#handleWritten(read.version);
         break;
       case "lost":
-        depose(state, read.head);
+        releaseOwnership(state, read.head);
     }
   }
 
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -52,6 +52,7 @@
   invalidKey: row(4007, 400, "no", "Invalid idempotency key"),
   answerNotKept: row(4008, 410, "yes", "Answer is not kept"),
   keyHistoryFull: row(4009, 422, "no", "History of keys is full"),
+  outcomeResolved: row(4010, 409, "yes", "Outcome was found by operators"),
   invalidConfiguration: row(5001, 422, "no", "Invalid configuration"),
   versionConflict: row(5002, 409, "no", "Version conflict"),
   platformUnavailable: row(5003, 503, "unknown", "Platform is unavailable"),
--- /dev/null
+++ b/packages/local_fleet/src/money_calls_test.ts
@@ -0,0 +1,158 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import { v7 as createKey } from "uuid";
+import type { LocalFleet } from "./local_fleet.ts";
+
+type Refund = { account: string; amount: number; key: string };
+type RefundAnswer = { status: number; body: string; headers: Headers };
+type World = {
+  fleet: LocalFleet;
+  keys: Map<number, string>;
+  refund: Refund;
+  answers: RefundAnswer[];
+};
+
+const timers = RealTimerService.create();
+
+function wait(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    timers.schedule(durationMs, () => resolve());
+  });
+}
+
+async function send(world: World, router: number): Promise<RefundAnswer> {
+  const { account, amount, key } = world.refund;
+  const { callerAddress } = world.fleet.routers[router - 1];
+  const response = await fetch(
+    `http://${callerAddress}/deposit-ledger/refunds`,
+    {
+      method: "POST",
+      headers: { authorization: "Bearer local-key", "idempotency-key": key },
+      body: JSON.stringify({ account, amount }),
+    },
+  );
+  const { status, headers } = response;
+  const answer = { status, headers, body: await response.text() };
+  world.answers ??= [];
+  world.answers.push(answer);
+  return answer;
+}
+
+function getKey(world: World, number: number): string {
+  world.keys ??= new Map();
+  const key = world.keys.get(number) ?? createKey();
+  world.keys.set(number, key);
+  return key;
+}
+
+When(
+  "a refund of {int} to {string} with key {int} is sent through router {int}",
+  async function (
+    this: World,
+    amount: number,
+    account: string,
+    key: number,
+    router: number,
+  ) {
+    this.refund = { account, amount, key: getKey(this, key) };
+    await send(this, router);
+  },
+);
+
+When(
+  "the same refund is sent through router {int}",
+  async function (this: World, router: number) {
+    await send(this, router);
+  },
+);
+
+When(
+  "a refund of {int} to {string} with key {int} is sent {int} times at once",
+  async function (
+    this: World,
+    amount: number,
+    account: string,
+    key: number,
+    count: number,
+  ) {
+    this.refund = { account, amount, key: getKey(this, key) };
+    const sends = Array.from(
+      { length: count },
+      (_, index) => send(this, 1 + index % 2),
+    );
+    await Promise.all(sends);
+  },
+);
+
+When(
+  "the runner that answered the refund is stopped",
+  async function (this: World) {
+    const owners = this.fleet.sidecars.filter((sidecar) =>
+      sidecar.ledgerShards.some((shard) => shard.entries > 0)
+    );
+    assert.equal(owners.length, 1);
+    await owners[0][Symbol.asyncDispose]();
+  },
+);
+
+Given(
+  "every shard of the deposit ledger has an owner",
+  async function (this: World) {
+    const countOwned = () =>
+      this.fleet.sidecars.flatMap((sidecar) => sidecar.ledgerShards)
+        .filter((shard) => shard.role === "owner").length;
+    while (countOwned() < 16) await wait(20);
+  },
+);
+
+When("the platform of the fleet goes down", function (this: World) {
+  this.fleet.objects.faults.outage = true;
+});
+
+When("the platform of the fleet comes back", function (this: World) {
+  this.fleet.objects.faults.outage = false;
+});
+
+When(
+  "the refund is sent again until it is answered",
+  async function (this: World) {
+    while ((await send(this, 2)).status !== 201) await wait(50);
+  },
+);
+
+Then(
+  "all answers to the refund are the same, with status {int}",
+  function (this: World, status: number) {
+    const [first] = this.answers;
+    for (const answer of this.answers) {
+      assert.deepEqual([answer.status, answer.body], [status, first.body]);
+    }
+  },
+);
+
+Then(
+  "key {int} has taken effect {int} time(s)",
+  function (this: World, key: number, count: number) {
+    assert.equal(this.fleet.deposits.effects.get(getKey(this, key)), count);
+  },
+);
+
+Then(
+  "the refund is refused with status {int}, code {int} and executed {string}",
+  function (this: World, status: number, code: number, executed: string) {
+    const answer = this.answers.at(-1);
+    const problem = JSON.parse(answer?.body ?? "") as {
+      code: number;
+      executed: string;
+    };
+    assert.deepEqual(
+      [answer?.status, problem.code, problem.executed],
+      [status, code, executed],
+    );
+  },
+);
+
+Then("the refund may be tried again later", function (this: World) {
+  assert.ok(Number(this.answers.at(-1)?.headers.get("retry-after")) > 0);
+});
--- /dev/null
+++ b/packages/router/src/ledger/ask_owner.ts
@@ -0,0 +1,195 @@
+import { Buffer } from "node:buffer";
+import type { LedgerAnswer } from "@jasminetide/core/ledger";
+import {
+  type Executed,
+  resultCodes,
+  type ResultName,
+} from "@jasminetide/core/results";
+import type { RunnerRow } from "@jasminetide/core/tables";
+import type { TimerService } from "@jasminetide/core/timers";
+import {
+  copyForwardedHeaders,
+  formatEnvelope,
+  headerNames,
+  type RequestEnvelope,
+} from "@jasminetide/runtime/exchange";
+import type { Metrics } from "@jasminetide/runtime/metrics";
+import type { Dispatcher, Pool } from "undici";
+import { v7 as createAttemptId } from "uuid";
+import type { Connections } from "../attempts/mod.ts";
+
+/** A money call as it goes to the owner. */
+export type OutgoingCall = {
+  /** The caller's key, as parsed. */
+  key: string;
+  method: string;
+  path: string;
+  headers: { [name: string]: string | string[] };
+  body: Uint8Array;
+  envelope: Omit<RequestEnvelope, "attempt" | "epoch" | "remainingMs">;
+  deadlineAtMs: number;
+};
+
+/** Whom to ask, and how. */
+export type AskOptions = {
+  runner: RunnerRow;
+  mayClaim: boolean;
+  connections: Connections;
+  timers: TimerService;
+  metrics: Metrics;
+  /** Told the number of shards with each answer. */
+  onShardCount: (count: number) => void;
+};
+
+/** Time without an answer after which the connection is taken for silent. */
+const silentMs = 2500;
+
+/** The same for a second try on a new connection. */
+const resendSilentMs = 1000;
+
+const runningPollMs = 100;
+
+/**
+ * Asks one sidecar. Where no answer comes, the call is sent once more on a new
+ * connection: the key keeps it from running twice.
+ *
+ * @returns undefined when the sidecar does not answer.
+ */
+export async function askOwner(
+  call: OutgoingCall,
+  options: AskOptions,
+): Promise<LedgerAnswer | undefined> {
+  const { timers } = options;
+  let isResent = false;
+  while (timers.nowMs() < call.deadlineAtMs) {
+    const patienceMs = isResent ? resendSilentMs : silentMs;
+    const told = await exchange(call, { ...options, patienceMs });
+    if (told === "unreachable") return undefined;
+    if (told === "silent") {
+      if (isResent) return undefined;
+      options.metrics.count("money-resent");
+      isResent = true;
+    } else if (isResent && isRunning(told)) await wait(timers, runningPollMs);
+    else return told;
+  }
+  return undefined;
+}
+
+function isRunning(answer: LedgerAnswer): boolean {
+  return answer.type === "refused" && answer.result === "keyRunning";
+}
+
+function wait(timers: TimerService, durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    timers.schedule(durationMs, () => resolve());
+  });
+}
+
+async function exchange(
+  call: OutgoingCall,
+  options: AskOptions & { patienceMs: number },
+): Promise<LedgerAnswer | "silent" | "unreachable"> {
+  const { timers, connections, runner } = options;
+  const remainingMs = call.deadlineAtMs - timers.nowMs();
+  const pool = connections.get(runner.dataAddress);
+  const abort = new AbortController();
+  let isSilent = false;
+  const silence = timers.schedule(
+    options.mayClaim ? remainingMs : Math.min(options.patienceMs, remainingMs),
+    () => {
+      isSilent = true;
+      abort.abort();
+    },
+  );
+  try {
+    return await send(call, { ...options, pool, abort, remainingMs });
+  } catch {
+    if (!isSilent) return "unreachable";
+    connections.replace(runner.dataAddress, pool);
+    return "silent";
+  } finally {
+    silence[Symbol.dispose]();
+  }
+}
+
+async function send(
+  call: OutgoingCall,
+  options: AskOptions & {
+    pool: Pool;
+    abort: AbortController;
+    remainingMs: number;
+  },
+): Promise<LedgerAnswer | "silent"> {
+  const { runner, remainingMs } = options;
+  const attempt = createAttemptId();
+  const response = await options.pool.request({
+    method: call.method as Dispatcher.HttpMethod,
+    path: call.path,
+    headers: {
+      ...call.headers,
+      ...formatEnvelope({
+        ...call.envelope,
+        attempt,
+        epoch: runner.epoch,
+        remainingMs,
+      }),
+      [headerNames.ledgerKey]: call.key,
+      [headerNames.ledgerClaim]: options.mayClaim ? "1" : "0",
+    },
+    body: call.body.length === 0 ? null : call.body,
+    signal: options.abort.signal,
+  });
+  if (response.headers[headerNames.attempt] !== attempt) {
+    options.metrics.count("answers-mismatched");
+    response.body.destroy();
+    return "silent";
+  }
+  options.onShardCount(Number(response.headers[headerNames.ledgerShards]));
+  return await readAnswer(response);
+}
+
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+): Promise<LedgerAnswer> {
+  const { headers, statusCode } = response;
+  const body = Buffer.from(await response.body.arrayBuffer());
+  const told = headers[headerNames.ledgerAnswer];
+  if (told !== undefined) {
+    const answer = {
+      status: statusCode,
+      headers: copyForwardedHeaders(headers),
+      body,
+    };
+    return { type: "answered", answer, isStored: told === "stored" };
+  }
+  const owner = headers[headerNames.ledgerOwner];
+  if (typeof owner === "string") {
+    const name = decodeURIComponent(owner);
+    return {
+      type: "moved",
+      owner: name === "" ? undefined : { name, epoch: 0 },
+    };
+  }
+  return parseRefusal(body.toString("utf8"), headers["retry-after"]);
+}
+
+function parseRefusal(
+  text: string,
+  retryAfter: string | string[] | undefined,
+): LedgerAnswer {
+  const problem = JSON.parse(text) as {
+    code: number;
+    detail: string;
+    executed: Executed;
+  };
+  const names = Object.keys(resultCodes) as ResultName[];
+  const result = names.find((name) => resultCodes[name].code === problem.code);
+  const seconds = Number(retryAfter);
+  return {
+    type: "refused",
+    result: result ?? "runnerFailed",
+    executed: problem.executed,
+    detail: problem.detail,
+    ...(Number.isFinite(seconds) ? { retryAfterMs: seconds * 1000 } : {}),
+  };
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,6 +25,7 @@
 import { Connections } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
+import { LedgerRoutes } from "./ledger/mod.ts";
 import { RunnerDirectory } from "./membership/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
@@ -175,6 +176,7 @@
       configuration: this.#configuration,
       directory: this.#directory,
       connections: this.#connections,
+      ledgerRoutes: LedgerRoutes.create(),
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from "@jasminetide/runtime/metrics";
 import type { Connections } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
+import type { LedgerRoutes } from "./ledger/mod.ts";
 import type { RunnerDirectory } from "./membership/mod.ts";
 
 /** Settings in force for one request. */
@@ -23,6 +24,7 @@
   configuration: ConfigurationHolder;
   directory: RunnerDirectory;
   connections: Connections;
+  ledgerRoutes: LedgerRoutes;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -5,6 +5,7 @@
 import { readBody } from "@jasminetide/runtime/http";
 import { dispatchRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
+import { handleMoneyCall } from "../ledger/mod.ts";
 import { relayAnswer } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 
@@ -33,19 +34,35 @@
   const headers = copyForwardedHeaders(request.headers);
   delete headers["authorization"];
   const isIdempotent = getIsIdempotent(service, { method, path });
+  const envelope = {
+    workspace,
+    priority: requestClass.priority,
+    weight: settings.workspace.weight,
+    costTokens: serviceCostTokens,
+    pool: service.name,
+    chatKey: "0",
+    configurationVersion: context.configuration.version,
+  };
+  const deadlineAtMs = arrivedAtMs + deadlineMs;
+  const keyHeader = request.headers["idempotency-key"];
+  if (!isIdempotent && keyHeader !== undefined) {
+    const money = { method, path, headers, body, envelope, deadlineAtMs };
+    await handleMoneyCall(
+      {
+        ...money,
+        keyHeader: String(keyHeader),
+        declaredShardCount: settings.ledger.shardCount,
+      },
+      response,
+      context,
+    );
+    return;
+  }
   const dispatched = await dispatchRequest({
     request: { method, path, headers, body },
-    envelope: {
-      workspace,
-      priority: requestClass.priority,
-      weight: settings.workspace.weight,
-      costTokens: serviceCostTokens,
-      pool: service.name,
-      chatKey: "0",
-      configurationVersion: context.configuration.version,
-    },
+    envelope,
     isIdempotent,
-    deadlineAtMs: arrivedAtMs + deadlineMs,
+    deadlineAtMs,
     maximumAttempts: settings.retry.maximumAttempts,
     chooseRunner: (tried) => {
       const left = runners.filter((runner) => !tried.has(runner.id));
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -19,6 +19,16 @@
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
   executed: "jt-executed",
+  /** Idempotency key of a money call. */
+  ledgerKey: "jt-ledger-key",
+  /** Whether the sidecar may wait for the lease and take the shard over. */
+  ledgerClaim: "jt-ledger-claim",
+  /** How a money call was answered. */
+  ledgerAnswer: "jt-ledger-answer",
+  /** Runner whose sidecar owns the shard, where it is another. */
+  ledgerOwner: "jt-ledger-owner",
+  /** Number of shards of the service. */
+  ledgerShards: "jt-ledger-shards",
   /** Trailer: bytes of the whole answer. */
   answerBytes: "jt-answer-bytes",
   /** Trailer: how the answer ended. */
--- a/packages/runtime/src/platform/client.ts
+++ b/packages/runtime/src/platform/client.ts
@@ -1,6 +1,7 @@
 import { AppError } from "@jasminetide/core/results";
 import { Pool } from "undici";
 import type { HostRecord, StoredObject } from "./types.ts";
+import { WriteLimiter } from "./write_limiter.ts";
 
 /** Where an object stands. */
 export type ObjectName = { kind: string; name: string };
@@ -8,26 +9,39 @@
 /** What a write expects: a version to replace, or that nothing is there. */
 export type WriteCondition = { version: number } | "absent";
 
+/** What became of a write; `lost` may or may not have taken effect. */
+export type PutResult =
+  | { type: "written"; version: number }
+  | { type: "conflict"; version: number }
+  | { type: "lost" };
+
 /** How the client talks to the platform. */
 export type PlatformClientOptions = {
   /** `ip:port`. */
   address: string;
   timeoutMs?: number;
+  /** Bound of all writes of the process. */
+  writesPerSecond?: number;
 };
 
 const defaultTimeoutMs = 2000;
+const defaultWritesPerSecond = 100;
 const maxConnections = 8;
 
 /** Client of the platform's object API and host list. */
 export class PlatformClient {
   readonly #pool: Pool;
   readonly #timeoutMs: number;
+  readonly #limiter: WriteLimiter;
 
   private constructor(options: PlatformClientOptions) {
     this.#pool = new Pool(`http://${options.address}`, {
       connections: maxConnections,
     });
     this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+    this.#limiter = WriteLimiter.create({
+      writesPerSecond: options.writesPerSecond ?? defaultWritesPerSecond,
+    });
   }
 
   /** Creates a client; nothing is sent yet. */
@@ -53,18 +67,37 @@
     object: ObjectName,
     options: { value: string; condition: WriteCondition },
   ): Promise<number> {
-    const { condition, value } = options;
-    const answer = await this.#send({
-      method: "PUT",
-      path: getPath(object),
-      body: value,
-      headers: condition === "absent"
-        ? { "if-none-match": "*" }
-        : { "if-match": `"${condition.version}"` },
-    });
+    const answer = await this.#limiter.run(
+      () => this.#send(createPut(object, options)),
+      "other",
+    );
     return answer.version;
   }
 
+  /**
+   * Writes an object if the condition holds, before all writes that are not of
+   * money calls.
+   */
+  async putMoney(
+    object: ObjectName,
+    options: { value: string; condition: WriteCondition; timeoutMs: number },
+  ): Promise<PutResult> {
+    const request = createPut(object, options);
+    try {
+      const answer = await this.#limiter.run(
+        () => this.#exchange(request, AbortSignal.timeout(options.timeoutMs)),
+        "money",
+      );
+      if (answer.status === 412) {
+        return { type: "conflict", version: answer.version };
+      }
+      if (answer.status >= 300) return { type: "lost" };
+      return { type: "written", version: answer.version };
+    } catch {
+      return { type: "lost" };
+    }
+  }
+
   /** Waits until an object is newer than `afterVersion`, or times out. */
   async watch(
     object: ObjectName,
@@ -152,6 +185,21 @@
 
 type PlatformAnswer = { status: number; version: number; body: string };
 
+function createPut(
+  object: ObjectName,
+  options: { value: string; condition: WriteCondition },
+): PlatformRequest {
+  const { condition, value } = options;
+  return {
+    method: "PUT",
+    path: getPath(object),
+    body: value,
+    headers: condition === "absent"
+      ? { "if-none-match": "*" }
+      : { "if-match": `"${condition.version}"` },
+  };
+}
+
 function getPath(object: ObjectName): string {
   return `/objects/${encodeURIComponent(object.kind)}/` +
     encodeURIComponent(object.name);
--- /dev/null
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -0,0 +1,266 @@
+import {
+  type CallId,
+  getShard,
+  type LedgerAnswer,
+  type LedgerCall,
+  type LedgerOwner,
+  rankOwners,
+  Shard,
+  type ShardCommand,
+  type ShardEvent,
+  type ShardSettings,
+} from "@jasminetide/core/ledger";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
+import type { Logger } from "@jasminetide/runtime/logging";
+import type { Metrics } from "@jasminetide/runtime/metrics";
+import type { PlatformClient } from "@jasminetide/runtime/platform";
+import { type MoneyRequest, runCall, type RunnerAccess } from "./run_call.ts";
+import { JournalStore } from "./journal_store.ts";
+import { loadShardCount } from "./layout.ts";
+import { applyResolution } from "./resolutions.ts";
+
+/** What the ledger of one sidecar works with. */
+export type LedgerOptions = {
+  service: string;
+  owner: LedgerOwner;
+  platform: PlatformClient;
+  timers: TimerService;
+  logger: Logger;
+  metrics: Metrics;
+  runner: RunnerAccess;
+  /** Whether the runner serves money calls at all. */
+  isOffered: boolean;
+  /** Undefined until a configuration is in force. */
+  getSettings: () => (ShardSettings & { shardCount: number }) | undefined;
+};
+
+type OpenCall = {
+  request: MoneyRequest;
+  resolve: (answer: LedgerAnswer) => void;
+};
+
+const proposePeriodMs = 2000;
+const leavePollMs = 20;
+const leaveTimeoutMs = 3000;
+
+/** The shards of one service at one sidecar. */
+export class Ledger {
+  readonly #options: LedgerOptions;
+  readonly #store: JournalStore;
+  readonly #shards = new Map<number, Shard>();
+  readonly #wakes = new Map<number, TimerSubscription>();
+  readonly #calls = new Map<CallId, OpenCall>();
+  readonly #proposal: TimerSubscription;
+  #shardCount: Promise<number> | undefined;
+  #settings: ShardSettings | undefined;
+
+  private constructor(options: LedgerOptions) {
+    this.#options = options;
+    this.#store = JournalStore.create(options);
+    this.#proposal = options.timers.subscribe(
+      proposePeriodMs,
+      () => void this.#propose(),
+    );
+  }
+
+  /** Creates the ledger of a service; shards are read on demand. */
+  static create(options: LedgerOptions): Ledger {
+    return new Ledger(options);
+  }
+
+  /**
+   * Gets the number of shards of the service.
+   *
+   * @throws AppError when neither it nor a configuration could be read.
+   */
+  getShardCount(): Promise<number> {
+    const settings = this.#options.getSettings();
+    if (settings === undefined) {
+      return Promise.reject(
+        AppError.create(
+          "platformUnavailable",
+          "No configuration has been loaded yet",
+        ),
+      );
+    }
+    this.#settings = settings;
+    this.#shardCount ??= loadShardCount(this.#options.service, {
+      platform: this.#options.platform,
+      wantedCount: settings.shardCount,
+    }).catch((error) => {
+      this.#shardCount = undefined;
+      throw error;
+    });
+    return this.#shardCount;
+  }
+
+  /** Answers a call; never throws. */
+  async call(call: LedgerCall, request: MoneyRequest): Promise<LedgerAnswer> {
+    let shard: number;
+    try {
+      shard = getShard(call.key, await this.getShardCount());
+    } catch (thrown) {
+      return createUnavailable(normalizeError(thrown).message);
+    }
+    const answer = await new Promise<LedgerAnswer>((resolve) => {
+      this.#calls.set(call.id, { request, resolve });
+      this.#handle(shard, { type: "call", call });
+    });
+    this.#calls.delete(call.id);
+    this.#options.metrics.count(`ledger-${getAnswerName(answer)}`);
+    return applyResolution(answer, { ...this.#options, shard, key: call.key });
+  }
+
+  /** What the shards know, for a dump. */
+  getDump() {
+    return [...this.#shards].map(([shard, { state }]) => ({
+      shard,
+      role: state.role.type,
+      version: state.version,
+      entries: state.entries.size,
+      headBytes: state.headTotalBytes,
+      floorMs: state.floorMs,
+      calls: state.calls.size,
+    }));
+  }
+
+  /** Finishes the calls in flight and releases the shards. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const { timers } = this.#options;
+    this.#proposal[Symbol.dispose]();
+    for (const shard of this.#shards.keys()) {
+      this.#handle(shard, { type: "leave" });
+    }
+    const endAtMs = timers.nowMs() + leaveTimeoutMs;
+    while (!this.#isReleased() && timers.nowMs() < endAtMs) {
+      await new Promise<void>((resolve) => {
+        timers.schedule(leavePollMs, () => resolve());
+      });
+    }
+    for (const wake of this.#wakes.values()) wake[Symbol.dispose]();
+  }
+
+  #isReleased(): boolean {
+    return [...this.#shards.values()].every((shard) => shard.isReleased);
+  }
+
+  /** Asks for the shards that fall to this runner, if they are free. */
+  async #propose(): Promise<void> {
+    const { service, owner, platform, isOffered } = this.#options;
+    if (!isOffered) return;
+    try {
+      const shardCount = await this.getShardCount();
+      const hosts = await platform.loadHosts();
+      const candidates = hosts.filter((host) => host.state === "live")
+        .flatMap((host) => host.processes)
+        .filter((process) => process.type === "sidecar")
+        .filter((process) => process.pools.includes(service))
+        .map((process) => process.runner);
+      for (let shard = 0; shard < shardCount; shard++) {
+        const [first] = rankOwners({ service, shard, candidates });
+        if (first === owner.name) this.#handle(shard, { type: "propose" });
+      }
+    } catch (thrown) {
+      const { code } = normalizeError(thrown);
+      this.#options.logger.debug("ledger-proposal-failed", { code });
+    }
+  }
+
+  #handle(shard: number, event: ShardEvent): void {
+    let decisions = this.#shards.get(shard);
+    if (decisions === undefined) {
+      decisions = Shard.create({
+        owner: this.#options.owner,
+        getSettings: () => this.#getSettings(),
+      });
+      this.#shards.set(shard, decisions);
+    }
+    const before = decisions.state.role.type;
+    const commands = decisions.handle(event, this.#options.timers.nowMs());
+    const after = decisions.state.role.type;
+    if (after !== before && (after === "owner" || before === "owner")) {
+      this.#options.logger.info("ledger-role", { shard, role: after });
+    }
+    for (const command of commands) this.#run(shard, command);
+  }
+
+  #getSettings(): ShardSettings {
+    this.#settings = this.#options.getSettings() ?? this.#settings;
+    if (this.#settings !== undefined) return this.#settings;
+    throw AppError.create("internal", "Shard has no settings yet");
+  }
+
+  #run(shard: number, command: ShardCommand): void {
+    switch (command.type) {
+      case "read-head":
+        this.#feed(shard, this.#store.readHead(shard));
+        break;
+      case "write-head":
+        this.#options.metrics.count("ledger-writes");
+        this.#feed(shard, this.#store.writeHead(shard, command));
+        break;
+      case "read-segments":
+        this.#feed(shard, this.#store.readSegments(shard, command.slots));
+        break;
+      case "write-segment":
+        this.#feed(shard, this.#store.writeSegment(shard, command));
+        break;
+      case "dispatch":
+        this.#feed(shard, this.#dispatch(command));
+        break;
+      case "answer":
+        this.#calls.get(command.callId)?.resolve(command.answer);
+        break;
+      case "wake":
+        this.#schedule(shard, command.atMs);
+    }
+  }
+
+  async #dispatch(
+    command: Extract<ShardCommand, { type: "dispatch" }>,
+  ): Promise<ShardEvent> {
+    const { callId, notAfterMs } = command;
+    const open = this.#calls.get(callId);
+    const outcome = open === undefined
+      ? { type: "not-run" as const }
+      : await runCall(open.request, {
+        runner: this.#options.runner,
+        timers: this.#options.timers,
+        notAfterMs,
+      });
+    return { type: "outcome", callId, outcome };
+  }
+
+  #feed(shard: number, event: Promise<ShardEvent>): void {
+    void event.then((event) => this.#handle(shard, event));
+  }
+
+  #schedule(shard: number, atMs: number): void {
+    const { timers } = this.#options;
+    this.#wakes.get(shard)?.[Symbol.dispose]();
+    this.#wakes.set(
+      shard,
+      timers.schedule(
+        Math.max(0, atMs - timers.nowMs()),
+        () => this.#handle(shard, { type: "tick" }),
+      ),
+    );
+  }
+}
+
+function createUnavailable(detail: string): LedgerAnswer {
+  return {
+    type: "refused",
+    result: "ledgerUnavailable",
+    executed: "unknown",
+    detail,
+    retryAfterMs: proposePeriodMs,
+  };
+}
+
+function getAnswerName(answer: LedgerAnswer): string {
+  if (answer.type === "refused") return answer.result;
+  if (answer.type === "answered" && answer.isStored) return "stored";
+  return answer.type;
+}
--- /dev/null
+++ b/packages/sidecar/src/ledger/ledger_settings.ts
@@ -0,0 +1,28 @@
+import {
+  resolveSettings,
+  type Settings,
+} from "@jasminetide/core/configuration";
+import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
+
+/** Settings of the ledger of one service. */
+export type LedgerSettings = Settings["ledger"];
+
+/**
+ * Creates a function that gets a service's settings of the configuration in
+ * force, or undefined before the first.
+ */
+export function createSettingsReader(
+  service: string,
+  configuration: ConfigurationHolder,
+): () => LedgerSettings | undefined {
+  let version = 0;
+  let settings: LedgerSettings | undefined;
+  return () => {
+    if (configuration.version !== version) {
+      version = configuration.version;
+      const { body } = configuration.get();
+      settings = resolveSettings(body, { service }).settings.ledger;
+    }
+    return settings;
+  };
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -17,6 +17,12 @@
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import {
+  createSettingsReader,
+  handleCall,
+  isMoneyCall,
+  Ledger,
+} from "./ledger/mod.ts";
 import {
   AttemptStore,
   handleRequest,
@@ -53,6 +59,7 @@
   readonly #runner: Pool;
   readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
+  #ledger: Ledger | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -95,6 +102,11 @@
     return this.#controlAddress;
   }
 
+  /** Shards of the ledger that this sidecar knows. */
+  get ledgerShards(): ReturnType<Ledger["getDump"]> {
+    return this.#ledger?.getDump() ?? [];
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
@@ -112,6 +124,8 @@
     });
     this.#resources.use(platform);
     this.#resources.defer(() => this.#runner.close());
+    this.#ledger = this.#createLedger(platform);
+    this.#resources.use(this.#ledger);
     const data = await this.#startData();
     this.#dataAddress = data.address;
     const control = await this.#startControl();
@@ -137,6 +151,22 @@
     });
   }
 
+  #createLedger(platform: PlatformClient): Ledger {
+    const { settings, timers, logger } = this.#options;
+    const [service] = settings.pools;
+    return Ledger.create({
+      service,
+      owner: { name: settings.runner, epoch: this.epoch },
+      platform,
+      timers,
+      logger,
+      metrics: this.#metrics,
+      runner: { pool: this.#runner, admission: this.#admission },
+      isOffered: settings.kind === "service",
+      getSettings: createSettingsReader(service, this.#configuration),
+    });
+  }
+
   #startData(): Promise<ListeningServer> {
     const context: RequestContext = {
       attempts: this.#attempts,
@@ -153,7 +183,12 @@
     return startServer(
       this.#options.settings.dataAddress,
       (request, response) => {
-        void handleRequest(request, response, context);
+        if (isMoneyCall(request) && this.#ledger !== undefined) {
+          void handleCall(request, response, {
+            ...context,
+            ledger: this.#ledger,
+          });
+        } else void handleRequest(request, response, context);
       },
     );
   }
@@ -192,6 +227,7 @@
         queueLength: this.#admission.queueLength,
         running: this.#admission.running,
       },
+      ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
   }
