Let operators resolve unknown outcomes

**Cause**: after a lost answer of a runner nobody can say whether a refund took effect but an operator who looks into the service's books; what they find has to reach the caller. An error whose cause has a `code` could not be created.

Errors keep their cause without taking over its properties.

**Measured**: local fleet: answer lost after the effect, listed, resolved and told; one effect (`packages/local_fleet/src/money_calls.feature`).

**Conclusion**: the operator's program can call these functions.

--- a/packages/core/src/results/errors.ts
+++ b/packages/core/src/results/errors.ts
@@ -21,7 +21,9 @@
   readonly retryAfterMs: number | undefined;
 
   constructor(message = "", state?: ErrorState) {
-    super(message, state);
+    // The base class would copy properties of the cause, such as `code`.
+    super(message, { ...state, cause: undefined });
+    if (state?.cause !== undefined) setCause(this, state.cause);
     this.result = state?.result ?? "internal";
     this.executed = state?.executed ?? resultCodes[this.result].executed;
     this.retryAfterMs = state?.retryAfterMs;
@@ -47,6 +49,15 @@
   }
 }
 
+function setCause(error: Error, cause: unknown): void {
+  Object.defineProperty(error, "cause", {
+    value: cause,
+    configurable: true,
+    enumerable: false,
+    writable: true,
+  });
+}
+
 /** An error with a numbered result code. */
 export const AppError = BaseError.subclass("AppError", { custom: CustomError });
 
--- a/packages/local_fleet/src/money_calls.feature
+++ b/packages/local_fleet/src/money_calls.feature
@@ -29,6 +29,18 @@
     Then all answers to the refund are the same, with status 201
     And key 1 has taken effect 1 time
 
+  Scenario: An unknown outcome is listed, resolved and told
+    Given the answer of the next refund is lost after its effect
+    When a refund of 100 to "a1" with key 1 is sent through router 1
+    Then the refund is refused with status 502, code 4003 and executed "unknown"
+    And operators list 1 unknown outcome of key 1
+    When operators resolve key 1 as "yes" because "Bank statement of today"
+    And the same refund is sent through router 2
+    Then the refund is refused with status 409, code 4010 and executed "yes"
+    And the answer names the reason "Bank statement of today"
+    And operators list 0 unknown outcomes
+    And key 1 has taken effect 1 time
+
   Scenario: Lookups go on while the platform is down and refunds are refused
     Given every shard of the deposit ledger has an owner
     When the platform of the fleet goes down
--- a/packages/local_fleet/src/money_calls_test.ts
+++ b/packages/local_fleet/src/money_calls_test.ts
@@ -1,6 +1,13 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { RealTimerService } from "@jasminetide/runtime/clock";
+import { PlatformClient } from "@jasminetide/runtime/platform";
+import {
+  listUnknown,
+  resolveEntry,
+  showEntry,
+  type UnknownEntry,
+} from "@jasminetide/operator/ledger";
 import { v7 as createKey } from "uuid";
 import type { LocalFleet } from "./local_fleet.ts";
 
@@ -106,6 +113,72 @@
   },
 );
 
+async function loadUnknown(world: World): Promise<UnknownEntry[]> {
+  await using platform = createPlatform(world);
+  return await listUnknown({ platform, service: "deposit-ledger" });
+}
+
+function createPlatform(world: World): PlatformClient {
+  return PlatformClient.create({ address: world.fleet.platformAddress });
+}
+
+Given(
+  "the answer of the next refund is lost after its effect",
+  function (this: World) {
+    this.fleet.deposits.lostAnswers = 1;
+  },
+);
+
+Then(
+  "operators list {int} unknown outcome of key {int}",
+  async function (this: World, count: number, key: number) {
+    let listed = await loadUnknown(this);
+    while (listed.length < count) {
+      await wait(20);
+      listed = await loadUnknown(this);
+    }
+    const keys = listed.map((entry) => entry.key);
+    assert.deepEqual(keys, [getKey(this, key)]);
+  },
+);
+
+Then("operators list 0 unknown outcomes", async function (this: World) {
+  assert.deepEqual(await loadUnknown(this), []);
+});
+
+When(
+  "operators resolve key {int} as {string} because {string}",
+  async function (
+    this: World,
+    key: number,
+    executed: "yes" | "no",
+    reason: string,
+  ) {
+    await using platform = createPlatform(this);
+    const location = { platform, service: "deposit-ledger" };
+    const name = { workspace: "local", key: getKey(this, key) };
+    await resolveEntry(location, {
+      ...name,
+      executed,
+      reason,
+      resolvedBy: "tester",
+      nowMs: timers.nowMs(),
+    });
+    const shown = await showEntry(location, name);
+    assert.deepEqual(
+      [shown.state, shown.resolution?.reason],
+      ["unknown", reason],
+    );
+  },
+);
+
+Then("the answer names the reason {string}", function (this: World, reason) {
+  const problem = JSON.parse(this.answers.at(-1)?.body ?? "") as {
+    detail: string;
+  };
+  assert.equal(problem.detail, reason);
+});
+
 When("the platform of the fleet goes down", function (this: World) {
   this.fleet.objects.faults.outage = true;
 });
--- /dev/null
+++ b/packages/operator/src/ledger/load_shard.ts
@@ -0,0 +1,87 @@
+import {
+  decodeHead,
+  decodeSegment,
+  formatHeadObject,
+  formatLayoutObject,
+  formatResolutionsObject,
+  formatSegmentObject,
+  type JournalHead,
+  layoutSchema,
+  type LedgerEntry,
+  type Resolutions,
+  resolutionsSchema,
+} from "@jasminetide/core/ledger";
+import { AppError } from "@jasminetide/core/results";
+import type { PlatformClient } from "@jasminetide/runtime/platform";
+
+/** A service's ledger in the platform. */
+export type LedgerLocation = { platform: PlatformClient; service: string };
+
+/** Everything that the platform holds of one shard. */
+export type LoadedShard = {
+  shard: number;
+  head: JournalHead;
+  /** Entries by key, those of the head before those of segments. */
+  entries: Map<string, LedgerEntry>;
+  resolutions: Resolutions;
+  /** Version of the resolutions; 0 where there are none. */
+  resolutionsVersion: number;
+};
+
+/**
+ * Loads the number of shards of a service.
+ *
+ * @throws AppError `notFound` when the service never took a money call.
+ */
+export async function loadShardCount(
+  location: LedgerLocation,
+): Promise<number> {
+  const { platform, service } = location;
+  const stored = await platform.get(formatLayoutObject(service));
+  if (stored === undefined) {
+    throw AppError.create("notFound", `Service "${service}" has no ledger`);
+  }
+  return layoutSchema.parse(JSON.parse(stored.value)).shardCount;
+}
+
+/** Loads a shard, or undefined where it never had an owner. */
+export async function loadShard(
+  location: LedgerLocation,
+  shard: number,
+): Promise<LoadedShard | undefined> {
+  const { platform, service } = location;
+  const stored = await platform.get(formatHeadObject(service, shard));
+  if (stored === undefined) return undefined;
+  const head = decodeHead(stored.value);
+  const resolutions = await platform.get(
+    formatResolutionsObject(service, shard),
+  );
+  return {
+    shard,
+    head,
+    entries: await loadEntries(location, shard, head),
+    resolutions: resolutions === undefined
+      ? {}
+      : resolutionsSchema.parse(JSON.parse(resolutions.value)),
+    resolutionsVersion: resolutions?.version ?? 0,
+  };
+}
+
+async function loadEntries(
+  location: LedgerLocation,
+  shard: number,
+  head: JournalHead,
+): Promise<Map<string, LedgerEntry>> {
+  const { platform, service } = location;
+  const entries = new Map<string, LedgerEntry>();
+  for (const [slot, { isUsed }] of head.slots.entries()) {
+    if (!isUsed) continue;
+    const object = formatSegmentObject({ service, shard, slot });
+    const stored = await platform.get(object);
+    if (stored === undefined) continue;
+    const segment = decodeSegment(stored.value);
+    for (const entry of segment.entries) entries.set(entry.key, entry);
+  }
+  for (const entry of head.entries) entries.set(entry.key, entry);
+  return entries;
+}
--- a/packages/sidecar/src/ledger/ledger.ts
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -1,5 +1,6 @@
 import {
   type CallId,
+  type CallOutcome,
   getShard,
   type LedgerAnswer,
   type LedgerCall,
@@ -222,8 +223,8 @@
   ): Promise<ShardEvent> {
     const { callId, notAfterMs } = command;
     const open = this.#calls.get(callId);
-    const outcome = open === undefined
-      ? { type: "not-run" as const }
+    const outcome: CallOutcome = open === undefined
+      ? { type: "not-run" }
       : await runCall(open.request, {
         runner: this.#options.runner,
         timers: this.#options.timers,
--- a/packages/stand_in/src/service/deposit_ledger.ts
+++ b/packages/stand_in/src/service/deposit_ledger.ts
@@ -15,11 +15,13 @@
   balances: Map<string, number>;
   /** Refunds that took effect, by idempotency key. */
   effects: Map<string, number>;
+  /** Refunds that take effect and whose answer is lost, from now on. */
+  lostAnswers: number;
 };
 
 /** Creates the state behind a service. */
 export function createDepositState(): DepositState {
-  return { balances: new Map(), effects: new Map() };
+  return { balances: new Map(), effects: new Map(), lostAnswers: 0 };
 }
 
 /**
@@ -73,6 +75,11 @@
     }
     const balance = (this.#state.balances.get(account) ?? 0) - amount;
     this.#state.balances.set(account, balance);
+    if (this.#state.lostAnswers > 0) {
+      this.#state.lostAnswers -= 1;
+      request.socket.destroy();
+      return;
+    }
     sendJson(response, { account, refunded: amount, balance }, { status: 201 });
   }
 
