Tell the ways in which streams are gone on with apart in tests

Cause: with either way of going on turned off, the other one hid its loss. Change: the scenarios name the counter of the way that has to be taken. Conclusion: each way is proved by itself.

--- a/packages/local_fleet/src/streams.feature
+++ b/packages/local_fleet/src/streams.feature
@@ -9,17 +9,19 @@
   Scenario Outline: A stream survives <fault>
     When a caller streams 40 tokens and <fault> after 10 of them
     Then the caller has all 40 tokens, each once, and the end mark
+    And router 1 has counted "<counter>"
 
     Examples:
-      | fault                                |
-      | all connections go silent            |
-      | all connections are cut              |
-      | the runner of the stream is lost     |
+      | fault                            | counter         |
+      | all connections go silent        | answers-resumed |
+      | all connections are cut          | answers-resumed |
+      | the runner of the stream is lost | streams-moved   |
 
   Scenario Outline: A stream survives an engine that <fault>
     Given each engine <fault> after 7 tokens of its next request
     When a caller streams 20 tokens
     Then the caller has all 20 tokens, each once, and the end mark
+    And a sidecar has counted "engine-streams-resumed"
 
     Examples:
       | fault  |
--- a/packages/local_fleet/src/streams_test.ts
+++ b/packages/local_fleet/src/streams_test.ts
@@ -186,6 +186,13 @@
   },
 );
 
+Then("a sidecar has counted {string}", function (this: World, name: string) {
+  const counts = this.fleet.sidecars.map((sidecar) =>
+    sidecar.getMetrics().counters[name] ?? 0
+  );
+  assert.ok(counts.some((count) => count > 0));
+});
+
 Given("the links lose the next request", function (this: World) {
   let isLost = false;
   for (const link of this.links.values()) {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -27,7 +27,7 @@
 import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { Membership } from "@jasminetide/runtime/membership";
-import { Metrics } from "@jasminetide/runtime/metrics";
+import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
 import { OrderGate } from "./orders/mod.ts";
@@ -144,6 +144,11 @@
     return this.#attempts.epoch;
   }
 
+  /** Takes a snapshot of the counters and histograms. */
+  getMetrics(): MetricsSnapshot {
+    return this.#metrics.getSnapshot();
+  }
+
   /** Version of the configuration in force, 0 before the first. */
   get configurationVersion(): number {
     return this.#configuration.version;
