--- a/packages/core/src/configuration/resolve.ts
+++ b/packages/core/src/configuration/resolve.ts
@@ -27,7 +27,7 @@
   configuration.exceptions.forEach((exception, index) => {
     if (!isMatch(exception.match, subject)) return;
     for (const [section, patch] of Object.entries(exception.set)) {
-      for (const [name, value] of Object.entries(patch)) {
+      for (const [name, value] of Object.entries(patch ?? {})) {
         merged[section] = { ...merged[section], [name]: value };
         origins.set(`${section}.${name}`, {
           type: "exception",
--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -113,23 +113,44 @@
   class: className.optional(),
 }).refine(
   (match) => Object.values(match).some((value) => value !== undefined),
-  "Match is empty, expected at least one field",
+  "at least one field to match",
 );
 
 /** What an exception applies to. */
 export type Match = z.output<typeof matchSchema>;
 
-/** A tree of settings in which every field is optional. */
-const settingsPatchSchema = z.record(
-  z.string(),
-  z.record(z.string(), z.json()),
-);
+/** Settings in which every section and field is optional. */
+export type SettingsPatch = {
+  [Section in keyof Settings]?: Partial<Settings[Section]>;
+};
+
+/** Like the settings, without their default values. */
+const settingsPatchSchema = z.object(
+  Object.fromEntries(
+    Object.entries(settingsSchema.shape).map(([name, section]) => [
+      name,
+      createPatchSchema(section.unwrap().shape).optional(),
+    ]),
+  ),
+) as unknown as z.ZodType<SettingsPatch>;
+
+function createPatchSchema(shape: { [name: string]: z.ZodType }) {
+  return z.object(
+    Object.fromEntries(
+      Object.entries(shape).map(([name, field]) => [
+        name,
+        (field instanceof z.ZodDefault ? field.unwrap() as z.ZodType : field)
+          .optional(),
+      ]),
+    ),
+  );
+}
 
 /** A deviation from the defaults with the reason that stays with it. */
 export const exceptionSchema = z.strictObject({
   match: matchSchema,
   set: settingsPatchSchema,
-  reason: z.string().trim().min(1, "Reason is empty, expected a sentence"),
+  reason: z.string().trim().refine((reason) => reason !== "", "a sentence"),
 });
 
 /** A deviation from the defaults. */
--- a/packages/runtime/src/settings/mod.ts
+++ b/packages/runtime/src/settings/mod.ts
@@ -7,7 +7,7 @@
 /** `ip:port`. */
 export const addressSchema = z.string().regex(
   /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i,
-  "Expected an IP address and a port, such as 127.0.0.1:8080",
+  "an IP address and a port, such as 127.0.0.1:8080",
 );
 
 /** Files for mutual TLS between processes, in PEM. */
