Keep the code of an error whose cause has one

**Cause** The error library copies the fields of a cause while the error is built and read a getter that relied on a field not yet set. Every error caused by a refused connection became a TypeError and was told as code 9002.

**Change** Code and status are fields that the constructor assigns after the cause was merged.

**Measured** The new scenario fails with the earlier errors.ts (TypeError: Cannot read properties of undefined) and passes with this one.

**Conclusion** An unreachable platform is told as 5003 again.

--- a/packages/core/src/results/errors.ts
+++ b/packages/core/src/results/errors.ts
@@ -19,24 +19,23 @@
   readonly result: ResultName;
   readonly executed: Executed;
   readonly retryAfterMs: number | undefined;
+  /** Number of the result code. */
+  readonly code: number;
+  /** HTTP status of the result code. */
+  readonly status: number;
 
+  // Fields are assigned after the library has copied those of the cause, such
+  // as the `code` of a system error.
   constructor(message = "", state?: ErrorState) {
     super(message, state);
     this.result = state?.result ?? "internal";
-    this.executed = state?.executed ?? resultCodes[this.result].executed;
+    const row = resultCodes[this.result];
+    this.code = row.code;
+    this.status = row.status;
+    this.executed = state?.executed ?? row.executed;
     this.retryAfterMs = state?.retryAfterMs;
   }
 
-  /** Number of the result code. */
-  get code(): number {
-    return resultCodes[this.result].code;
-  }
-
-  /** HTTP status of the result code. */
-  get status(): number {
-    return resultCodes[this.result].status;
-  }
-
   /** Creates an error for a result code. */
   static create(
     result: ResultName,
--- a/packages/core/src/results/result_codes.feature
+++ b/packages/core/src/results/result_codes.feature
@@ -5,3 +5,6 @@
 
   Scenario: Each code stands for one result
     Then no two results share a code
+
+  Scenario: An error keeps its own code whatever its cause
+    Then an error caused by a system error has its own code
--- a/packages/core/src/results/result_codes_test.ts
+++ b/packages/core/src/results/result_codes_test.ts
@@ -2,6 +2,7 @@
 import { readFile } from "node:fs/promises";
 import { Then } from "@cucumber/cucumber";
 import { resultCodes } from "./codes.ts";
+import { AppError } from "./errors.ts";
 import { formatResultTable } from "./table.ts";
 
 const page = new URL("../../../../docs/result-codes.md", import.meta.url);
@@ -25,3 +26,13 @@
   const codes = Object.values(resultCodes).map((row) => row.code);
   assert.equal(new Set(codes).size, codes.length);
 });
+
+Then("an error caused by a system error has its own code", () => {
+  const cause = Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
+  const error = AppError.create("platformUnavailable", "No answer", { cause });
+  assert.deepEqual([error.result, error.code, error.status], [
+    "platformUnavailable",
+    5003,
+    503,
+  ]);
+});
