Add the operator's program

**Cause** A declaration could be neither checked, compared, applied nor explained, and the version in force per process was not visible.

The local fleet lists its routers in the host list.

Without the read-back the scenario of the lost answer fails; without the check of the base the scenario of the race fails.

**Conclusion** The loser of a race exits with 3, has its file as it was and sees what the other changed.

--- a/packages/core/src/configuration/mod.ts
+++ b/packages/core/src/configuration/mod.ts
@@ -4,3 +4,4 @@
 export * from "./parse.ts";
 export * from "./resolve.ts";
 export * from "./schema.ts";
+export * from "./validation.ts";
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -75,10 +75,11 @@
     for (const settings of definition.sidecars) {
       records.push(await this.#startSidecar(settings));
     }
-    this.hosts.set(records);
+    this.hosts.set([...records]);
     for (const settings of definition.routers) {
-      await this.#startRouter(settings);
+      records.push(await this.#startRouter(settings));
     }
+    this.hosts.set(records);
   }
 
   async #startPlatform(): Promise<void> {
@@ -119,7 +120,7 @@
 
   async #startRouter(
     settings: FleetDefinition["routers"][number],
-  ): Promise<void> {
+  ): Promise<HostRecord> {
     const router = await Router.create({
       settings: {
         ...settings,
@@ -132,6 +133,7 @@
     });
     this.#resources.use(router);
     this.routers.push(router);
+    return createRouterRecord(settings, router);
   }
 
   #createRunner(settings: SidecarSettings): RequestListener {
@@ -176,3 +178,20 @@
     }],
   };
 }
+
+function createRouterRecord(
+  settings: FleetDefinition["routers"][number],
+  router: Router,
+): HostRecord {
+  return {
+    id: settings.host,
+    failureDomain: settings.failureDomain,
+    region: settings.region,
+    state: "live",
+    processes: [{
+      type: "router",
+      name: settings.name,
+      controlAddress: router.controlAddress,
+    }],
+  };
+}
--- /dev/null
+++ b/packages/operator/src/apply/apply_declaration.ts
@@ -0,0 +1,167 @@
+import {
+  type AcceptedConfiguration,
+  type Configuration,
+  hashConfiguration,
+} from "@jasminetide/core/configuration";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import type { PlatformClient } from "@jasminetide/runtime/platform";
+import { type Change, compareDeclarations } from "../changes/mod.ts";
+import { loadDeclaration, putDeclaration } from "../declaration/mod.ts";
+import type { Base } from "./base_file.ts";
+
+/** What became of an attempt to apply a declaration. */
+export type ApplyOutcome =
+  | { type: "applied"; version: number; changes: Change[] }
+  | { type: "unchanged"; version: number }
+  /** Another editor was first; nothing was written. */
+  | {
+    type: "conflict";
+    baseVersion: number;
+    version: number;
+    /** What the other editor changed, where the base is still known. */
+    changedByOthers: Change[];
+    /** What the refused declaration would change now. */
+    changes: Change[];
+  };
+
+/** What to apply, and on top of which version. */
+export type ApplyOptions = {
+  body: Configuration;
+  /** Version that the editor has seen; the one in force unless given. */
+  baseVersion?: number;
+  /** Version that the editor's last plan or apply has seen. */
+  base?: Base;
+};
+
+const maxAttempts = 4;
+
+/**
+ * Makes a declaration the one in force if no other came first. A write whose
+ * answer was lost is settled by reading back.
+ *
+ * @throws AppError `platformUnavailable` when the outcome stays unknown.
+ */
+export async function applyDeclaration(
+  platform: PlatformClient,
+  options: ApplyOptions,
+): Promise<ApplyOutcome> {
+  const { body } = options;
+  const accepted = await loadDeclaration(platform);
+  const hash = hashConfiguration(body);
+  if (accepted?.hash === hash) {
+    return { type: "unchanged", version: accepted.version };
+  }
+  const baseVersion = accepted?.version ?? 0;
+  if (isOutdated(accepted, options)) {
+    return createConflict(accepted, {
+      body,
+      baseVersion: options.baseVersion ?? options.base?.version ?? 0,
+      seen: findSeen(options),
+    });
+  }
+  for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
+    const settled = await tryPut(platform, { body, baseVersion, hash });
+    if (settled.type === "written") {
+      const changes = compareDeclarations(accepted?.body, body);
+      return { type: "applied", version: settled.version, changes };
+    }
+    if (settled.type === "conflict") {
+      return createConflict(settled.accepted, {
+        body,
+        baseVersion,
+        seen: accepted?.body,
+      });
+    }
+  }
+  throw AppError.create(
+    "platformUnavailable",
+    `Platform did not confirm the write on version ${baseVersion}; ` +
+      `run "jasminetide plan" to see what is in force`,
+  );
+}
+
+/**
+ * Whether others have applied something since the editor looked. A base newer
+ * than what is in force is of a platform that has been set up anew, where
+ * nothing can be lost.
+ */
+function isOutdated(
+  accepted: AcceptedConfiguration | undefined,
+  options: ApplyOptions,
+): boolean {
+  const version = accepted?.version ?? 0;
+  if (options.baseVersion !== undefined) return options.baseVersion !== version;
+  const { base } = options;
+  if (base === undefined || base.version > version) return false;
+  return base.version !== version || base.hash !== (accepted?.hash ?? "");
+}
+
+/** The declaration that the editor started from, where it is known. */
+function findSeen(options: ApplyOptions): Configuration | undefined {
+  const { base, baseVersion } = options;
+  const isSame = baseVersion === undefined || baseVersion === base?.version;
+  return isSame ? base?.body : undefined;
+}
+
+type Settled =
+  | { type: "written"; version: number }
+  | { type: "conflict"; accepted: AcceptedConfiguration | undefined }
+  /** The base is still in force: the write may be tried again. */
+  | { type: "not-seen" };
+
+async function tryPut(
+  platform: PlatformClient,
+  options: { body: Configuration; baseVersion: number; hash: string },
+): Promise<Settled> {
+  try {
+    const version = await putDeclaration(platform, options);
+    return { type: "written", version };
+  } catch (thrown) {
+    const error = normalizeError(thrown);
+    const isUnsettled = error.result === "platformUnavailable" ||
+      error.result === "versionConflict";
+    if (!isUnsettled) throw error;
+    return await settleWrite(platform, options);
+  }
+}
+
+/**
+ * Reads back. A body equal to ours above the base means that the declared
+ * intent is in force, whoever wrote it.
+ */
+async function settleWrite(
+  platform: PlatformClient,
+  options: { baseVersion: number; hash: string },
+): Promise<Settled> {
+  let accepted: AcceptedConfiguration | undefined;
+  try {
+    accepted = await loadDeclaration(platform);
+  } catch (thrown) {
+    if (normalizeError(thrown).result !== "platformUnavailable") throw thrown;
+    return { type: "not-seen" };
+  }
+  const version = accepted?.version ?? 0;
+  if (version === options.baseVersion) return { type: "not-seen" };
+  if (accepted?.hash === options.hash) return { type: "written", version };
+  return { type: "conflict", accepted };
+}
+
+function createConflict(
+  accepted: AcceptedConfiguration | undefined,
+  options: {
+    body: Configuration;
+    baseVersion: number;
+    seen: Configuration | undefined;
+  },
+): ApplyOutcome {
+  const { seen, body, baseVersion } = options;
+  return {
+    type: "conflict",
+    baseVersion,
+    version: accepted?.version ?? 0,
+    changedByOthers: seen === undefined || accepted === undefined
+      ? []
+      : compareDeclarations(seen, accepted.body),
+    changes: compareDeclarations(accepted?.body, body),
+  };
+}
--- /dev/null
+++ b/packages/operator/src/changes/compare.ts
@@ -0,0 +1,120 @@
+import {
+  type Configuration,
+  type Exception,
+  formatCanonical,
+  isObject,
+} from "@jasminetide/core/configuration";
+
+/** One difference between two declarations. */
+export type Change = {
+  type: "added" | "removed" | "changed";
+  /** Path with names in place of indices, such as `workspaces[w1].id`. */
+  path: string;
+  before?: unknown;
+  after?: unknown;
+  /** Reason of the exception that the change is part of. */
+  reason?: string;
+};
+
+/** Compares two declarations; entries are told apart by name, not place. */
+export function compareDeclarations(
+  before: Configuration | undefined,
+  after: Configuration,
+): Change[] {
+  const left = before === undefined ? {} : createTree(before);
+  return compareValues(left, createTree(after), { path: "" });
+}
+
+type Tree = { [name: string]: unknown };
+
+/** A declaration with lists keyed by the names of their entries. */
+function createTree(configuration: Configuration): Tree {
+  return {
+    defaults: configuration.defaults,
+    classes: keyBy(configuration.classes, (entry) => entry.name),
+    workspaces: keyBy(configuration.workspaces, (entry) => entry.id),
+    models: keyBy(configuration.models, (entry) => entry.name),
+    services: keyBy(configuration.services, (entry) => entry.name),
+    exceptions: keyBy(configuration.exceptions, formatMatch),
+  };
+}
+
+/** Formats what an exception matches, such as `workspace=w1,model=m`. */
+export function formatMatch(exception: Exception): string {
+  return Object.entries(exception.match)
+    .filter(([, value]) => value !== undefined)
+    .sort(([left], [right]) => left < right ? -1 : 1)
+    .map(([field, value]) => `${field}=${value}`)
+    .join(",");
+}
+
+function keyBy<Entry>(
+  entries: readonly Entry[],
+  getKey: (entry: Entry) => string,
+): Tree {
+  const tree: Tree = {};
+  for (const entry of entries) {
+    const key = getKey(entry);
+    let unique = key;
+    for (let count = 2; unique in tree; count += 1) unique = `${key}#${count}`;
+    tree[unique] = entry;
+  }
+  return tree;
+}
+
+type CompareScope = { path: string; reason?: string };
+
+function compareValues(
+  before: unknown,
+  after: unknown,
+  scope: CompareScope,
+): Change[] {
+  if (formatCanonical(before ?? null) === formatCanonical(after ?? null)) {
+    return [];
+  }
+  const reason = getReason(after) ?? getReason(before) ?? scope.reason;
+  const { path } = scope;
+  if (isObject(before) && isObject(after)) {
+    return listNames(before, after).flatMap((name) =>
+      compareValues(before[name], after[name], {
+        path: joinPath(path, name),
+        ...(reason === undefined ? {} : { reason }),
+      })
+    );
+  }
+  return [{
+    type: getType(before, after),
+    path,
+    ...(before === undefined ? {} : { before }),
+    ...(after === undefined ? {} : { after }),
+    ...(reason === undefined ? {} : { reason }),
+  }];
+}
+
+function getType(before: unknown, after: unknown): Change["type"] {
+  if (before === undefined) return "added";
+  return after === undefined ? "removed" : "changed";
+}
+
+function getReason(value: unknown): string | undefined {
+  return isObject(value) && typeof value["reason"] === "string"
+    ? value["reason"]
+    : undefined;
+}
+
+function listNames(before: Tree, after: Tree): string[] {
+  return [...new Set([...Object.keys(before), ...Object.keys(after)])];
+}
+
+const listFields = new Set([
+  "classes",
+  "workspaces",
+  "models",
+  "services",
+  "exceptions",
+]);
+
+function joinPath(path: string, name: string): string {
+  if (path === "") return name;
+  return listFields.has(path) ? `${path}[${name}]` : `${path}.${name}`;
+}
--- /dev/null
+++ b/packages/operator/src/changes/format_changes.ts
@@ -0,0 +1,50 @@
+import { formatTable, formatValue, type Style } from "../output/mod.ts";
+import type { Change } from "./compare.ts";
+
+const hashPrefixLength = 8;
+
+/** Formats changes as a table. */
+export function formatChanges(
+  changes: readonly Change[],
+  style: Style,
+): string {
+  if (changes.length === 0) return "No difference";
+  const rows = changes.map((change) => [
+    formatSign(change, style),
+    change.path,
+    formatSide(change.before),
+    formatSide(change.after),
+    change.reason ?? "",
+  ]);
+  return formatTable(rows, {
+    head: ["", "path", "before", "after", "reason"],
+    style,
+  });
+}
+
+/** Shortens key hashes, which are of use to nobody in full. */
+export function shortenHashes(value: unknown): unknown {
+  if (typeof value === "string" && /^[0-9a-f]{64}$/.test(value)) {
+    return `${value.slice(0, hashPrefixLength)}...`;
+  }
+  if (Array.isArray(value)) return value.map(shortenHashes);
+  if (typeof value !== "object" || value === null) return value;
+  return Object.fromEntries(
+    Object.entries(value).map(([name, field]) => [name, shortenHashes(field)]),
+  );
+}
+
+function formatSign(change: Change, style: Style): string {
+  switch (change.type) {
+    case "added":
+      return style.green("+");
+    case "removed":
+      return style.red("-");
+    case "changed":
+      return style.yellow("~");
+  }
+}
+
+function formatSide(value: unknown): string {
+  return formatValue(shortenHashes(value));
+}
--- /dev/null
+++ b/packages/operator/src/check/fleet_names.ts
@@ -0,0 +1,123 @@
+import { isObject, type ValueFault } from "@jasminetide/core/configuration";
+
+/** A document as read, before any schema. */
+export type RawDocument = { file: string; value: unknown };
+
+/** What the documents of one fleet define, for references between them. */
+export type FleetNames = {
+  runners: Set<string>;
+  hosts: Set<string>;
+  failureDomains: Set<string>;
+  /** Models and services; undefined without a declaration. */
+  pools: Set<string> | undefined;
+};
+
+/** Collects the names that settings and a declaration define. */
+export function listFleetNames(
+  settings: readonly RawDocument[],
+  declaration: RawDocument | undefined,
+): FleetNames {
+  return {
+    runners: listField(settings, "runner"),
+    hosts: listField(settings, "host"),
+    failureDomains: listField(settings, "failureDomain"),
+    pools: declaration === undefined ? undefined : listPools(declaration.value),
+  };
+}
+
+function listField(
+  documents: readonly RawDocument[],
+  field: string,
+): Set<string> {
+  const values = documents.map(({ value }) =>
+    isObject(value) ? value[field] : undefined
+  );
+  return new Set(values.filter((value) => typeof value === "string"));
+}
+
+function listPools(declaration: unknown): Set<string> {
+  if (!isObject(declaration)) return new Set();
+  const lists = [declaration["models"], declaration["services"]];
+  const entries: unknown[] = lists.flatMap((list) =>
+    Array.isArray(list) ? list : []
+  );
+  const names = entries.map((entry) =>
+    isObject(entry) ? entry["name"] : undefined
+  );
+  return new Set(names.filter((name) => typeof name === "string"));
+}
+
+/** Finds pools of a sidecar that the declaration does not offer. */
+export function findUnknownPools(
+  value: unknown,
+  names: FleetNames,
+): ValueFault[] {
+  const { pools: known } = names;
+  if (known === undefined || !isObject(value)) return [];
+  const pools: unknown[] = Array.isArray(value["pools"]) ? value["pools"] : [];
+  return pools.flatMap((pool, index) =>
+    typeof pool !== "string" || known.has(pool) ? [] : [{
+      path: ["pools", index],
+      found: `the unknown model or service "${pool}"`,
+      wanted: `one of ${[...known].join(", ")}`,
+    }]
+  );
+}
+
+/** Finds exceptions for runners, hosts and domains that no settings name. */
+export function findUnknownPlaces(
+  value: unknown,
+  names: FleetNames,
+): ValueFault[] {
+  if (!isObject(value) || !Array.isArray(value["exceptions"])) return [];
+  const exceptions: unknown[] = value["exceptions"];
+  const fields = {
+    runner: names.runners,
+    host: names.hosts,
+    failureDomain: names.failureDomains,
+  };
+  return exceptions.flatMap((exception, index) =>
+    Object.entries(fields).flatMap(([field, known]) => {
+      const match = isObject(exception) ? exception["match"] : undefined;
+      const name = isObject(match) ? match[field] : undefined;
+      if (typeof name !== "string" || known.size === 0 || known.has(name)) {
+        return [];
+      }
+      return [{
+        path: ["exceptions", index, "match", field],
+        found: `the unknown ${field} "${name}"`,
+        wanted: `one of ${[...known].join(", ")}`,
+      }];
+    })
+  );
+}
+
+/** Fields of settings that no two processes of a fleet may share. */
+const uniqueFields = [
+  "name",
+  "runner",
+  "callerAddress",
+  "controlAddress",
+  "dataAddress",
+];
+
+/** Finds names and addresses that a document before this one uses. */
+export function findSharedValues(
+  value: unknown,
+  seen: Map<string, string>,
+  file: string,
+): ValueFault[] {
+  if (!isObject(value)) return [];
+  return uniqueFields.flatMap((field) => {
+    const used = value[field];
+    if (typeof used !== "string") return [];
+    const key = field.endsWith("Address") ? `address ${used}` : field + used;
+    const owner = seen.get(key);
+    seen.set(key, owner ?? file);
+    return owner === undefined ? [] : [{
+      path: [field],
+      found: `"${used}", which ${owner} has too`,
+      wanted: "a value of its own",
+    }];
+  });
+}
--- /dev/null
+++ b/packages/operator/src/commands/declaration_commands.ts
@@ -0,0 +1,217 @@
+/** Commands on the declaration: check, plan, apply, explain. */
+import {
+  command,
+  number,
+  option,
+  optional,
+  positional,
+  restPositionals,
+  string,
+} from "cmd-ts";
+import { dirname } from "node:path";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import type { HostRecord, PlatformClient } from "@jasminetide/runtime/platform";
+import {
+  applyDeclaration,
+  createPlan,
+  loadBase,
+  recordBase,
+  reportApply,
+  reportPlan,
+} from "../apply/mod.ts";
+import { checkDocuments, reportCheck } from "../check/mod.ts";
+import { resolveConnection } from "../connection/mod.ts";
+import { loadDeclaration, loadDeclarationFile } from "../declaration/mod.ts";
+import {
+  explainSubject,
+  findSubject,
+  reportExplanation,
+} from "../explain/mod.ts";
+import type { Output } from "../output/mod.ts";
+import {
+  connectionFlags,
+  fileFlag,
+  getConnectionFlags,
+  jsonFlag,
+} from "./flags.ts";
+import {
+  type CommandContext,
+  runCommand,
+  runFleetCommand,
+} from "./run_command.ts";
+
+/** Creates `check`. */
+export function createCheckCommand(output: Output) {
+  return command({
+    name: "check",
+    description: "Check declarations and process settings",
+    examples: [
+      {
+        description: "Check every file of a fleet, references included",
+        command: "jasminetide check examples/vozikovy",
+      },
+      {
+        description: "Check the local fleet for a script",
+        command: "jasminetide check --json",
+      },
+    ],
+    args: {
+      ...jsonFlag,
+      profile: connectionFlags.profile,
+      paths: restPositionals({
+        type: string,
+        displayName: "path",
+        description: "Files and folders (default: the folder of the fleet)",
+      }),
+    },
+    handler: (flags) =>
+      runCommand(flags, output, async () => {
+        const { fleetFile } = await resolveConnection(
+          getConnectionFlags(flags),
+        );
+        const paths = flags.paths.length > 0
+          ? flags.paths
+          : [dirname(fleetFile)];
+        return reportCheck(await checkDocuments(paths));
+      }),
+  });
+}
+
+/** Creates `plan`. */
+export function createPlanCommand(output: Output) {
+  return command({
+    name: "plan",
+    description: "Show what a declaration would change in force",
+    examples: [{
+      description: "Compare an edited declaration with what is in force",
+      command: "jasminetide plan --file fleet.jsonc",
+    }],
+    args: { ...jsonFlag, ...connectionFlags, ...fileFlag },
+    handler: (flags) =>
+      runFleetCommand(flags, output, async ({ connection, platform }) => {
+        const body = await loadDeclarationFile(connection.fleetFile);
+        const accepted = await loadDeclaration(platform);
+        const { platformAddress } = connection;
+        await recordBase(connection.fleetFile, { platformAddress, accepted });
+        return reportPlan(createPlan(accepted, body));
+      }),
+  });
+}
+
+/** Creates `apply`. */
+export function createApplyCommand(output: Output) {
+  return command({
+    name: "apply",
+    description: "Make a declaration the one in force, unless another came " +
+      "first (exit code 3)",
+    examples: [
+      {
+        description: "Apply what the last plan has shown",
+        command: "jasminetide apply --file fleet.jsonc",
+      },
+      {
+        description: "Apply only on top of a version, as in CI",
+        command: "jasminetide apply --file fleet.jsonc --base 12",
+      },
+    ],
+    args: {
+      ...jsonFlag,
+      ...connectionFlags,
+      ...fileFlag,
+      base: option({
+        type: optional(number),
+        long: "base",
+        description: "Version that the edit starts from (default: what the " +
+          "last plan or apply of this file has seen, else what is in force)",
+      }),
+    },
+    handler: (flags) =>
+      runFleetCommand(
+        flags,
+        output,
+        (context) => executeApply(context, flags.base),
+      ),
+  });
+}
+
+async function executeApply(
+  { connection, platform }: CommandContext,
+  baseVersion: number | undefined,
+) {
+  const { fleetFile, platformAddress } = connection;
+  const body = await loadDeclarationFile(fleetFile);
+  const base = await loadBase(fleetFile, platformAddress);
+  const outcome = await applyDeclaration(platform, {
+    body,
+    ...(baseVersion === undefined ? {} : { baseVersion }),
+    ...(base === undefined ? {} : { base }),
+  });
+  if (outcome.type !== "conflict") {
+    const accepted = await loadDeclaration(platform);
+    await recordBase(fleetFile, { platformAddress, accepted });
+  }
+  return reportApply(outcome);
+}
+
+/** Creates `explain`. */
+export function createExplainCommand(output: Output) {
+  return command({
+    name: "explain",
+    description: "Explain each effective value of a workspace, runner, " +
+      "service, model, host or class: whence it comes and why",
+    examples: [
+      {
+        description: "Explain what is in force for a service",
+        command: "jasminetide explain deposit-ledger",
+      },
+      {
+        description: "Tell apart subjects that share a name",
+        command: "jasminetide explain model/assistant",
+      },
+      {
+        description: "Explain a file that is not applied yet",
+        command: "jasminetide explain local --file fleet.jsonc",
+      },
+    ],
+    args: {
+      ...jsonFlag,
+      ...connectionFlags,
+      ...fileFlag,
+      subject: positional({ type: string, displayName: "name" }),
+    },
+    handler: (flags) =>
+      runFleetCommand(flags, output, async ({ connection, platform }) => {
+        const source = flags.file === undefined
+          ? await loadInForce(platform)
+          : {
+            configuration: await loadDeclarationFile(connection.fleetFile),
+            version: undefined,
+          };
+        const hosts = await loadHosts(platform, flags.file !== undefined);
+        const subject = findSubject(flags.subject, { ...source, hosts });
+        return reportExplanation(explainSubject(subject, source));
+      }),
+  });
+}
+
+async function loadInForce(platform: PlatformClient) {
+  const accepted = await loadDeclaration(platform);
+  if (accepted === undefined) {
+    throw AppError.create("notFound", "No declaration is in force");
+  }
+  return { configuration: accepted.body, version: accepted.version };
+}
+
+/** A file can be explained without a platform, but for runners and hosts. */
+async function loadHosts(
+  platform: PlatformClient,
+  isOptional: boolean,
+): Promise<HostRecord[]> {
+  try {
+    return await platform.loadHosts();
+  } catch (thrown) {
+    const isDown = normalizeError(thrown).result === "platformUnavailable";
+    if (isOptional && isDown) return [];
+    throw thrown;
+  }
+}
--- /dev/null
+++ b/packages/operator/src/commands/mod.ts
@@ -0,0 +1,2 @@
+/** The commands of the operator's program. */
+export * from "./program.ts";
--- /dev/null
+++ b/packages/operator/src/commands/program.ts
@@ -0,0 +1,58 @@
+import { productVersion } from "@jasminetide/core";
+import { exitCodes } from "@jasminetide/runtime/process";
+import { runSafely, subcommands } from "cmd-ts";
+import type { ExitCode, Output } from "../output/mod.ts";
+import {
+  createApplyCommand,
+  createCheckCommand,
+  createExplainCommand,
+  createPlanCommand,
+} from "./declaration_commands.ts";
+import {
+  createDrainCommand,
+  createDumpCommand,
+  createStatusCommand,
+} from "./fleet_commands.ts";
+
+const exitCodeHelp = [
+  "Exit codes: 0 done; 1 faults, drift or failure; 2 wrong usage;",
+  "3 conflict with another editor; 4 the platform does not answer.",
+].join("\n");
+
+function createProgram(output: Output) {
+  return subcommands({
+    name: "jasminetide",
+    version: productVersion,
+    description: "Declares and inspects a router fleet. " +
+      "Without flags it speaks to the local fleet.\n" + exitCodeHelp,
+    cmds: {
+      check: createCheckCommand(output),
+      plan: createPlanCommand(output),
+      apply: createApplyCommand(output),
+      explain: createExplainCommand(output),
+      status: createStatusCommand(output),
+      dump: createDumpCommand(output),
+      drain: createDrainCommand(output),
+    },
+  });
+}
+
+/**
+ * Runs the operator's program.
+ *
+ * @returns the exit code.
+ */
+export async function runOperator(
+  argv: readonly string[],
+  output: Output,
+): Promise<ExitCode> {
+  const result = await runSafely(createProgram(output), [...argv]);
+  if (result._tag === "ok") return result.value.value;
+  const { message, into } = result.error.config;
+  if (into === "stdout") output.write(message);
+  else output.writeError(message);
+  const isAsked = argv.some((word) =>
+    word === "--help" || word === "-h" || word === "--version" || word === "-v"
+  );
+  return isAsked ? exitCodes.ok : exitCodes.usage;
+}
--- /dev/null
+++ b/packages/operator/src/connection/operator_client.ts
@@ -0,0 +1,89 @@
+import { AppError } from "@jasminetide/core/results";
+import type { HostRecord } from "@jasminetide/runtime/platform";
+import { request } from "undici";
+
+/** A process of the fleet as the host list names it. */
+export type ProcessEntry = {
+  name: string;
+  type: "router" | "sidecar";
+  /** Runner beside a sidecar. */
+  runner?: string;
+  host: string;
+  failureDomain: string;
+  state: "live" | "leaving";
+  controlAddress: string;
+};
+
+/** Lists the processes of the host list by name. */
+export function listProcesses(hosts: readonly HostRecord[]): ProcessEntry[] {
+  const entries = hosts.flatMap((host) =>
+    host.processes.map((process) => ({
+      name: process.name,
+      type: process.type,
+      ...(process.type === "sidecar" ? { runner: process.runner } : {}),
+      host: host.id,
+      failureDomain: host.failureDomain,
+      state: host.state,
+      controlAddress: process.controlAddress,
+    }))
+  );
+  return entries.sort((left, right) => left.name < right.name ? -1 : 1);
+}
+
+const dumpTimeoutMs = 3000;
+
+/**
+ * Fetches the state of a process.
+ *
+ * @throws AppError `unauthorized`, or `runnerFailed` when it does not answer.
+ */
+export async function fetchDump(
+  controlAddress: string,
+  operatorKey: string,
+): Promise<unknown> {
+  const { statusCode, text } = await requestDump(controlAddress, operatorKey);
+  if (statusCode === 401) {
+    throw AppError.create(
+      "unauthorized",
+      `${controlAddress} refused the operators' key`,
+    );
+  }
+  try {
+    if (statusCode === 200) return removeSecrets(JSON.parse(text));
+  } catch (error) {
+    throw createFailure(controlAddress, "gave no JSON", error);
+  }
+  throw createFailure(controlAddress, `answered ${statusCode}`);
+}
+
+async function requestDump(controlAddress: string, operatorKey: string) {
+  try {
+    const answer = await request(`http://${controlAddress}/dump`, {
+      headers: { authorization: `Bearer ${operatorKey}` },
+      signal: AbortSignal.timeout(dumpTimeoutMs),
+    });
+    return { statusCode: answer.statusCode, text: await answer.body.text() };
+  } catch (error) {
+    throw createFailure(controlAddress, "did not answer", error);
+  }
+}
+
+function createFailure(address: string, what: string, cause?: unknown) {
+  return AppError.create("runnerFailed", `${address} ${what}`, { cause });
+}
+
+const secretField = /^(operatorKey|keyHashes|operatorKeyHash|authorization)$/i;
+
+/**
+ * Removes fields that may hold a secret. Processes leave them out; an older
+ * release may not.
+ */
+export function removeSecrets(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(removeSecrets);
+  if (typeof value !== "object" || value === null) return value;
+  return Object.fromEntries(
+    Object.entries(value)
+      .filter(([name]) => !secretField.test(name))
+      .map(([name, field]) => [name, removeSecrets(field)]),
+  );
+}
--- /dev/null
+++ b/packages/operator/src/status/load_status.ts
@@ -0,0 +1,69 @@
+import { normalizeError } from "@jasminetide/core/results";
+import type { PlatformClient } from "@jasminetide/runtime/platform";
+import PQueue from "p-queue";
+import { z } from "zod";
+import {
+  fetchDump,
+  listProcesses,
+  type ProcessEntry,
+} from "../connection/mod.ts";
+import { loadDeclaration } from "../declaration/mod.ts";
+
+/** State of one process. */
+export type ProcessStatus = ProcessEntry & {
+  /** Version in force; undefined when the process cannot be asked. */
+  version?: number;
+  drift: "none" | "behind" | "ahead" | "unreachable";
+  /** Why the process cannot be asked. */
+  detail?: string;
+};
+
+/** State of a fleet. */
+export type FleetStatus = {
+  /** Version that the platform has accepted, 0 before the first. */
+  acceptedVersion: number;
+  processes: ProcessStatus[];
+};
+
+const dumpSchema = z.object({ configurationVersion: z.number() });
+
+const maxConcurrentDumps = 16;
+
+/** Asks every process of the host list for its version. */
+export async function loadStatus(
+  platform: PlatformClient,
+  operatorKey: string,
+): Promise<FleetStatus> {
+  const accepted = await loadDeclaration(platform);
+  const acceptedVersion = accepted?.version ?? 0;
+  const entries = listProcesses(await platform.loadHosts());
+  const queue = new PQueue({ concurrency: maxConcurrentDumps });
+  const processes = await Promise.all(
+    entries.map((entry) =>
+      queue.add(() => loadProcess(entry, { operatorKey, acceptedVersion }))
+    ),
+  );
+  return { acceptedVersion, processes };
+}
+
+async function loadProcess(
+  entry: ProcessEntry,
+  options: { operatorKey: string; acceptedVersion: number },
+): Promise<ProcessStatus> {
+  try {
+    const dump = await fetchDump(entry.controlAddress, options.operatorKey);
+    const { configurationVersion: version } = dumpSchema.parse(dump);
+    return { ...entry, version, drift: getDrift(version, options) };
+  } catch (thrown) {
+    const detail = normalizeError(thrown).message;
+    return { ...entry, drift: "unreachable", detail };
+  }
+}
+
+function getDrift(
+  version: number,
+  options: { acceptedVersion: number },
+): ProcessStatus["drift"] {
+  if (version === options.acceptedVersion) return "none";
+  return version < options.acceptedVersion ? "behind" : "ahead";
+}
