Add the load tool and the measurement of overhead

**Cause** Load could not be sent to a fleet as its callers send it, and what the fleet adds to a request was not measured.

**Change** jasminetide-load sends the arrivals of a scenario open-loop: chats that return after pauses, lookups, money calls. Latency counts from the intended start. It records a history, checks it and reports as text, JSON and SVG; targets off the machine need a flag. npm run overhead compares undici straight to an engine, a bare pass-through and the fleet in turns.

--- /dev/null
+++ b/packages/load/src/arrivals/arrivals.ts
@@ -0,0 +1,108 @@
+import type { RandomSource } from "@jasminetide/core/random";
+import type {
+  ChatMix,
+  LookupMix,
+  Mix,
+  MoneyMix,
+  Range,
+} from "../scenario/mod.ts";
+
+/** One turn of a chat. */
+export type ChatTurn = {
+  /** Time between the intended starts of the turn before and this one. */
+  pauseMs: number;
+  message: string;
+  answerTokens: number;
+};
+
+/** Something that a caller begins at its due time. */
+export type Arrival =
+  | {
+    kind: "chat";
+    dueMs: number;
+    mix: ChatMix;
+    systemPrompt: string;
+    turns: ChatTurn[];
+  }
+  | { kind: "lookup"; dueMs: number; mix: LookupMix; account: string }
+  | {
+    kind: "money";
+    dueMs: number;
+    mix: MoneyMix;
+    account: string;
+    amount: number;
+    hasKey: boolean;
+    /** Times that the same call is sent. */
+    sendings: number;
+  };
+
+const maxAmount = 500;
+
+/** Draws the arrivals of a mix, one after another, without an end. */
+export function* drawArrivals(
+  mix: Mix,
+  random: RandomSource,
+): Generator<Arrival, never> {
+  let dueMs = 0;
+  let count = 0;
+  for (;;) {
+    // Exponential gaps make a Poisson process.
+    dueMs += -Math.log(1 - random.getFloat()) * 1000 / mix.ratePerSecond;
+    count += 1;
+    yield drawArrival(mix, { random, dueMs, count });
+  }
+}
+
+type DrawOptions = { random: RandomSource; dueMs: number; count: number };
+
+function drawArrival(mix: Mix, options: DrawOptions): Arrival {
+  const { random, dueMs } = options;
+  switch (mix.kind) {
+    case "chat":
+      return drawChat(mix, options);
+    case "lookup":
+      return { kind: "lookup", dueMs, mix, account: drawAccount(mix, random) };
+    case "money":
+      return {
+        kind: "money",
+        dueMs,
+        mix,
+        account: drawAccount(mix, random),
+        amount: 1 + random.getInteger(maxAmount),
+        hasKey: random.getFloat() >= mix.keylessRatio,
+        sendings: random.getFloat() < mix.repeatRatio ? 2 : 1,
+      };
+  }
+}
+
+function drawChat(mix: ChatMix, options: DrawOptions): Arrival {
+  const { random, dueMs, count } = options;
+  const turnCount = Math.max(1, drawInteger(mix.turns, random));
+  const turns = Array.from({ length: turnCount }, (_, index) => ({
+    pauseMs: index === 0 ? 0 : drawInteger(mix.pauseMs, random),
+    message: createText(
+      `${mix.name} chat ${count} turn ${index}.`,
+      drawInteger(mix.messageCharacters, random),
+    ),
+    answerTokens: Math.max(1, drawInteger(mix.answerTokens, random)),
+  }));
+  const systemPrompt = createText(
+    `System prompt of ${mix.workspace}.`,
+    mix.systemPromptCharacters,
+  );
+  return { kind: "chat", dueMs, mix, systemPrompt, turns };
+}
+
+function drawAccount(mix: { accounts: number }, random: RandomSource): string {
+  return `account-${random.getInteger(mix.accounts)}`;
+}
+
+function drawInteger(range: Range, random: RandomSource): number {
+  const span = Math.floor(range.maximum) - Math.ceil(range.minimum) + 1;
+  return Math.ceil(range.minimum) + random.getInteger(Math.max(1, span));
+}
+
+/** Text that begins with a unique part and is filled to a length. */
+function createText(start: string, characters: number): string {
+  return `${start} `.padEnd(characters, "Where do we go next? ");
+}
--- a/packages/load/src/mod.ts
+++ b/packages/load/src/mod.ts
@@ -1,1 +1,3 @@
-export {};
+/** Load, measurements and histories. */
+export * from "./run/mod.ts";
+export * from "./scenario/mod.ts";
--- /dev/null
+++ b/packages/load/src/overhead/mod.ts
@@ -0,0 +1,3 @@
+/** What the fleet adds to a request to a runner. */
+export * from "./measure_overhead.ts";
+export * from "./paths.ts";
--- /dev/null
+++ b/packages/load/src/run/load_stats.ts
@@ -0,0 +1,162 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { Outcome } from "../history/mod.ts";
+
+/** Latency in milliseconds from the intended start of a request. */
+export type LatencySummary = {
+  count: number;
+  mean: number;
+  p50: number;
+  p90: number;
+  p99: number;
+  p999: number;
+  max: number;
+};
+
+/** Figures of one mix. */
+export type MixSummary = {
+  name: string;
+  sent: number;
+  answered: number;
+  notRun: number;
+  /** Neither answered nor proven not run. */
+  unknown: number;
+  /** Until the whole answer; only answered requests. */
+  latencyMs: LatencySummary;
+  /** Until the first piece of the answer. */
+  firstByteMs: LatencySummary;
+  /** Points of the latency's distribution: quantile and milliseconds. */
+  distribution: { quantile: number; latencyMs: number }[];
+  failures: { [code: string]: number };
+};
+
+type MixStats = {
+  sent: number;
+  answered: number;
+  notRun: number;
+  unknown: number;
+  latency: Histogram;
+  firstByte: Histogram;
+  failures: Map<string, number>;
+};
+
+/** A finished request. */
+export type FinishedRequest = {
+  mix: string;
+  outcome: Outcome;
+  intendedAtMs: number;
+  firstAtMs: number | undefined;
+  completedAtMs: number;
+};
+
+const microsecondsPerMs = 1000;
+const quantiles = [0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 1];
+
+/** Collects the figures of a run by mix. */
+export class LoadStats {
+  readonly #mixes = new Map<string, MixStats>();
+
+  private constructor(mixes: readonly string[]) {
+    for (const name of mixes) this.#mixes.set(name, createMixStats());
+  }
+
+  /** Creates empty figures for the named mixes. */
+  static create(mixes: readonly string[]): LoadStats {
+    return new LoadStats(mixes);
+  }
+
+  /** Counts a request that is about to be sent. */
+  countSent(mix: string): void {
+    this.#get(mix).sent += 1;
+  }
+
+  /** Records what became of a request. */
+  record(request: FinishedRequest): void {
+    const stats = this.#get(request.mix);
+    const { outcome, intendedAtMs, firstAtMs, completedAtMs } = request;
+    if (outcome.type === "answered") {
+      stats.answered += 1;
+      recordMs(stats.latency, completedAtMs - intendedAtMs);
+      recordMs(stats.firstByte, (firstAtMs ?? completedAtMs) - intendedAtMs);
+      return;
+    }
+    const name = outcome.type === "failed" ? String(outcome.code) : "lost";
+    stats.failures.set(name, (stats.failures.get(name) ?? 0) + 1);
+    const isNotRun = outcome.type === "failed" && outcome.executed === "no";
+    if (isNotRun) stats.notRun += 1;
+    else stats.unknown += 1;
+  }
+
+  /** Totals for a line of progress. */
+  getTotals(): { sent: number; answered: number; failed: number } {
+    const totals = { sent: 0, answered: 0, failed: 0 };
+    for (const stats of this.#mixes.values()) {
+      totals.sent += stats.sent;
+      totals.answered += stats.answered;
+      totals.failed += stats.notRun + stats.unknown;
+    }
+    return totals;
+  }
+
+  /** Summarizes each mix. */
+  summarize(): MixSummary[] {
+    return [...this.#mixes].map(([name, stats]) => ({
+      name,
+      sent: stats.sent,
+      answered: stats.answered,
+      notRun: stats.notRun,
+      unknown: stats.unknown,
+      latencyMs: summarizeLatency(stats.latency),
+      firstByteMs: summarizeLatency(stats.firstByte),
+      distribution: quantiles.map((quantile) => ({
+        quantile,
+        latencyMs: getMs(stats.latency, quantile),
+      })),
+      failures: Object.fromEntries(stats.failures),
+    }));
+  }
+
+  #get(mix: string): MixStats {
+    let stats = this.#mixes.get(mix);
+    if (stats === undefined) {
+      stats = createMixStats();
+      this.#mixes.set(mix, stats);
+    }
+    return stats;
+  }
+}
+
+function createMixStats(): MixStats {
+  return {
+    sent: 0,
+    answered: 0,
+    notRun: 0,
+    unknown: 0,
+    latency: build({ numberOfSignificantValueDigits: 3 }),
+    firstByte: build({ numberOfSignificantValueDigits: 3 }),
+    failures: new Map(),
+  };
+}
+
+function recordMs(histogram: Histogram, durationMs: number): void {
+  histogram.recordValue(
+    Math.max(0, Math.round(durationMs * microsecondsPerMs)),
+  );
+}
+
+function getMs(histogram: Histogram, quantile: number): number {
+  if (histogram.totalCount === 0) return 0;
+  return histogram.getValueAtPercentile(quantile * 100) / microsecondsPerMs;
+}
+
+function summarizeLatency(histogram: Histogram): LatencySummary {
+  const count = histogram.totalCount;
+  return {
+    count,
+    mean: count === 0 ? 0 : histogram.mean / microsecondsPerMs,
+    p50: getMs(histogram, 0.5),
+    p90: getMs(histogram, 0.9),
+    p99: getMs(histogram, 0.99),
+    p999: getMs(histogram, 0.999),
+    max: count === 0 ? 0 : histogram.maxValue / microsecondsPerMs,
+  };
+}
--- /dev/null
+++ b/packages/load/src/scenario/mod.ts
@@ -0,0 +1,3 @@
+/** Load scenarios, JSON with comments. */
+export * from "./schema.ts";
+export * from "./targets.ts";
--- /dev/null
+++ b/packages/load/src/scenario/targets.ts
@@ -0,0 +1,29 @@
+import { BlockList, isIPv6 } from "node:net";
+import { AppError } from "@jasminetide/core/results";
+import { parseAddress } from "@jasminetide/runtime/settings";
+import type { Scenario } from "./schema.ts";
+
+const loopback = new BlockList();
+loopback.addSubnet("127.0.0.0", 8, "ipv4");
+loopback.addAddress("::1", "ipv6");
+
+/**
+ * Checks that load goes to this machine alone.
+ *
+ * @throws AppError `invalidSettings` that names the other address.
+ */
+export function checkLoopbackTargets(scenario: Scenario): void {
+  const { targets, platformAddress } = scenario;
+  const addresses = platformAddress === undefined
+    ? targets
+    : [...targets, platformAddress];
+  for (const address of addresses) {
+    const { ip } = parseAddress(address);
+    if (loopback.check(ip, isIPv6(ip) ? "ipv6" : "ipv4")) continue;
+    throw AppError.create(
+      "invalidSettings",
+      `Target ${address} is not on this machine, expected a loopback ` +
+        "address or --allow-remote",
+    );
+  }
+}
