Refuse malformed bodies and headers with a code

**Cause** A chat body nested some 5000 levels deep overflowed the stack and was answered as an internal error; a malformed percent sequence in an envelope header threw an error without a code.

--- a/packages/load/src/calls/read_answer.ts
+++ b/packages/load/src/calls/read_answer.ts
@@ -19,14 +19,6 @@
   executed: z.enum(["no", "yes", "unknown"]),
 });
 
-/** An error inside a stream carries the problem in its `error`. */
-const streamProblemSchema = z.object({
-  error: z.object({
-    code: z.coerce.number().int(),
-    executed: z.enum(["no", "yes", "unknown"]).default("unknown"),
-  }),
-});
-
 /** Reads a streamed answer piece by piece. */
 export class StreamReader {
   #text = "";
@@ -73,16 +65,10 @@
       ).join("");
       return;
     }
-    this.#failure ??= parseStreamProblem(value);
+    this.#failure ??= parseProblem(value);
   }
 }
 
-function parseStreamProblem(value: unknown): Outcome {
-  const problem = streamProblemSchema.safeParse(value);
-  if (!problem.success) return { type: "lost" };
-  return { type: "failed", ...problem.data.error };
-}
-
 /** Parses a whole answer to a chat. */
 export function parseCompletion(text: string): Outcome {
   const result = completionSchema.safeParse(parseJson(text));
@@ -94,12 +80,13 @@
 }
 
 /** Parses a problem document; anything else leaves the outcome open. */
-export function parseProblem(text: string): Outcome {
-  const result = problemSchema.safeParse(parseJson(text));
+export function parseProblem(value: unknown): Outcome {
+  const result = problemSchema.safeParse(value);
   return result.success ? { type: "failed", ...result.data } : { type: "lost" };
 }
 
-function parseJson(text: string): unknown {
+/** Parses JSON, or gives undefined. */
+export function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
   } catch {
--- a/packages/load/src/calls/send_call.ts
+++ b/packages/load/src/calls/send_call.ts
@@ -1,6 +1,11 @@
 import { type Dispatcher, request } from "undici";
 import type { Outcome } from "../history/mod.ts";
-import { parseCompletion, parseProblem, StreamReader } from "./read_answer.ts";
+import {
+  parseCompletion,
+  parseJson,
+  parseProblem,
+  StreamReader,
+} from "./read_answer.ts";
 
 /** A request of a caller. */
 export type CallRequest = {
@@ -63,8 +68,8 @@
   context: CallContext,
 ): Promise<CallResult> {
   if (response.statusCode >= 400) {
-    const outcome = parseProblem(await response.body.text());
-    return { outcome };
+    const problem = parseJson(await response.body.text());
+    return { outcome: parseProblem(problem) };
   }
   if (call.answer === "stream") return await readStream(response, context);
   const text = await response.body.text();
--- a/packages/operator/src/apply/apply_declaration.ts
+++ b/packages/operator/src/apply/apply_declaration.ts
@@ -55,7 +55,7 @@
   const { body } = options;
   const accepted = await loadDeclaration(platform);
   const hash = hashConfiguration(body);
-  if (accepted?.hash === hash) {
+  if (accepted !== undefined && hashConfiguration(accepted.body) === hash) {
     return { type: "unchanged", version: accepted.version };
   }
   const baseVersion = accepted?.version ?? 0;
@@ -136,7 +136,7 @@
     (base !== undefined && base.version === accepted?.version);
   if (isSeen || accepted === undefined) return [];
   return findUndone(changes, await loadPublications(platform), {
-    inForceHash: accepted.hash,
+    inForceHash: hashConfiguration(accepted.body),
     nowMs,
   });
 }
@@ -190,8 +190,9 @@
   }
   const version = accepted?.version ?? 0;
   if (version === options.baseVersion) return { type: "not-seen" };
-  if (accepted?.hash === options.hash) return { type: "written", version };
-  return { type: "conflict", accepted };
+  const isOurs = accepted !== undefined &&
+    hashConfiguration(accepted.body) === options.hash;
+  return isOurs ? { type: "written", version } : { type: "conflict", accepted };
 }
 
 function createConflict(
--- a/packages/router/src/chats/chat_request.ts
+++ b/packages/router/src/chats/chat_request.ts
@@ -1,4 +1,5 @@
 import { AppError } from "@jasminetide/core/results";
+import { parseJsonBody } from "@jasminetide/runtime/http";
 import { z } from "zod";
 
 const messageSchema = z.looseObject({
@@ -27,15 +28,7 @@
  * @throws AppError `invalidRequest` naming each fault.
  */
 export function parseChatRequest(body: Uint8Array): ChatRequest {
-  let value: unknown;
-  try {
-    value = JSON.parse(new TextDecoder().decode(body));
-  } catch (error) {
-    throw AppError.create("invalidRequest", "Body is not valid JSON", {
-      cause: error,
-    });
-  }
-  const result = chatSchema.safeParse(value);
+  const result = chatSchema.safeParse(parseJsonBody(body));
   if (result.success) return result.data;
   const faults = result.error.issues.map((issue) =>
     `${issue.path.join(".")}: ${issue.message}`
--- /dev/null
+++ b/packages/runtime/src/exchange/headers.feature
@@ -0,0 +1,7 @@
+Feature: Headers between processes
+
+  Scenario: An envelope is read as it was written
+    Then envelopes from seed 31 survive formatting and parsing
+
+  Scenario: No headers make the reader throw anything but a coded error
+    Then no headers from seed 32 make the reader throw an uncoded error
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -60,18 +60,18 @@
 /**
  * Parses an envelope.
  *
- * @throws AppError `invalidMessage` when a header is absent or not a number.
+ * @throws AppError `invalidMessage` when a header is absent or malformed.
  */
 export function parseEnvelope(headers: IncomingHttpHeaders): RequestEnvelope {
   return {
     attempt: getText(headers, headerNames.attempt),
     epoch: getNumber(headers, headerNames.epoch),
-    workspace: decodeURIComponent(getText(headers, headerNames.workspace)),
+    workspace: getDecoded(headers, headerNames.workspace),
     priority: getNumber(headers, headerNames.priority),
     weight: getNumber(headers, headerNames.weight),
     costTokens: getNumber(headers, headerNames.costTokens),
     remainingMs: getNumber(headers, headerNames.remainingMs),
-    pool: decodeURIComponent(getText(headers, headerNames.pool)),
+    pool: getDecoded(headers, headerNames.pool),
     chatKey: getText(headers, headerNames.chatKey),
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
   };
@@ -114,8 +114,22 @@
   throw AppError.create("invalidMessage", `Header ${name} is absent`);
 }
 
+function getDecoded(headers: IncomingHttpHeaders, name: string): string {
+  try {
+    return decodeURIComponent(getText(headers, name));
+  } catch (error) {
+    if (error instanceof AppError) throw error;
+    throw AppError.create("invalidMessage", `Header ${name} is malformed`, {
+      cause: error,
+    });
+  }
+}
+
 function getNumber(headers: IncomingHttpHeaders, name: string): number {
   const value = Number(getText(headers, name));
-  if (Number.isFinite(value)) return value;
-  throw AppError.create("invalidMessage", `Header ${name} is not a number`);
+  if (Number.isFinite(value) && value >= 0) return value;
+  throw AppError.create(
+    "invalidMessage",
+    `Header ${name} is not a number from 0`,
+  );
 }
--- /dev/null
+++ b/packages/runtime/src/exchange/headers_test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { Then } from "@cucumber/cucumber";
+import { AppError } from "@jasminetide/core/results";
+import fc from "fast-check";
+import { formatEnvelope, headerNames, parseEnvelope } from "./mod.ts";
+
+const name = fc.string({ minLength: 1, unit: "grapheme" });
+const amount = fc.nat();
+
+const envelope = fc.record({
+  attempt: fc.uuid({ version: 7 }),
+  epoch: fc.maxSafeNat(),
+  workspace: name,
+  priority: amount,
+  weight: fc.double({ min: 0, max: 1000, noNaN: true }),
+  costTokens: amount,
+  remainingMs: amount,
+  pool: name,
+  chatKey: fc.stringMatching(/^[0-9a-f]{1,16}$/),
+  configurationVersion: amount,
+});
+
+Then(
+  "envelopes from seed {int} survive formatting and parsing",
+  (seed: number) => {
+    fc.assert(
+      fc.property(envelope, (value) => {
+        // Text has one zero.
+        const expected = { ...value, weight: value.weight + 0 };
+        assert.deepEqual(parseEnvelope(formatEnvelope(value)), expected);
+      }),
+      { seed, numRuns: 300 },
+    );
+  },
+);
+
+Then(
+  "no headers from seed {int} make the reader throw an uncoded error",
+  (seed: number) => {
+    const header = fc.constantFrom(...Object.values(headerNames));
+    const text = fc.oneof(
+      fc.string(),
+      fc.constantFrom("%E0%A4%A", "%", "-1", "NaN", "1e999", "0x10", ""),
+    );
+    const overlay = fc.dictionary(header, text);
+    fc.assert(
+      fc.property(envelope, overlay, (value, headers) => {
+        try {
+          parseEnvelope({ ...formatEnvelope(value), ...headers });
+        } catch (error) {
+          assert.ok(error instanceof AppError, String(error));
+        }
+      }),
+      { seed, numRuns: 1000 },
+    );
+  },
+);
--- a/packages/runtime/src/http/mod.ts
+++ b/packages/runtime/src/http/mod.ts
@@ -1,2 +1,3 @@
 /** HTTP servers and answers. */
+export * from "./json.ts";
 export * from "./server.ts";
