Run the decision code under every fault in virtual time

**Cause** Faults were tested one at a time and by hand. A request that was repeated told its caller the last refusal, although an earlier attempt may have run; an applied edit whose answer was lost was told as a conflict when another edit had been made on top of it.

**Change** npm run soak runs episodes of one virtual minute: attempts and settlement, ranking, admission, the configuration holder and apply on fakes of links, runners and the platform, with 14 faults alone, together and twice. The history of each episode is checked; a failure is shrunk and can be replayed. Errors of attempts are merged by one rule that the router shares. apply finds its own edit below a later one.

**Conclusion** A caller is told that a request was not run only if no attempt at it may have run.

--- a/packages/core/src/attempts/mod.ts
+++ b/packages/core/src/attempts/mod.ts
@@ -1,2 +1,3 @@
 /** Attempts at requests and their settlement. */
 export * from "./attempt_table.ts";
+export * from "./repeat.ts";
--- a/packages/core/src/results/errors.ts
+++ b/packages/core/src/results/errors.ts
@@ -6,7 +6,7 @@
   /** Overrides what the code says about execution. */
   executed?: Executed;
   /** When the caller may come back, in milliseconds. */
-  retryAfterMs?: number;
+  retryAfterMs?: number | undefined;
   /** The error that led to this one. */
   cause?: unknown;
 };
--- a/packages/core/src/timers/virtual_timer_service.ts
+++ b/packages/core/src/timers/virtual_timer_service.ts
@@ -50,6 +50,22 @@
     this.#nowMs = endMs;
   }
 
+  /**
+   * Moves time to the next handler that falls due and calls it.
+   *
+   * @returns false when none is due before `endMs`; time then stands there.
+   */
+  advanceToNext(endMs: number): boolean {
+    const entry = this.#getNext(endMs);
+    if (entry === undefined) {
+      this.#nowMs = Math.max(this.#nowMs, endMs);
+      return false;
+    }
+    this.#nowMs = entry.dueMs;
+    this.#run(entry);
+    return true;
+  }
+
   #add(
     delayMs: number,
     periodMs: number | undefined,
--- /dev/null
+++ b/packages/load/bin/soak.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/soak/main.js";
--- a/packages/load/src/history/history.feature
+++ b/packages/load/src/history/history.feature
@@ -14,6 +14,7 @@
       | violation                                       | check                       | subject  |
       | a refund that took effect twice                 | at-most-once                | key-1    |
       | an effect of a refund reported as not run       | not-run-promise             | key-2    |
+      | a chat that ran though reported as not run      | not-run-promise             | chat-2   |
       | an answered refund without effect               | not-run-promise             | key-1    |
       | an answer of another chat                       | own-whole-answer            | chat-1   |
       | an answer cut short                             | own-whole-answer            | chat-1   |
--- /dev/null
+++ b/packages/load/src/soak/episode.ts
@@ -0,0 +1,202 @@
+import { getViolationCounts } from "@jasminetide/core/results";
+import type { RunnerRow } from "@jasminetide/core/tables";
+import { checkHistory } from "../history/mod.ts";
+import { FakePlatform } from "./fake_platform.ts";
+import type { Fault } from "./faults.ts";
+import { Links } from "./links.ts";
+import { SoakCallers } from "./soak_callers.ts";
+import { SoakConfiguration } from "./soak_configuration.ts";
+import { SoakEditors } from "./soak_editors.ts";
+import { type RepeatRule, SoakRouter } from "./soak_router.ts";
+import { SoakSidecar } from "./soak_sidecar.ts";
+import { World } from "./world.ts";
+
+/** Virtual length of an episode. */
+export const episodeMs = 60_000;
+
+/** Time after which callers and editors send no more. */
+const lastCallMs = 45_000;
+const routerCount = 3;
+const runnerCount = 6;
+const expirePeriodMs = 1000;
+const hostListLagMs = 1500;
+const flapPeriodMs = 1500;
+
+/** What an episode has shown. */
+export type EpisodeReport = {
+  violations: string[];
+  counts: ReadonlyMap<string, number>;
+};
+
+/** What an episode is made of. */
+export type EpisodeOptions = {
+  seed: number;
+  faults: readonly Fault[];
+  /** Replaces the routers' rule, to plant a violation. */
+  mayRepeat?: RepeatRule | undefined;
+};
+
+/** Runs one episode of a small fleet under the given faults. */
+export async function runEpisode(
+  options: EpisodeOptions,
+): Promise<EpisodeReport> {
+  const world = World.create(options);
+  const fleet = createFleet(world, options);
+  world.events.push({ type: "header", formatVersion: 1, hasEffects: true });
+  for (const fault of options.faults) {
+    world.timers.schedule(fault.startMs, () => beginFault(fleet, fault));
+  }
+  fleet.editors.run();
+  void fleet.callers.run();
+  await world.run(episodeMs);
+  checkEnd(fleet);
+  return { violations: world.violations, counts: world.counts };
+}
+
+type Fleet = {
+  world: World;
+  links: Links;
+  sidecars: SoakSidecar[];
+  routers: SoakRouter[];
+  editors: SoakEditors;
+  callers: SoakCallers;
+};
+
+function createFleet(world: World, { mayRepeat }: EpisodeOptions): Fleet {
+  const platform = FakePlatform.create(world);
+  const links = Links.create(world);
+  const follow = (process: string) =>
+    SoakConfiguration.create({ world, platform, process });
+  const sidecars = createNames("runner", runnerCount).map((id) =>
+    SoakSidecar.create(world, {
+      row: createRow(id),
+      configuration: follow(`sidecar-${id}`),
+    })
+  );
+  const routers = createNames("router", routerCount).map((name) =>
+    SoakRouter.create(name, {
+      world,
+      links,
+      sidecars,
+      configuration: follow(name),
+      mayRepeat,
+    })
+  );
+  world.timers.subscribe(expirePeriodMs, () => {
+    for (const sidecar of sidecars) sidecar.expire();
+  });
+  const fleet = {
+    world,
+    links,
+    sidecars,
+    routers,
+    editors: SoakEditors.create(world, { platform, endMs: lastCallMs }),
+    callers: SoakCallers.create(world, { routers, endMs: lastCallMs }),
+  };
+  world.timers.subscribe(hostListLagMs, () => listRunners(fleet));
+  return fleet;
+}
+
+function createNames(prefix: string, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}${index + 1}`);
+}
+
+function createRow(id: string): RunnerRow {
+  return {
+    id,
+    host: id,
+    failureDomain: "a",
+    region: "r",
+    dataAddress: "",
+    controlAddress: "",
+    kind: "engine",
+    pools: ["assistant"],
+    capacity: 1,
+    loadTokens: 0,
+    state: "active",
+    epoch: 0,
+    sequence: 0,
+    configurationVersion: 0,
+    observedAtMs: 0,
+  };
+}
+
+/** Each router sees the list late, and its own list while lists differ. */
+function listRunners(fleet: Fleet): void {
+  const live = fleet.sidecars.filter((sidecar) =>
+    sidecar.isUp && !sidecar.isLeaving
+  ).map(({ row }) => row.id);
+  const differs = fleet.world.isActive("lists-differ");
+  for (const router of fleet.routers) {
+    const listed = live.filter(() => !differs || fleet.world.hasChance(0.5));
+    router.setListed(new Set(listed));
+  }
+}
+
+function beginFault(fleet: Fleet, fault: Fault): void {
+  const { links, routers, sidecars, world } = fleet;
+  const sidecar = sidecars[fault.target % sidecars.length];
+  switch (fault.kind) {
+    case "runner-restart":
+      void sidecar.restart();
+      break;
+    case "runner-flap":
+      void flap(fleet, { sidecar, untilMs: fault.startMs + fault.durationMs });
+      break;
+    case "planned-stop":
+      void sidecar.stop(fault.durationMs);
+      break;
+    case "process-paused":
+      sidecar.pause(world.nowMs() + fault.durationMs);
+      break;
+    case "connection-silent":
+      for (const router of routers) {
+        links.silence(`${router.name} ${sidecar.row.id}`);
+      }
+      break;
+    default:
+      // The other faults act where their state is read.
+      break;
+  }
+}
+
+async function flap(
+  fleet: Fleet,
+  options: { sidecar: SoakSidecar; untilMs: number },
+): Promise<void> {
+  while (fleet.world.nowMs() < options.untilMs) {
+    await options.sidecar.restart();
+    await fleet.world.wait(flapPeriodMs * fleet.world.random.getFloat());
+  }
+}
+
+/** After the faults have ended, everything has to have settled. */
+function checkEnd(fleet: Fleet): void {
+  const { world, editors } = fleet;
+  editors.check();
+  const processes = [...fleet.routers, ...fleet.sidecars];
+  for (const { configuration } of processes) {
+    world.check(
+      "configuration-reaches-everyone",
+      configuration.version === editors.acceptedVersion,
+      () => `${configuration.version} instead of ${editors.acceptedVersion}`,
+    );
+  }
+  const report = checkHistory(world.events);
+  world.count("checked histories");
+  for (const { check, subject, detail } of report.violations) {
+    world.check(check, false, () => `${subject} ${detail}`);
+  }
+  world.check(
+    "every-caller-gets-an-outcome",
+    report.calls === countOutcomes(world),
+    () => `${report.calls} calls, ${countOutcomes(world)} outcomes`,
+  );
+  for (const [name, count] of getViolationCounts()) {
+    world.check(name, count === 0, () => `broken ${count} times`);
+  }
+}
+
+function countOutcomes(world: World): number {
+  return world.events.filter((event) => event.type === "complete").length;
+}
--- /dev/null
+++ b/packages/load/src/soak/fake_platform.ts
@@ -0,0 +1,86 @@
+import { AppError } from "@jasminetide/core/results";
+import type {
+  ObjectName,
+  PlatformClient,
+  StoredObject,
+  WriteCondition,
+} from "@jasminetide/runtime/platform";
+import { ObjectStore } from "@jasminetide/stand_in";
+import type { World } from "./world.ts";
+
+const delayMs = 4;
+const slowMs = 1200;
+const timeoutMs = 2000;
+const lossProbability = 0.5;
+
+/** The object API on virtual time, with its faults. */
+export class FakePlatform {
+  readonly store = ObjectStore.create();
+  readonly #world: World;
+
+  private constructor(world: World) {
+    this.#world = world;
+  }
+
+  /** Creates an empty platform. */
+  static create(world: World): FakePlatform {
+    return new FakePlatform(world);
+  }
+
+  /** The same platform under the type that processes use. */
+  get client(): PlatformClient {
+    return this as unknown as PlatformClient;
+  }
+
+  /** Gets an object. */
+  async get(object: ObjectName): Promise<StoredObject | undefined> {
+    await this.#carry();
+    return this.store.get(getPath(object));
+  }
+
+  /** Writes an object if the condition holds. */
+  async put(
+    object: ObjectName,
+    options: { value: string; condition: WriteCondition },
+  ): Promise<number> {
+    await this.#carry();
+    const write = this.store.put(
+      getPath(object),
+      options.value,
+      options.condition,
+    );
+    const isLost = this.#world.isActive("write-answer-lost") &&
+      this.#world.hasChance(lossProbability);
+    if (isLost) await this.#fail("write answers lost");
+    await this.#world.wait(delayMs);
+    if (write.type === "written") return write.version;
+    throw AppError.create("versionConflict", `At ${write.version}`);
+  }
+
+  /** Lists the names and versions of a kind. */
+  async list(kind: string): Promise<{ name: string; version: number }[]> {
+    await this.#carry();
+    return this.store.list(`${kind}/`).map(({ path, version }) => ({
+      name: path.slice(kind.length + 1),
+      version,
+    }));
+  }
+
+  async #carry(): Promise<void> {
+    if (this.#world.isActive("platform-down")) {
+      await this.#fail("platform calls failed");
+    }
+    const isSlow = this.#world.isActive("platform-slow");
+    await this.#world.wait(isSlow ? slowMs : delayMs);
+  }
+
+  async #fail(name: string): Promise<never> {
+    this.#world.count(name);
+    await this.#world.wait(timeoutMs);
+    throw AppError.create("platformUnavailable", "No answer");
+  }
+}
+
+function getPath(object: ObjectName): string {
+  return `${object.kind}/${object.name}`;
+}
--- /dev/null
+++ b/packages/load/src/soak/soak_router.ts
@@ -0,0 +1,210 @@
+import { canRepeat, mergeAttemptErrors } from "@jasminetide/core/attempts";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import { getChatKey, rankRunners } from "@jasminetide/core/routing";
+import type { Links, Reply } from "./links.ts";
+import type { SoakConfiguration } from "./soak_configuration.ts";
+import type { RunReply, SettleReply, SoakSidecar } from "./soak_sidecar.ts";
+import type { World } from "./world.ts";
+
+/** A caller's request. */
+export type CallerRequest = {
+  call: string;
+  workspace: string;
+  costTokens: number;
+  isIdempotent: boolean;
+  deadlineAtMs: number;
+};
+
+/** Whom a router reaches, and how. */
+export type SoakRouterOptions = {
+  world: World;
+  links: Links;
+  configuration: SoakConfiguration;
+  sidecars: readonly SoakSidecar[];
+  mayRepeat?: RepeatRule | undefined;
+};
+
+/** Whether a request may be sent again after a failed attempt. */
+export type RepeatRule = (request: CallerRequest, error: AppError) => boolean;
+
+const firstByteMs = 2500;
+const settleMs = 1000;
+const maximumAttempts = 3;
+
+/** A router: real ranking and the protocol of attempts and settlement. */
+export class SoakRouter {
+  readonly name: string;
+  readonly configuration: SoakConfiguration;
+  readonly #options: SoakRouterOptions;
+  /** Runners that this router takes for live. */
+  #listed: ReadonlySet<string>;
+  readonly #epochs = new Map<string, number>();
+  #attempts = 0;
+
+  private constructor(name: string, options: SoakRouterOptions) {
+    this.name = name;
+    this.#options = options;
+    this.configuration = options.configuration;
+    this.#listed = new Set(options.sidecars.map(({ row }) => row.id));
+  }
+
+  /** Creates a router that lists every runner. */
+  static create(name: string, options: SoakRouterOptions): SoakRouter {
+    return new SoakRouter(name, options);
+  }
+
+  /** Replaces the host list as this router sees it. */
+  setListed(runners: ReadonlySet<string>): void {
+    this.#listed = runners;
+  }
+
+  /**
+   * Answers a caller's request.
+   *
+   * @throws AppError with what is known of its execution.
+   */
+  async answer(request: CallerRequest): Promise<string> {
+    const tried = new Set<string>();
+    const errors: AppError[] = [];
+    for (let count = 0; count < maximumAttempts; count += 1) {
+      const sidecar = this.#choose(request, tried);
+      if (sidecar === undefined) break;
+      try {
+        return await this.#attempt(request, sidecar);
+      } catch (thrown) {
+        const error = normalizeError(thrown);
+        errors.push(error);
+        this.#options.world.count(`attempt failed: ${error.result}`);
+        const { mayRepeat = canRepeat } = this.#options;
+        if (!mayRepeat(request, error)) break;
+        if (error.result !== "epochMismatch") tried.add(sidecar.row.id);
+      }
+    }
+    if (errors.length > 0) throw mergeAttemptErrors(errors);
+    throw AppError.create("noRunner", "No live runner");
+  }
+
+  #choose(
+    request: CallerRequest,
+    tried: ReadonlySet<string>,
+  ): SoakSidecar | undefined {
+    const { sidecars } = this.#options;
+    const rows = sidecars.map(({ row }) => row).filter(({ id }) =>
+      this.#listed.has(id) && !tried.has(id)
+    );
+    const key = getChatKey({
+      workspace: request.workspace,
+      model: "assistant",
+      messages: [{ role: "user", content: request.call }],
+    });
+    const [best] = rankRunners(key, rows);
+    return sidecars.find(({ row }) => row === best);
+  }
+
+  async #attempt(
+    request: CallerRequest,
+    sidecar: SoakSidecar,
+  ): Promise<string> {
+    const { world } = this.#options;
+    this.#attempts += 1;
+    const attempt = `${this.name}-${this.#attempts}`;
+    const epoch = this.#epochs.get(sidecar.row.id) ?? 0;
+    let reply: Reply;
+    try {
+      reply = await this.#waitAtMost(
+        Math.min(firstByteMs, request.deadlineAtMs - world.nowMs()),
+        this.#call(sidecar, () =>
+          sidecar.run({
+            ...request,
+            attempt,
+            epoch,
+            configurationVersion: this.configuration.version,
+          })),
+      );
+    } catch {
+      reply = await this.#settle(sidecar, { attempt, epoch, request });
+    }
+    return this.#read(sidecar, { attempt, reply: reply as RunReply });
+  }
+
+  /** Asks on a new connection what became of an attempt. */
+  async #settle(
+    sidecar: SoakSidecar,
+    options: { attempt: string; epoch: number; request: CallerRequest },
+  ): Promise<Reply> {
+    const { links, world } = this.#options;
+    const { attempt, epoch, request } = options;
+    links.replace(this.#getLink(sidecar));
+    let reply: SettleReply;
+    try {
+      reply = await this.#waitAtMost(
+        settleMs,
+        this.#call(sidecar, () => sidecar.settle(attempt, epoch)),
+      ) as SettleReply;
+    } catch (error) {
+      throw AppError.create("runnerFailed", "No settlement", { cause: error });
+    }
+    this.#checkOwn(attempt, reply);
+    const { settlement } = reply;
+    switch (settlement?.type) {
+      case "tombstoned":
+        throw AppError.create("runnerRefused", "Not run");
+      case "running":
+      case "done":
+        return await this.#waitAtMost(
+          request.deadlineAtMs - world.nowMs(),
+          this.#call(sidecar, () => sidecar.getAnswer(attempt)),
+        );
+      default:
+        throw AppError.create("runnerFailed", "Runner was restarted");
+    }
+  }
+
+  #read(
+    sidecar: SoakSidecar,
+    options: { attempt: string; reply: RunReply },
+  ): string {
+    const { attempt, reply } = options;
+    this.#checkOwn(attempt, reply);
+    const known = this.#epochs.get(sidecar.row.id) ?? 0;
+    this.#epochs.set(sidecar.row.id, Math.max(known, reply.epoch));
+    this.configuration.observe(reply.configurationVersion);
+    if (reply.error !== undefined) throw reply.error;
+    if (reply.answer !== undefined) return reply.answer;
+    throw AppError.create("streamInterrupted", "Answer has no end");
+  }
+
+  /** An answer to another attempt says nothing about this one. */
+  #checkOwn(attempt: string, reply: Reply): void {
+    if (reply.attempt === attempt) return;
+    throw AppError.create("answerMismatch", "Answer of another attempt");
+  }
+
+  #call(
+    sidecar: SoakSidecar,
+    handle: () => Promise<Reply>,
+  ): Promise<Reply> {
+    return this.#options.links.call({
+      link: this.#getLink(sidecar),
+      getEpoch: () => sidecar.isUp ? sidecar.epoch : undefined,
+      handle,
+    });
+  }
+
+  #getLink(sidecar: SoakSidecar): string {
+    return `${this.name} ${sidecar.row.id}`;
+  }
+
+  #waitAtMost<Value>(
+    durationMs: number,
+    promise: Promise<Value>,
+  ): Promise<Value> {
+    return new Promise((resolve, reject) => {
+      const timer = this.#options.world.timers.schedule(
+        Math.max(0, durationMs),
+        () => reject(AppError.create("deadlineExceeded", "No answer in time")),
+      );
+      promise.then(resolve, reject).finally(() => timer[Symbol.dispose]());
+    });
+  }
+}
--- /dev/null
+++ b/packages/load/src/soak/soak_sidecar.ts
@@ -0,0 +1,259 @@
+import { Admission } from "@jasminetide/core/admission";
+import { AttemptTable, type Settlement } from "@jasminetide/core/attempts";
+import {
+  AppError,
+  assertInvariant,
+  normalizeError,
+} from "@jasminetide/core/results";
+import type { RunnerRow } from "@jasminetide/core/tables";
+import type { SoakConfiguration } from "./soak_configuration.ts";
+import type { World } from "./world.ts";
+
+/** What a router asks of a runner. */
+export type RunRequest = {
+  attempt: string;
+  epoch: number;
+  /** Identifies the caller's request; its answer is made of it. */
+  call: string;
+  workspace: string;
+  isIdempotent: boolean;
+  costTokens: number;
+  deadlineAtMs: number;
+  configurationVersion: number;
+};
+
+/** Answer of a sidecar to an attempt. */
+export type RunReply = {
+  type: "answer" | "refusal";
+  attempt: string;
+  epoch: number;
+  configurationVersion: number;
+  answer?: string;
+  error?: AppError;
+};
+
+/** Answer of a sidecar to a question about an attempt. */
+export type SettleReply = {
+  type: "settlement";
+  attempt: string;
+  settlement: Settlement;
+};
+
+/** Tokens of each answer. */
+export const answerTokens = 3;
+
+/** Creates the answer that only one call can have. */
+export function createAnswer(call: string): string {
+  return Array.from({ length: answerTokens }, (_, index) => `${call}-${index}`)
+    .join(" ");
+}
+
+const retentionMs = 60_000;
+const minServiceMs = 20;
+const spreadServiceMs = 400;
+const restartMs = 800;
+
+/** A sidecar and its runner: real tables, a made-up runner. */
+export class SoakSidecar {
+  readonly row: RunnerRow;
+  readonly configuration: SoakConfiguration;
+  readonly #world: World;
+  #attempts: AttemptTable;
+  #admission: Admission;
+  #answers = new Map<string, Promise<string | undefined>>();
+  #isUp = true;
+  #isLeaving = false;
+  #pausedUntilMs = 0;
+  #running = 0;
+
+  private constructor(
+    world: World,
+    options: { row: RunnerRow; configuration: SoakConfiguration },
+  ) {
+    this.#world = world;
+    this.row = options.row;
+    this.configuration = options.configuration;
+    this.#attempts = AttemptTable.create({ epoch: 1, retentionMs });
+    this.#admission = this.#createAdmission();
+  }
+
+  /** Creates a sidecar that serves. */
+  static create(
+    world: World,
+    options: { row: RunnerRow; configuration: SoakConfiguration },
+  ): SoakSidecar {
+    return new SoakSidecar(world, options);
+  }
+
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  get epoch(): number {
+    return this.#attempts.epoch;
+  }
+
+  /** Handles nothing until a time; what arrives waits. */
+  pause(untilMs: number): void {
+    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, untilMs);
+  }
+
+  /** Ends at once and comes back with a higher epoch and no memory. */
+  async restart(): Promise<void> {
+    if (!this.#isUp || this.#isLeaving) return;
+    this.#isUp = false;
+    await this.#world.wait(restartMs);
+    this.#begin();
+  }
+
+  /** Takes no new work, finishes what is in flight, and comes back later. */
+  async stop(downMs: number): Promise<void> {
+    if (!this.#isUp || this.#isLeaving) return;
+    this.#isLeaving = true;
+    while (this.#running > 0) await this.#world.wait(minServiceMs);
+    const { epoch } = this;
+    // The last answers are still on their way.
+    await this.#world.wait(restartMs);
+    if (this.epoch !== epoch) return;
+    this.#world.check(
+      "planned-stop-cuts-nothing",
+      this.#running === 0,
+      () => `${this.row.id} ended with ${this.#running} requests`,
+    );
+    this.#isUp = false;
+    await this.#world.wait(downMs);
+    this.#begin();
+  }
+
+  /** Runs or refuses an attempt. */
+  async run(request: RunRequest): Promise<RunReply> {
+    await this.#waitForPause();
+    const { attempt } = request;
+    const { epoch } = this;
+    this.configuration.observe(request.configurationVersion);
+    try {
+      this.#refuseLeaving();
+      this.#attempts.begin(attempt, {
+        epoch: request.epoch,
+        nowMs: this.#world.nowMs(),
+      });
+    } catch (thrown) {
+      return this.#createRefusal(attempt, normalizeError(thrown));
+    }
+    const table = this.#attempts;
+    try {
+      const task = this.#admit(request);
+      this.#answers.set(attempt, task.catch(() => undefined));
+      const answer = await task;
+      table.complete(attempt, this.#world.nowMs());
+      return { ...this.#createReply("answer", attempt), epoch, answer };
+    } catch (thrown) {
+      table.refuse(attempt, this.#world.nowMs());
+      return this.#createRefusal(attempt, normalizeError(thrown));
+    }
+  }
+
+  /** Says what became of an attempt. */
+  async settle(attempt: string, epoch: number): Promise<SettleReply> {
+    await this.#waitForPause();
+    const settlement = this.#attempts.settle(attempt, {
+      epoch,
+      nowMs: this.#world.nowMs(),
+    });
+    this.#world.count(`settled as ${settlement.type}`);
+    return { type: "settlement", attempt, settlement };
+  }
+
+  /** Gives the kept answer of an attempt once it is whole. */
+  async getAnswer(attempt: string): Promise<RunReply> {
+    await this.#waitForPause();
+    const { epoch } = this;
+    const answer = await this.#answers.get(attempt);
+    const reply = this.#createReply("answer", attempt);
+    return answer === undefined ? reply : { ...reply, epoch, answer };
+  }
+
+  /** Forgets old attempts. */
+  expire(): void {
+    this.#attempts.expire(this.#world.nowMs());
+  }
+
+  #begin(): void {
+    const epoch = this.epoch + 1;
+    this.#attempts = AttemptTable.create({ epoch, retentionMs });
+    this.#admission = this.#createAdmission();
+    this.#answers = new Map();
+    this.#isLeaving = false;
+    this.#isUp = true;
+    this.configuration.forget();
+  }
+
+  #refuseLeaving(): void {
+    if (!this.#isLeaving) return;
+    throw AppError.create("runnerLeaving", `${this.row.id} takes no new work`);
+  }
+
+  #admit(request: RunRequest): Promise<string> {
+    return this.#admission.run(
+      {
+        workspace: request.workspace,
+        priority: 1,
+        weight: 1,
+        costTokens: request.costTokens,
+        deadlineAtMs: request.deadlineAtMs,
+      },
+      () => this.#serve(request),
+    );
+  }
+
+  /** The runner: the effect stands even if the sidecar ends meanwhile. */
+  async #serve(request: RunRequest): Promise<string> {
+    assertInvariant(
+      request.deadlineAtMs > this.#world.nowMs(),
+      "no-work-after-deadline",
+      () => request.call,
+    );
+    this.#running += 1;
+    try {
+      const { random } = this.#world;
+      await this.#world.wait(
+        minServiceMs + random.getFloat() * spreadServiceMs,
+      );
+      const { id: runner } = this.row;
+      this.#world.events.push({ type: "effect", runner, key: request.call });
+      return createAnswer(request.call);
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #waitForPause(): Promise<void> {
+    const remainingMs = this.#pausedUntilMs - this.#world.nowMs();
+    if (remainingMs > 0) await this.#world.wait(remainingMs);
+  }
+
+  #createReply(type: RunReply["type"], attempt: string): RunReply {
+    const configurationVersion = this.configuration.version;
+    return { type, attempt, epoch: this.epoch, configurationVersion };
+  }
+
+  #createRefusal(attempt: string, error: AppError): RunReply {
+    return { ...this.#createReply("refusal", attempt), error };
+  }
+
+  #createAdmission(): Admission {
+    return Admission.create({
+      maximumConcurrency: 8,
+      maximumQueueLength: 32,
+      capMultiple: 1.25,
+      minimumTokens: 4096,
+      capacity: this.row.capacity,
+      getMeanLoad: () => ({ tokens: 0, ageMs: 0 }),
+      getNowMs: () => this.#world.nowMs(),
+    });
+  }
+}
--- a/packages/operator/src/apply/apply_declaration.ts
+++ b/packages/operator/src/apply/apply_declaration.ts
@@ -10,6 +10,7 @@
 import type { Base } from "./base_file.ts";
 import {
   announcePublication,
+  findReplacedVersion,
   findUndone,
   loadPublications,
 } from "./recent_changes.ts";
@@ -79,7 +80,13 @@
       changes,
     };
   }
-  await announcePublication(platform, { hash, changes, nowMs: options.nowMs });
+  await announcePublication(platform, {
+    hash,
+    baseVersion,
+    baseHash: accepted === undefined ? "" : hashConfiguration(accepted.body),
+    changes,
+    nowMs: options.nowMs,
+  });
   for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
     const settled = await tryPut(platform, { body, baseVersion, hash });
     if (settled.type === "written") {
@@ -175,7 +182,8 @@
 
 /**
  * Reads back. A body equal to ours above the base means that the declared
- * intent is in force, whoever wrote it.
+ * intent is in force, whoever wrote it. Ours may also have been in force and
+ * been replaced by an edit made on top of it.
  */
 async function settleWrite(
   platform: PlatformClient,
@@ -192,7 +200,14 @@
   if (version === options.baseVersion) return { type: "not-seen" };
   const isOurs = accepted !== undefined &&
     hashConfiguration(accepted.body) === options.hash;
-  return isOurs ? { type: "written", version } : { type: "conflict", accepted };
+  if (isOurs) return { type: "written", version };
+  const replaced = findReplacedVersion(
+    await loadPublications(platform),
+    options,
+  );
+  return replaced === undefined
+    ? { type: "conflict", accepted }
+    : { type: "written", version: replaced };
 }
 
 function createConflict(
--- a/packages/operator/src/apply/recent_changes.ts
+++ b/packages/operator/src/apply/recent_changes.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { formatCanonical } from "@jasminetide/core/configuration";
-import { normalizeError } from "@jasminetide/core/results";
+import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 import { z } from "zod";
 import type { Change } from "../changes/mod.ts";
@@ -15,6 +15,9 @@
 const publicationSchema = z.object({
   /** Hash of the declaration that was about to be published. */
   hash: z.string(),
+  /** Version and hash of the declaration that it was to replace. */
+  baseVersion: z.number().int().nonnegative(),
+  baseHash: z.string(),
   announcedAtMs: z.number(),
   /** Hash of the value before, by path. */
   before: z.record(z.string(), z.string()),
@@ -50,9 +53,15 @@
 /** Announces a publication before it is made, so that it is never missed. */
 export async function announcePublication(
   platform: PlatformClient,
-  options: { hash: string; changes: readonly Change[]; nowMs: number },
+  options: {
+    hash: string;
+    baseVersion: number;
+    baseHash: string;
+    changes: readonly Change[];
+    nowMs: number;
+  },
 ): Promise<void> {
-  const { hash, changes, nowMs: announcedAtMs } = options;
+  const { changes, nowMs: announcedAtMs, ...identity } = options;
   const before = Object.fromEntries(
     changes.slice(0, maxChanges).map((change) => [
       change.path,
@@ -61,11 +70,35 @@
   );
   for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
     const { version, publications } = await load(platform);
-    const kept = publications.filter((entry) => entry.hash !== hash)
-      .slice(-(maxPublications - 1));
-    const value = JSON.stringify([...kept, { hash, announcedAtMs, before }]);
+    const isAnnounced = publications.some((entry) =>
+      entry.hash === identity.hash && entry.announcedAtMs === announcedAtMs
+    );
+    // The answer to an earlier try was lost.
+    if (isAnnounced) return;
+    const kept = publications.slice(-(maxPublications - 1));
+    const value = JSON.stringify([
+      ...kept,
+      { ...identity, announcedAtMs, before },
+    ]);
     if (await tryPut(platform, { value, version })) return;
   }
+  throw AppError.create(
+    "platformUnavailable",
+    "Platform did not take the announcement; nothing was applied",
+  );
+}
+
+/**
+ * Finds the version at which a declaration was in force above a base, told by
+ * a later publication that was made on top of it.
+ */
+export function findReplacedVersion(
+  publications: readonly Publication[],
+  own: { hash: string; baseVersion: number },
+): number | undefined {
+  return publications.find((entry) =>
+    entry.baseHash === own.hash && entry.baseVersion > own.baseVersion
+  )?.baseVersion;
 }
 
 async function tryPut(
--- a/packages/router/src/attempts/dispatch.ts
+++ b/packages/router/src/attempts/dispatch.ts
@@ -1,3 +1,4 @@
+import { canRepeat, mergeAttemptErrors } from "@jasminetide/core/attempts";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { RunnerRow } from "@jasminetide/core/tables";
 import {
@@ -38,27 +39,26 @@
   context: AttemptContext & { directory: RunnerDirectory },
 ): Promise<Dispatched> {
   const tried = new Set<string>();
-  let lastError: AppError | undefined;
+  const errors: AppError[] = [];
   for (let count = 0; count < dispatch.maximumAttempts; count++) {
     const runner = dispatch.chooseRunner(tried);
     if (runner === undefined) break;
     try {
       return await tryRunner(dispatch, runner, context);
     } catch (thrown) {
-      lastError = normalizeError(thrown);
-      context.metrics.count(`attempt-failed-${lastError.result}`);
-      if (!canRepeat(dispatch, lastError)) throw lastError;
-      if (lastError.result !== "epochMismatch") tried.add(runner.id);
+      const error = normalizeError(thrown);
+      errors.push(error);
+      context.metrics.count(`attempt-failed-${error.result}`);
+      if (!canRepeat(dispatch, error)) break;
+      if (error.result !== "epochMismatch") tried.add(runner.id);
     }
   }
-  throw lastError ??
-    AppError.create(
-      "noRunner",
-      `No live runner for "${dispatch.envelope.pool}"`,
-      {
-        retryAfterMs: 1000,
-      },
-    );
+  if (errors.length > 0) throw mergeAttemptErrors(errors);
+  throw AppError.create(
+    "noRunner",
+    `No live runner for "${dispatch.envelope.pool}"`,
+    { retryAfterMs: 1000 },
+  );
 }
 
 async function tryRunner(
@@ -87,7 +87,3 @@
   }
   return { attempt, start };
 }
-
-function canRepeat(dispatch: DispatchRequest, error: AppError): boolean {
-  return dispatch.isIdempotent || error.executed === "no";
-}
