--- a/packages/core/src/configuration/mod.ts
+++ b/packages/core/src/configuration/mod.ts
@@ -1,7 +1,11 @@
 /** The operators' declaration: schema, parsing and effective settings. */
 export * from "./documents.ts";
 export * from "./faults.ts";
+export * from "./accepted.ts";
+export * from "./compare.ts";
+export * from "./json.ts";
 export * from "./parse.ts";
+export * from "./parts.ts";
 export * from "./resolve.ts";
 export * from "./schema.ts";
 export * from "./validation.ts";
--- a/packages/load/src/overhead/paths.ts
+++ b/packages/load/src/overhead/paths.ts
@@ -29,6 +29,14 @@
   new URL("../../../../examples/local", import.meta.url),
 );
 
+/** An engine whose own time does not hide what the paths add. */
+const instantProfile = {
+  firstTokenMs: 0,
+  betweenTokensMs: 0,
+  sequenceStepMs: 0,
+  prefillTokenMs: 0,
+};
+
 const maxConnections = 256;
 const unlimited = 1_000_000_000;
 const readyPollMs = 10;
@@ -39,8 +47,7 @@
   const engine = Engine.create({
     timers,
     models: ["assistant"],
-    firstTokenMs: 0,
-    betweenTokensMs: 0,
+    profile: instantProfile,
   });
   const runner = await startServer(
     "127.0.0.1:0",
@@ -118,8 +125,7 @@
     ...definition,
     standIns: {
       ...standIns,
-      firstTokenMs: 0,
-      betweenTokensMs: 0,
+      ...instantProfile,
       hostListLagMs: 0,
     },
     configuration: {
--- a/packages/load/src/soak/episode.ts
+++ b/packages/load/src/soak/episode.ts
@@ -17,9 +17,13 @@
 /** Time after which callers and editors send no more. */
 const lastCallMs = 45_000;
 const routerCount = 3;
+
+/** Processes that watch the platform; the others hear of a version. */
+const watcherCount = 2;
 const runnerCount = 6;
 const expirePeriodMs = 1000;
 const hostListLagMs = 1500;
+const digestPeriodMs = 1000;
 const flapPeriodMs = 1500;
 
 /** What an episode has shown. */
@@ -65,8 +69,12 @@
 function createFleet(world: World, { mayRepeat }: EpisodeOptions): Fleet {
   const platform = FakePlatform.create(world);
   const links = Links.create(world);
-  const follow = (process: string) =>
-    SoakConfiguration.create({ world, platform, process });
+  const peers = new Map<string, SoakConfiguration>();
+  const follow = (process: string) => {
+    const isWatcher = peers.size < watcherCount;
+    const options = { world, platform, process, isWatcher, peers };
+    return SoakConfiguration.create(options);
+  };
   const sidecars = createNames("runner", runnerCount).map((id) =>
     SoakSidecar.create(world, {
       row: createRow(id),
@@ -94,6 +102,7 @@
     callers: SoakCallers.create(world, { routers, endMs: lastCallMs }),
   };
   world.timers.subscribe(hostListLagMs, () => listRunners(fleet));
+  world.timers.subscribe(digestPeriodMs, () => spreadVersions(fleet));
   return fleet;
 }
 
@@ -133,6 +142,18 @@
   }
 }
 
+/** Each process hears the version of one other, as by a digest. */
+function spreadVersions(fleet: Fleet): void {
+  const { random } = fleet.world;
+  const processes = [...fleet.routers, ...fleet.sidecars].map((process) =>
+    process.configuration
+  );
+  for (const configuration of processes) {
+    const peer = processes[random.getInteger(processes.length)];
+    configuration.observe(peer.version, peer.address);
+  }
+}
+
 function beginFault(fleet: Fleet, fault: Fault): void {
   const { links, routers, sidecars, world } = fleet;
   const sidecar = sidecars[fault.target % sidecars.length];
--- a/packages/load/src/soak/fake_platform.ts
+++ b/packages/load/src/soak/fake_platform.ts
@@ -9,6 +9,7 @@
 import type { World } from "./world.ts";
 
 const delayMs = 4;
+const watchStepMs = 50;
 const slowMs = 1200;
 const timeoutMs = 2000;
 const lossProbability = 0.5;
@@ -57,6 +58,24 @@
     throw AppError.create("versionConflict", `At ${write.version}`);
   }
 
+  /** Waits until an object is newer than `afterVersion`, or times out. */
+  async watch(
+    object: ObjectName,
+    options: { afterVersion: number; timeoutMs: number },
+  ): Promise<StoredObject | undefined> {
+    await this.#carry();
+    const untilMs = this.#world.nowMs() + options.timeoutMs;
+    while (this.#world.nowMs() < untilMs) {
+      const stored = this.store.get(getPath(object));
+      if (stored !== undefined && stored.version > options.afterVersion) {
+        await this.#carry();
+        return stored;
+      }
+      await this.#world.wait(watchStepMs);
+    }
+    return undefined;
+  }
+
   /** Lists the names and versions of a kind. */
   async list(kind: string): Promise<{ name: string; version: number }[]> {
     await this.#carry();
--- a/packages/load/src/soak/soak_editors.ts
+++ b/packages/load/src/soak/soak_editors.ts
@@ -92,6 +92,7 @@
       const body = increment(accepted.body, editor.name);
       const outcome = await applyDeclaration(client, {
         body,
+        text: JSON.stringify(body),
         baseVersion: accepted.version,
         nowMs: this.#world.nowMs(),
       });
--- a/packages/load/src/soak/soak_router.ts
+++ b/packages/load/src/soak/soak_router.ts
@@ -119,6 +119,7 @@
             attempt,
             epoch,
             configurationVersion: this.configuration.version,
+            sender: this.configuration.address,
           })),
       );
     } catch {
@@ -168,7 +169,10 @@
     this.#checkOwn(attempt, reply);
     const known = this.#epochs.get(sidecar.row.id) ?? 0;
     this.#epochs.set(sidecar.row.id, Math.max(known, reply.epoch));
-    this.configuration.observe(reply.configurationVersion);
+    this.configuration.observe(
+      reply.configurationVersion,
+      sidecar.configuration.address,
+    );
     if (reply.error !== undefined) throw reply.error;
     if (reply.answer !== undefined) return reply.answer;
     throw AppError.create("streamInterrupted", "Answer has no end");
--- a/packages/load/src/soak/soak_sidecar.ts
+++ b/packages/load/src/soak/soak_sidecar.ts
@@ -1,5 +1,6 @@
 import { Admission } from "@jasminetide/core/admission";
 import { AttemptTable, type Settlement } from "@jasminetide/core/attempts";
+import { settingsSchema } from "@jasminetide/core/configuration";
 import {
   AppError,
   assertInvariant,
@@ -20,6 +21,8 @@
   costTokens: number;
   deadlineAtMs: number;
   configurationVersion: number;
+  /** Control address of the router. */
+  sender: string;
 };
 
 /** Answer of a sidecar to an attempt. */
@@ -48,6 +51,7 @@
     .join(" ");
 }
 
+const defaultSettings = settingsSchema.parse({});
 const retentionMs = 60_000;
 const minServiceMs = 20;
 const spreadServiceMs = 400;
@@ -134,7 +138,7 @@
     await this.#waitForPause();
     const { attempt } = request;
     const { epoch } = this;
-    this.configuration.observe(request.configurationVersion);
+    this.configuration.observe(request.configurationVersion, request.sender);
     try {
       this.#refuseLeaving();
       this.#attempts.begin(attempt, {
@@ -189,7 +193,7 @@
     this.#answers = new Map();
     this.#isLeaving = false;
     this.#isUp = true;
-    this.configuration.forget();
+    this.configuration.restart();
   }
 
   #refuseLeaving(): void {
@@ -247,13 +251,16 @@
 
   #createAdmission(): Admission {
     return Admission.create({
-      maximumConcurrency: 8,
-      maximumQueueLength: 32,
-      capMultiple: 1.25,
-      minimumTokens: 4096,
+      timers: this.#world.timers,
       capacity: this.row.capacity,
-      getMeanLoad: () => ({ tokens: 0, ageMs: 0 }),
-      getNowMs: () => this.#world.nowMs(),
+      getSettings: () => defaultSettings,
+      getMeanLoad: () => ({
+        tokens: 0,
+        ageMs: 0,
+        errorTokens: 0,
+        runners: 1,
+        staleRunners: 0,
+      }),
     });
   }
 }
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -10,12 +10,14 @@
 import { Sidecar, type SidecarSettings } from "@jasminetide/sidecar";
 import {
   createDepositState,
+  createEngineProfile,
   DepositLedger,
   type DepositState,
   Engine,
   HostList,
   ObjectApi,
   startPlatformServer,
+  WeightStore,
 } from "@jasminetide/stand_in";
 import type { FleetDefinition } from "./load_fleet.ts";
 
@@ -36,6 +38,7 @@
   readonly deposits: DepositState = createDepositState();
   readonly objects: ObjectApi;
   readonly hosts: HostList;
+  readonly weights: WeightStore;
   readonly #options: LocalFleetOptions;
   readonly #resources = ResourceStack.create();
   #platformAddress = "";
@@ -45,6 +48,9 @@
     const random = createSystemRandom();
     this.#options = options;
     this.objects = ObjectApi.create({ timers, getRandom: random.getFloat });
+    this.weights = WeightStore.create({
+      bytesPerSecond: definition.standIns.weightStoreBytesPerSecond,
+    });
     this.hosts = HostList.create({
       timers,
       lagMs: definition.standIns.hostListLagMs,
@@ -63,6 +69,12 @@
     return this.#platformAddress;
   }
 
+  /** Takes ownership of a router that was started beside the others. */
+  add(router: Router): void {
+    this.#resources.use(router);
+    this.routers.push(router);
+  }
+
   /** Stops the routers, then the sidecars, then the stand-ins. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#resources[Symbol.asyncDispose]();
@@ -78,8 +90,8 @@
     this.hosts.set([...records]);
     for (const settings of definition.routers) {
       records.push(await this.#startRouter(settings));
+      this.hosts.set([...records]);
     }
-    this.hosts.set(records);
   }
 
   async #startPlatform(): Promise<void> {
@@ -133,7 +145,17 @@
     });
     this.#resources.use(router);
     this.routers.push(router);
-    return createRouterRecord(settings, router);
+    return {
+      id: settings.host,
+      failureDomain: settings.failureDomain,
+      region: settings.region,
+      state: "live",
+      processes: [{
+        type: "router",
+        name: settings.name,
+        controlAddress: router.controlAddress,
+      }],
+    };
   }
 
   #createRunner(settings: SidecarSettings): RequestListener {
@@ -141,12 +163,12 @@
       const service = DepositLedger.create(this.deposits);
       return (request, response) => void service.handle(request, response);
     }
-    const { firstTokenMs, betweenTokensMs } = this.#options.definition.standIns;
+    const { standIns } = this.#options.definition;
     const engine = Engine.create({
       timers: this.#options.timers,
       models: settings.pools,
-      firstTokenMs,
-      betweenTokensMs,
+      profile: createEngineProfile(standIns),
+      weights: this.weights,
     });
     this.engines.set(settings.runner, engine);
     return (request, response) => void engine.handle(request, response);
@@ -178,20 +200,3 @@
     }],
   };
 }
-
-function createRouterRecord(
-  settings: FleetDefinition["routers"][number],
-  router: Router,
-): HostRecord {
-  return {
-    id: settings.host,
-    failureDomain: settings.failureDomain,
-    region: settings.region,
-    state: "live",
-    processes: [{
-      type: "router",
-      name: settings.name,
-      controlAddress: router.controlAddress,
-    }],
-  };
-}
--- a/packages/operator/src/apply/apply_declaration.ts
+++ b/packages/operator/src/apply/apply_declaration.ts
@@ -6,7 +6,11 @@
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 import { type Change, compareDeclarations } from "../changes/mod.ts";
-import { loadDeclaration, putDeclaration } from "../declaration/mod.ts";
+import {
+  type Declaration,
+  loadDeclaration,
+  putDeclaration,
+} from "../declaration/mod.ts";
 import type { Base } from "./base_file.ts";
 import {
   announcePublication,
@@ -32,8 +36,7 @@
   };
 
 /** What to apply, and on top of which version. */
-export type ApplyOptions = {
-  body: Configuration;
+export type ApplyOptions = Declaration & {
   /** Version that the editor has seen; the one in force unless given. */
   baseVersion?: number;
   /** Version that the editor's last plan or apply has seen. */
@@ -88,7 +91,11 @@
     nowMs: options.nowMs,
   });
   for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
-    const settled = await tryPut(platform, { body, baseVersion, hash });
+    const settled = await tryPut(platform, {
+      text: options.text,
+      baseVersion,
+      hash,
+    });
     if (settled.type === "written") {
       return { type: "applied", version: settled.version, changes };
     }
@@ -166,7 +173,7 @@
 
 async function tryPut(
   platform: PlatformClient,
-  options: { body: Configuration; baseVersion: number; hash: string },
+  options: { text: string; baseVersion: number; hash: string },
 ): Promise<Settled> {
   try {
     const version = await putDeclaration(platform, options);
--- a/packages/operator/src/commands/declaration_commands.ts
+++ b/packages/operator/src/commands/declaration_commands.ts
@@ -89,7 +89,7 @@
     args: { ...jsonFlag, ...connectionFlags, ...fileFlag },
     handler: (flags) =>
       runFleetCommand(flags, output, async ({ connection, platform }) => {
-        const body = await loadDeclarationFile(connection.fleetFile);
+        const { body } = await loadDeclarationFile(connection.fleetFile);
         const accepted = await loadDeclaration(platform);
         const { platformAddress } = connection;
         await recordBase(connection.fleetFile, { platformAddress, accepted });
@@ -139,10 +139,10 @@
   baseVersion: number | undefined,
 ) {
   const { fleetFile, platformAddress } = connection;
-  const body = await loadDeclarationFile(fleetFile);
+  const declaration = await loadDeclarationFile(fleetFile);
   const base = await loadBase(fleetFile, platformAddress);
   const outcome = await applyDeclaration(platform, {
-    body,
+    ...declaration,
     nowMs: Date.now(),
     ...(baseVersion === undefined ? {} : { baseVersion }),
     ...(base === undefined ? {} : { base }),
@@ -184,10 +184,7 @@
       runFleetCommand(flags, output, async ({ connection, platform }) => {
         const source = flags.file === undefined
           ? await loadInForce(platform)
-          : {
-            configuration: await loadDeclarationFile(connection.fleetFile),
-            version: undefined,
-          };
+          : await loadDeclared(connection.fleetFile);
         const hosts = await loadHosts(platform, flags.file !== undefined);
         const subject = findSubject(flags.subject, { ...source, hosts });
         return reportExplanation(explainSubject(subject, source));
@@ -203,6 +200,11 @@
   return { configuration: accepted.body, version: accepted.version };
 }
 
+async function loadDeclared(file: string) {
+  const { body } = await loadDeclarationFile(file);
+  return { configuration: body, version: undefined };
+}
+
 /** A file can be explained without a platform, but for runners and hosts. */
 async function loadHosts(
   platform: PlatformClient,
--- a/packages/operator/src/declaration/declaration_file.ts
+++ b/packages/operator/src/declaration/declaration_file.ts
@@ -6,16 +6,18 @@
 } from "@jasminetide/core/configuration";
 import { AppError } from "@jasminetide/core/results";
 
+/** A declaration as written and as read. */
+export type Declaration = { text: string; body: Configuration };
+
 /**
  * Loads a declaration from a file.
  *
  * @throws AppError `invalidConfiguration` that names every fault.
  */
-export async function loadDeclarationFile(
-  file: string,
-): Promise<Configuration> {
-  const result = parseConfiguration(await loadText(file), file);
-  if (result.type === "parsed") return result.value;
+export async function loadDeclarationFile(file: string): Promise<Declaration> {
+  const text = await loadText(file);
+  const result = parseConfiguration(text, file);
+  if (result.type === "parsed") return { text, body: result.value };
   throw AppError.create("invalidConfiguration", formatFaults(result.faults));
 }
 
--- a/packages/operator/src/declaration/declaration_store.ts
+++ b/packages/operator/src/declaration/declaration_store.ts
@@ -1,20 +1,16 @@
 /** The declaration in force, as the platform holds it. */
-import type {
-  AcceptedConfiguration,
-  Configuration,
-} from "@jasminetide/core/configuration";
+import type { AcceptedConfiguration } from "@jasminetide/core/configuration";
 import {
-  configurationObject,
-  parseAccepted,
+  loadAccepted,
+  publishConfiguration,
 } from "@jasminetide/runtime/configuration";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 
 /** Loads the declaration in force, or undefined before the first. */
-export async function loadDeclaration(
+export function loadDeclaration(
   platform: PlatformClient,
 ): Promise<AcceptedConfiguration | undefined> {
-  const stored = await platform.get(configurationObject);
-  return stored === undefined ? undefined : parseAccepted(stored);
+  return loadAccepted(platform);
 }
 
 /**
@@ -24,14 +20,14 @@
  * @throws AppError `versionConflict`, or `platformUnavailable` when the write
  * may or may not have taken effect.
  */
-export function putDeclaration(
+export async function putDeclaration(
   platform: PlatformClient,
-  options: { body: Configuration; baseVersion: number },
+  options: { text: string; baseVersion: number },
 ): Promise<number> {
-  return platform.put(configurationObject, {
-    value: JSON.stringify(options.body),
-    condition: options.baseVersion === 0
-      ? "absent"
-      : { version: options.baseVersion },
+  const { text, baseVersion: expectedVersion } = options;
+  const { version } = await publishConfiguration(platform, {
+    text,
+    expectedVersion,
   });
+  return version;
 }
--- a/packages/runtime/src/exchange/headers_test.ts
+++ b/packages/runtime/src/exchange/headers_test.ts
@@ -11,6 +11,7 @@
   attempt: fc.uuid({ version: 7 }),
   epoch: fc.maxSafeNat(),
   workspace: name,
+  isIdempotent: fc.boolean(),
   priority: amount,
   weight: fc.double({ min: 0, max: 1000, noNaN: true }),
   costTokens: amount,
