--- /dev/null
+++ b/packages/operator/src/apply/report_apply.ts
@@ -0,0 +1,63 @@
+import { exitCodes } from "@jasminetide/runtime/process";
+import { formatChanges, shortenHashes } from "../changes/mod.ts";
+import type { CommandResult } from "../output/mod.ts";
+import type { ApplyOutcome } from "./apply_declaration.ts";
+
+/** Reports what became of an attempt to apply a declaration. */
+export function reportApply(outcome: ApplyOutcome): CommandResult {
+  switch (outcome.type) {
+    case "applied":
+      return {
+        exitCode: exitCodes.ok,
+        document: { ...outcome, changes: shortenHashes(outcome.changes) },
+        formatText: (style) =>
+          `${formatChanges(outcome.changes, style)}\n\n` +
+          style.green(`Applied as version ${outcome.version}`),
+      };
+    case "unchanged":
+      return {
+        exitCode: exitCodes.ok,
+        document: outcome,
+        formatText: () =>
+          `Version ${outcome.version} is in force and equal; nothing to apply`,
+      };
+    case "conflict":
+      return reportConflict(outcome);
+  }
+}
+
+function reportConflict(
+  outcome: Extract<ApplyOutcome, { type: "conflict" }>,
+): CommandResult {
+  return {
+    exitCode: exitCodes.conflict,
+    document: shortenHashes(outcome),
+    formatText: (style) =>
+      [
+        style.red(formatCause(outcome)),
+        "Nothing was written, and the file is as it was.",
+        ...(outcome.changedByOthers.length === 0 ? [] : [
+          "",
+          "Changed by others since:",
+          formatChanges(outcome.changedByOthers, style),
+        ]),
+        "",
+        "What this file would change in the version in force:",
+        formatChanges(outcome.changes, style),
+        "",
+        'Take over what should stay, then run "jasminetide plan" and ' +
+        `"jasminetide apply" again, or apply with --base ${outcome.version}`,
+      ].join("\n"),
+  };
+}
+
+function formatCause(
+  outcome: Extract<ApplyOutcome, { type: "conflict" }>,
+): string {
+  if (outcome.baseVersion === 0) {
+    return `Conflict: this file would undo what others have just changed ` +
+      `up to version ${outcome.version}`;
+  }
+  return `Conflict: this edit starts from version ${outcome.baseVersion}, ` +
+    `but version ${outcome.version} is in force`;
+}
