--- a/packages/runtime/src/membership/datagrams.ts
+++ b/packages/runtime/src/membership/datagrams.ts
@@ -40,6 +40,7 @@
 export class DatagramSocket {
   readonly #socket: Socket;
   readonly #key: string;
+  #isClosed = false;
   #sentBytes = 0;
   #receivedBytes = 0;
 
@@ -73,13 +74,14 @@
   /** Sends a datagram; a lost one is made good by a later one. */
   send(address: string, bytes: Uint8Array): void {
     const { ip, port } = parseAddress(address);
-    if (port === 0) return;
+    if (port === 0 || this.#isClosed) return;
     const datagram = encodeDatagram(bytes, this.#key);
     this.#sentBytes += datagram.length;
     this.#socket.send(datagram, port, ip, () => {});
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#isClosed = true;
     const closed = once(this.#socket, "close");
     this.#socket.close();
     await closed;
