--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -37,7 +37,7 @@
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import polka from "polka";
-import { Connections } from "./attempts/mod.ts";
+import { Connections, PoolStates } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
@@ -60,6 +60,7 @@
   readonly #metrics = Metrics.create();
   readonly #configuration = ConfigurationHolder.create();
   readonly #connections = Connections.create();
+  readonly #pools = PoolStates.create();
   readonly #resources = ResourceStack.create();
   readonly #resolved = new Map<string, RequestSettings>();
   readonly #peers = PeerClients.create();
@@ -68,6 +69,7 @@
   readonly #epoch: Epoch;
   #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
+  #isStopping = false;
   #callerAddress = "";
   #controlAddress = "";
 
@@ -111,6 +113,8 @@
 
   /** Stops accepting, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
     this.#membership?.setOwn({ isLeaving: true });
     await this.#resources[Symbol.asyncDispose]();
   }
@@ -126,6 +130,7 @@
     this.#resources.use(this.#configuration.subscribe(({ body }) => {
       this.#keyIndex = createKeyIndex(body);
       this.#resolved.clear();
+      this.#pools.clear();
     }));
     const control = await this.#startControl();
     this.#resources.use(control);
@@ -263,6 +268,7 @@
       configuration: this.#configuration,
       directory: membership,
       connections: this.#connections,
+      pools: this.#pools,
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { Membership } from "@jasminetide/runtime/membership";
 import type { Metrics } from "@jasminetide/runtime/metrics";
-import type { Connections } from "./attempts/mod.ts";
+import type { Connections, PoolStates } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
 
 /** Settings in force for one request. */
@@ -23,6 +23,7 @@
   configuration: ConfigurationHolder;
   directory: Membership;
   connections: Connections;
+  pools: PoolStates;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -18,6 +18,7 @@
   sender: "jt-sender",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
+  idempotent: "jt-idempotent",
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
   executed: "jt-executed",
@@ -38,6 +39,8 @@
   remainingMs: number;
   pool: string;
   chatKey: string;
+  /** Whether the request may be cancelled and repeated. */
+  isIdempotent: boolean;
   configurationVersion: number;
   /** Control address of the router, from which a sidecar fetches. */
   sender?: string;
@@ -57,6 +60,7 @@
     [headerNames.remainingMs]: String(Math.floor(envelope.remainingMs)),
     [headerNames.pool]: encodeURIComponent(envelope.pool),
     [headerNames.chatKey]: envelope.chatKey,
+    [headerNames.idempotent]: envelope.isIdempotent ? "1" : "0",
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
     ...(envelope.sender === undefined
       ? {}
@@ -80,6 +84,7 @@
     remainingMs: getNumber(headers, headerNames.remainingMs),
     pool: decodeURIComponent(getText(headers, headerNames.pool)),
     chatKey: getText(headers, headerNames.chatKey),
+    isIdempotent: getText(headers, headerNames.idempotent) === "1",
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
     ...(typeof headers[headerNames.sender] === "string"
       ? { sender: headers[headerNames.sender] as string }
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Admission } from "@jasminetide/core/admission";
+import type { Admission, TaskObserver } from "@jasminetide/core/admission";
+import type { PeakGate } from "@jasminetide/core/peak";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
@@ -18,6 +19,9 @@
 export type RequestContext = {
   attempts: AttemptStore;
   admission: Admission;
+  /** Holds back what may wait, and counts computed tokens. */
+  peak: PeakGate;
+  isDeferrable: (priority: number) => boolean;
   runner: Dispatcher;
   timers: TimerService;
   metrics: Metrics;
@@ -35,7 +39,10 @@
   maximumBodyBytes: number;
 };
 
-const attemptPath = /^\/attempts\/([0-9a-f-]+)(?:\?offset=(\d+))?$/;
+const attemptPath = /^\/attempts\/([0-9a-f-]+)(?:\?offset=(\d+)&epoch=(\d+))?$/;
+
+/** Period of the interim responses (102) while a request waits. */
+const heartbeatPeriodMs = 500;
 
 /** Handles one request of a router. */
 export async function handleRequest(
@@ -43,28 +50,40 @@
   response: ServerResponse,
   context: RequestContext,
 ): Promise<void> {
+  const match = attemptPath.exec(request.url ?? "");
+  const id = match?.[1] ?? String(request.headers[headerNames.attempt] ?? "");
   try {
-    const match = attemptPath.exec(request.url ?? "");
     if (match === null) await handleNew(request, response, context);
     else if (request.method === "DELETE") {
-      context.attempts.cancel(match[1]);
-      response.writeHead(204, context.getAnswerHeaders()).end();
-    } else await handleResume(match, response, context);
+      context.attempts.cancel(id);
+      response.writeHead(204, createHeaders(id, context)).end();
+    } else {
+      const [, , offset, epoch] = match;
+      await handleSettlement(
+        { id, offsetBytes: Number(offset), epoch: Number(epoch) },
+        response,
+        context,
+      );
+    }
   } catch (error) {
-    sendRefusal(response, error, context);
+    sendRefusal(response, { id, error: normalizeError(error) }, context);
   }
 }
 
-async function handleResume(
-  match: RegExpExecArray,
+async function handleSettlement(
+  wanted: { id: string; offsetBytes: number; epoch: number },
   response: ServerResponse,
   context: RequestContext,
 ): Promise<void> {
-  const [, id, offset] = match;
+  const attempt = context.attempts.settleAnswer(wanted.id, {
+    epoch: wanted.epoch,
+    nowMs: context.timers.nowMs(),
+  });
   context.metrics.count("answers-resumed");
-  await sendAnswer(context.attempts.get(id).answer, response, {
-    offsetBytes: Number(offset ?? "0"),
-    headers: createHeaders(id, context),
+  await passAnswer(attempt, response, {
+    id: wanted.id,
+    offsetBytes: wanted.offsetBytes,
+    context,
   });
 }
 
@@ -85,26 +104,50 @@
   }
   const attempt = context.attempts.begin(envelope.attempt, {
     epoch: envelope.epoch,
+    isIdempotent: envelope.isIdempotent,
     nowMs: arrivedAtMs,
   });
   const runnerRequest = {
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: request.headers,
+    priority: envelope.priority,
     body,
     deadlineMs: envelope.remainingMs,
   };
-  const work = admitAttempt(
-    attempt,
-    { envelope, runnerRequest, arrivedAtMs },
+  void admitAttempt(attempt, { envelope, runnerRequest, arrivedAtMs }, context);
+  await passAnswer(attempt, response, {
+    id: envelope.attempt,
+    offsetBytes: 0,
     context,
+  });
+}
+
+/** Sends an answer; interim responses show that the connection is alive. */
+async function passAnswer(
+  attempt: StoredAttempt,
+  response: ServerResponse,
+  options: { id: string; offsetBytes: number; context: RequestContext },
+): Promise<void> {
+  const { id, offsetBytes, context } = options;
+  using _reader = context.attempts.addReader(
+    attempt,
+    () => context.timers.nowMs(),
   );
-  await Promise.race([work, attempt.answer.getHead()]);
-  await sendAnswer(attempt.answer, response, {
-    offsetBytes: 0,
-    headers: createHeaders(envelope.attempt, context),
+  const closed = new Promise<void>((resolve) => {
+    response.once("close", resolve);
+  });
+  response.writeProcessing();
+  using _heartbeat = context.timers.subscribe(heartbeatPeriodMs, () => {
+    if (!response.headersSent) response.writeProcessing();
   });
-  await work;
+  await Promise.race([
+    closed,
+    sendAnswer(attempt.answer, response, {
+      offsetBytes,
+      headers: createHeaders(id, context),
+    }),
+  ]);
 }
 
 type Work = {
@@ -119,58 +162,97 @@
   work: Work,
   context: RequestContext,
 ): Promise<void> {
-  const { envelope, runnerRequest, arrivedAtMs } = work;
+  const { envelope, arrivedAtMs } = work;
   let hasBegun = false;
   try {
+    await waitForRelease(attempt, work, context);
     await context.admission.run({
       workspace: envelope.workspace,
       priority: envelope.priority,
       weight: envelope.weight,
       costTokens: envelope.costTokens,
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
-    }, async () => {
+    }, async (observer) => {
+      attempt.abort.signal.throwIfAborted();
       hasBegun = true;
-      const waitedMs = context.timers.nowMs() - arrivedAtMs;
-      context.metrics.record("admission-wait-ms", waitedMs);
-      await runAttempt(attempt, {
-        ...runnerRequest,
-        deadlineMs: envelope.remainingMs - waitedMs,
-      }, context.runner);
-    });
+      await runAdmitted(attempt, work, { context, observer });
+    }, { signal: attempt.abort.signal });
   } catch (error) {
-    if (!hasBegun) {
-      context.attempts.refuse(envelope.attempt, context.timers.nowMs());
-    }
     attempt.answer.fail(normalizeError(error));
-    throw error;
-  } finally {
-    if (hasBegun) {
-      context.attempts.complete(envelope.attempt, context.timers.nowMs());
-    }
   }
+  const nowMs = context.timers.nowMs();
+  if (hasBegun) context.attempts.complete(envelope.attempt, nowMs);
+  else context.attempts.refuse(envelope.attempt, nowMs);
+}
+
+async function runAdmitted(
+  attempt: StoredAttempt,
+  work: Work,
+  options: { context: RequestContext; observer: TaskObserver },
+): Promise<void> {
+  const { context, observer } = options;
+  const { envelope, runnerRequest, arrivedAtMs } = work;
+  const nowMs = context.timers.nowMs();
+  const waitedMs = nowMs - arrivedAtMs;
+  context.metrics.record("admission-wait-ms", waitedMs);
+  const computedTokens = await runAttempt(attempt, {
+    ...runnerRequest,
+    deadlineMs: envelope.remainingMs - waitedMs,
+  }, { runner: context.runner, observer });
+  recordTokens(work, { computedTokens, atMs: nowMs }, context);
+}
+
+/** Holds a deferrable request back while the minute is at its peak. */
+async function waitForRelease(
+  attempt: StoredAttempt,
+  work: Work,
+  context: RequestContext,
+): Promise<void> {
+  const { envelope, arrivedAtMs } = work;
+  if (!context.isDeferrable(envelope.priority)) return;
+  await context.peak.wait({
+    id: envelope.attempt,
+    costTokens: envelope.costTokens,
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + envelope.remainingMs,
+    durationMs: context.admission.getExpectedMs(envelope.costTokens),
+  }, attempt.abort.signal);
+}
+
+/** Counts what a request computed; a release has counted its estimate. */
+function recordTokens(
+  work: Work,
+  computed: { computedTokens: number | undefined; atMs: number },
+  context: RequestContext,
+): void {
+  const { costTokens, priority } = work.envelope;
+  const isDeferrable = context.isDeferrable(priority);
+  const tokens = (computed.computedTokens ?? costTokens) -
+    (isDeferrable ? costTokens : 0);
+  const { atMs } = computed;
+  context.peak.hold.meter.record(tokens, { atMs, isDeferrable });
 }
 
 function createHeaders(
-  attempt: string,
+  id: string,
   context: RequestContext,
 ): { [name: string]: string } {
   return {
     ...context.getAnswerHeaders(),
-    [headerNames.attempt]: attempt,
+    [headerNames.attempt]: id,
     [headerNames.epoch]: String(context.attempts.epoch),
   };
 }
 
 function sendRefusal(
   response: ServerResponse,
-  thrown: unknown,
+  refusal: { id: string; error: AppError },
   context: RequestContext,
 ): void {
-  const error = normalizeError(thrown);
+  const { id, error } = refusal;
   context.metrics.count(`refused-${error.result}`);
   sendProblem(response, error, {
-    ...context.getAnswerHeaders(),
-    [headerNames.epoch]: String(context.attempts.epoch),
+    ...createHeaders(id, context),
     [headerNames.executed]: error.executed,
   });
 }
