--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -40,6 +40,7 @@
 import { Connections, PoolStates } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
+import { LedgerRoutes } from "./ledger/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -269,6 +270,7 @@
       directory: membership,
       connections: this.#connections,
       pools: this.#pools,
+      ledgerRoutes: LedgerRoutes.create(),
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -31,6 +31,12 @@
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
 import { OrderGate } from "./orders/mod.ts";
+import {
+  createSettingsReader,
+  handleCall,
+  isMoneyCall,
+  Ledger,
+} from "./ledger/mod.ts";
 import {
   AttemptStore,
   handleRequest,
@@ -71,6 +77,7 @@
   #membership: Membership | undefined;
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
+  #ledger: Ledger | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -122,6 +129,11 @@
     return this.#controlAddress;
   }
 
+  /** Shards of the ledger that this sidecar knows. */
+  get ledgerShards(): ReturnType<Ledger["getDump"]> {
+    return this.#ledger?.getDump() ?? [];
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
@@ -154,6 +166,8 @@
       logger,
     });
     this.#resources.defer(() => this.#runner.close());
+    this.#ledger = this.#createLedger(platform);
+    this.#resources.use(this.#ledger);
     const data = await this.#startData();
     this.#dataAddress = data.address;
     const control = await this.#startControl();
@@ -173,6 +187,22 @@
     });
   }
 
+  #createLedger(platform: PlatformClient): Ledger {
+    const { settings, timers, logger } = this.#options;
+    const [service] = settings.pools;
+    return Ledger.create({
+      service,
+      owner: { name: settings.runner, epoch: this.epoch },
+      platform,
+      timers,
+      logger,
+      metrics: this.#metrics,
+      runner: { pool: this.#runner, admission: this.#admission },
+      isOffered: settings.kind === "service",
+      getSettings: createSettingsReader(service, this.#configuration),
+    });
+  }
+
   #startData(): Promise<ListeningServer> {
     const context: RequestContext = {
       attempts: this.#attempts,
@@ -196,7 +226,12 @@
     return startServer(
       this.#options.settings.dataAddress,
       (request, response) => {
-        void handleRequest(request, response, context);
+        if (isMoneyCall(request) && this.#ledger !== undefined) {
+          void handleCall(request, response, {
+            ...context,
+            ledger: this.#ledger,
+          });
+        } else void handleRequest(request, response, context);
       },
     );
   }
@@ -337,6 +372,7 @@
       membership: this.#membership?.getSnapshot(),
       highestFencingNumber: this.#orders?.highestFencingNumber,
       peak: this.#getPeakDump(),
+      ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
   }
