Assert that no leaving runner gets new work

**Cause**: candidates are ranked once a request; a retry could choose a runner that began to leave meanwhile. Differing host lists and several faults at once were not tried.

**Change**: dispatch passes over a runner that is leaving by the time of the attempt, and asserts that none known to leave for more than 3 s gets work. Two more scenarios: half of the routers' lists call a runner leaving for 10 s; and random cuts, restarts, leaving and versions under 20 % loss.

--- a/packages/load/src/measure_membership/spreading.feature
+++ b/packages/load/src/measure_membership/spreading.feature
@@ -18,6 +18,15 @@
     When they run for 12 seconds
     Then every router holds fresh records of all runners
 
+  Scenario: Routers hold different host lists for ten seconds
+    Given 48 processes on one virtual clock with 20 percent loss, seed 8
+    When the host lists of half of the routers call a runner leaving
+    And they run for 3 seconds
+    Then no router has the runner as a candidate for 10 seconds
+
+  Scenario: Loss, cuts, restarts, leaving and new versions together
+    Then 12 random runs end with one view and versions never decrease, seed 9
+
   Scenario: A runner that flaps once a second during a cut and loss
     Given 48 processes on one virtual clock with 20 percent loss, seed 7
     When a sidecar restarts once a second for 12 seconds
--- a/packages/load/src/measure_membership/spreading_test.ts
+++ b/packages/load/src/measure_membership/spreading_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import {
+  applyHostList,
   createRotatingScheme,
   defaultMembershipLimits,
   getCandidates,
@@ -9,8 +10,10 @@
   isLeaving,
   type MemberIdentity,
   setOwnLeaving,
+  setPending,
 } from "@jasminetide/core/membership";
 import { createSeededRandom } from "@jasminetide/core/random";
+import fc from "fast-check";
 import {
   createIdentity,
   DigestFleet,
@@ -163,3 +166,118 @@
     }
   },
 );
+
+When(
+  "the host lists of half of the routers call a runner leaving",
+  function (this: World) {
+    const [sidecar] = this.digests.sidecars;
+    this.subject = sidecar.identity;
+    const { routers, members } = this.digests;
+    for (const { spreader } of routers.slice(0, routers.length / 2)) {
+      const listed = members.map(({ identity }) => ({
+        identity,
+        capacity: 1,
+        state: identity === this.subject ? "leaving" as const : "live" as const,
+      }));
+      for (const member of applyHostList(spreader.tables, listed)) {
+        setPending(spreader, member, { origin: "received", urgency: "state" });
+      }
+    }
+  },
+);
+
+function listCandidateIds(
+  digests: DigestFleet,
+  { spreader }: FleetMember,
+): string[] {
+  return getCandidates(spreader.tables, "model-0", digests.nowMs)
+    .map((runner) => runner.id);
+}
+
+Then(
+  "no router has the runner as a candidate for {int} seconds",
+  function (this: World, seconds: number) {
+    const id = this.subject.runner?.id ?? "";
+    for (let second = 0; second < seconds; second++) {
+      for (const router of this.digests.routers) {
+        assert.ok(!listCandidateIds(this.digests, router).includes(id));
+      }
+      this.digests.advance(1000);
+    }
+  },
+);
+
+const eventArbitrary = fc.record({
+  kind: fc.constantFrom("cut", "restart", "leave", "version", "calm"),
+  index: fc.nat(15),
+  durationMs: fc.integer({ min: 1, max: 12 }).map((seconds) => seconds * 1000),
+});
+
+type FleetEvent = { kind: string; index: number; durationMs: number };
+
+/** Plays one event; `left` collects the runners that announced leaving. */
+function playFleetEvent(
+  digests: DigestFleet,
+  event: FleetEvent,
+  left: Set<string>,
+): void {
+  const sidecar = digests.sidecars[event.index];
+  const id = sidecar.identity.runner?.id ?? "";
+  const domain = `domain-${event.index % shape.failureDomains}`;
+  digests.isCut = (from, to) =>
+    event.kind === "cut" && from !== to && [from, to].includes(domain);
+  if (event.kind === "restart") {
+    digests.restart(sidecar);
+    left.delete(id);
+  }
+  if (event.kind === "leave") {
+    setOwnLeaving(sidecar.spreader);
+    left.add(id);
+  }
+  if (event.kind === "version") {
+    const [{ spreader }] = digests.routers;
+    digests.setVersion(digests.routers[0], spreader.configurationVersion + 1);
+  }
+  const before = digests.members.map((member) => ({
+    member,
+    version: member.spreader.configurationVersion,
+  }));
+  digests.advance(event.durationMs);
+  for (const { member, version } of before) {
+    assert.ok(member.spreader.configurationVersion >= version);
+  }
+}
+
+Then(
+  "{int} random runs end with one view and versions never decrease, seed {int}",
+  function (numRuns: number, seed: number) {
+    const events = fc.array(eventArbitrary, { minLength: 3, maxLength: 8 });
+    fc.assert(
+      fc.property(events, fc.integer(), (list, randomSeed) => {
+        const digests = DigestFleet.create({
+          ...shape,
+          routers: 6,
+          sidecars: 16,
+          limits: defaultMembershipLimits,
+          random: createSeededRandom(randomSeed),
+          createScheme: createRotatingScheme,
+          lossRatio: 0.2,
+        });
+        const left = new Set<string>();
+        for (const event of list) playFleetEvent(digests, event, left);
+        digests.isCut = () => false;
+        digests.advance(90_000);
+        const versions = new Set(
+          digests.members.map(({ spreader }) => spreader.configurationVersion),
+        );
+        assert.equal(versions.size, 1);
+        for (const router of digests.routers) {
+          const ids = listCandidateIds(digests, router);
+          assert.equal(ids.length, 16 - left.size);
+          assert.ok(ids.every((id) => !left.has(id)));
+        }
+      }),
+      { seed, numRuns },
+    );
+  },
+);
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -62,6 +62,14 @@
   ) {
     const runner = dispatch.chooseRunner(tried);
     if (runner === undefined) break;
+    if (runner.state === "leaving") {
+      tried.add(runner.id);
+      lastError ??= AppError.create(
+        "runnerLeaving",
+        `Runner ${runner.id} takes no new work`,
+      );
+      continue;
+    }
     if (lastError !== undefined) {
       await checkRetry(dispatch, context, { lastError, retryCount: count - 1 });
     }
@@ -98,6 +106,7 @@
     stream: dispatch.settings.stream,
     silences: context.pool.silences,
   };
+  context.directory.recordDispatch(runner.id);
   const sentAtMs = context.timers.nowMs();
   const start = await openAnswer(attempt, attemptContext);
   context.directory.recordAnswer(runner.id, start.headers);
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -37,7 +37,7 @@
   tickPeriodMs,
 } from "@jasminetide/core/membership";
 import type { RandomSource } from "@jasminetide/core/random";
-import { normalizeError } from "@jasminetide/core/results";
+import { assertInvariant, normalizeError } from "@jasminetide/core/results";
 import type { RunnerRow, Table } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { KnownMember, PeerClient } from "../control/mod.ts";
@@ -70,6 +70,9 @@
   peerAddresses: readonly string[];
 };
 
+/** Time after which a runner that is known to leave gets no new work. */
+const maximumLeavingDispatchMs = 3000;
+
 /** Peers that are tried for the members at the start. */
 const peersAtStart = 3;
 
@@ -82,6 +85,8 @@
   readonly #tables: MembershipTables;
   readonly #spreader: Spreader;
   readonly #resources = ResourceStack.create();
+  /** Runners that are leaving, with the time at which this was noticed. */
+  readonly #leavingSinceMs = new Map<string, number>();
   readonly #wireIds = new Map<string, number>();
   #socket: DatagramSocket | undefined;
   #nextReadAtMs = 0;
@@ -246,6 +251,18 @@
     }
   }
 
+  /** Records that new work is about to be sent to a runner. */
+  recordDispatch(runner: string): void {
+    const sinceMs = this.#leavingSinceMs.get(runner);
+    if (sinceMs === undefined) return;
+    const knownMs = this.#options.timers.nowMs() - sinceMs;
+    assertInvariant(
+      knownMs <= maximumLeavingDispatchMs,
+      "no-dispatch-to-leaving-runner",
+      () => `${runner} is known to leave for ${Math.round(knownMs)} ms`,
+    );
+  }
+
   /** Records that a runner did not answer; it is held back for a while. */
   recordFailure(runner: string): void {
     const wireId = this.#findWireId(runner);
@@ -294,11 +311,21 @@
     if (nowMs >= this.#nextReadAtMs && !this.#isReading) {
       void this.#loadHosts(nowMs);
     }
+    this.#noteLeaving(nowMs);
     expireMembers(this.#tables, nowMs);
     expireFlaps(this.#tables, nowMs);
     this.#send(spreadDigests(this.#spreader, nowMs));
   }
 
+  #noteLeaving(nowMs: number): void {
+    for (const runner of this.runners.rows()) {
+      if (runner.state !== "leaving") this.#leavingSinceMs.delete(runner.id);
+      else if (!this.#leavingSinceMs.has(runner.id)) {
+        this.#leavingSinceMs.set(runner.id, nowMs);
+      }
+    }
+  }
+
   #receive(bytes: Uint8Array): void {
     const digest = decodeDigest(bytes);
     const nowMs = this.#options.timers.nowMs();
