--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Admission } from "@jasminetide/core/admission";
-import type { PeakGate } from "@jasminetide/core/peak";
+import type { Admission, TaskObserver } from "@jasminetide/core/admission";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
@@ -13,15 +12,17 @@
 import type { Dispatcher } from "undici";
 import { sendAnswer } from "../answers/mod.ts";
 import type { AttemptStore, StoredAttempt } from "./attempt_store.ts";
+import {
+  type PeakContext,
+  recordTokens,
+  waitForRelease,
+} from "./busiest_minute.ts";
 import { runAttempt, type RunnerRequest } from "./run_attempt.ts";
 
 /** What the data path of a sidecar works with. */
-export type RequestContext = {
+export type RequestContext = PeakContext & {
   attempts: AttemptStore;
   admission: Admission;
-  /** Holds back what may wait, and counts computed tokens. */
-  peak: PeakGate;
-  isDeferrable: (priority: number) => boolean;
   runner: Dispatcher;
   timers: TimerService;
   metrics: Metrics;
@@ -31,7 +32,10 @@
   maximumBodyBytes: number;
 };
 
-const attemptPath = /^\/attempts\/([0-9a-f-]+)(?:\?offset=(\d+))?$/;
+const attemptPath = /^\/attempts\/([0-9a-f-]+)(?:\?offset=(\d+)&epoch=(\d+))?$/;
+
+/** Period of the interim responses (102) while a request waits. */
+const heartbeatPeriodMs = 500;
 
 /** Handles one request of a router. */
 export async function handleRequest(
@@ -39,28 +43,40 @@
   response: ServerResponse,
   context: RequestContext,
 ): Promise<void> {
+  const match = attemptPath.exec(request.url ?? "");
+  const id = match?.[1] ?? String(request.headers[headerNames.attempt] ?? "");
   try {
-    const match = attemptPath.exec(request.url ?? "");
     if (match === null) await handleNew(request, response, context);
     else if (request.method === "DELETE") {
-      context.attempts.cancel(match[1]);
-      response.writeHead(204, context.getAnswerHeaders()).end();
-    } else await handleResume(match, response, context);
+      context.attempts.cancel(id);
+      response.writeHead(204, createHeaders(id, context)).end();
+    } else {
+      const [, , offset, epoch] = match;
+      await handleSettlement(
+        { id, offsetBytes: Number(offset), epoch: Number(epoch) },
+        response,
+        context,
+      );
+    }
   } catch (error) {
-    sendRefusal(response, error, context);
+    sendRefusal(response, { id, error: normalizeError(error) }, context);
   }
 }
 
-async function handleResume(
-  match: RegExpExecArray,
+async function handleSettlement(
+  wanted: { id: string; offsetBytes: number; epoch: number },
   response: ServerResponse,
   context: RequestContext,
 ): Promise<void> {
-  const [, id, offset] = match;
+  const attempt = context.attempts.settleAnswer(wanted.id, {
+    epoch: wanted.epoch,
+    nowMs: context.timers.nowMs(),
+  });
   context.metrics.count("answers-resumed");
-  await sendAnswer(context.attempts.get(id).answer, response, {
-    offsetBytes: Number(offset ?? "0"),
-    headers: createHeaders(id, context),
+  await passAnswer(attempt, response, {
+    id: wanted.id,
+    offsetBytes: wanted.offsetBytes,
+    context,
   });
 }
 
@@ -77,6 +93,7 @@
   }
   const attempt = context.attempts.begin(envelope.attempt, {
     epoch: envelope.epoch,
+    isIdempotent: envelope.isIdempotent,
     nowMs: arrivedAtMs,
   });
   const runnerRequest = {
@@ -87,17 +104,39 @@
     body,
     deadlineMs: envelope.remainingMs,
   };
-  const work = admitAttempt(
-    attempt,
-    { envelope, runnerRequest, arrivedAtMs },
+  void admitAttempt(attempt, { envelope, runnerRequest, arrivedAtMs }, context);
+  await passAnswer(attempt, response, {
+    id: envelope.attempt,
+    offsetBytes: 0,
     context,
+  });
+}
+
+/** Sends an answer; interim responses show that the connection is alive. */
+async function passAnswer(
+  attempt: StoredAttempt,
+  response: ServerResponse,
+  options: { id: string; offsetBytes: number; context: RequestContext },
+): Promise<void> {
+  const { id, offsetBytes, context } = options;
+  using _reader = context.attempts.addReader(
+    attempt,
+    () => context.timers.nowMs(),
   );
-  await Promise.race([work, attempt.answer.getHead()]);
-  await sendAnswer(attempt.answer, response, {
-    offsetBytes: 0,
-    headers: createHeaders(envelope.attempt, context),
+  const closed = new Promise<void>((resolve) => {
+    response.once("close", resolve);
+  });
+  response.writeProcessing();
+  using _heartbeat = context.timers.subscribe(heartbeatPeriodMs, () => {
+    if (!response.headersSent) response.writeProcessing();
   });
-  await work;
+  await Promise.race([
+    closed,
+    sendAnswer(attempt.answer, response, {
+      offsetBytes,
+      headers: createHeaders(id, context),
+    }),
+  ]);
 }
 
 type Work = {
@@ -112,10 +151,10 @@
   work: Work,
   context: RequestContext,
 ): Promise<void> {
-  const { envelope, runnerRequest, arrivedAtMs } = work;
+  const { envelope, arrivedAtMs } = work;
   let hasBegun = false;
   try {
-    await waitForRelease(attempt, work, context);
+    await waitForRelease(work, attempt.abort.signal, context);
     await context.admission.run({
       workspace: envelope.workspace,
       priority: envelope.priority,
@@ -123,81 +162,54 @@
       costTokens: envelope.costTokens,
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
     }, async (observer) => {
+      attempt.abort.signal.throwIfAborted();
       hasBegun = true;
-      const nowMs = context.timers.nowMs();
-      const waitedMs = nowMs - arrivedAtMs;
-      context.metrics.record("admission-wait-ms", waitedMs);
-      const computedTokens = await runAttempt(attempt, {
-        ...runnerRequest,
-        deadlineMs: envelope.remainingMs - waitedMs,
-      }, { runner: context.runner, observer });
-      recordTokens(work, { computedTokens, atMs: nowMs }, context);
+      await runAdmitted(attempt, { ...work, observer }, context);
     }, { signal: attempt.abort.signal });
   } catch (error) {
-    if (!hasBegun) {
-      context.attempts.refuse(envelope.attempt, context.timers.nowMs());
-    }
     attempt.answer.fail(normalizeError(error));
-    throw error;
-  } finally {
-    if (hasBegun) {
-      context.attempts.complete(envelope.attempt, context.timers.nowMs());
-    }
   }
+  const nowMs = context.timers.nowMs();
+  if (hasBegun) context.attempts.complete(envelope.attempt, nowMs);
+  else context.attempts.refuse(envelope.attempt, nowMs);
 }
 
-/** Holds a deferrable request back while the minute is at its peak. */
-async function waitForRelease(
+async function runAdmitted(
   attempt: StoredAttempt,
-  work: Work,
+  work: Work & { observer: TaskObserver },
   context: RequestContext,
 ): Promise<void> {
-  const { envelope, arrivedAtMs } = work;
-  if (!context.isDeferrable(envelope.priority)) return;
-  await context.peak.wait({
-    id: envelope.attempt,
-    costTokens: envelope.costTokens,
-    arrivedAtMs,
-    deadlineAtMs: arrivedAtMs + envelope.remainingMs,
-    durationMs: context.admission.getExpectedMs(envelope.costTokens),
-  }, attempt.abort.signal);
-}
-
-/** Counts what a request computed; a release has counted its estimate. */
-function recordTokens(
-  work: Work,
-  computed: { computedTokens: number | undefined; atMs: number },
-  context: RequestContext,
-): void {
-  const { costTokens, priority } = work.envelope;
-  const isDeferrable = context.isDeferrable(priority);
-  const tokens = (computed.computedTokens ?? costTokens) -
-    (isDeferrable ? costTokens : 0);
-  const { atMs } = computed;
-  context.peak.hold.meter.record(tokens, { atMs, isDeferrable });
+  const { envelope, runnerRequest, arrivedAtMs, observer } = work;
+  const nowMs = context.timers.nowMs();
+  const waitedMs = nowMs - arrivedAtMs;
+  context.metrics.record("admission-wait-ms", waitedMs);
+  const computedTokens = await runAttempt(attempt, {
+    ...runnerRequest,
+    deadlineMs: envelope.remainingMs - waitedMs,
+  }, { runner: context.runner, observer });
+  recordTokens(envelope, { computedTokens, atMs: nowMs }, context);
 }
 
 function createHeaders(
-  attempt: string,
+  id: string,
   context: RequestContext,
 ): { [name: string]: string } {
   return {
     ...context.getAnswerHeaders(),
-    [headerNames.attempt]: attempt,
+    [headerNames.attempt]: id,
     [headerNames.epoch]: String(context.attempts.epoch),
   };
 }
 
 function sendRefusal(
   response: ServerResponse,
-  thrown: unknown,
+  refusal: { id: string; error: AppError },
   context: RequestContext,
 ): void {
-  const error = normalizeError(thrown);
+  const { id, error } = refusal;
   context.metrics.count(`refused-${error.result}`);
   sendProblem(response, error, {
-    ...context.getAnswerHeaders(),
-    [headerNames.epoch]: String(context.attempts.epoch),
+    ...createHeaders(id, context),
     [headerNames.executed]: error.executed,
   });
 }
--- a/packages/sidecar/src/requests/run_attempt.ts
+++ b/packages/sidecar/src/requests/run_attempt.ts
@@ -5,6 +5,7 @@
 import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
 import type { Dispatcher } from "undici";
 import type { StoredAttempt } from "./attempt_store.ts";
+import { countEvents, findComputedTokens } from "./answer_usage.ts";
 
 /** One request as the runner gets it. */
 export type RunnerRequest = {
@@ -26,8 +27,6 @@
 /** Request header by which engines order what waits. */
 const priorityHeader = "x-priority";
 
-const lineFeed = 10;
-
 /** What attempts run with. */
 export type RunOptions = { runner: Dispatcher; observer: TaskObserver };
 
@@ -48,11 +47,7 @@
   try {
     return await pumpAnswer(attempt, request, { ...options, signal });
   } catch (error) {
-    attempt.answer.fail(
-      AppError.create("runnerFailed", "Runner did not answer in full", {
-        cause: error,
-      }),
-    );
+    attempt.answer.fail(createFailure(attempt, error));
     return undefined;
   }
 }
@@ -92,22 +87,11 @@
   return findComputedTokens(tail);
 }
 
-/** Finds the usage of an OpenAI-compatible answer near its end. */
-function findComputedTokens(tail: string): number | undefined {
-  const [prompt, answer, cached] = [
-    "prompt_tokens",
-    "completion_tokens",
-    "cached_tokens",
-  ].map((name) => new RegExp(`"${name}":\\s*(\\d+)`).exec(tail)?.[1]);
-  if (prompt === undefined || answer === undefined) return undefined;
-  return Number(prompt) + Number(answer) - Number(cached ?? "0");
-}
-
-/** Counts the events of a piece of a stream; each ends in an empty line. */
-function countEvents(chunk: Uint8Array): number {
-  let count = 0;
-  for (let index = 1; index < chunk.length; index += 1) {
-    if (chunk[index] === lineFeed && chunk[index - 1] === lineFeed) count += 1;
-  }
-  return count;
+function createFailure(attempt: StoredAttempt, thrown: unknown): AppError {
+  if (thrown instanceof AppError) return thrown;
+  const { signal } = attempt.abort;
+  if (signal.aborted && signal.reason instanceof AppError) return signal.reason;
+  return AppError.create("runnerFailed", "Runner did not answer in full", {
+    cause: thrown,
+  });
 }
