Keep a surging workspace to its share of the slots

**Cause** Fair order in the queue is not enough: a surge fills the batch, a larger batch slows every token, and the first tokens of the others took almost twice as long.

The estimate of a wait follows the share.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,7 +1,7 @@
 import PQueue from "p-queue";
 import { AppError, assertInvariant } from "../results/mod.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
-import { FairQueue } from "./fair_queue.ts";
+import { createQueueClass, FairQueue } from "./fair_queue.ts";
 import {
   assertLoadCap,
   createCapError,
@@ -9,6 +9,7 @@
   isUnderCap,
 } from "./load_cap.ts";
 import { ServiceRate } from "./service_rate.ts";
+import { SlotShares } from "./slot_shares.ts";
 import { createTaskObserver } from "./task_observer.ts";
 import type {
   AdmissionOptions,
@@ -26,6 +27,7 @@
   readonly #queue: PQueue<FairQueue>;
   readonly #waiting = WaitingTable.create();
   readonly #limit: ConcurrencyLimit;
+  readonly #shares: SlotShares;
   readonly #rate = ServiceRate.create();
   #loadTokens = 0;
   #running = 0;
@@ -36,9 +38,16 @@
     this.#limit = ConcurrencyLimit.create(() =>
       options.getSettings().admission
     );
+    this.#shares = SlotShares.create({
+      getLimit: () => this.#limit.limit,
+      getNowMs: () => options.timers.nowMs(),
+    });
+    const queue = FairQueue.create({
+      canStart: (workspace) => this.#shares.canStart(workspace),
+    });
     this.#queue = new PQueue({
       concurrency: this.#limit.limit,
-      queueClass: FairQueue,
+      queueClass: createQueueClass(queue),
     });
   }
 
@@ -86,6 +95,7 @@
     task: AdmissionTask<Result>,
     options: { signal?: AbortSignal } = {},
   ): Promise<Result> {
+    this.#shares.observe(request.workspace, request.weight);
     this.#updateLimit();
     this.#checkDeadline(request);
     this.#checkQueue(request);
@@ -167,6 +177,7 @@
     const startMs = timers.nowMs();
     if (startMs >= request.deadlineAtMs) throw this.#createDeadlineError(0);
     this.#running += 1;
+    this.#shares.begin(request.workspace);
     const observer = createTaskObserver({
       limit: this.#limit,
       timers,
@@ -176,6 +187,7 @@
       return await task(observer);
     } finally {
       this.#running -= 1;
+      this.#shares.end(request.workspace);
       this.#rate.observe(timers.nowMs() - startMs, request.costTokens);
       this.#updateLimit();
     }
@@ -183,8 +195,8 @@
 
   #updateLimit(): void {
     this.#limit.update(this.#options.timers.nowMs());
-    const { limit } = this.#limit;
-    if (this.#queue.concurrency !== limit) this.#queue.concurrency = limit;
+    // Setting the concurrency also starts what has become startable.
+    this.#queue.concurrency = this.#limit.limit;
   }
 
   #checkDeadline(request: AdmissionRequest): void {
@@ -195,12 +207,22 @@
     if (endMs > request.deadlineAtMs) throw this.#createDeadlineError(waitMs);
   }
 
+  #hasToWait({ workspace }: AdmissionRequest): boolean {
+    return this.#running >= this.#limit.limit ||
+      !this.#shares.canStart(workspace);
+  }
+
   /** Estimates how long a newcomer would wait for a slot. */
   #getWaitMs(request: AdmissionRequest): number {
     const { limit } = this.#limit;
-    if (this.#running < limit) return 0;
-    const ahead = this.#waiting.getTokensAhead(request) + request.costTokens;
-    return this.#rate.getDurationMs(ahead) / limit;
+    const { workspace, costTokens } = request;
+    if (!this.#hasToWait(request)) return 0;
+    const ahead = this.#waiting.getTokensAhead(request) + costTokens;
+    const own = this.#waiting.getOwnTokens(request) + costTokens;
+    return Math.max(
+      this.#rate.getDurationMs(ahead) / limit,
+      this.#rate.getDurationMs(own) / this.#shares.getShare(workspace),
+    );
   }
 
   #createDeadlineError(waitMs: number): AppError {
@@ -215,8 +237,7 @@
   #checkQueue(request: AdmissionRequest): void {
     const { maximumQueueLength } = this.#options.getSettings().admission;
     const isFull = () =>
-      this.#running >= this.#limit.limit &&
-      this.#waiting.size >= maximumQueueLength;
+      this.#hasToWait(request) && this.#waiting.size >= maximumQueueLength;
     while (isFull() && this.#refuseVictim(request));
     if (!isFull()) return;
     throw AppError.create(
--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -4,16 +4,19 @@
 export type QueueRun = () => Promise<unknown>;
 
 /** What the order of a task follows from. */
-export type FairQueueOptions = QueueAddOptions & {
+export type FairTaskOptions = QueueAddOptions & {
   workspace?: string;
   weight?: number;
   costTokens?: number;
 };
 
+/** Which workspaces may start a task now. */
+export type FairQueueOptions = { canStart: (workspace: string) => boolean };
+
 type Item = {
   id: string;
   run: QueueRun;
-  options: Partial<FairQueueOptions>;
+  options: Partial<FairTaskOptions>;
   startTag: number;
   order: number;
 };
@@ -29,6 +32,9 @@
   idleTags: Map<string, number>;
 };
 
+/** The task to start next is the first of `flow`. */
+type NextFlow = { queue: ClassQueue; workspace: string; flow: Flow };
+
 /** Workspaces whose last finish tag a class remembers. */
 const maxIdleTags = 1024;
 
@@ -38,16 +44,27 @@
  * by its share and the cost of its tasks. Higher `priority` is served first,
  * as `p-queue` has it.
  */
-export class FairQueue implements Queue<QueueRun, FairQueueOptions> {
+export class FairQueue implements Queue<QueueRun, FairTaskOptions> {
   readonly #classes = new Map<number, ClassQueue>();
+  readonly #canStart: (workspace: string) => boolean;
   #size = 0;
   #order = 0;
 
+  private constructor(options: FairQueueOptions) {
+    this.#canStart = options.canStart;
+  }
+
+  /** Creates an empty queue. */
+  static create(options: FairQueueOptions): FairQueue {
+    return new FairQueue(options);
+  }
+
+  /** Tasks of which one may start now; 0 when all have to wait. */
   get size(): number {
-    return this.#size;
+    return this.#chooseNext() === undefined ? 0 : this.#size;
   }
 
-  enqueue(run: QueueRun, options: Partial<FairQueueOptions> = {}): void {
+  enqueue(run: QueueRun, options: Partial<FairTaskOptions> = {}): void {
     const { workspace = "", weight = 1, costTokens = 1 } = options;
     const queue = this.#getClass(options.priority ?? 0);
     const flow = getFlow(queue, workspace);
@@ -64,9 +81,9 @@
   }
 
   dequeue(): QueueRun | undefined {
-    const queue = this.#chooseClass();
-    if (queue === undefined) return undefined;
-    const [workspace, flow] = chooseFlow(queue);
+    const next = this.#chooseNext();
+    if (next === undefined) return undefined;
+    const { queue, workspace, flow } = next;
     const [item] = flow.items.splice(0, 1);
     queue.virtualTime = item.startTag;
     this.#size -= 1;
@@ -88,7 +105,7 @@
   }
 
   /** Lists the tasks of a class. */
-  filter(options: Readonly<Partial<FairQueueOptions>>): QueueRun[] {
+  filter(options: Readonly<Partial<FairTaskOptions>>): QueueRun[] {
     const flows = this.#classes.get(options.priority ?? 0)?.flows.values() ??
       [];
     return [...flows].flatMap((flow) => flow.items).map(({ run }) => run);
@@ -106,13 +123,27 @@
     return created;
   }
 
-  #chooseClass(): ClassQueue | undefined {
-    let chosen: [number, ClassQueue] | undefined;
-    for (const entry of this.#classes) {
-      if (entry[1].flows.size === 0) continue;
-      if (chosen === undefined || entry[0] > chosen[0]) chosen = entry;
+  /** Chooses the highest class with a task that may start, and its flow. */
+  #chooseNext(): NextFlow | undefined {
+    const classes = [...this.#classes].sort(([left], [right]) => right - left);
+    for (const [, queue] of classes) {
+      const next = this.#chooseFlow(queue);
+      if (next !== undefined) return next;
+    }
+    return undefined;
+  }
+
+  /** Chooses the workspace whose first task has the lowest start tag. */
+  #chooseFlow(queue: ClassQueue): NextFlow | undefined {
+    let chosen: NextFlow | undefined;
+    for (const [workspace, flow] of queue.flows) {
+      const isFirst = chosen === undefined ||
+        isBefore(flow.items[0], chosen.flow.items[0]);
+      if (isFirst && this.#canStart(workspace)) {
+        chosen = { queue, workspace, flow };
+      }
     }
-    return chosen?.[1];
+    return chosen;
   }
 
   #take(id: string): Item | undefined {
@@ -140,6 +171,15 @@
   return created;
 }
 
+/** Creates the class by which `p-queue` makes its queue: always `queue`. */
+export function createQueueClass(queue: FairQueue): new () => FairQueue {
+  return class {
+    constructor() {
+      return queue;
+    }
+  } as new () => FairQueue;
+}
+
 /** Keeps only the finish tag of a workspace with nothing queued. */
 function expireFlow(queue: ClassQueue, workspace: string): void {
   const flow = queue.flows.get(workspace);
@@ -151,13 +191,6 @@
   queue.idleTags.delete(oldest);
 }
 
-/** Chooses the workspace whose first task has the lowest start tag. */
-function chooseFlow(queue: ClassQueue): [string, Flow] {
-  return [...queue.flows].reduce((chosen, entry) =>
-    isBefore(entry[1].items[0], chosen[1].items[0]) ? entry : chosen
-  );
-}
-
 function isBefore(left: Item, right: Item): boolean {
   return left.startTag < right.startTag ||
     (left.startTag === right.startTag && left.order < right.order);
--- a/packages/core/src/admission/waiting_table.ts
+++ b/packages/core/src/admission/waiting_table.ts
@@ -48,6 +48,11 @@
     return ahead;
   }
 
+  /** Gets the tokens that the workspace itself has queued in the class. */
+  getOwnTokens({ priority, workspace }: AdmissionRequest): number {
+    return this.#getTokens(priority).get(workspace)?.tokens ?? 0;
+  }
+
   /**
    * Finds the request to give up for a newcomer: the last of the lowest class
    * below it, else of the workspace in its class that has the most queued for
