--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -69,6 +69,12 @@
     return this.#platformAddress;
   }
 
+  /** Takes ownership of a router that was started beside the others. */
+  add(router: Router): void {
+    this.#resources.use(router);
+    this.routers.push(router);
+  }
+
   /** Stops the routers, then the sidecars, then the stand-ins. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#resources[Symbol.asyncDispose]();
@@ -83,7 +89,8 @@
     }
     this.hosts.set(records);
     for (const settings of definition.routers) {
-      await this.#startRouter(settings);
+      records.push(await this.#startRouter(settings));
+      this.hosts.set([...records]);
     }
   }
 
@@ -125,7 +132,7 @@
 
   async #startRouter(
     settings: FleetDefinition["routers"][number],
-  ): Promise<void> {
+  ): Promise<HostRecord> {
     const router = await Router.create({
       settings: {
         ...settings,
@@ -138,6 +145,17 @@
     });
     this.#resources.use(router);
     this.routers.push(router);
+    return {
+      id: settings.host,
+      failureDomain: settings.failureDomain,
+      region: settings.region,
+      state: "live",
+      processes: [{
+        type: "router",
+        name: settings.name,
+        controlAddress: router.controlAddress,
+      }],
+    };
   }
 
   #createRunner(settings: SidecarSettings): RequestListener {
--- a/packages/runtime/src/control/peer_router.ts
+++ b/packages/runtime/src/control/peer_router.ts
@@ -1,20 +1,51 @@
 import type { Settlement } from "@jasminetide/core/attempts";
-import type { AcceptedConfiguration } from "@jasminetide/core/configuration";
+import type {
+  DigestRecord,
+  MemberIdentity,
+} from "@jasminetide/core/membership";
+import { type FencedOrder, fencedOrderSchema } from "@jasminetide/core/leases";
+import type { Executed } from "@jasminetide/core/results";
 import { initTRPC } from "@trpc/server";
 import { settleSchema } from "./messages.ts";
 import { z } from "zod";
 
 const trpc = initTRPC.create();
 
+/** A configuration as the platform stores it. */
+export type StoredConfiguration = {
+  version: number;
+  /** SHA-256 of `text`, in hexadecimal. */
+  hash: string;
+  text: string;
+};
+
+/** A member as one process tells another. */
+export type KnownMember = { identity: MemberIdentity; record: DigestRecord };
+
+/** Parts of a configuration that one request may ask for. */
+const maximumParts = 64;
+
 /** What every process answers its peers. */
 export type PeerHandlers = {
   /** Gives the configuration if it is newer than the caller's. */
-  getConfiguration(afterVersion: number): AcceptedConfiguration | undefined;
+  getConfiguration(afterVersion: number): StoredConfiguration | undefined;
+  /** Gives the members that it knows, with their records. */
+  getMembers(): KnownMember[];
+  /** Says whether it holds a duty as the start that the asker names. */
+  isDutyHeld(duty: string, epoch: number): boolean;
+  /** Gives those of the asked parts of a configuration that it holds. */
+  getParts(hashes: string[]): { [hash: string]: string };
 };
 
+/** What became of an order. */
+export type OrderOutcome =
+  | { type: "done" }
+  | { type: "refused"; code: number; executed: Executed; detail: string };
+
 /** What a sidecar answers besides. */
 export type SidecarHandlers = PeerHandlers & {
   settle(request: z.output<typeof settleSchema>): Settlement;
+  order(request: FencedOrder): Promise<OrderOutcome>;
 };
 
 /** Creates the procedures that every process serves. */
@@ -29,6 +60,9 @@
     settle: trpc.procedure.input(settleSchema).mutation(({ input }) =>
       handlers.settle(input)
     ),
+    order: trpc.procedure.input(fencedOrderSchema).mutation(({ input }) =>
+      handlers.order(input)
+    ),
   });
 }
 
@@ -45,5 +79,12 @@
       .query(({ input }) =>
         handlers.getConfiguration(input.afterVersion) ?? null
       ),
+    getMembers: trpc.procedure.query(() => handlers.getMembers()),
+    isDutyHeld: trpc.procedure
+      .input(z.object({ duty: z.string(), epoch: z.number().int() }))
+      .query(({ input }) => handlers.isDutyHeld(input.duty, input.epoch)),
+    getParts: trpc.procedure
+      .input(z.object({ hashes: z.array(z.string()).max(maximumParts) }))
+      .query(({ input }) => handlers.getParts(input.hashes)),
   };
 }
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -14,12 +14,24 @@
   costTokens: "jt-cost-tokens",
   /** Milliseconds that remain until the deadline. */
   remainingMs: "jt-remaining-ms",
+  /** Control address of the router. */
+  sender: "jt-sender",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
   idempotent: "jt-idempotent",
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
   executed: "jt-executed",
+  /** Idempotency key of a money call. */
+  ledgerKey: "jt-ledger-key",
+  /** Whether the sidecar may wait for the lease and take the shard over. */
+  ledgerClaim: "jt-ledger-claim",
+  /** How a money call was answered. */
+  ledgerAnswer: "jt-ledger-answer",
+  /** Runner whose sidecar owns the shard, where it is another. */
+  ledgerOwner: "jt-ledger-owner",
+  /** Number of shards of the service. */
+  ledgerShards: "jt-ledger-shards",
   /** Trailer: bytes of the whole answer. */
   answerBytes: "jt-answer-bytes",
   /** Trailer: how the answer ended. */
@@ -40,6 +52,8 @@
   /** Whether the request may be cancelled and repeated. */
   isIdempotent: boolean;
   configurationVersion: number;
+  /** Control address of the router, from which a sidecar fetches. */
+  sender?: string;
 };
 
 /** Formats an envelope as headers. */
@@ -58,6 +72,9 @@
     [headerNames.chatKey]: envelope.chatKey,
     [headerNames.idempotent]: envelope.isIdempotent ? "1" : "0",
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
+    ...(envelope.sender === undefined
+      ? {}
+      : { [headerNames.sender]: envelope.sender }),
   };
 }
 
@@ -79,6 +96,9 @@
     chatKey: getText(headers, headerNames.chatKey),
     isIdempotent: getText(headers, headerNames.idempotent) === "1",
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
+    ...(typeof headers[headerNames.sender] === "string"
+      ? { sender: headers[headerNames.sender] as string }
+      : {}),
   };
 }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,25 +1,42 @@
 import { Admission, type MeanLoad } from "@jasminetide/core/admission";
+import {
+  createEpoch,
+  defaultMembershipLimits,
+} from "@jasminetide/core/membership";
+import { getPlacementDuty } from "@jasminetide/core/leases";
+import { AppError } from "@jasminetide/core/results";
 import type { Match } from "@jasminetide/core/configuration";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { MinuteMeter, PeakGate, PeakHold } from "@jasminetide/core/peak";
 import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
+  ConfigurationFollower,
   ConfigurationHolder,
   EffectiveSettings,
-  watchConfiguration,
+  formatForPeer,
+  selectParts,
 } from "@jasminetide/runtime/configuration";
 import {
   createSidecarRouter,
+  PeerClients,
   startControlServer,
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import { headerNames } from "@jasminetide/runtime/exchange";
 import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import { OrderGate } from "./orders/mod.ts";
+import {
+  createSettingsReader,
+  handleCall,
+  isMoneyCall,
+  Ledger,
+} from "./ledger/mod.ts";
 import {
   AttemptStore,
   handleRequest,
@@ -46,9 +63,6 @@
 
 const maxBodyBytes = 4_194_304;
 
-/** Random numbers that tell apart two starts in the same millisecond. */
-const epochsPerMs = 1024;
-
 /** The process beside one runner. */
 export class Sidecar {
   readonly #options: SidecarOptions;
@@ -58,8 +72,12 @@
   readonly #admission: Admission;
   readonly #peak: PeakGate;
   readonly #runner: Pool;
-  readonly #abort = new AbortController();
   readonly #resources = ResourceStack.create();
+  readonly #peers = PeerClients.create();
+  #membership: Membership | undefined;
+  #orders: OrderGate | undefined;
+  #follower: ConfigurationFollower | undefined;
+  #ledger: Ledger | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -68,7 +86,7 @@
     const { settings, timers } = options;
     this.#options = options;
     this.#attempts = AttemptStore.create({
-      epoch: createEpoch(timers.nowMs()),
+      epoch: createEpoch(timers.nowMs(), createSystemRandom()),
       retentionMs: attemptRetentionMs,
       orphanMs,
     });
@@ -111,13 +129,25 @@
     return this.#controlAddress;
   }
 
+  /** Shards of the ledger that this sidecar knows. */
+  get ledgerShards(): ReturnType<Ledger["getDump"]> {
+    return this.#ledger?.getDump() ?? [];
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
 
+  /** Version of the configuration in force, 0 before the first. */
+  get configurationVersion(): number {
+    return this.#configuration.version;
+  }
+
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#isLeaving) return;
     this.#isLeaving = true;
+    this.#membership?.setOwn({ isLeaving: true });
     this.#peak.refuseAll();
     await this.#resources[Symbol.asyncDispose]();
   }
@@ -128,32 +158,51 @@
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
+    this.#resources.use(this.#peers);
+    this.#orders = OrderGate.create({
+      duty: getPlacementDuty(settings.region),
+      platform,
+      runner: this.#runner,
+      logger,
+    });
     this.#resources.defer(() => this.#runner.close());
+    this.#ledger = this.#createLedger(platform);
+    this.#resources.use(this.#ledger);
     const data = await this.#startData();
     this.#dataAddress = data.address;
     const control = await this.#startControl();
     this.#controlAddress = control.address;
     this.#resources.use(control);
+    const membership = await this.#startMembership(platform);
+    this.#startFollower(platform, membership);
     this.#resources.defer(() => data.close());
-    this.#resources.defer(() => this.#abort.abort());
     const expiry = timers.subscribe(
       expirePeriodMs,
       (nowMs) => this.#attempts.expire(nowMs),
     );
     this.#resources.defer(() => expiry[Symbol.dispose]());
-    void watchConfiguration(this.#abort.signal, {
-      platform,
-      holder: this.#configuration,
-      logger,
-      wait: (durationMs) =>
-        new Promise((resolve) => timers.schedule(durationMs, () => resolve())),
-    });
     logger.info("sidecar-started", {
       runner: settings.runner,
       epoch: this.epoch,
     });
   }
 
+  #createLedger(platform: PlatformClient): Ledger {
+    const { settings, timers, logger } = this.#options;
+    const [service] = settings.pools;
+    return Ledger.create({
+      service,
+      owner: { name: settings.runner, epoch: this.epoch },
+      platform,
+      timers,
+      logger,
+      metrics: this.#metrics,
+      runner: { pool: this.#runner, admission: this.#admission },
+      isOffered: settings.kind === "service",
+      getSettings: createSettingsReader(service, this.#configuration),
+    });
+  }
+
   #startData(): Promise<ListeningServer> {
     const context: RequestContext = {
       attempts: this.#attempts,
@@ -163,16 +212,26 @@
       runner: this.#runner,
       timers: this.#options.timers,
       metrics: this.#metrics,
+      syncConfiguration: (version, sender) => {
+        this.#follower?.observeVersion(version, sender);
+        return this.#follower?.sync();
+      },
       isLeaving: () => this.#isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
+        ...this.#membership?.getAnswerHeaders(),
       }),
       maximumBodyBytes: maxBodyBytes,
     };
     return startServer(
       this.#options.settings.dataAddress,
       (request, response) => {
-        void handleRequest(request, response, context);
+        if (isMoneyCall(request) && this.#ledger !== undefined) {
+          void handleCall(request, response, {
+            ...context,
+            ledger: this.#ledger,
+          });
+        } else void handleRequest(request, response, context);
       },
     );
   }
@@ -186,14 +245,95 @@
       router: createSidecarRouter({
         getConfiguration: (afterVersion) =>
           this.#configuration.version > afterVersion
-            ? this.#configuration.get()
+            ? formatForPeer(this.#configuration.get())
             : undefined,
+        getParts: (hashes) => selectParts(this.#configuration, hashes),
+        order: (order) => this.#requireOrders().apply(order),
+        isDutyHeld: () => false,
+        getMembers: () => this.#membership?.listMembers() ?? [],
         settle: ({ attempt, epoch }) =>
           this.#attempts.settle(attempt, { epoch, nowMs: timers.nowMs() }),
       }),
     });
   }
 
+  async #startMembership(platform: PlatformClient): Promise<Membership> {
+    const { logger, settings, timers } = this.#options;
+    const membership = await Membership.create({
+      identity: {
+        type: "sidecar",
+        name: settings.name,
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        controlAddress: this.#controlAddress,
+        runner: {
+          id: settings.runner,
+          kind: settings.kind,
+          pools: settings.pools,
+          dataAddress: this.#dataAddress,
+        },
+      },
+      epoch: this.epoch,
+      capacity: settings.capacity,
+      limits: defaultMembershipLimits,
+      digestKey: settings.digestKey,
+      timers,
+      random: createSystemRandom(),
+      logger,
+      platform,
+      getPeer: (address) => this.#peers.get(address),
+      peerAddresses: settings.peerAddresses,
+      getLoadTokens: () => this.#admission.loadTokens,
+    });
+    this.#membership = this.#resources.use(membership);
+    this.#resources.use(this.#configuration.subscribe(({ body, version }) => {
+      membership.setConfigurationVersion(version);
+      membership.setLimits(body.defaults.membership);
+    }));
+    return membership;
+  }
+
+  #startFollower(platform: PlatformClient, membership: Membership): void {
+    const { logger, timers } = this.#options;
+    const follower = ConfigurationFollower.create({
+      platform,
+      holder: this.#configuration,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      isWatcher: () => membership.isWatcher,
+      listPeers: () => membership.listRouterAddresses(),
+      whenReady: membership.whenReady,
+      sections: ["exceptions"],
+    });
+    membership.setVersionObserver((version, address) =>
+      follower.observeVersion(version, address)
+    );
+    this.#follower = this.#resources.use(follower);
+  }
+
+  /** Gets the mean load that the load cap compares with. */
+  #getMeanLoad(): MeanLoad {
+    const { pools } = this.#options.settings;
+    const mean = this.#membership?.getPoolMean(pools);
+    if (mean === undefined) {
+      return {
+        tokens: 0,
+        ageMs: 0,
+        errorTokens: 0,
+        runners: 1,
+        staleRunners: 0,
+      };
+    }
+    return { ...mean, staleRunners: mean.stale };
+  }
+
+  #requireOrders(): OrderGate {
+    if (this.#orders !== undefined) return this.#orders;
+    throw AppError.create("internal", "Sidecar has not started");
+  }
+
   #getPeakDump() {
     const { meter, size } = this.#peak.hold;
     const nowMs = this.#options.timers.nowMs();
@@ -211,12 +351,6 @@
     return sharing.length > 0 && sharing.every((each) => each.deferrable);
   }
 
-  /** The runner's own load is all that the sidecar knows of the pool. */
-  #getMeanLoad(): MeanLoad {
-    const tokens = this.#admission.loadTokens / this.#options.settings.capacity;
-    return { tokens, ageMs: 0, errorTokens: 0, runners: 1, staleRunners: 0 };
-  }
-
   #getDump() {
     const { settings } = this.#options;
     return {
@@ -235,7 +369,10 @@
         running: this.#admission.running,
         concurrencyLimit: this.#admission.concurrencyLimit,
       },
+      membership: this.#membership?.getSnapshot(),
+      highestFencingNumber: this.#orders?.highestFencingNumber,
       peak: this.#getPeakDump(),
+      ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
   }
@@ -252,8 +389,3 @@
     ...(kind === "engine" ? { model: pool } : { service: pool }),
   };
 }
-
-function createEpoch(nowMs: number): Epoch {
-  return Math.floor(nowMs) * epochsPerMs +
-    createSystemRandom().getInteger(epochsPerMs);
-}
