Make the platform and service stand-ins limit, lag and fail

**Cause** The platform stand-in took any number of calls, never read stale and could not delete; hosts could be changed only from inside the process; the service always succeeded; no stand-in ran as a program of its own.

**Change** Limit reads and writes a second, a waiting watch counted as a read; add deletion with versions that never start again, stale reads, watches that end at a deletion or an outage, counts of calls and bytes, and hosts that are put, marked as leaving and removed over HTTP. The service hangs and fails before and after its effect and shows what it counted.

--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -47,7 +47,14 @@
     const { definition, timers } = options;
     const random = createSystemRandom();
     this.#options = options;
-    this.objects = ObjectApi.create({ timers, getRandom: random.getFloat });
+    this.objects = ObjectApi.create({
+      timers,
+      getRandom: random.getFloat,
+      rates: {
+        readsPerSecond: definition.standIns.platformReadsPerSecond,
+        writesPerSecond: definition.standIns.platformWritesPerSecond,
+      },
+    });
     this.weights = WeightStore.create({
       bytesPerSecond: definition.standIns.weightStoreBytesPerSecond,
     });
--- a/packages/stand_in/src/host_list/mod.ts
+++ b/packages/stand_in/src/host_list/mod.ts
@@ -1,4 +1,5 @@
 /** Stand-in of the platform's host list, which lags. */
+export * from "./host_record.ts";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { HostRecord } from "@jasminetide/runtime/platform";
 
@@ -37,12 +38,28 @@
     });
   }
 
-  /** Marks a host as leaving. */
-  drain(id: string): void {
+  /** Adds a host, or replaces the one of the same name. */
+  put(host: HostRecord): void {
+    this.set([...this.#actual.filter(({ id }) => id !== host.id), host]);
+  }
+
+  /** Takes a host out of the list; says whether it was there. */
+  remove(id: string): boolean {
+    const hosts = this.#actual.filter((host) => host.id !== id);
+    const isFound = hosts.length < this.#actual.length;
+    if (isFound) this.set(hosts);
+    return isFound;
+  }
+
+  /** Marks a host as leaving; says whether it was there. */
+  drain(id: string): boolean {
+    const isFound = this.#actual.some((host) => host.id === id);
+    if (!isFound) return false;
     this.set(
       this.#actual.map((host) =>
         host.id === id ? { ...host, state: "leaving" } : host
       ),
     );
+    return true;
   }
 }
--- a/packages/stand_in/src/object_api/mod.ts
+++ b/packages/stand_in/src/object_api/mod.ts
@@ -1,3 +1,4 @@
 /** Stand-in of the platform's object API. */
 export * from "./object_api.ts";
 export * from "./object_store.ts";
+export * from "./rate_limit.ts";
--- a/packages/stand_in/src/object_api/object_api.ts
+++ b/packages/stand_in/src/object_api/object_api.ts
@@ -1,8 +1,15 @@
+import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AppError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import { readBody, sendJson, sendProblem } from "@jasminetide/runtime/http";
-import { ObjectStore, type StoreCondition } from "./object_store.ts";
+import {
+  ObjectStore,
+  type StoreCondition,
+  type StoreRow,
+  type StoreWrite,
+} from "./object_store.ts";
+import { type CallCounts, type CallRates, RateLimit } from "./rate_limit.ts";
 
 /** Switches of the faults that the platform shows. */
 export type PlatformFaults = {
@@ -10,14 +17,20 @@
   slowMs: number;
   /** Share of writes that take effect and whose answer is lost. */
   lostWriteAnswers: number;
+  /** Share of reads that show an object as it was before its last write. */
+  staleReads: number;
 };
 
 /** How the object API behaves. */
 export type ObjectApiOptions = {
   timers: TimerService;
   getRandom: () => number;
+  /** Absent means without a limit. */
+  rates?: CallRates;
 };
 
+const retryAfterMs = 1000;
+
 const maxValueBytes = 1_048_576;
 
 /** Serves versioned objects over HTTP: `/objects/<kind>/<name>`. */
@@ -27,11 +40,16 @@
     outage: false,
     slowMs: 0,
     lostWriteAnswers: 0,
+    staleReads: 0,
   };
   readonly #options: ObjectApiOptions;
+  readonly #limit: RateLimit;
 
   private constructor(options: ObjectApiOptions) {
     this.#options = options;
+    this.#limit = RateLimit.create(
+      options.rates ?? { readsPerSecond: Infinity, writesPerSecond: Infinity },
+    );
   }
 
   /** Creates an empty object API. */
@@ -39,6 +57,11 @@
     return new ObjectApi(options);
   }
 
+  /** Calls taken and refused since the start. */
+  get counts(): CallCounts {
+    return this.#limit.counts;
+  }
+
   /** Handles one request below `/objects/`. */
   async handle(
     request: IncomingMessage,
@@ -56,14 +79,30 @@
     }
   }
 
+  /**
+   * Counts a call against the rates of the platform.
+   *
+   * @throws AppError `platformLimited`.
+   */
+  checkRate(kind: "read" | "write"): void {
+    if (this.#limit.tryTake(kind, this.#options.timers.nowMs())) return;
+    throw AppError.create("platformLimited", `Too many ${kind}s a second`, {
+      retryAfterMs,
+    });
+  }
+
   async #dispatch(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const url = new URL(request.url ?? "/", "http://platform");
     const path = decodeURIComponent(url.pathname.slice("/objects/".length));
+    this.checkRate(request.method === "GET" ? "read" : "write");
     if (request.method === "PUT") {
       await this.#put(path, request, response);
+    } else if (request.method === "DELETE") {
+      const write = this.store.delete(path, getCondition(request));
+      this.#answerWrite(write, { request, response });
     } else if (!path.includes("/")) {
       this.#list(path, response);
     } else if (url.searchParams.has("watch")) {
@@ -74,11 +113,12 @@
   }
 
   #get(path: string, response: ServerResponse): void {
-    const row = this.store.get(path);
+    const isStale = this.#options.getRandom() < this.faults.staleReads;
+    const row = isStale ? this.store.getStale(path) : this.store.get(path);
     if (row === undefined) {
       throw AppError.create("notFound", `No object "${path}"`);
     }
-    sendValue(response, row);
+    this.#sendValue(response, row);
   }
 
   #list(kind: string, response: ServerResponse): void {
@@ -100,6 +140,15 @@
       body.toString("utf8"),
       getCondition(request),
     );
+    this.counts.writtenBytes += body.length;
+    this.#answerWrite(write, { request, response });
+  }
+
+  #answerWrite(
+    write: StoreWrite,
+    exchange: { request: IncomingMessage; response: ServerResponse },
+  ): void {
+    const { request, response } = exchange;
     if (this.#options.getRandom() < this.faults.lostWriteAnswers) {
       request.socket.destroy();
       return;
@@ -118,7 +167,7 @@
     const after = Number(parameters.get("after") ?? "0");
     const row = this.store.get(path);
     if (row !== undefined && row.version > after) {
-      sendValue(response, row);
+      this.#sendValue(response, row);
       return;
     }
     this.#wait(path, Number(parameters.get("timeoutMs") ?? "10000"), response);
@@ -129,9 +178,9 @@
       listener[Symbol.dispose]();
       timer[Symbol.dispose]();
       const row = this.store.get(path);
-      if (row === undefined || this.faults.outage) {
-        response.writeHead(304).end();
-      } else sendValue(response, row);
+      if (this.faults.outage) response.destroy();
+      else if (row === undefined) response.writeHead(404).end();
+      else this.#sendValue(response, row);
     };
     const listener = this.store.subscribe(path, finish);
     const timer = this.#options.timers.schedule(timeoutMs, () => {
@@ -144,6 +193,15 @@
     });
   }
 
+  #sendValue(response: ServerResponse, row: StoreRow): void {
+    this.counts.readBytes += Buffer.byteLength(row.value);
+    response.writeHead(200, {
+      "content-type": "application/json",
+      etag: `"${row.version}"`,
+    });
+    response.end(row.value);
+  }
+
   #delay(): Promise<void> {
     const { slowMs } = this.faults;
     if (slowMs === 0) return Promise.resolve();
@@ -153,17 +211,6 @@
   }
 }
 
-function sendValue(
-  response: ServerResponse,
-  row: { version: number; value: string },
-): void {
-  response.writeHead(200, {
-    "content-type": "application/json",
-    etag: `"${row.version}"`,
-  });
-  response.end(row.value);
-}
-
 function getCondition(request: IncomingMessage): StoreCondition {
   if (request.headers["if-none-match"] === "*") return "absent";
   const match = request.headers["if-match"];
--- a/packages/stand_in/src/platform_server.ts
+++ b/packages/stand_in/src/platform_server.ts
@@ -9,15 +9,21 @@
 } from "@jasminetide/runtime/http";
 import { z } from "zod";
 import type { HostList } from "./host_list/mod.ts";
+import { hostRecordSchema } from "./host_list/mod.ts";
 import type { ObjectApi } from "./object_api/mod.ts";
 
-const faultsSchema = z.object({
+const share = z.number().min(0).max(1);
+
+const faultsSchema = z.strictObject({
   outage: z.boolean(),
   slowMs: z.number().nonnegative(),
-  lostWriteAnswers: z.number().min(0).max(1),
+  lostWriteAnswers: share,
+  staleReads: share,
 }).partial();
 
-const maxFaultsBytes = 4096;
+const hostPath = /^\/hosts\/([^/]+)(\/leaving)?$/;
+
+const maxBodyBytes = 65_536;
 
 /** What the platform consists of. */
 export type PlatformServerOptions = {
@@ -26,40 +32,75 @@
   hosts: HostList;
 };
 
-/** Starts the platform: objects, the host list, and fault switches. */
+/** One exchange with the platform. */
+type Exchange = { request: IncomingMessage; response: ServerResponse };
+
+/**
+ * Starts the platform: objects, the host list, counts of calls, and fault
+ * switches.
+ */
 export function startPlatformServer(
   options: PlatformServerOptions,
 ): Promise<ListeningServer> {
   return startServer(options.address, (request, response) => {
-    handle(request, response, options).catch((error) =>
+    handle({ request, response }, options).catch((error) =>
       sendProblem(response, error)
     );
   });
 }
 
 async function handle(
-  request: IncomingMessage,
-  response: ServerResponse,
+  exchange: Exchange,
   options: PlatformServerOptions,
 ): Promise<void> {
+  const { request, response } = exchange;
   const path = request.url ?? "/";
   if (path.startsWith("/objects/")) {
     await options.objects.handle(request, response);
-  } else if (path === "/hosts") {
-    sendHosts(request, response, options);
+  } else if (path.startsWith("/hosts")) {
+    if (options.objects.faults.outage) request.socket.destroy();
+    else await handleHosts(exchange, options);
+  } else if (path === "/counts") {
+    sendJson(response, options.objects.counts);
   } else if (path === "/faults" && request.method === "PUT") {
-    const body = await readBody(request, maxFaultsBytes);
-    const faults = faultsSchema.parse(JSON.parse(body.toString("utf8")));
+    const faults = await parseBody(request, faultsSchema);
     Object.assign(options.objects.faults, faults);
     sendJson(response, options.objects.faults);
   } else throw AppError.create("notFound", `No path ${path}`);
 }
 
-function sendHosts(
+/** The list for readers, and the hosts for whoever plays the platform. */
+async function handleHosts(
+  { request, response }: Exchange,
+  { hosts, objects }: PlatformServerOptions,
+): Promise<void> {
+  const path = request.url ?? "/";
+  const match = hostPath.exec(path);
+  const id = decodeURIComponent(match?.[1] ?? "");
+  const method = match?.[2] === undefined ? request.method : "LEAVING";
+  if (path === "/hosts" && request.method === "GET") {
+    objects.checkRate("read");
+    sendJson(response, hosts.get());
+    return;
+  }
+  if (match === null) throw AppError.create("notFound", `No path ${path}`);
+  if (method === "PUT") {
+    hosts.put({ ...await parseBody(request, hostRecordSchema), id });
+  } else if (!(method === "LEAVING" ? hosts.drain(id) : hosts.remove(id))) {
+    throw AppError.create("notFound", `No host "${id}"`);
+  }
+  response.writeHead(204).end();
+}
+
+async function parseBody<Schema extends z.ZodType>(
   request: IncomingMessage,
-  response: ServerResponse,
-  options: PlatformServerOptions,
-): void {
-  if (options.objects.faults.outage) request.socket.destroy();
-  else sendJson(response, options.hosts.get());
+  schema: Schema,
+): Promise<z.output<Schema>> {
+  const body = await readBody(request, maxBodyBytes);
+  try {
+    return schema.parse(JSON.parse(body.toString("utf8")));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw AppError.create("invalidRequest", reason, { cause: error });
+  }
 }
--- a/packages/stand_in/src/service/deposit_ledger.ts
+++ b/packages/stand_in/src/service/deposit_ledger.ts
@@ -2,6 +2,11 @@
 import { AppError } from "@jasminetide/core/results";
 import { readBody, sendJson, sendProblem } from "@jasminetide/runtime/http";
 import { z } from "zod";
+import {
+  type ServiceFaults,
+  serviceFaultsSchema,
+  takeFault,
+} from "./faults.ts";
 
 const refundSchema = z.object({
   account: z.string().min(1),
@@ -15,13 +20,22 @@
   balances: Map<string, number>;
   /** Refunds that took effect, by idempotency key. */
   effects: Map<string, number>;
+  /** Refunds that took effect, those without a key included. */
+  effectCount: number;
+  faults: ServiceFaults;
   /** Refunds that take effect and whose answer is lost, from now on. */
   lostAnswers: number;
 };
 
 /** Creates the state behind a service. */
 export function createDepositState(): DepositState {
-  return { balances: new Map(), effects: new Map(), lostAnswers: 0 };
+  return {
+    balances: new Map(),
+    effects: new Map(),
+    effectCount: 0,
+    faults: serviceFaultsSchema.parse({}),
+    lostAnswers: 0,
+  };
 }
 
 /**
@@ -53,7 +67,10 @@
         request.method === "GET" && path.startsWith("/deposit-ledger/balances/")
       ) {
         this.#getBalance(path, response);
-      } else throw AppError.create("notFound", `No path ${path}`);
+      } else if (request.method === "PUT" && path === "/faults") {
+        await this.#setFaults(request, response);
+      } else if (path === "/effects") this.#sendEffects(response);
+      else throw AppError.create("notFound", `No path ${path}`);
     } catch (error) {
       sendProblem(response, error);
     }
@@ -68,21 +85,54 @@
     if (!result.success) {
       throw AppError.create("invalidRequest", result.error.message);
     }
+    const { faults } = this.#state;
+    if (takeFault(faults, "hangsBeforeEffect")) return;
+    if (takeFault(faults, "failuresBeforeEffect")) {
+      request.socket.destroy();
+      return;
+    }
     const { account, amount } = result.data;
+    this.#state.effectCount += 1;
     const key = request.headers["idempotency-key"];
     if (typeof key === "string") {
       this.#state.effects.set(key, (this.#state.effects.get(key) ?? 0) + 1);
     }
     const balance = (this.#state.balances.get(account) ?? 0) - amount;
     this.#state.balances.set(account, balance);
+    if (takeFault(faults, "hangsAfterEffect")) return;
     if (this.#state.lostAnswers > 0) {
       this.#state.lostAnswers -= 1;
       request.socket.destroy();
       return;
     }
+    if (takeFault(faults, "failuresAfterEffect")) {
+      request.socket.destroy();
+      return;
+    }
     sendJson(response, { account, refunded: amount, balance }, { status: 201 });
   }
 
+  async #setFaults(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(request, maxBodyBytes);
+    const result = serviceFaultsSchema.safeParse(
+      JSON.parse(body.toString("utf8")),
+    );
+    if (!result.success) {
+      throw AppError.create("invalidRequest", result.error.message);
+    }
+    Object.assign(this.#state.faults, result.data);
+    sendJson(response, result.data);
+  }
+
+  #sendEffects(response: ServerResponse): void {
+    const { effects, effectCount, faults } = this.#state;
+    const byKey = Object.fromEntries(effects);
+    sendJson(response, { count: effectCount, byKey, faults });
+  }
+
   #getBalance(path: string, response: ServerResponse): void {
     const account = path.slice("/deposit-ledger/balances/".length);
     const balance = this.#state.balances.get(account) ?? 0;
--- a/packages/stand_in/src/settings.ts
+++ b/packages/stand_in/src/settings.ts
@@ -7,6 +7,9 @@
   platformAddress: addressSchema,
   hostListLagMs: z.number().int().nonnegative().default(500),
   weightStoreBytesPerSecond: z.number().positive().default(10_000_000_000),
+  /** Calls that the object API and the host list take. */
+  platformReadsPerSecond: z.number().positive().default(2000),
+  platformWritesPerSecond: z.number().positive().default(300),
   ...engineProfileShape,
 });
 
