--- a/packages/core/src/ledger/ledger_test.ts
+++ b/packages/core/src/ledger/ledger_test.ts
@@ -116,9 +116,12 @@
   },
 );
 
-When("{int} seconds pass", function (this: World, seconds: number) {
-  this.bench.advance(seconds * 1000);
-});
+When(
+  "{int} seconds pass at the journal",
+  function (this: World, seconds: number) {
+    this.bench.advance(seconds * 1000);
+  },
+);
 
 When("{string} goes on", function (this: World, name: string) {
   this.bench.resume(name);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,14 +1,27 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Match, resolveSettings } from "@jasminetide/core/configuration";
+import {
+  createEpoch,
+  defaultMembershipLimits,
+} from "@jasminetide/core/membership";
+import {
+  type Duty,
+  getPlacementDuty,
+  statusDuty,
+} from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { AppError, normalizeError } from "@jasminetide/core/results";
+import type { Epoch } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
+  ConfigurationFollower,
   ConfigurationHolder,
-  watchConfiguration,
+  formatForPeer,
+  selectParts,
 } from "@jasminetide/runtime/configuration";
 import {
   createPeerRouter,
+  PeerClients,
   startControlServer,
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
@@ -18,15 +31,16 @@
   sendProblem,
   startServer,
 } from "@jasminetide/runtime/http";
+import { LeaseKeeper } from "@jasminetide/runtime/leases";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import polka from "polka";
-import { Connections } from "./attempts/mod.ts";
+import { Connections, PoolStates } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
-import { RunnerDirectory } from "./membership/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -38,8 +52,6 @@
   logger: Logger;
 };
 
-const hostListPeriodMs = 1000;
-
 /** Settings of requests that are kept before the cache is emptied. */
 const maxResolvedSubjects = 50_000;
 
@@ -48,18 +60,22 @@
   readonly #options: RouterOptions;
   readonly #metrics = Metrics.create();
   readonly #configuration = ConfigurationHolder.create();
-  readonly #directory: RunnerDirectory;
   readonly #connections = Connections.create();
-  readonly #abort = new AbortController();
+  readonly #pools = PoolStates.create();
   readonly #resources = ResourceStack.create();
   readonly #resolved = new Map<string, RequestSettings>();
+  readonly #peers = PeerClients.create();
+  #membership: Membership | undefined;
+  #leases: LeaseKeeper | undefined;
+  readonly #epoch: Epoch;
+  #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
   #callerAddress = "";
   #controlAddress = "";
 
   private constructor(options: RouterOptions) {
     this.#options = options;
-    this.#directory = RunnerDirectory.create(options.logger);
+    this.#epoch = createEpoch(options.timers.nowMs(), createSystemRandom());
   }
 
   /** Starts a router and its listeners. */
@@ -79,50 +95,120 @@
     return this.#controlAddress;
   }
 
+  /** Version of the configuration in force, 0 before the first. */
+  get configurationVersion(): number {
+    return this.#configuration.version;
+  }
+
+  /** Gets the fencing number of a duty while this router holds it. */
+  getFencingNumber(duty: Duty): number | undefined {
+    return this.#leases?.getFencingNumber(duty);
+  }
+
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
-    return this.#configuration.isLoaded && this.#directory.runners.size > 0;
+    return this.#configuration.isLoaded &&
+      this.#membership?.hasActiveRunner === true;
   }
 
   /** Stops accepting, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#membership?.setOwn({ isLeaving: true });
     await this.#resources[Symbol.asyncDispose]();
   }
 
   async #start(): Promise<void> {
-    const { settings, timers, logger } = this.#options;
+    const { settings, logger } = this.#options;
     const platform = PlatformClient.create({
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
     this.#resources.use(this.#connections);
-    this.#startMembership(platform);
+    this.#resources.use(this.#peers);
     this.#resources.use(this.#configuration.subscribe(({ body }) => {
       this.#keyIndex = createKeyIndex(body);
       this.#resolved.clear();
+      this.#pools.clear();
     }));
-    void watchConfiguration(this.#abort.signal, {
-      platform,
-      holder: this.#configuration,
-      logger,
-      wait: (durationMs) =>
-        new Promise((resolve) => timers.schedule(durationMs, () => resolve())),
-    });
-    this.#resources.defer(() => this.#abort.abort());
     const control = await this.#startControl();
     this.#resources.use(control);
     this.#controlAddress = control.address;
-    const callers = await this.#startCallers();
+    const membership = await this.#startMembership(platform);
+    this.#startFollower(platform, membership);
+    this.#startLeases(platform, membership);
+    const callers = await this.#startCallers(membership);
     this.#resources.defer(() => callers.close());
     this.#callerAddress = callers.address;
     logger.info("router-started", { callers: callers.address });
   }
 
-  #startMembership(platform: PlatformClient): void {
-    const { timers } = this.#options;
-    const load = (nowMs: number) => void this.#directory.load(platform, nowMs);
-    load(timers.nowMs());
-    this.#resources.use(timers.subscribe(hostListPeriodMs, load));
+  async #startMembership(platform: PlatformClient): Promise<Membership> {
+    const { logger, settings, timers } = this.#options;
+    const random = createSystemRandom();
+    const membership = await Membership.create({
+      identity: {
+        type: "router",
+        name: settings.name,
+        host: settings.host,
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+        controlAddress: this.#controlAddress,
+      },
+      epoch: this.#epoch,
+      capacity: 1,
+      limits: defaultMembershipLimits,
+      digestKey: settings.digestKey,
+      timers,
+      random,
+      logger,
+      platform,
+      getPeer: (address) => this.#peers.get(address),
+      peerAddresses: settings.peerAddresses,
+    });
+    this.#resources.use(membership);
+    this.#membership = membership;
+    this.#resources.use(this.#configuration.subscribe(({ body, version }) => {
+      membership.setConfigurationVersion(version);
+      membership.setLimits(body.defaults.membership);
+    }));
+    return membership;
+  }
+
+  #startLeases(platform: PlatformClient, membership: Membership): void {
+    const { logger, settings, timers } = this.#options;
+    const leases = LeaseKeeper.create({
+      self: {
+        name: settings.name,
+        epoch: this.#epoch,
+        controlAddress: this.#controlAddress,
+      },
+      duties: [getPlacementDuty(settings.region), statusDuty],
+      platform,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      listCandidates: () => membership.listRouters(),
+    });
+    this.#leases = this.#resources.use(leases);
+    this.#resources.defer(() => leases.release());
+  }
+
+  #startFollower(platform: PlatformClient, membership: Membership): void {
+    const { logger, timers } = this.#options;
+    const follower = ConfigurationFollower.create({
+      platform,
+      holder: this.#configuration,
+      timers,
+      logger,
+      getPeer: (address) => this.#peers.get(address),
+      isWatcher: () => membership.isWatcher,
+      listPeers: () => membership.listRouterAddresses(),
+      whenReady: membership.whenReady,
+    });
+    membership.setVersionObserver((version, address) =>
+      follower.observeVersion(version, address)
+    );
+    this.#follower = this.#resources.use(follower);
   }
 
   #startControl(): Promise<ListeningServer> {
@@ -134,14 +220,18 @@
       router: createPeerRouter({
         getConfiguration: (afterVersion) =>
           this.#configuration.version > afterVersion
-            ? this.#configuration.get()
+            ? formatForPeer(this.#configuration.get())
             : undefined,
+        getParts: (hashes) => selectParts(this.#configuration, hashes),
+        isDutyHeld: (duty, epoch) =>
+          epoch === this.#epoch && this.#leases?.isHeld(duty) === true,
+        getMembers: () => this.#membership?.listMembers() ?? [],
       }),
     });
   }
 
-  #startCallers(): Promise<ListeningServer> {
-    const context = this.#createContext();
+  #startCallers(membership: Membership): Promise<ListeningServer> {
+    const context = this.#createContext(membership);
     const app = polka({
       onNoMatch: (_request, response) =>
         sendProblem(response, AppError.create("notFound", "No such path")),
@@ -171,16 +261,18 @@
     });
   }
 
-  #createContext(): RouterContext {
+  #createContext(membership: Membership): RouterContext {
     return {
       configuration: this.#configuration,
-      directory: this.#directory,
+      directory: membership,
       connections: this.#connections,
       ledgerRoutes: LedgerRoutes.create(),
+      pools: this.#pools,
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
       logger: this.#options.logger,
+      syncConfiguration: () => this.#follower?.sync(),
       getKeyIndex: () => this.#keyIndex,
       resolve: (subject) => this.#resolve(subject),
     };
@@ -205,7 +297,9 @@
     return {
       process: { type: "router", name: this.#options.settings.name },
       configurationVersion: this.#configuration.version,
-      runners: [...this.#directory.runners.rows()],
+      runners: [...this.#membership?.runners.rows() ?? []],
+      membership: this.#membership?.getSnapshot(),
+      duties: this.#leases?.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
@@ -221,6 +315,7 @@
 function handleWith(context: RouterContext, handler: Handler) {
   return async (request: IncomingMessage, response: ServerResponse) => {
     try {
+      await context.syncConfiguration();
       await handler(request, response, context);
     } catch (thrown) {
       const error = normalizeError(thrown);
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -7,11 +7,11 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
 import type { Logger } from "@jasminetide/runtime/logging";
+import type { Membership } from "@jasminetide/runtime/membership";
 import type { Metrics } from "@jasminetide/runtime/metrics";
-import type { Connections } from "./attempts/mod.ts";
+import type { Connections, PoolStates } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
 import type { LedgerRoutes } from "./ledger/mod.ts";
-import type { RunnerDirectory } from "./membership/mod.ts";
 
 /** Settings in force for one request. */
 export type RequestSettings = {
@@ -22,13 +22,16 @@
 /** What the handlers of a router work with. */
 export type RouterContext = {
   configuration: ConfigurationHolder;
-  directory: RunnerDirectory;
+  directory: Membership;
   connections: Connections;
   ledgerRoutes: LedgerRoutes;
+  pools: PoolStates;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
   logger: Logger;
+  /** Waits for a newer configuration that was heard of, but not for long. */
+  syncConfiguration: () => Promise<void> | undefined;
   getKeyIndex: () => KeyIndex;
   resolve: (subject: Match) => RequestSettings;
 };
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -3,10 +3,10 @@
 import { AppError } from "@jasminetide/core/results";
 import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
 import { readBody } from "@jasminetide/runtime/http";
-import { dispatchRequest } from "../attempts/mod.ts";
+import { dispatchRequest, hedgeRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
 import { handleMoneyCall } from "../ledger/mod.ts";
-import { relayAnswer } from "../relay/mod.ts";
+import { sendRequest } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 
 const safeMethods = new Set(["GET", "HEAD", "OPTIONS"]);
@@ -41,39 +41,36 @@
     costTokens: serviceCostTokens,
     pool: service.name,
     chatKey: "0",
+    isIdempotent,
     configurationVersion: context.configuration.version,
   };
   const deadlineAtMs = arrivedAtMs + deadlineMs;
+  const outgoing = { method, path, headers, body };
   const keyHeader = request.headers["idempotency-key"];
   if (!isIdempotent && keyHeader !== undefined) {
-    const money = { method, path, headers, body, envelope, deadlineAtMs };
-    await handleMoneyCall(
-      {
-        ...money,
-        keyHeader: String(keyHeader),
-        declaredShardCount: settings.ledger.shardCount,
-      },
-      response,
-      context,
-    );
+    const money = { ...outgoing, envelope, deadlineAtMs, keyHeader };
+    const declaredShardCount = settings.ledger.shardCount;
+    await handleMoneyCall({ ...money, declaredShardCount }, response, context);
     return;
   }
-  const dispatched = await dispatchRequest({
-    request: { method, path, headers, body },
-    envelope,
-    isIdempotent,
-    deadlineAtMs,
-    maximumAttempts: settings.retry.maximumAttempts,
-    chooseRunner: (tried) => {
-      const left = runners.filter((runner) => !tried.has(runner.id));
-      return left[context.random.getInteger(left.length)];
+  await sendRequest(
+    {
+      request: outgoing,
+      envelope,
+      deadlineAtMs,
+      settings,
+      chooseRunner: (tried) => {
+        const left = runners.filter((runner) => !tried.has(runner.id));
+        return left[context.random.getInteger(left.length)];
+      },
     },
-  }, { ...context, stream: settings.stream });
-  await relayAnswer(dispatched, response, {
-    ...context,
-    stream: settings.stream,
-    isStream: false,
-  });
+    response,
+    {
+      context,
+      form: "whole",
+      dispatch: isIdempotent ? hedgeRequest : dispatchRequest,
+    },
+  );
 }
 
 /** Says whether a call may be repeated: as declared, else by its method. */
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -14,8 +14,11 @@
   costTokens: "jt-cost-tokens",
   /** Milliseconds that remain until the deadline. */
   remainingMs: "jt-remaining-ms",
+  /** Control address of the router. */
+  sender: "jt-sender",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
+  idempotent: "jt-idempotent",
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
   executed: "jt-executed",
@@ -46,7 +49,11 @@
   remainingMs: number;
   pool: string;
   chatKey: string;
+  /** Whether the request may be cancelled and repeated. */
+  isIdempotent: boolean;
   configurationVersion: number;
+  /** Control address of the router, from which a sidecar fetches. */
+  sender?: string;
 };
 
 /** Formats an envelope as headers. */
@@ -63,7 +70,11 @@
     [headerNames.remainingMs]: String(Math.floor(envelope.remainingMs)),
     [headerNames.pool]: encodeURIComponent(envelope.pool),
     [headerNames.chatKey]: envelope.chatKey,
+    [headerNames.idempotent]: envelope.isIdempotent ? "1" : "0",
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
+    ...(envelope.sender === undefined
+      ? {}
+      : { [headerNames.sender]: envelope.sender }),
   };
 }
 
@@ -83,7 +94,11 @@
     remainingMs: getNumber(headers, headerNames.remainingMs),
     pool: decodeURIComponent(getText(headers, headerNames.pool)),
     chatKey: getText(headers, headerNames.chatKey),
+    isIdempotent: getText(headers, headerNames.idempotent) === "1",
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
+    ...(typeof headers[headerNames.sender] === "string"
+      ? { sender: headers[headerNames.sender] as string }
+      : {}),
   };
 }
 
--- a/packages/sidecar/src/ledger/ledger.ts
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -126,13 +126,18 @@
     }));
   }
 
-  /** Finishes the calls in flight and releases the shards. */
-  async [Symbol.asyncDispose](): Promise<void> {
-    const { timers } = this.#options;
+  /** Takes no new calls; each shard is released after its last call. */
+  leave(): void {
     this.#proposal[Symbol.dispose]();
     for (const shard of this.#shards.keys()) {
       this.#handle(shard, { type: "leave" });
     }
+  }
+
+  /** Waits for the calls in flight and the release of the shards. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const { timers } = this.#options;
+    this.leave();
     const endAtMs = timers.nowMs() + leaveTimeoutMs;
     while (!this.#isReleased() && timers.nowMs() < endAtMs) {
       await new Promise<void>((resolve) => {
