--- a/packages/core/src/ledger/ledger.feature
+++ b/packages/core/src/ledger/ledger.feature
@@ -60,7 +60,7 @@
   Scenario: A live owner keeps its shard
     Given "one" owns the shard
     When a call with key "k1" arrives at "two", which may claim the shard
-    And 20 seconds pass at the journal
+    And 20 seconds pass at the ledger
     Then the last answer names the owner "one"
 
   Scenario: The owner is paused beyond its lease between commit and dispatch
@@ -75,7 +75,7 @@
   Scenario: The owner is paused beyond its lease between dispatch and outcome
     Given "one" owns the shard
     When a call with key "k1" arrives at "one"
-    And 1 seconds pass at the journal
+    And 1 seconds pass at the ledger
     And "one" is paused
     And "two" takes over
     And a call with key "k1" arrives at "two"
--- a/packages/core/src/ledger/ledger_test.ts
+++ b/packages/core/src/ledger/ledger_test.ts
@@ -117,7 +117,7 @@
 );
 
 When(
-  "{int} seconds pass at the journal",
+  "{int} seconds pass at the ledger",
   function (this: World, seconds: number) {
     this.bench.advance(seconds * 1000);
   },
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -24,8 +24,8 @@
   configuration: ConfigurationHolder;
   directory: Membership;
   connections: Connections;
-  ledgerRoutes: LedgerRoutes;
   pools: PoolStates;
+  ledgerRoutes: LedgerRoutes;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -55,7 +55,7 @@
   }
   await sendRequest(
     {
-      request: outgoing,
+      request: { method, path, headers, body },
       envelope,
       deadlineAtMs,
       settings,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -73,11 +73,11 @@
   readonly #peak: PeakGate;
   readonly #runner: Pool;
   readonly #resources = ResourceStack.create();
-  #ledger: Ledger | undefined;
   readonly #peers = PeerClients.create();
   #membership: Membership | undefined;
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
+  #ledger: Ledger | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -370,10 +370,10 @@
         running: this.#admission.running,
         concurrencyLimit: this.#admission.concurrencyLimit,
       },
-      ledger: this.#ledger?.getDump() ?? [],
       membership: this.#membership?.getSnapshot(),
       highestFencingNumber: this.#orders?.highestFencingNumber,
       peak: this.#getPeakDump(),
+      ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
   }
