Let a leaving process refuse calls that wait for a shard

**Cause**: a process that leaves while it waits for another's lease kept its callers until their deadline. In the run's fake of the way to the service, more than 64 calls in flight lost dispatches for good, so that keys stayed running.

**Change**: such calls are refused at once; the fake opens as many connections as it needs.

--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -39,6 +39,11 @@
   type ShardState,
 } from "./shard_state.ts";
 
+/** Whether the process has not tried to own the shard yet. */
+function isLooking({ role }: ShardState): boolean {
+  return role.type === "reading" || role.type === "waiting";
+}
+
 /** Wait before a failed read of the journal is tried again. */
 const readRetryMs = 200;
 
@@ -128,6 +133,7 @@
         break;
       case "leave":
         state.isLeaving = true;
+        if (isLooking(state)) failReading(state);
         break;
       default:
         assertNever(event);
--- a/packages/load/src/money/fake_sidecar.ts
+++ b/packages/load/src/money/fake_sidecar.ts
@@ -49,8 +49,6 @@
 
 const answerTimeoutMs = 1000;
 
-const connectionsPerSidecar = 64;
-
 /** One sidecar: the real shards with fakes around them. */
 export class FakeSidecar {
   readonly owner: LedgerOwner;
@@ -61,7 +59,8 @@
   readonly #dispatches = new Map<number, Dispatch>();
   readonly #backlog: (() => void)[] = [];
   #state: "running" | "paused" | "killed" = "running";
-  #connection = 0;
+  readonly #freeConnections: number[] = [];
+  #connections = 0;
 
   private constructor(options: FakeSidecarOptions) {
     this.#options = options;
@@ -273,19 +272,19 @@
   }
 
   #settle(dispatch: Dispatch, outcome: CallOutcome): void {
-    this.#dispatches.delete(dispatch.connection);
+    if (this.#dispatches.delete(dispatch.connection)) {
+      this.#freeConnections.push(dispatch.connection);
+    }
     const { callId, shard } = dispatch;
     this.#handle(shard, { type: "outcome", callId, outcome });
   }
 
+  /** Takes the connection that became free last, or a new one. */
   #takeConnection(): number {
-    do {
-      this.#connection = (this.#connection + 1) % connectionsPerSidecar;
-    } while (
-      this.#dispatches.has(this.#connection) &&
-      this.#dispatches.size < connectionsPerSidecar
-    );
-    return this.#connection;
+    const free = this.#freeConnections.pop();
+    if (free !== undefined) return free;
+    this.#connections += 1;
+    return this.#connections;
   }
 }
 
