--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -27,7 +27,7 @@
 import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { Membership } from "@jasminetide/runtime/membership";
-import { Metrics } from "@jasminetide/runtime/metrics";
+import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
 import { OrderGate } from "./orders/mod.ts";
@@ -71,6 +71,7 @@
   readonly #attempts: AttemptStore;
   readonly #admission: Admission;
   readonly #peak: PeakGate;
+  readonly #effective: EffectiveSettings;
   readonly #runner: Pool;
   readonly #resources = ResourceStack.create();
   readonly #peers = PeerClients.create();
@@ -90,19 +91,19 @@
       retentionMs: attemptRetentionMs,
       orphanMs,
     });
-    const effective = EffectiveSettings.create({
+    this.#effective = EffectiveSettings.create({
       configuration: this.#configuration,
       subject: getSubject(settings),
     });
     this.#peak = PeakGate.create({
       hold: PeakHold.create({
-        getSettings: () => effective.get().peak,
+        getSettings: () => this.#effective.get().peak,
         meter: MinuteMeter.create(),
       }),
       timers,
     });
     this.#admission = Admission.create({
-      getSettings: () => effective.get(),
+      getSettings: () => this.#effective.get(),
       capacity: settings.capacity,
       getMeanLoad: () => this.#getMeanLoad(),
       timers,
@@ -119,11 +120,16 @@
     return sidecar;
   }
 
-  /** `ip:port` for routers. */
+  /** `ip:port` at which the sidecar listens for routers. */
   get dataAddress(): string {
     return this.#dataAddress;
   }
 
+  /** `ip:port` that routers are told. */
+  get advertisedDataAddress(): string {
+    return this.#options.settings.advertisedDataAddress ?? this.#dataAddress;
+  }
+
   /** `ip:port` for peers and operators. */
   get controlAddress(): string {
     return this.#controlAddress;
@@ -138,6 +144,11 @@
     return this.#attempts.epoch;
   }
 
+  /** Takes a snapshot of the counters and histograms. */
+  getMetrics(): MetricsSnapshot {
+    return this.#metrics.getSnapshot();
+  }
+
   /** Version of the configuration in force, 0 before the first. */
   get configurationVersion(): number {
     return this.#configuration.version;
@@ -211,12 +222,14 @@
       peak: this.#peak,
       isDeferrable: (priority) => this.#isDeferrable(priority),
       runner: this.#runner,
+      kind: this.#options.settings.kind,
       timers: this.#options.timers,
       metrics: this.#metrics,
       syncConfiguration: (version, sender) => {
         this.#follower?.observeVersion(version, sender);
         return this.#follower?.sync();
       },
+      getStreamSettings: () => this.#effective.get().stream,
       isLeaving: () => this.#isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
@@ -272,7 +285,7 @@
           id: settings.runner,
           kind: settings.kind,
           pools: settings.pools,
-          dataAddress: this.#dataAddress,
+          dataAddress: this.advertisedDataAddress,
         },
       },
       epoch: this.epoch,
