Finish every request in flight at a planned stop

Cause: a stopping process closed its listener while routers still used it, a drain had no effect, and a leaving owner of money calls answered that nothing was known of them. Change: a notice before the stop in digests, answers and connection headers; sidecars refuse new work unrun and wait for their attempts; drains are read with the host list; a process learns from others that it is to leave; routers ask for candidates anew at each attempt, refusals that cost nothing do not count as attempts, and a money call waits for the next owner. Conclusion: the stop is planned by the process, not by the balancer.

--- a/packages/core/src/ledger/calls.ts
+++ b/packages/core/src/ledger/calls.ts
@@ -51,6 +51,15 @@
   });
 }
 
+/** Refuses a call because the owner is leaving; another will take it. */
+export function refuseLeaving(state: ShardState, call: LedgerCall): void {
+  refuseCall(state, call, {
+    result: "runnerLeaving",
+    detail: "Owner of the shard is leaving",
+    retryAfterMs,
+  });
+}
+
 /** Withdraws a call whose intent is not going to be dispatched. */
 export function withdrawCall(state: ShardState, call: LedgerCall): void {
   deleteEntry(state, call.key);
--- a/packages/core/src/ledger/ownership.ts
+++ b/packages/core/src/ledger/ownership.ts
@@ -1,4 +1,9 @@
-import { admitCall, isPlatformDown, refuseUnavailable } from "./calls.ts";
+import {
+  admitCall,
+  isPlatformDown,
+  refuseLeaving,
+  refuseUnavailable,
+} from "./calls.ts";
 import { startWrite } from "./commits.ts";
 import { setHeadEntry } from "./entries.ts";
 import { mergeWindows } from "./history.ts";
@@ -100,7 +105,9 @@
 export function failReading(state: ShardState): void {
   state.role = { type: "idle" };
   for (const call of [...state.calls.values()]) {
-    if (call.state !== "dispatched") refuseUnavailable(state, call);
+    if (call.state === "dispatched") continue;
+    if (state.isLeaving) refuseLeaving(state, call);
+    else refuseUnavailable(state, call);
   }
 }
 
--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -1,5 +1,5 @@
 import { assertNever } from "../results/mod.ts";
-import { admitCall, refuseCall, withdrawCall } from "./calls.ts";
+import { admitCall, refuseLeaving, withdrawCall } from "./calls.ts";
 import {
   confirmWrite,
   getWriteDueMs,
@@ -143,11 +143,7 @@
   #handleCall(call: LedgerCall): void {
     const state = this.#state;
     if (state.isLeaving && !state.entries.has(call.key)) {
-      refuseCall(state, call, {
-        result: "runnerLeaving",
-        detail: "Owner of the shard is leaving",
-        retryAfterMs: readRetryMs,
-      });
+      refuseLeaving(state, call);
     } else if (state.role.type === "owner") admitCall(state, call);
     else enqueueCall(state, call);
   }
--- a/packages/core/src/membership/live_set.ts
+++ b/packages/core/src/membership/live_set.ts
@@ -69,6 +69,13 @@
   }
 }
 
+/** Which runners of a pool are left to choose from. */
+export type CandidateOptions = {
+  nowMs: number;
+  /** Runners that an attempt has failed at. */
+  tried?: ReadonlySet<string>;
+};
+
 /**
  * Gets the runners that take new work for a pool: active ones that are not
  * held down; else active ones; else those whose epoch is not yet known.
@@ -76,12 +83,13 @@
 export function getCandidates(
   tables: Pick<MembershipTables, "runners" | "flaps">,
   pool: string,
-  nowMs: number,
+  options: CandidateOptions,
 ): RunnerRow[] {
+  const { nowMs, tried } = options;
   const active: RunnerRow[] = [];
   const joining: RunnerRow[] = [];
   for (const runner of tables.runners.rows()) {
-    if (!runner.pools.includes(pool)) continue;
+    if (!runner.pools.includes(pool) || tried?.has(runner.id)) continue;
     if (runner.state === "active") active.push(runner);
     else if (runner.state === "joining") joining.push(runner);
   }
--- a/packages/core/src/membership/merge.ts
+++ b/packages/core/src/membership/merge.ts
@@ -46,7 +46,8 @@
   nowMs: number,
 ): MergeResult {
   const member = tables.members.get(record.wireId);
-  if (member === undefined || member === tables.self) return "known";
+  if (member === undefined) return "known";
+  if (member === tables.self) return mergeSelf(tables, record);
   if (record.epoch < member.record.epoch) return "known";
   const isNewEpoch = record.epoch > member.record.epoch;
   const startsLeaving = record.isLeaving &&
@@ -59,6 +60,18 @@
   return isNewer ? "load" : "known";
 }
 
+/** A process learns from others only that its own epoch is to leave. */
+function mergeSelf(
+  tables: MembershipTables,
+  record: DigestRecord,
+): MergeResult {
+  const { self } = tables;
+  if (!record.isLeaving || record.epoch !== self.record.epoch) return "known";
+  if (isLeaving(self)) return "known";
+  setLeaving(tables, self, record.epoch);
+  return "state";
+}
+
 /** Merges the frequent part of a record. */
 export function mergeLoad(
   tables: MembershipTables,
--- a/packages/load/src/measure_membership/spreading_test.ts
+++ b/packages/load/src/measure_membership/spreading_test.ts
@@ -77,7 +77,7 @@
   function (this: World, seconds: number) {
     this.digests.advance(seconds * 1000);
     for (const { spreader } of this.digests.routers) {
-      const ids = getCandidates(spreader.tables, "model-0", this.digests.nowMs)
+      const ids = getCandidates(spreader.tables, "model-0", this.digests)
         .map((runner) => runner.id);
       assert.ok(ids.includes(this.subject.runner?.id ?? ""));
     }
@@ -173,7 +173,7 @@
       const candidates = getCandidates(
         spreader.tables,
         "model-0",
-        this.digests.nowMs,
+        this.digests,
       );
       assert.ok(!candidates.some((runner) => runner.id === id));
     }
@@ -203,7 +203,7 @@
   digests: DigestFleet,
   { spreader }: FleetMember,
 ): string[] {
-  return getCandidates(spreader.tables, "model-0", digests.nowMs)
+  return getCandidates(spreader.tables, "model-0", digests)
     .map((runner) => runner.id);
 }
 
--- a/packages/load/src/overhead/paths.ts
+++ b/packages/load/src/overhead/paths.ts
@@ -107,6 +107,7 @@
 async function startFleet(timers: TimerService): Promise<LocalFleet> {
   const fleet = await LocalFleet.create({
     definition: createUnlimited(await loadFleet(fleetFolder)),
+    leaveNoticeMs: 0,
     timers,
     createLogger: createSilentLogger,
     useFreePorts: true,
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -1,7 +1,7 @@
 import type { RequestListener } from "node:http";
 import { createSystemRandom } from "@jasminetide/core/random";
 import type { TimerService } from "@jasminetide/core/timers";
-import { Router } from "@jasminetide/router";
+import { Router, type RouterSettings } from "@jasminetide/router";
 import { configurationObject } from "@jasminetide/runtime/configuration";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import { startServer } from "@jasminetide/runtime/http";
@@ -28,6 +28,8 @@
   createLogger: (process: string) => Logger;
   /** Whether each listener takes a free port instead of the one in settings. */
   useFreePorts?: boolean;
+  /** Replaces the notice before a planned stop in the settings. */
+  leaveNoticeMs?: number;
   /** Puts a link before a sidecar and gets the address to advertise. */
   linkSidecar?: (
     runner: string,
@@ -87,6 +89,30 @@
     this.routers.push(router);
   }
 
+  /** Stops a sidecar as planned and starts it anew at the same addresses. */
+  async restartSidecar(index: number): Promise<void> {
+    const before = this.sidecars[index];
+    await before[Symbol.asyncDispose]();
+    const sidecar = await this.#createSidecar({
+      ...before.settings,
+      dataAddress: before.dataAddress,
+      controlAddress: before.controlAddress,
+    });
+    this.sidecars[index] = this.#resources.use(sidecar);
+  }
+
+  /** Stops a router as planned and starts it anew at the same addresses. */
+  async restartRouter(index: number): Promise<void> {
+    const before = this.routers[index];
+    await before[Symbol.asyncDispose]();
+    const router = await this.#createRouter({
+      ...before.settings,
+      callerAddress: before.callerAddress,
+      controlAddress: before.controlAddress,
+    });
+    this.routers[index] = this.#resources.use(router);
+  }
+
   /** Stops the routers, then the sidecars, then the stand-ins. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#resources[Symbol.asyncDispose]();
@@ -131,19 +157,12 @@
       settings.runner,
       () => sidecar?.dataAddress ?? "",
     );
-    sidecar = await Sidecar.create({
-      settings: {
-        ...settings,
-        ...(advertisedDataAddress === undefined
-          ? {}
-          : { advertisedDataAddress }),
-        runnerAddress: runner.address,
-        platformAddress: this.#platformAddress,
-        dataAddress: this.#getAddress(settings.dataAddress),
-        controlAddress: this.#getAddress(settings.controlAddress),
-      },
-      timers: this.#options.timers,
-      logger: this.#options.createLogger(settings.name),
+    sidecar = await this.#createSidecar({
+      ...settings,
+      ...(advertisedDataAddress === undefined ? {} : { advertisedDataAddress }),
+      runnerAddress: runner.address,
+      dataAddress: this.#getAddress(settings.dataAddress),
+      controlAddress: this.#getAddress(settings.controlAddress),
     });
     this.#resources.use(sidecar);
     this.sidecars.push(sidecar);
@@ -151,17 +170,12 @@
   }
 
   async #startRouter(
-    settings: FleetDefinition["routers"][number],
+    settings: RouterSettings,
   ): Promise<HostRecord> {
-    const router = await Router.create({
-      settings: {
-        ...settings,
-        platformAddress: this.#platformAddress,
-        callerAddress: this.#getAddress(settings.callerAddress),
-        controlAddress: this.#getAddress(settings.controlAddress),
-      },
-      timers: this.#options.timers,
-      logger: this.#options.createLogger(settings.name),
+    const router = await this.#createRouter({
+      ...settings,
+      callerAddress: this.#getAddress(settings.callerAddress),
+      controlAddress: this.#getAddress(settings.controlAddress),
     });
     this.#resources.use(router);
     this.routers.push(router);
@@ -178,6 +192,32 @@
     };
   }
 
+  #createSidecar(settings: SidecarSettings): Promise<Sidecar> {
+    const { createLogger, leaveNoticeMs, timers } = this.#options;
+    return Sidecar.create({
+      settings: {
+        ...settings,
+        leaveNoticeMs: leaveNoticeMs ?? settings.leaveNoticeMs,
+        platformAddress: this.#platformAddress,
+      },
+      timers,
+      logger: createLogger(settings.name),
+    });
+  }
+
+  #createRouter(settings: RouterSettings): Promise<Router> {
+    const { createLogger, leaveNoticeMs, timers } = this.#options;
+    return Router.create({
+      settings: {
+        ...settings,
+        leaveNoticeMs: leaveNoticeMs ?? settings.leaveNoticeMs,
+        platformAddress: this.#platformAddress,
+      },
+      timers,
+      logger: createLogger(settings.name),
+    });
+  }
+
   #createRunner(settings: SidecarSettings): RequestListener {
     if (settings.kind === "service") {
       const service = DepositLedger.create(this.deposits);
--- a/packages/local_fleet/src/main.ts
+++ b/packages/local_fleet/src/main.ts
@@ -15,6 +15,7 @@
   const timers = RealTimerService.create();
   const fleet = await LocalFleet.create({
     definition: await loadFleet(folder),
+    leaveNoticeMs: 0,
     timers,
     createLogger: (process) => createLogger({ process, level: "warn" }),
   });
--- a/packages/local_fleet/src/measure_lookups/main.ts
+++ b/packages/local_fleet/src/measure_lookups/main.ts
@@ -63,6 +63,7 @@
 async function startFleet(): Promise<LocalFleet> {
   const fleet = await LocalFleet.create({
     definition: await loadFleet(folder),
+    leaveNoticeMs: 0,
     timers,
     createLogger: createSilentLogger,
     useFreePorts: true,
--- a/packages/local_fleet/src/test_fleet.ts
+++ b/packages/local_fleet/src/test_fleet.ts
@@ -25,9 +25,14 @@
 }
 
 /** What a fleet under test does differently. */
-export type TestFleetOptions = Pick<LocalFleetOptions, "linkSidecar"> & {
-  change?: (definition: FleetDefinition) => FleetDefinition;
-};
+export type TestFleetOptions =
+  & Pick<
+    LocalFleetOptions,
+    "linkSidecar" | "leaveNoticeMs"
+  >
+  & {
+    change?: (definition: FleetDefinition) => FleetDefinition;
+  };
 
 /** Starts the local fleet on free ports and waits until it is ready. */
 export async function startTestFleet(
@@ -43,6 +48,7 @@
     timers,
     createLogger: createSilentLogger,
     useFreePorts: true,
+    leaveNoticeMs: 0,
     ...rest,
   });
   await waitUntil(() => fleet.routers.every((router) => router.isReady));
--- a/packages/operator/src/drain/drain_intent.ts
+++ b/packages/operator/src/drain/drain_intent.ts
@@ -1,24 +1,13 @@
 import { AppError, normalizeError } from "@jasminetide/core/results";
-import type { HostRecord, PlatformClient } from "@jasminetide/runtime/platform";
+import {
+  type DrainIntent,
+  drainKind,
+  type HostRecord,
+  type PlatformClient,
+} from "@jasminetide/runtime/platform";
 import { exitCodes } from "@jasminetide/runtime/process";
-import { z } from "zod";
 import type { CommandResult } from "../output/mod.ts";
 
-/** Kind of the platform's objects that hold drain intents. */
-export const drainKind = "drains";
-
-/** Schema of an operator's intent that a host or runner drains, or no more. */
-export const drainIntentSchema = z.object({
-  target: z.enum(["host", "runner"]),
-  name: z.string().min(1),
-  state: z.enum(["draining", "cancelled"]),
-  reason: z.string().min(1),
-  requestedAtMs: z.number(),
-});
-
-/** An operator's intent that a host or runner drains, or no longer. */
-export type DrainIntent = z.output<typeof drainIntentSchema>;
-
 /** What is asked for. */
 export type DrainRequest = {
   name: string;
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -54,13 +54,12 @@
 ): Promise<Dispatched> {
   checkCircuit(dispatch, context);
   context.pool.retries.recordAttempt();
+  const { maximumAttempts } = dispatch.settings.retry;
   const tried = new Set<string>();
+  const mismatched = new Set<string>();
   let lastError: AppError | undefined;
-  for (
-    let count = 0;
-    count < dispatch.settings.retry.maximumAttempts;
-    count++
-  ) {
+  let failures = 0;
+  while (failures < maximumAttempts) {
     const runner = dispatch.chooseRunner(tried);
     if (runner === undefined) break;
     if (runner.state === "leaving") {
@@ -72,14 +71,19 @@
       continue;
     }
     if (lastError !== undefined) {
-      await checkRetry(dispatch, context, { lastError, retryCount: count - 1 });
+      await checkRetry(dispatch, context, { lastError, failures });
     }
     try {
       return await tryRunner(dispatch, runner, context);
     } catch (thrown) {
       const error = normalizeError(thrown);
-      if (error.result !== "epochMismatch") tried.add(runner.id);
       recordFailure(runner, error, context);
+      // A new epoch is learnt from the refusal and asked once more.
+      const isNews = error.result === "epochMismatch" &&
+        !mismatched.has(runner.id);
+      if (isNews) mismatched.add(runner.id);
+      else tried.add(runner.id);
+      if (!isCheapRefusal(error)) failures += 1;
       lastError = lastError === undefined
         ? error
         : mergeAttemptErrors([lastError, error]);
@@ -125,9 +129,9 @@
 async function checkRetry(
   dispatch: DispatchRequest,
   context: DispatchContext,
-  options: { lastError: AppError; retryCount: number },
+  options: { lastError: AppError; failures: number },
 ): Promise<void> {
-  const { lastError, retryCount } = options;
+  const { lastError, failures } = options;
   const { envelope, settings } = dispatch;
   if (!canRepeat(envelope, lastError)) throw lastError;
   if (lastError.result === "callerGone") throw lastError;
@@ -138,7 +142,7 @@
     throw lastError;
   }
   context.metrics.count("retries");
-  const delayMs = getBackoffMs(retryCount, {
+  const delayMs = getBackoffMs(failures - 1, {
     ...settings.retry,
     random: context.random,
   });
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -31,10 +31,6 @@
     throw AppError.create("unknownModel", `No model "${chat.model}"`);
   }
   const key = getKey(request, { workspace, chat });
-  const ranked = rankRunners(
-    key,
-    context.directory.getCandidates(chat.model),
-  );
   await sendRequest(
     {
       request: {
@@ -55,7 +51,10 @@
       },
       deadlineAtMs: arrivedAtMs + deadlineMs,
       settings,
-      chooseRunner: (tried) => ranked.find((runner) => !tried.has(runner.id)),
+      chooseRunner: (tried) => {
+        const left = context.directory.getCandidates(chat.model, tried);
+        return rankRunners(key, left)[0];
+      },
     },
     response,
     {
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -7,6 +7,7 @@
   parseKey,
 } from "@jasminetide/core/ledger";
 import { AppError } from "@jasminetide/core/results";
+import type { TimerService } from "@jasminetide/core/timers";
 import type { RouterContext } from "../router_context.ts";
 import { askOwner, type OutgoingCall } from "./ask_owner.ts";
 
@@ -22,6 +23,11 @@
 
 const betweenAsksMs = 20;
 
+const betweenSearchesMs = 100;
+
+/** Longest time for which a leaving owner's successor is waited for. */
+const handoverMs = 5000;
+
 /** Brings a money call to the owner of its key and answers the caller. */
 export async function handleMoneyCall(
   call: MoneyCall,
@@ -51,10 +57,41 @@
   }
 }
 
+/**
+ * Asks for the answer until a sidecar has the last word. While an owner
+ * leaves, the next one may not be ready yet: the search begins again for a
+ * while, which the key makes safe.
+ */
 async function findAnswer(
   call: MoneyCall & OutgoingCall,
   context: RouterContext,
 ): Promise<LedgerAnswer> {
+  const { timers } = context;
+  const endAtMs = Math.min(call.deadlineAtMs, timers.nowMs() + handoverMs);
+  while (true) {
+    const { answer, isHandover } = await searchOwner(call, context);
+    if (!isHandover || timers.nowMs() >= endAtMs) return answer;
+    context.metrics.count("money-handovers");
+    await wait(timers, betweenSearchesMs);
+  }
+}
+
+function wait(timers: TimerService, durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    timers.schedule(durationMs, () => resolve());
+  });
+}
+
+type Search = {
+  answer: LedgerAnswer;
+  /** Whether nobody has the last word and an owner was leaving. */
+  isHandover: boolean;
+};
+
+async function searchOwner(
+  call: MoneyCall & OutgoingCall,
+  context: RouterContext,
+): Promise<Search> {
   const { ledgerRoutes, timers, directory } = context;
   const service = call.envelope.pool;
   const shard = getShard(
@@ -66,6 +103,7 @@
     shard,
     hint: ledgerRoutes.getOwner(service, shard),
   });
+  let isHandover = false;
   while (timers.nowMs() < call.deadlineAtMs) {
     const runners = directory.getCandidates(service);
     const choice = search.choose(runners.map((runner) => runner.id));
@@ -81,10 +119,10 @@
     if (search.hint !== undefined) {
       ledgerRoutes.setOwner(service, shard, search.hint);
     }
-    if (isFinal && answer !== undefined) return answer;
-    await new Promise<void>((resolve) => {
-      timers.schedule(betweenAsksMs, () => resolve());
-    });
+    if (isFinal && answer !== undefined) return { answer, isHandover: false };
+    isHandover ||= answer?.type === "refused" &&
+      answer.result === "runnerLeaving";
+    await wait(timers, betweenAsksMs);
   }
-  return search.last;
+  return { answer: search.last, isHandover };
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -11,7 +11,7 @@
 } from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { AppError, normalizeError } from "@jasminetide/core/results";
-import type { Epoch } from "@jasminetide/core/tables";
+import type { Epoch, RunnerState } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationFollower,
@@ -71,6 +71,7 @@
   #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
   #isStopping = false;
+  #callers: ListeningServer | undefined;
   #callerAddress = "";
   #controlAddress = "";
 
@@ -106,6 +107,16 @@
     return this.#leases?.getFencingNumber(duty);
   }
 
+  /** Gets the state of a runner as this router sees it. */
+  getRunnerState(id: string): RunnerState | undefined {
+    return this.#membership?.runners.get(id)?.state;
+  }
+
+  /** Settings that the process was started with. */
+  get settings(): RouterSettings {
+    return this.#options.settings;
+  }
+
   /** Takes a snapshot of the counters and histograms. */
   getMetrics(): MetricsSnapshot {
     return this.#metrics.getSnapshot();
@@ -113,15 +124,25 @@
 
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
-    return this.#configuration.isLoaded &&
+    return !this.#isLeaving && this.#configuration.isLoaded &&
       this.#membership?.hasActiveRunner === true;
   }
 
+  get #isLeaving(): boolean {
+    return this.#isStopping || this.#membership?.isLeaving === true;
+  }
+
   /** Stops accepting, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
     this.#membership?.setOwn({ isLeaving: true });
+    this.#options.logger.info("leaving");
+    this.#callers?.announceClose();
+    await new Promise<void>((resolve) => {
+      const { settings, timers } = this.#options;
+      timers.schedule(settings.leaveNoticeMs, () => resolve());
+    });
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -146,6 +167,7 @@
     this.#startLeases(platform, membership);
     const callers = await this.#startCallers(membership);
     this.#resources.defer(() => callers.close());
+    this.#callers = callers;
     this.#callerAddress = callers.address;
     logger.info("router-started", { callers: callers.address });
   }
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -28,7 +28,6 @@
   });
   const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
   const body = await readBody(request, settings.request.maximumBodyBytes);
-  const runners = context.directory.getCandidates(service.name);
   const method = request.method ?? "GET";
   const path = request.url ?? "/";
   const headers = copyForwardedHeaders(request.headers);
@@ -60,7 +59,7 @@
       deadlineAtMs,
       settings,
       chooseRunner: (tried) => {
-        const left = runners.filter((runner) => !tried.has(runner.id));
+        const left = context.directory.getCandidates(service.name, tried);
         return left[context.random.getInteger(left.length)];
       },
     },
--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -20,6 +20,8 @@
   /** `ip:port` that was bound. */
   address: string;
   server: Server;
+  /** Asks the other ends to use other connections for what follows. */
+  announceClose(): void;
   /** Stops accepting connections and waits for the open requests. */
   close(): Promise<void>;
   [Symbol.asyncDispose](): Promise<void>;
@@ -33,21 +35,28 @@
   address: string,
   handler: RequestHandler,
 ): Promise<ListeningServer> {
-  const server = createServer({ maxHeaderSize: maxHeaderBytes }, handler);
-  const { ip, port } = parseAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, ip, resolve);
-  });
-  const bound = server.address() as AddressInfo;
-  const close = () =>
-    new Promise<void>((resolve) => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
-    });
+  let isClosing = false;
+  const server = createServer(
+    { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: keepAliveMs },
+    (request, response) => {
+      if (isClosing) response.setHeader("connection", "close");
+      handler(request, response);
+    },
+  );
+  await listen(server, address);
+  // Idle connections stay open until the close itself: a request may be on
+  // its way on any of them.
+  const announceClose = () => {
+    isClosing = true;
+  };
+  const close = () => {
+    announceClose();
+    return closeServer(server);
+  };
   return {
-    address: `${ip}:${bound.port}`,
+    address: getBoundAddress(server),
     server,
+    announceClose,
     close,
     async [Symbol.asyncDispose]() {
       const closed = close();
@@ -57,6 +66,39 @@
   };
 }
 
+/** Time after which idle connections are closed; longer than clients wait. */
+const keepAliveMs = 65_000;
+
+/** Period at which connections that became idle are closed. */
+const closePeriodMs = 100;
+
+function listen(server: Server, address: string): Promise<void> {
+  const { ip, port } = parseAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, ip, resolve);
+  });
+}
+
+function getBoundAddress(server: Server): string {
+  const { address, family, port } = server.address() as AddressInfo;
+  return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
+}
+
+/** Closes a server; a connection that becomes idle meanwhile is closed too. */
+function closeServer(server: Server): Promise<void> {
+  const timer = setInterval(
+    () => server.closeIdleConnections(),
+    closePeriodMs,
+  );
+  return new Promise((resolve) => {
+    server.close(() => {
+      clearInterval(timer);
+      resolve();
+    });
+  });
+}
+
 /**
  * Reads a whole request body.
  *
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -44,7 +44,13 @@
 import { ResourceStack } from "../disposal/mod.ts";
 import { headerNames } from "../exchange/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import type { PlatformClient } from "../platform/mod.ts";
+import {
+  applyDrains,
+  type DrainIntent,
+  DrainReader,
+  type HostRecord,
+  type PlatformClient,
+} from "../platform/mod.ts";
 import { DatagramSocket } from "./datagrams.ts";
 import { getReadPeriodMs, isPromptReader, listMembers } from "./host_list.ts";
 
@@ -92,11 +98,14 @@
   #nextReadAtMs = 0;
   #isReading = false;
   #observeVersion: VersionObserver = () => {};
+  readonly #drainReader: DrainReader;
+  #drains: DrainIntent[] = [];
   readonly #ready = createDeferred();
 
   private constructor(options: MembershipOptions) {
     const nowMs = options.timers.nowMs();
     this.#options = options;
+    this.#drainReader = DrainReader.create(options.platform);
     this.#tables = createMembershipTables({ ...options, nowMs });
     this.#spreader = createSpreader({
       tables: this.#tables,
@@ -133,6 +142,11 @@
     return this.#options.identity.controlAddress;
   }
 
+  /** Whether this process is known to leave, by itself or by others. */
+  get isLeaving(): boolean {
+    return isLeaving(this.#tables.self);
+  }
+
   /** Whether this process is one of the few that watch the platform. */
   get isWatcher(): boolean {
     return isPromptReader(this.#tables);
@@ -143,9 +157,16 @@
     return [...this.runners.rows()].some((row) => row.state === "active");
   }
 
-  /** Gets the runners that take new work for a model or service. */
-  getCandidates(pool: string): RunnerRow[] {
-    return getCandidates(this.#tables, pool, this.#options.timers.nowMs());
+  /**
+   * Gets the runners that take new work for a model or service, without those
+   * already tried.
+   */
+  getCandidates(
+    pool: string,
+    tried: ReadonlySet<string> = new Set(),
+  ): RunnerRow[] {
+    const nowMs = this.#options.timers.nowMs();
+    return getCandidates(this.#tables, pool, { nowMs, tried });
   }
 
   /**
@@ -349,7 +370,7 @@
     this.#isReading = true;
     this.#nextReadAtMs = nowMs + getReadPeriodMs(this.#tables);
     try {
-      const hosts = await this.#options.platform.loadHosts();
+      const hosts = await this.#loadLeaving();
       const news = applyHostList(this.#tables, listMembers(hosts));
       for (const member of news) {
         setPending(this.#spreader, member, {
@@ -366,6 +387,18 @@
     this.#isReading = false;
   }
 
+  /** Loads the host list with the operators' drains marked in it. */
+  async #loadLeaving(): Promise<HostRecord[]> {
+    const hosts = await this.#options.platform.loadHosts();
+    if (!isPromptReader(this.#tables)) return hosts;
+    try {
+      this.#drains = await this.#drainReader.load();
+    } catch (thrown) {
+      this.#warn("drains-failed", thrown);
+    }
+    return applyDrains(hosts, this.#drains);
+  }
+
   /** At the start, asks one peer for what it knows; more if none answers. */
   async #loadFromPeers(): Promise<void> {
     for (const address of this.listRouterAddresses().slice(0, peersAtStart)) {
--- a/packages/runtime/src/settings/mod.ts
+++ b/packages/runtime/src/settings/mod.ts
@@ -37,6 +37,8 @@
    * is trusted.
    */
   digestKey: z.string().default(""),
+  /** Time between the announcement of a planned stop and its beginning. */
+  leaveNoticeMs: z.number().int().nonnegative().default(3000),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
   tls: tlsSchema.optional(),
 };
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -59,6 +59,8 @@
 
 const expirePeriodMs = 1000;
 
+const drainPollMs = 25;
+
 const runnerConnections = 256;
 
 const maxBodyBytes = 4_194_304;
@@ -79,7 +81,8 @@
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
   #ledger: Ledger | undefined;
-  #isLeaving = false;
+  #isStopping = false;
+  #hasLeft = false;
   #dataAddress = "";
   #controlAddress = "";
 
@@ -144,6 +147,11 @@
     return this.#attempts.epoch;
   }
 
+  /** Settings that the process was started with. */
+  get settings(): SidecarSettings {
+    return this.#options.settings;
+  }
+
   /** Takes a snapshot of the counters and histograms. */
   getMetrics(): MetricsSnapshot {
     return this.#metrics.getSnapshot();
@@ -154,14 +162,42 @@
     return this.#configuration.version;
   }
 
+  /** Whether the sidecar takes no new work. */
+  get isLeaving(): boolean {
+    return this.#isStopping || this.#membership?.isLeaving === true;
+  }
+
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
-    if (this.#isLeaving) return;
-    this.#isLeaving = true;
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    this.#leave();
+    await this.#wait(this.#options.settings.leaveNoticeMs);
+    while (this.#attempts.active > 0) await this.#wait(drainPollMs);
+    await this.#resources[Symbol.asyncDispose]();
+  }
+
+  /** Tells others, and hands over what others can do. */
+  #leave(): void {
+    if (this.#hasLeft) return;
+    this.#hasLeft = true;
     this.#membership?.setOwn({ isLeaving: true });
     this.#peak.refuseAll();
     this.#ledger?.leave();
-    await this.#resources[Symbol.asyncDispose]();
+    this.#options.logger.info("leaving", {
+      runner: this.#options.settings.runner,
+    });
+  }
+
+  #wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.timers.schedule(durationMs, () => resolve());
+    });
+  }
+
+  #expire(nowMs: number): void {
+    this.#attempts.expire(nowMs);
+    if (this.isLeaving) this.#leave();
   }
 
   async #start(): Promise<void> {
@@ -190,7 +226,7 @@
     this.#resources.defer(() => data.close());
     const expiry = timers.subscribe(
       expirePeriodMs,
-      (nowMs) => this.#attempts.expire(nowMs),
+      (nowMs) => this.#expire(nowMs),
     );
     this.#resources.defer(() => expiry[Symbol.dispose]());
     logger.info("sidecar-started", {
@@ -230,7 +266,7 @@
         return this.#follower?.sync();
       },
       getStreamSettings: () => this.#effective.get().stream,
-      isLeaving: () => this.#isLeaving,
+      isLeaving: () => this.isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
         ...this.#membership?.getAnswerHeaders(),
@@ -374,7 +410,7 @@
         runner: settings.runner,
         epoch: this.epoch,
       },
-      isLeaving: this.#isLeaving,
+      isLeaving: this.isLeaving,
       configurationVersion: this.#configuration.version,
       attempts: this.#attempts.size,
       admission: {
