Begin with the platform's configuration after a restart

**Cause** While a restarted process waited for the platform, a digest of a lagging peer could bring an older configuration into force than the host had before.

**Change** The follower notes versions that it hears of and fetches them once its first load has ended; in an outage it takes the highest of several peers. The soak runs the real follower on fake peers.

**Conclusion** A restarted process goes back only if the platform is down and no peer that it asks has more.

--- a/packages/load/src/soak/soak_configuration.ts
+++ b/packages/load/src/soak/soak_configuration.ts
@@ -14,6 +14,9 @@
 const peerTimeoutMs = 2000;
 const lossProbability = 0.15;
 
+/** Time within which a start has loaded its first configuration. */
+const startMs = 4000;
+
 /** What a process follows the declaration with. */
 export type SoakConfigurationOptions = {
   world: World;
@@ -33,6 +36,7 @@
 export class SoakConfiguration {
   readonly #options: SoakConfigurationOptions;
   #holder = ConfigurationHolder.create();
+  #incarnation = 1;
   #follower: ConfigurationFollower;
 
   private constructor(options: SoakConfigurationOptions) {
@@ -61,8 +65,16 @@
     this.#follower.observeVersion(version, address);
   }
 
-  /** Starts anew without any. */
+  /**
+   * Starts anew without any. In an outage of the platform it can only take
+   * what peers have, which may be older than what it had itself; it then
+   * counts as another process.
+   */
   restart(): void {
+    const { world } = this.#options;
+    if (world.willBeActiveWithin("platform-down", startMs)) {
+      this.#incarnation += 1;
+    }
     this.#follower[Symbol.dispose]();
     this.#holder = ConfigurationHolder.create();
     this.#follower = this.#follow();
@@ -72,7 +84,10 @@
     const { isWatcher, peers, platform, process, world } = this.#options;
     const holder = this.#holder;
     this.#record(0);
-    holder.subscribe(({ version }) => this.#record(version));
+    // What a process loads after its end is in force nowhere.
+    holder.subscribe(({ version }) => {
+      if (holder === this.#holder) this.#record(version);
+    });
     return ConfigurationFollower.create({
       platform: platform.client,
       holder,
@@ -119,7 +134,8 @@
   }
 
   #record(version: number): void {
-    const { process, world } = this.#options;
+    const { world } = this.#options;
+    const process = `${this.address}#${this.#incarnation}`;
     const atMs = world.nowMs();
     world.events.push({ type: "configuration", process, atMs, version });
   }
--- a/packages/load/src/soak/world.ts
+++ b/packages/load/src/soak/world.ts
@@ -52,6 +52,15 @@
     return this.listActive(kind).length > 0;
   }
 
+  /** Whether a fault of a kind is active at some time from now on. */
+  willBeActiveWithin(kind: FaultKind, durationMs: number): boolean {
+    const nowMs = this.nowMs();
+    return this.faults.some((fault) =>
+      fault.kind === kind && fault.startMs < nowMs + durationMs &&
+      nowMs < fault.startMs + fault.durationMs
+    );
+  }
+
   /** Whether chance strikes. */
   hasChance(probability: number): boolean {
     return this.random.getFloat() < probability;
--- a/packages/runtime/src/configuration/configuration_follower.ts
+++ b/packages/runtime/src/configuration/configuration_follower.ts
@@ -43,6 +43,9 @@
 
 const peersPerFetch = 3;
 
+/** Peers asked at a start while the platform is down. */
+const peersPerStart = 8;
+
 /** Parts asked of a peer at once. */
 const partsPerRequest = 32;
 
@@ -55,6 +58,8 @@
   readonly #abort = new AbortController();
   #heard: { version: number; address: string } = { version: 0, address: "" };
   #fetching: Promise<void> | undefined;
+  /** Whether the first load has ended, with or without a result. */
+  #isStarted = false;
 
   private constructor(options: ConfigurationFollowerOptions) {
     this.#options = options;
@@ -67,12 +72,17 @@
     return follower;
   }
 
-  /** Takes in that a peer holds a version, and fetches it if it is newer. */
+  /**
+   * Takes in that a peer holds a version, and fetches it if it is newer. Until
+   * the first load has ended it is only noted: a peer that lags would bring an
+   * older configuration into force than this host had before its restart.
+   */
   observeVersion(version: number, controlAddress: string): void {
     if (version <= this.#options.holder.version) return;
     if (version >= this.#heard.version) {
       this.#heard = { version, address: controlAddress };
     }
+    if (!this.#isStarted) return;
     this.#fetching ??= this.#fetchHeard().finally(() => {
       this.#fetching = undefined;
     });
@@ -101,6 +111,8 @@
   async #run(): Promise<void> {
     await this.#options.whenReady;
     await this.#try("configuration-load-failed", () => this.#loadFirst());
+    this.#isStarted = true;
+    this.observeVersion(this.#heard.version, this.#heard.address);
     while (!this.#abort.signal.aborted) {
       const isDone = this.#options.isWatcher() &&
         await this.#try("configuration-watch-failed", () => this.#watch());
@@ -108,7 +120,7 @@
     }
   }
 
-  /** At the start: from the platform, else from peers. */
+  /** At the start: from the platform, else the highest of several peers. */
   async #loadFirst(): Promise<void> {
     const { platform } = this.#options;
     try {
@@ -117,11 +129,24 @@
         await this.#apply(stored, this.#listPeerSources());
       }
     } catch (thrown) {
-      for (const address of this.#options.listPeers()) {
-        if (await this.#fetchFrom(address)) return;
+      if (!await this.#fetchHighest()) throw thrown;
+    }
+  }
+
+  /** @returns whether a peer gave a configuration. */
+  async #fetchHighest(): Promise<boolean> {
+    const { listPeers } = this.#options;
+    const answers = await Promise.all(
+      listPeers().slice(0, peersPerStart).map((address) => this.#ask(address)),
+    );
+    const found = answers.filter((answer) => answer !== undefined);
+    found.sort((left, right) => right.stored.version - left.stored.version);
+    for (const { stored, source } of found) {
+      if (await this.#apply(stored, [source, ...this.#listPeerSources()])) {
+        return true;
       }
-      throw thrown;
     }
+    return false;
   }
 
   async #watch(): Promise<void> {
@@ -157,12 +182,22 @@
 
   /** @returns whether a newer configuration came into force. */
   async #fetchFrom(address: string): Promise<boolean> {
+    const answer = await this.#ask(address);
+    if (answer === undefined) return false;
+    const { stored, source } = answer;
+    return this.#apply(stored, [source, ...this.#listPeerSources()]);
+  }
+
+  /** Asks a peer for a newer configuration; undefined where it has none. */
+  async #ask(
+    address: string,
+  ): Promise<{ stored: StoredObject; source: PartSource } | undefined> {
     const { getPeer, holder } = this.#options;
     const peer = getPeer(address);
     const answer = await peer.getConfiguration.query({
       afterVersion: holder.version,
     }, { signal: this.#abort.signal }).catch(() => null);
-    if (answer === null) return false;
+    if (answer === null) return undefined;
     if (hashText(answer.text) !== answer.hash) {
       throw AppError.create(
         "hashMismatch",
@@ -170,10 +205,7 @@
       );
     }
     const stored = { version: answer.version, value: answer.text };
-    return this.#apply(stored, [
-      createPeerSource(peer),
-      ...this.#listPeerSources(),
-    ]);
+    return { stored, source: createPeerSource(peer) };
   }
 
   async #fetchFromPlatform(version: number): Promise<boolean> {
