--- a/packages/core/src/results/errors.ts
+++ b/packages/core/src/results/errors.ts
@@ -24,10 +24,10 @@
   /** HTTP status of the result code. */
   readonly status: number;
 
-  // Fields are assigned after the library has copied those of the cause, such
-  // as the `code` of a system error.
   constructor(message = "", state?: ErrorState) {
-    super(message, state);
+    // The base class would copy properties of the cause, such as `code`.
+    super(message, { ...state, cause: undefined });
+    if (state?.cause !== undefined) setCause(this, state.cause);
     this.result = state?.result ?? "internal";
     const row = resultCodes[this.result];
     this.code = row.code;
@@ -46,6 +46,15 @@
   }
 }
 
+function setCause(error: Error, cause: unknown): void {
+  Object.defineProperty(error, "cause", {
+    value: cause,
+    configurable: true,
+    enumerable: false,
+    writable: true,
+  });
+}
+
 /** An error with a numbered result code. */
 export const AppError = BaseError.subclass("AppError", { custom: CustomError });
 
--- a/packages/core/src/results/result_codes.feature
+++ b/packages/core/src/results/result_codes.feature
@@ -8,3 +8,6 @@
 
   Scenario: An error keeps its own code whatever its cause
     Then an error caused by a system error has its own code
+
+  Scenario: An error keeps its own code whatever its cause carries
+    Then an error whose cause has the code "UND_ERR_SOCKET" has its own code
--- a/packages/core/src/results/result_codes_test.ts
+++ b/packages/core/src/results/result_codes_test.ts
@@ -36,3 +36,15 @@
     503,
   ]);
 });
+
+Then(
+  "an error whose cause has the code {string} has its own code",
+  (code: string) => {
+    const cause = Object.assign(new Error("Other side closed"), { code });
+    const error = AppError.create("runnerFailed", "Runner failed", { cause });
+    assert.deepEqual(
+      [error.code, error.message, error.cause],
+      [resultCodes.runnerFailed.code, "Runner failed", cause],
+    );
+  },
+);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -34,12 +34,13 @@
 import { LeaseKeeper } from "@jasminetide/runtime/leases";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { Membership } from "@jasminetide/runtime/membership";
-import { Metrics } from "@jasminetide/runtime/metrics";
+import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import polka from "polka";
 import { Connections, PoolStates } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
+import { LedgerRoutes } from "./ledger/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -105,6 +106,11 @@
     return this.#leases?.getFencingNumber(duty);
   }
 
+  /** Takes a snapshot of the counters and histograms. */
+  getMetrics(): MetricsSnapshot {
+    return this.#metrics.getSnapshot();
+  }
+
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
     return this.#configuration.isLoaded &&
@@ -269,6 +275,7 @@
       directory: membership,
       connections: this.#connections,
       pools: this.#pools,
+      ledgerRoutes: LedgerRoutes.create(),
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from "@jasminetide/runtime/metrics";
 import type { Connections, PoolStates } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
+import type { LedgerRoutes } from "./ledger/mod.ts";
 
 /** Settings in force for one request. */
 export type RequestSettings = {
@@ -24,6 +25,7 @@
   directory: Membership;
   connections: Connections;
   pools: PoolStates;
+  ledgerRoutes: LedgerRoutes;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -27,10 +27,16 @@
 import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { Membership } from "@jasminetide/runtime/membership";
-import { Metrics } from "@jasminetide/runtime/metrics";
+import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
 import { OrderGate } from "./orders/mod.ts";
+import {
+  createSettingsReader,
+  handleCall,
+  isMoneyCall,
+  Ledger,
+} from "./ledger/mod.ts";
 import {
   AttemptStore,
   handleRequest,
@@ -65,12 +71,14 @@
   readonly #attempts: AttemptStore;
   readonly #admission: Admission;
   readonly #peak: PeakGate;
+  readonly #effective: EffectiveSettings;
   readonly #runner: Pool;
   readonly #resources = ResourceStack.create();
   readonly #peers = PeerClients.create();
   #membership: Membership | undefined;
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
+  #ledger: Ledger | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -83,19 +91,19 @@
       retentionMs: attemptRetentionMs,
       orphanMs,
     });
-    const effective = EffectiveSettings.create({
+    this.#effective = EffectiveSettings.create({
       configuration: this.#configuration,
       subject: getSubject(settings),
     });
     this.#peak = PeakGate.create({
       hold: PeakHold.create({
-        getSettings: () => effective.get().peak,
+        getSettings: () => this.#effective.get().peak,
         meter: MinuteMeter.create(),
       }),
       timers,
     });
     this.#admission = Admission.create({
-      getSettings: () => effective.get(),
+      getSettings: () => this.#effective.get(),
       capacity: settings.capacity,
       getMeanLoad: () => this.#getMeanLoad(),
       timers,
@@ -112,20 +120,35 @@
     return sidecar;
   }
 
-  /** `ip:port` for routers. */
+  /** `ip:port` at which the sidecar listens for routers. */
   get dataAddress(): string {
     return this.#dataAddress;
   }
 
+  /** `ip:port` that routers are told. */
+  get advertisedDataAddress(): string {
+    return this.#options.settings.advertisedDataAddress ?? this.#dataAddress;
+  }
+
   /** `ip:port` for peers and operators. */
   get controlAddress(): string {
     return this.#controlAddress;
   }
 
+  /** Shards of the ledger that this sidecar knows. */
+  get ledgerShards(): ReturnType<Ledger["getDump"]> {
+    return this.#ledger?.getDump() ?? [];
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
 
+  /** Takes a snapshot of the counters and histograms. */
+  getMetrics(): MetricsSnapshot {
+    return this.#metrics.getSnapshot();
+  }
+
   /** Version of the configuration in force, 0 before the first. */
   get configurationVersion(): number {
     return this.#configuration.version;
@@ -154,6 +177,8 @@
       logger,
     });
     this.#resources.defer(() => this.#runner.close());
+    this.#ledger = this.#createLedger(platform);
+    this.#resources.use(this.#ledger);
     const data = await this.#startData();
     this.#dataAddress = data.address;
     const control = await this.#startControl();
@@ -173,6 +198,22 @@
     });
   }
 
+  #createLedger(platform: PlatformClient): Ledger {
+    const { settings, timers, logger } = this.#options;
+    const [service] = settings.pools;
+    return Ledger.create({
+      service,
+      owner: { name: settings.runner, epoch: this.epoch },
+      platform,
+      timers,
+      logger,
+      metrics: this.#metrics,
+      runner: { pool: this.#runner, admission: this.#admission },
+      isOffered: settings.kind === "service",
+      getSettings: createSettingsReader(service, this.#configuration),
+    });
+  }
+
   #startData(): Promise<ListeningServer> {
     const context: RequestContext = {
       attempts: this.#attempts,
@@ -180,12 +221,14 @@
       peak: this.#peak,
       isDeferrable: (priority) => this.#isDeferrable(priority),
       runner: this.#runner,
+      kind: this.#options.settings.kind,
       timers: this.#options.timers,
       metrics: this.#metrics,
       syncConfiguration: (version, sender) => {
         this.#follower?.observeVersion(version, sender);
         return this.#follower?.sync();
       },
+      getStreamSettings: () => this.#effective.get().stream,
       isLeaving: () => this.#isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
@@ -196,7 +239,12 @@
     return startServer(
       this.#options.settings.dataAddress,
       (request, response) => {
-        void handleRequest(request, response, context);
+        if (isMoneyCall(request) && this.#ledger !== undefined) {
+          void handleCall(request, response, {
+            ...context,
+            ledger: this.#ledger,
+          });
+        } else void handleRequest(request, response, context);
       },
     );
   }
@@ -236,7 +284,7 @@
           id: settings.runner,
           kind: settings.kind,
           pools: settings.pools,
-          dataAddress: this.#dataAddress,
+          dataAddress: this.advertisedDataAddress,
         },
       },
       epoch: this.epoch,
@@ -337,6 +385,7 @@
       membership: this.#membership?.getSnapshot(),
       highestFencingNumber: this.#orders?.highestFencingNumber,
       peak: this.#getPeakDump(),
+      ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
   }
