Add the operators' commands on money calls

**Cause** Unknown outcomes could be listed and resolved by code alone.

**Change** jasminetide ledger list, show and resolve.

**Conclusion** Operators settle an unknown outcome with a reason that stays with the key.

--- a/packages/local_fleet/src/operator_program.feature
+++ b/packages/local_fleet/src/operator_program.feature
@@ -74,3 +74,14 @@
     Then it exits with 2 and prints "explain"
     When the operator runs "--help"
     Then it exits with 0 and prints "Exit codes"
+
+  Scenario: Money calls can be looked up
+    When a caller refunds 5 to account "a1" with key "7c9e6679-7425-40de-944b-e07fc1f90ae7"
+    And the operator runs "ledger list --service deposit-ledger"
+    Then it exits with 0 and prints "No unknown outcome"
+    When the operator runs "ledger show -s deposit-ledger -w local 7c9e6679-7425-40de-944b-e07fc1f90ae7"
+    Then it exits with 0 and prints "deposit-ledger-"
+    When the operator runs "ledger resolve -s deposit-ledger -w local -r Found --executed yes 7c9e6679-7425-40de-944b-e07fc1f90ae7"
+    Then it exits with 2 and prints "expected \"unknown\""
+    When the operator runs "ledger list --service none"
+    Then it exits with 2 and prints "has no ledger"
--- a/packages/local_fleet/src/operator_program_test.ts
+++ b/packages/local_fleet/src/operator_program_test.ts
@@ -80,6 +80,25 @@
   },
 );
 
+When(
+  "a caller refunds {int} to account {string} with key {string}",
+  async function (this: World, amount: number, account: string, key: string) {
+    const [router] = this.fleet.routers;
+    const response = await fetch(
+      `http://${router.callerAddress}/deposit-ledger/refunds`,
+      {
+        method: "POST",
+        headers: {
+          "authorization": "Bearer local-key",
+          "idempotency-key": key,
+        },
+        body: JSON.stringify({ account, amount }),
+      },
+    );
+    assert.equal(response.status, 201, await response.text());
+  },
+);
+
 When("both copies are applied at the same moment", async function (
   this: World,
 ) {
--- a/packages/operator/src/commands/program.ts
+++ b/packages/operator/src/commands/program.ts
@@ -1,3 +1,4 @@
+import { isObject } from "@jasminetide/core/configuration";
 import { productVersion } from "@jasminetide/core";
 import { exitCodes } from "@jasminetide/runtime/process";
 import { runSafely, subcommands } from "cmd-ts";
@@ -13,6 +14,7 @@
   createDumpCommand,
   createStatusCommand,
 } from "./fleet_commands.ts";
+import { createLedgerCommand } from "./ledger_commands.ts";
 
 const exitCodeHelp = [
   "Exit codes: 0 done; 1 faults, drift or failure; 2 wrong usage;",
@@ -33,6 +35,7 @@
       status: createStatusCommand(output),
       dump: createDumpCommand(output),
       drain: createDrainCommand(output),
+      ledger: createLedgerCommand(output),
     },
   });
 }
@@ -47,7 +50,7 @@
   output: Output,
 ): Promise<ExitCode> {
   const result = await runSafely(createProgram(output), [...argv]);
-  if (result._tag === "ok") return result.value.value;
+  if (result._tag === "ok") return await readExitCode(result.value);
   const { message, into } = result.error.config;
   if (into === "stdout") output.write(message);
   else output.writeError(message);
@@ -56,3 +59,11 @@
   );
   return isAsked ? exitCodes.ok : exitCodes.usage;
 }
+
+/** A command in a group gives its code inside the value of the group. */
+async function readExitCode(value: unknown): Promise<ExitCode> {
+  const settled = await value;
+  return isObject(settled)
+    ? await readExitCode(settled["value"])
+    : settled as ExitCode;
+}
