Refuse malformed stored objects and digests with a code

A digest could name a sender that is no number.

**Change** Journals, manifests and digests are checked by schemas.

--- /dev/null
+++ b/packages/core/src/codecs.feature
@@ -0,0 +1,14 @@
+Feature: Codecs of messages and stored objects
+
+  Scenario Outline: What is not a <message> is refused with a code
+    Then no bytes from seed <seed> make the decoder of a "<message>" fail uncoded
+
+    Examples:
+      | message         | seed |
+      | digest          | 41   |
+      | answer record   | 42   |
+      | journal head    | 43   |
+      | journal segment | 44   |
+      | idempotency key | 45   |
+      | lease           | 46   |
+      | declaration     | 47   |
--- a/packages/core/src/configuration/parts.ts
+++ b/packages/core/src/configuration/parts.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { z } from "zod";
 import { hash32 } from "../hashing/mod.ts";
 import { AppError } from "../results/mod.ts";
 import { isJsonObject, type Json, type JsonObject } from "./json.ts";
@@ -89,9 +90,7 @@
     const hashes = manifest[section];
     if (hashes === undefined) continue;
     body[section] = sections.includes(section)
-      ? hashes.flatMap((hash) =>
-        JSON.parse(requirePart(stored.parts, hash)) as Json[]
-      )
+      ? hashes.flatMap((hash) => parseEntries(requirePart(stored.parts, hash)))
       : [];
   }
   return body;
@@ -108,7 +107,13 @@
     .subarray(0, partHashBytes).toString("base64url");
 }
 
-type Manifest = { base: string } & { [section in PartedSection]?: string[] };
+const manifestSchema = z.object({
+  base: z.string(),
+  workspaces: z.array(z.string()).optional(),
+  exceptions: z.array(z.string()).optional(),
+});
+
+type Manifest = z.output<typeof manifestSchema>;
 
 function splitEntries(entries: Json[], options: SplitOptions): Json[][] {
   const meanEntries = options.meanPartEntries ?? defaultMeanPartEntries;
@@ -151,11 +156,30 @@
 
 function readManifest(object: JsonObject): Manifest | undefined {
   const manifest = object[manifestField];
-  return isJsonObject(manifest) ? manifest as Manifest : undefined;
+  if (manifest === undefined) return undefined;
+  const result = manifestSchema.safeParse(manifest);
+  if (result.success) return result.data;
+  throw AppError.create("invalidConfiguration", "Manifest is malformed");
+}
+
+function parseEntries(text: string): Json[] {
+  const value = parseJson(text);
+  if (Array.isArray(value)) return value;
+  throw AppError.create("invalidConfiguration", "Part is no list");
 }
 
 function parseObject(text: string): JsonObject {
-  const value = JSON.parse(text) as Json;
+  const value = parseJson(text);
   if (isJsonObject(value)) return value;
   throw AppError.create("invalidConfiguration", "Declaration is no object");
 }
+
+function parseJson(text: string): Json {
+  try {
+    return JSON.parse(text) as Json;
+  } catch (cause) {
+    throw AppError.create("invalidConfiguration", "Text is not JSON", {
+      cause,
+    });
+  }
+}
--- a/packages/core/src/ledger/codec.ts
+++ b/packages/core/src/ledger/codec.ts
@@ -1,7 +1,8 @@
 import { Buffer } from "node:buffer";
 import { Decoder, Encoder } from "cbor-x";
+import { z } from "zod";
 import { AppError } from "../results/mod.ts";
-import type { JournalHead, JournalSegment } from "./journal.ts";
+import type { JournalHead, JournalSegment, LedgerEntry } from "./journal.ts";
 
 /** Version of the journal's format. */
 export const journalFormatVersion = 1;
@@ -10,6 +11,48 @@
 const encoder = new Encoder(codecOptions);
 const decoder = new Decoder(codecOptions);
 
+const timeMs = z.number();
+const version = z.number().int().nonnegative();
+const windowSchema = z.object({ fromMs: timeMs, limitMs: timeMs });
+
+const answerSchema = z.object({
+  status: z.number().int(),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  body: z.instanceof(Uint8Array),
+});
+
+const entrySchema: z.ZodType<LedgerEntry> = z.object({
+  key: z.string(),
+  issuedAtMs: z.union([timeMs, z.undefined()]),
+  requestHash: z.string(),
+  recordedAtMs: timeMs,
+  state: z.enum(["intent", "done", "unknown"]),
+  answer: z.union([answerSchema, z.undefined()]),
+});
+
+const segmentSchema: z.ZodType<JournalSegment> = z.object({
+  entries: z.array(entrySchema),
+});
+
+const headSchema: z.ZodType<JournalHead> = z.object({
+  owner: z.union([
+    z.object({ name: z.string(), epoch: version }),
+    z.undefined(),
+  ]),
+  writeId: z.string(),
+  floorMs: timeMs,
+  forgottenThroughMs: timeMs,
+  window: z.union([windowSchema, z.undefined()]),
+  doubts: z.array(windowSchema),
+  slots: z.array(z.object({
+    version,
+    isUsed: z.boolean(),
+    newestIssuedAtMs: timeMs,
+    sealedAtMs: timeMs,
+  })),
+  entries: z.array(entrySchema),
+});
+
 /** Encodes a journal head as text for the object API. */
 export function encodeHead(head: JournalHead): string {
   return encode("head", head);
@@ -18,10 +61,10 @@
 /**
  * Decodes a journal head.
  *
- * @throws AppError `invalidMessage` for another kind or format version.
+ * @throws AppError `invalidMessage` for another kind, format or shape.
  */
 export function decodeHead(text: string): JournalHead {
-  return decode("head", text) as JournalHead;
+  return decode(text, { kind: "head", schema: headSchema });
 }
 
 /** Encodes a segment as text for the object API. */
@@ -32,10 +75,10 @@
 /**
  * Decodes a segment.
  *
- * @throws AppError `invalidMessage` for another kind or format version.
+ * @throws AppError `invalidMessage` for another kind, format or shape.
  */
 export function decodeSegment(text: string): JournalSegment {
-  return decode("segment", text) as JournalSegment;
+  return decode(text, { kind: "segment", schema: segmentSchema });
 }
 
 function encode(kind: string, content: unknown): string {
@@ -43,14 +86,38 @@
   return Buffer.from(bytes).toString("base64");
 }
 
-function decode(kind: string, text: string): unknown {
-  const [version, found, content] = decoder.decode(
-    Buffer.from(text, "base64"),
-  ) as [number, string, unknown];
-  if (version === journalFormatVersion && found === kind) return content;
+function decode<Content>(
+  text: string,
+  wanted: { kind: string; schema: z.ZodType<Content> },
+): Content {
+  const { kind, schema } = wanted;
+  const fields = decodeFields(text);
+  const [format, found, content] = fields;
+  if (format !== journalFormatVersion || found !== kind) {
+    throw AppError.create(
+      "invalidMessage",
+      `Journal is a ${formatField(found)} of format ${formatField(format)}, ` +
+        `expected a ${kind} of format ${journalFormatVersion}`,
+    );
+  }
+  const result = schema.safeParse(content);
+  if (result.success) return result.data;
   throw AppError.create(
     "invalidMessage",
-    `Journal is a ${found} of format ${version}, expected a ${kind} of ` +
-      `format ${journalFormatVersion}`,
+    `Journal ${kind} is malformed at ` +
+      result.error.issues.map((issue) => issue.path.join(".")).join(", "),
   );
 }
+
+function decodeFields(text: string): unknown[] {
+  try {
+    const fields: unknown = decoder.decode(Buffer.from(text, "base64"));
+    return Array.isArray(fields) ? fields : [];
+  } catch (cause) {
+    throw AppError.create("invalidMessage", "Journal is not CBOR", { cause });
+  }
+}
+
+function formatField(value: unknown): string {
+  return JSON.stringify(value) ?? "absent value";
+}
--- a/packages/core/src/membership/codec.ts
+++ b/packages/core/src/membership/codec.ts
@@ -1,12 +1,7 @@
 import { Encoder } from "cbor-x";
+import { z } from "zod";
 import { AppError } from "../results/mod.ts";
-import type { RunnerKind } from "../tables/mod.ts";
-import type {
-  DigestRecord,
-  MemberIdentity,
-  MemberType,
-  WireId,
-} from "./record.ts";
+import type { DigestRecord, MemberIdentity, WireId } from "./record.ts";
 
 /**
  * The frequent part of a record. Epoch and sequence are cut to 16 bits; a
@@ -85,9 +80,8 @@
  */
 export function decodeDigest(bytes: Uint8Array): Digest {
   try {
-    const [format, sender, configurationVersion, records, loads, wanted, rest] =
-      encoder.decode(bytes) as EncodedDigest;
-    if (format !== formatNumber) throw new Error(`format ${format}`);
+    const [, sender, configurationVersion, records, loads, wanted, rest] =
+      digestSchema.parse(encoder.decode(bytes));
     if (records !== 0) checkColumns(records);
     if (loads !== 0) checkColumns(loads);
     return {
@@ -105,44 +99,60 @@
   }
 }
 
-type RecordColumns = [
-  Uint32Array,
-  Float64Array,
-  Uint32Array,
-  Uint16Array,
-  Float32Array,
-  Uint8Array,
-  Uint32Array,
-  Uint8Array,
-];
-
-type LoadColumns = [
-  Uint32Array,
-  Uint16Array,
-  Uint16Array,
-  Uint16Array,
-  Uint8Array,
-];
-
-type EncodedDigest = [
-  number,
-  WireId,
-  number,
-  RecordColumns | 0,
-  LoadColumns | 0,
-  Uint32Array | 0,
-  EncodedIdentity[] | 0,
-];
-
-type EncodedIdentity = [
-  MemberType,
-  string,
-  string,
-  string,
-  string,
-  string,
-  [string, RunnerKind, string[], string] | 0,
-];
+const recordColumnsSchema = z.tuple([
+  z.instanceof(Uint32Array),
+  z.instanceof(Float64Array),
+  z.instanceof(Uint32Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Float32Array),
+  z.instanceof(Uint8Array),
+  z.instanceof(Uint32Array),
+  z.instanceof(Uint8Array),
+]);
+
+const loadColumnsSchema = z.tuple([
+  z.instanceof(Uint32Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Uint8Array),
+]);
+
+const identitySchema = z.tuple([
+  z.enum(["router", "sidecar"]),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.union([
+    z.tuple([
+      z.string(),
+      z.enum(["engine", "service"]),
+      z.array(z.string()),
+      z.string(),
+    ]),
+    z.literal(0),
+  ]),
+]);
+
+const none = z.literal(0);
+
+const digestSchema = z.tuple([
+  z.literal(formatNumber),
+  z.number().int().nonnegative(),
+  z.number().int().nonnegative(),
+  z.union([recordColumnsSchema, none]),
+  z.union([loadColumnsSchema, none]),
+  z.union([z.instanceof(Uint32Array), none]),
+  z.union([z.array(identitySchema), none]),
+]);
+
+type RecordColumns = z.output<typeof recordColumnsSchema>;
+
+type LoadColumns = z.output<typeof loadColumnsSchema>;
+
+type EncodedIdentity = z.output<typeof identitySchema>;
 
 function encodeRecords(records: DigestRecord[]): RecordColumns {
   return [
