--- a/packages/sidecar/src/ledger/ledger.ts
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -86,14 +86,22 @@
       );
     }
     this.#settings = settings;
-    this.#shardCount ??= loadShardCount(this.#options.service, {
-      platform: this.#options.platform,
-      wantedCount: settings.shardCount,
-    }).catch((error) => {
+    this.#shardCount ??= this.#loadShardCount(settings.shardCount);
+    return this.#shardCount;
+  }
+
+  async #loadShardCount(wantedCount: number): Promise<number> {
+    const { service, platform, logger } = this.#options;
+    try {
+      const count = await loadShardCount(service, { platform, wantedCount });
+      if (count !== wantedCount) {
+        logger.warn("ledger-shard-count-kept", { service, count, wantedCount });
+      }
+      return count;
+    } catch (error) {
       this.#shardCount = undefined;
       throw error;
-    });
-    return this.#shardCount;
+    }
   }
 
   /** Answers a call; never throws. */
@@ -126,13 +134,18 @@
     }));
   }
 
-  /** Finishes the calls in flight and releases the shards. */
-  async [Symbol.asyncDispose](): Promise<void> {
-    const { timers } = this.#options;
+  /** Takes no new calls; each shard is released after its last call. */
+  leave(): void {
     this.#proposal[Symbol.dispose]();
     for (const shard of this.#shards.keys()) {
       this.#handle(shard, { type: "leave" });
     }
+  }
+
+  /** Waits for the calls in flight and the release of the shards. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const { timers } = this.#options;
+    this.leave();
     const endAtMs = timers.nowMs() + leaveTimeoutMs;
     while (!this.#isReleased() && timers.nowMs() < endAtMs) {
       await new Promise<void>((resolve) => {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -160,6 +160,7 @@
     this.#isLeaving = true;
     this.#membership?.setOwn({ isLeaving: true });
     this.#peak.refuseAll();
+    this.#ledger?.leave();
     await this.#resources[Symbol.asyncDispose]();
   }
 
