Run leases and fenced orders in the soak

**Cause** A lease that lapses while its holder is paused was not among the faults of the soak, and broken invariants of one episode counted against the next.

**Change** Each router of an episode keeps a lease by the real keeper on timers that can be paused, and the holder sends fenced orders to every runner, which themselves ignore the number. Invariants are counted by episode.

--- a/packages/load/src/soak/episode.ts
+++ b/packages/load/src/soak/episode.ts
@@ -6,6 +6,7 @@
 import { Links } from "./links.ts";
 import { SoakCallers } from "./soak_callers.ts";
 import { SoakConfiguration } from "./soak_configuration.ts";
+import { SoakDuties } from "./soak_duties.ts";
 import { SoakEditors } from "./soak_editors.ts";
 import { type RepeatRule, SoakRouter } from "./soak_router.ts";
 import { SoakSidecar } from "./soak_sidecar.ts";
@@ -45,6 +46,7 @@
   options: EpisodeOptions,
 ): Promise<EpisodeReport> {
   const world = World.create(options);
+  const before = new Map(getViolationCounts());
   const fleet = createFleet(world, options);
   world.events.push({ type: "header", formatVersion: 1, hasEffects: true });
   for (const fault of options.faults) {
@@ -54,6 +56,7 @@
   void fleet.callers.run();
   await world.run(episodeMs);
   checkEnd(fleet);
+  checkInvariants(world, before);
   return { violations: world.violations, counts: world.counts };
 }
 
@@ -64,6 +67,7 @@
   routers: SoakRouter[];
   editors: SoakEditors;
   callers: SoakCallers;
+  duties: SoakDuties;
 };
 
 function createFleet(world: World, { mayRepeat }: EpisodeOptions): Fleet {
@@ -100,6 +104,12 @@
     routers,
     editors: SoakEditors.create(world, { platform, endMs: lastCallMs }),
     callers: SoakCallers.create(world, { routers, endMs: lastCallMs }),
+    duties: SoakDuties.create({
+      world,
+      platform,
+      sidecars,
+      routers: routers.map(({ name }) => name),
+    }),
   };
   world.timers.subscribe(hostListLagMs, () => listRunners(fleet));
   world.timers.subscribe(digestPeriodMs, () => sendVersions(fleet));
@@ -155,7 +165,7 @@
 }
 
 function beginFault(fleet: Fleet, fault: Fault): void {
-  const { links, routers, sidecars, world } = fleet;
+  const { duties, links, routers, sidecars, world } = fleet;
   const sidecar = sidecars[fault.target % sidecars.length];
   switch (fault.kind) {
     case "runner-restart":
@@ -173,6 +183,9 @@
     case "process-paused":
       sidecar.pause(world.nowMs() + fault.durationMs);
       break;
+    case "holder-paused":
+      duties.pauseHolder(fault.durationMs);
+      break;
     case "connection-silent":
       for (const router of routers) {
         links.silence(`${router.name} ${sidecar.row.id}`);
@@ -216,7 +229,15 @@
     report.calls === countOutcomes(world),
     () => `${report.calls} calls, ${countOutcomes(world)} outcomes`,
   );
-  for (const [name, count] of getViolationCounts()) {
+}
+
+/** Invariants of the program count for the whole process. */
+function checkInvariants(
+  world: World,
+  before: ReadonlyMap<string, number>,
+): void {
+  for (const [name, total] of getViolationCounts()) {
+    const count = total - (before.get(name) ?? 0);
     world.check(name, count === 0, () => `broken ${count} times`);
   }
 }
--- a/packages/load/src/soak/faults.ts
+++ b/packages/load/src/soak/faults.ts
@@ -7,6 +7,7 @@
   "runner-flap",
   "planned-stop",
   "process-paused",
+  "holder-paused",
   "lists-differ",
   "workspace-surge",
   "platform-down",
