--- a/packages/load/src/run/configuration_sampler.ts
+++ b/packages/load/src/run/configuration_sampler.ts
@@ -14,7 +14,7 @@
 const dumpSchema = z.object({ configurationVersion: z.number().int() });
 
 /** Records the version in force in each process that answers. */
-export async function sampleConfigurations(
+export async function recordConfigurations(
   options: SamplerOptions,
 ): Promise<void> {
   await using platform = PlatformClient.create({
--- a/packages/load/src/soak/soak_configuration.ts
+++ b/packages/load/src/soak/soak_configuration.ts
@@ -14,6 +14,9 @@
 const peerTimeoutMs = 2000;
 const lossProbability = 0.15;
 
+/** Time within which a start has loaded its first configuration. */
+const startMs = 4000;
+
 /** What a process follows the declaration with. */
 export type SoakConfigurationOptions = {
   world: World;
@@ -33,11 +36,12 @@
 export class SoakConfiguration {
   readonly #options: SoakConfigurationOptions;
   #holder = ConfigurationHolder.create();
+  #incarnation = 1;
   #follower: ConfigurationFollower;
 
   private constructor(options: SoakConfigurationOptions) {
     this.#options = options;
-    this.#follower = this.#follow();
+    this.#follower = this.#startFollower();
     options.peers.set(options.process, this);
   }
 
@@ -61,18 +65,29 @@
     this.#follower.observeVersion(version, address);
   }
 
-  /** Starts anew without any. */
+  /**
+   * Starts anew without any. In an outage of the platform it can only take
+   * what peers have, which may be older than what it had itself; it then
+   * counts as another process.
+   */
   restart(): void {
+    const { world } = this.#options;
+    if (world.willBeActiveWithin("platform-down", startMs)) {
+      this.#incarnation += 1;
+    }
     this.#follower[Symbol.dispose]();
     this.#holder = ConfigurationHolder.create();
-    this.#follower = this.#follow();
+    this.#follower = this.#startFollower();
   }
 
-  #follow(): ConfigurationFollower {
+  #startFollower(): ConfigurationFollower {
     const { isWatcher, peers, platform, process, world } = this.#options;
     const holder = this.#holder;
     this.#record(0);
-    holder.subscribe(({ version }) => this.#record(version));
+    // What a process loads after its end is in force nowhere.
+    holder.subscribe(({ version }) => {
+      if (holder === this.#holder) this.#record(version);
+    });
     return ConfigurationFollower.create({
       platform: platform.client,
       holder,
@@ -88,11 +103,11 @@
   /** Calls another process as its control client would. */
   #createPeer(address: string): PeerClient {
     const ask = async <Value>(read: (holder: ConfigurationHolder) => Value) => {
-      await this.#carry();
+      await this.#sendMessage();
       const peer = this.#options.peers.get(address);
       if (peer === undefined) throw AppError.create("notFound", address);
       const value = read(peer.#holder);
-      await this.#carry();
+      await this.#sendMessage();
       return value;
     };
     const client = {
@@ -110,7 +125,7 @@
     return client as unknown as PeerClient;
   }
 
-  async #carry(): Promise<void> {
+  async #sendMessage(): Promise<void> {
     const { world } = this.#options;
     const isLost = world.isActive("links-lossy") &&
       world.hasChance(lossProbability);
@@ -119,7 +134,8 @@
   }
 
   #record(version: number): void {
-    const { process, world } = this.#options;
+    const { world } = this.#options;
+    const process = `${this.address}#${this.#incarnation}`;
     const atMs = world.nowMs();
     world.events.push({ type: "configuration", process, atMs, version });
   }
--- a/packages/load/src/soak/soak_router.ts
+++ b/packages/load/src/soak/soak_router.ts
@@ -70,7 +70,7 @@
       const sidecar = this.#choose(request, tried);
       if (sidecar === undefined) break;
       try {
-        return await this.#attempt(request, sidecar);
+        return await this.#tryRunner(request, sidecar);
       } catch (thrown) {
         const error = normalizeError(thrown);
         errors.push(error);
@@ -101,7 +101,7 @@
     return sidecars.find(({ row }) => row === best);
   }
 
-  async #attempt(
+  async #tryRunner(
     request: CallerRequest,
     sidecar: SoakSidecar,
   ): Promise<string> {
