Run the placement in the router that holds the duty

**Cause**: placement was decided nowhere; pools of a sidecar were fixed by its settings.

**Change**: sidecars read what their engine has loaded and tell it with their identity; a changed identity spreads like other state, and a tag of eight bits in each whole record has those ask who missed it. A runner that moves gives its old model up once the new one is ready; runners of several models are not moved.

**Conclusion**: a whole record takes 29 bytes in place of 28.

--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -85,6 +85,19 @@
   rampUpMs: positiveMs.default(20_000),
 });
 
+const placementSchema = z.object({
+  /** Rate at which the weight store may be read. */
+  weightBytesPerSecond: z.number().positive().default(1e9),
+  /** Time for which a runner keeps a model that it was given. */
+  dwellMs: positiveMs.default(600_000),
+  /** Time for which a model has to be hot or cold before a runner moves. */
+  demandWindowMs: positiveMs.default(180_000),
+  /** A model is hot above this multiple of the fleet's mean load. */
+  hotRatio: z.number().min(1).default(1.25),
+  /** A model is cold below this multiple of the fleet's mean load. */
+  coldRatio: ratio.default(0.8),
+});
+
 /** Every setting that a default or an exception may set. */
 export const settingsSchema = z.object({
   load: loadSchema.prefault({}),
@@ -97,6 +110,7 @@
   ledger: ledgerSchema.prefault({}),
   peak: peakSchema.prefault({}),
   membership: membershipSchema.prefault({}),
+  placement: placementSchema.prefault({}),
 });
 
 /** Effective settings for one subject. */
@@ -157,6 +171,10 @@
   adapters: z.array(z.string()).default([]),
   version: z.string().default("1"),
   minimumRunners: z.number().int().nonnegative().default(1),
+  /** Bytes that a runner fetches from the weight store to load it. */
+  weightBytes: z.number().positive().default(16e9),
+  /** Share of its runners that only prefill; 0 makes all of them mixed. */
+  prefillShare: ratio.default(0),
 });
 
 const routeSchema = z.object({
--- a/packages/core/src/membership/answer_record.ts
+++ b/packages/core/src/membership/answer_record.ts
@@ -3,7 +3,17 @@
 import { AppError } from "../results/mod.ts";
 import type { DigestRecord, WireId } from "./record.ts";
 
-type EncodedRecord = [number, number, number, number, number, number];
+type EncodedRecord = [
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+];
+
+const fieldCount = 7;
 
 const encoder = new Encoder({ useRecords: false });
 
@@ -16,6 +26,7 @@
     record.capacity,
     record.isLeaving ? 1 : 0,
     record.configurationVersion,
+    record.identityTag,
   ];
   return Buffer.from(encoder.encode(fields)).toString("base64url");
 }
@@ -28,11 +39,18 @@
  */
 export function decodeAnswerRecord(text: string, wireId: WireId): DigestRecord {
   const fields = decodeFields(text);
-  if (fields.length !== 6 || !fields.every(Number.isFinite)) {
+  if (fields.length !== fieldCount || !fields.every(Number.isFinite)) {
     throw AppError.create("invalidMessage", "Cannot read an answer's record");
   }
-  const [epoch, sequence, loadTokens, capacity, flag, configurationVersion] =
-    fields;
+  const [
+    epoch,
+    sequence,
+    loadTokens,
+    capacity,
+    flag,
+    configurationVersion,
+    identityTag,
+  ] = fields;
   return {
     wireId,
     epoch,
@@ -41,6 +59,7 @@
     capacity,
     isLeaving: flag === 1,
     configurationVersion,
+    identityTag,
     ageMs: 0,
   };
 }
--- a/packages/core/src/membership/codec.ts
+++ b/packages/core/src/membership/codec.ts
@@ -1,12 +1,11 @@
 import { Encoder } from "cbor-x";
 import { AppError } from "../results/mod.ts";
-import type { RunnerKind } from "../tables/mod.ts";
-import type {
-  DigestRecord,
-  MemberIdentity,
-  MemberType,
-  WireId,
-} from "./record.ts";
+import {
+  decodeIdentity,
+  type EncodedIdentity,
+  encodeIdentity,
+} from "./identity.ts";
+import type { DigestRecord, MemberIdentity, WireId } from "./record.ts";
 
 /**
  * The frequent part of a record. Epoch and sequence are cut to 16 bits; a
@@ -33,7 +32,7 @@
 };
 
 /** Bytes of a whole record inside a digest. */
-export const recordBytes = 28;
+export const recordBytes = 29;
 
 /** Bytes of a load record inside a digest. */
 export const loadBytes = 11;
@@ -114,6 +113,7 @@
   Uint8Array,
   Uint32Array,
   Uint8Array,
+  Uint8Array,
 ];
 
 type LoadColumns = [
@@ -134,16 +134,6 @@
   EncodedIdentity[] | 0,
 ];
 
-type EncodedIdentity = [
-  MemberType,
-  string,
-  string,
-  string,
-  string,
-  string,
-  [string, RunnerKind, string[], string] | 0,
-];
-
 function encodeRecords(records: DigestRecord[]): RecordColumns {
   return [
     Uint32Array.from(records, (record) => record.wireId),
@@ -157,12 +147,22 @@
     ),
     Uint32Array.from(records, (record) => record.configurationVersion),
     Uint8Array.from(records, (record) => encodeAge(record.ageMs)),
+    Uint8Array.from(records, (record) => record.identityTag),
   ];
 }
 
 function decodeRecords(columns: RecordColumns): DigestRecord[] {
-  const [ids, epochs, sequences, loads, capacities, flags, versions, ages] =
-    columns;
+  const [
+    ids,
+    epochs,
+    sequences,
+    loads,
+    capacities,
+    flags,
+    versions,
+    ages,
+    tags,
+  ] = columns;
   return Array.from(ids, (wireId, index) => ({
     wireId,
     epoch: epochs[index],
@@ -171,6 +171,7 @@
     capacity: capacities[index],
     isLeaving: (flags[index] & leavingFlag) !== 0,
     configurationVersion: versions[index],
+    identityTag: tags[index],
     ageMs: ages[index] * ageUnitMs,
   }));
 }
@@ -196,37 +197,6 @@
   }));
 }
 
-function encodeIdentity(identity: MemberIdentity): EncodedIdentity {
-  const { runner } = identity;
-  return [
-    identity.type,
-    identity.name,
-    identity.host,
-    identity.failureDomain,
-    identity.region,
-    identity.controlAddress,
-    runner === undefined
-      ? 0
-      : [runner.id, runner.kind, runner.pools, runner.dataAddress],
-  ];
-}
-
-function decodeIdentity(encoded: EncodedIdentity): MemberIdentity {
-  const [type, name, host, failureDomain, region, controlAddress, runner] =
-    encoded;
-  const identity: MemberIdentity = {
-    type,
-    name,
-    host,
-    failureDomain,
-    region,
-    controlAddress,
-  };
-  if (runner === 0) return identity;
-  const [id, kind, pools, dataAddress] = runner;
-  return { ...identity, runner: { id, kind, pools, dataAddress } };
-}
-
 function checkColumns(columns: { length: number }[]): void {
   if (columns.every((column) => column.length === columns[0].length)) return;
   throw new Error("Columns differ in length");
--- /dev/null
+++ b/packages/core/src/membership/identity.ts
@@ -0,0 +1,103 @@
+import { hash32 } from "../hashing/mod.ts";
+import type { RunnerKind } from "../tables/mod.ts";
+import type {
+  EngineRole,
+  MemberIdentity,
+  MemberType,
+  RunnerIdentity,
+} from "./record.ts";
+
+type EncodedRunner = [
+  string,
+  RunnerKind,
+  string[],
+  string,
+  [EngineRole, [string, string, string[], boolean][]] | 0,
+];
+
+/** An identity as a digest carries it, without the names of its fields. */
+export type EncodedIdentity = [
+  MemberType,
+  string,
+  string,
+  string,
+  string,
+  string,
+  EncodedRunner | 0,
+];
+
+const identityTags = new WeakMap<MemberIdentity, number>();
+const identityTagMask = 0xff;
+
+/** Gets eight bits by which a changed identity is noticed. */
+export function getIdentityTag(identity: MemberIdentity): number {
+  const known = identityTags.get(identity);
+  if (known !== undefined) return known;
+  const text = JSON.stringify(encodeIdentity(identity));
+  const tag = hash32(text) & identityTagMask;
+  identityTags.set(identity, tag);
+  return tag;
+}
+
+/** Encodes an identity for a digest. */
+export function encodeIdentity(identity: MemberIdentity): EncodedIdentity {
+  const { runner } = identity;
+  return [
+    identity.type,
+    identity.name,
+    identity.host,
+    identity.failureDomain,
+    identity.region,
+    identity.controlAddress,
+    runner === undefined ? 0 : encodeRunner(runner),
+  ];
+}
+
+/** Decodes an identity of a digest. */
+export function decodeIdentity(encoded: EncodedIdentity): MemberIdentity {
+  const [type, name, host, failureDomain, region, controlAddress, runner] =
+    encoded;
+  const identity: MemberIdentity = {
+    type,
+    name,
+    host,
+    failureDomain,
+    region,
+    controlAddress,
+  };
+  if (runner === 0) return identity;
+  return { ...identity, runner: decodeRunner(runner) };
+}
+
+function encodeRunner(runner: RunnerIdentity): EncodedRunner {
+  const { dataAddress, engine, id, kind, pools } = runner;
+  if (engine === undefined) return [id, kind, pools, dataAddress, 0];
+  const models = engine.models.map((
+    model,
+  ): [string, string, string[], boolean] => [
+    model.name,
+    model.version,
+    model.adapters,
+    model.isReady,
+  ]);
+  return [id, kind, pools, dataAddress, [engine.role, models]];
+}
+
+function decodeRunner(encoded: EncodedRunner): RunnerIdentity {
+  const [id, kind, pools, dataAddress, engine] = encoded;
+  const runner = { id, kind, pools, dataAddress };
+  if (engine === 0) return runner;
+  const [role, models] = engine;
+  return {
+    ...runner,
+    engine: {
+      role,
+      models: models.map(([name, version, adapters, isReady]) => ({
+        name,
+        version,
+        adapters,
+        isReady,
+      })),
+    },
+  };
+}
--- a/packages/core/src/membership/membership.feature
+++ b/packages/core/src/membership/membership.feature
@@ -5,7 +5,7 @@
 
   Scenario: A digest survives its encoding
     Then 200 random digests are the same after encoding, seed 12
-    And a load in a digest takes 11 bytes and a whole record 28
+    And a load in a digest takes 11 bytes and a whole record 29
     And bytes that are no digest are refused as an invalid message
 
   Scenario: Leaving wins until a new epoch
--- a/packages/core/src/membership/merge.ts
+++ b/packages/core/src/membership/merge.ts
@@ -1,6 +1,7 @@
 import type { RunnerRow } from "../tables/mod.ts";
 import { getNearest, getTag, type LoadRecord } from "./codec.ts";
 import { recordFlap } from "./damping.ts";
+import { getIdentityTag } from "./identity.ts";
 import {
   type DigestRecord,
   getWireId,
@@ -16,7 +17,10 @@
 /** Whether a merged record is to be passed on, and how soon. */
 export type MergeResult = "known" | "load" | "state";
 
-/** Rows of a member that was not known before are created. */
+/**
+ * Merges an identity from the host list or a member. What a member says of its
+ * own runner counts more than the list, once its epoch is known.
+ */
 export function mergeIdentity(
   tables: MembershipTables,
   identity: MemberIdentity,
@@ -25,7 +29,11 @@
   const known = tables.members.get(wireId);
   if (known !== undefined) {
     if (known === tables.self) return known;
-    known.identity = identity;
+    const isDescribed = known.record.epoch > 0;
+    if (isDescribed && !tables.unknown.has(known)) return known;
+    known.identity = isDescribed
+      ? keepRunnerState(known.identity, identity)
+      : identity;
     updateRunner(tables, known);
     return known;
   }
@@ -53,12 +61,55 @@
     member.leavingEpoch !== record.epoch;
   const isNewer = isNewerRecord(record, member.record);
   if (isNewer) applyRecord(tables, member, { record, nowMs });
+  if (isNewer && record.identityTag !== getIdentityTag(member.identity)) {
+    tables.unknown.add(member);
+  }
   if (startsLeaving) setLeaving(tables, member, record.epoch);
   updateRunner(tables, member);
   if (isNewEpoch || startsLeaving) return "state";
   return isNewer ? "load" : "known";
 }
 
+/** The list knows a new address, but not what the runner serves now. */
+function keepRunnerState(
+  own: MemberIdentity,
+  listed: MemberIdentity,
+): MemberIdentity {
+  if (own.runner === undefined || listed.runner === undefined) return listed;
+  const { engine, pools } = own.runner;
+  const runner = { ...listed.runner, pools };
+  return {
+    ...listed,
+    runner: engine === undefined ? runner : { ...runner, engine },
+  };
+}
+
+/**
+ * Merges a record with the identity that its member told along with it.
+ *
+ * @returns as `mergeRecord`; a changed identity is to be passed on like state.
+ */
+export function mergeDescribed(
+  tables: MembershipTables,
+  described: { identity: MemberIdentity; record: DigestRecord },
+  nowMs: number,
+): MergeResult {
+  const { identity, record } = described;
+  const member = mergeIdentity(tables, identity);
+  if (member === tables.self) return "known";
+  const isOld = record.epoch < member.record.epoch ||
+    (record.epoch === member.record.epoch &&
+      record.sequence < member.record.sequence);
+  const isChanged = !isOld &&
+    getIdentityTag(identity) !== getIdentityTag(member.identity);
+  if (isChanged) {
+    member.identity = identity;
+    member.isNew = true;
+  }
+  const result = mergeRecord(tables, record, nowMs);
+  return isChanged ? "state" : result;
+}
+
 /** Merges the frequent part of a record. */
 export function mergeLoad(
   tables: MembershipTables,
--- a/packages/core/src/membership/mod.ts
+++ b/packages/core/src/membership/mod.ts
@@ -3,6 +3,7 @@
 export * from "./budget.ts";
 export * from "./codec.ts";
 export * from "./damping.ts";
+export * from "./identity.ts";
 export * from "./live_set.ts";
 export * from "./merge.ts";
 export * from "./own_record.ts";
--- a/packages/core/src/membership/own_record.ts
+++ b/packages/core/src/membership/own_record.ts
@@ -1,7 +1,8 @@
 import { getSendBudget } from "./budget.ts";
 import { loadBytes } from "./codec.ts";
 import { updateRunner } from "./merge.ts";
-import type { DigestRecord } from "./record.ts";
+import { getIdentityTag } from "./identity.ts";
+import type { DigestRecord, EngineState } from "./record.ts";
 import { createRecord, setPending, type Spreader } from "./spreader.ts";
 
 /** A load that moved by this share of the last told is told anew. */
@@ -29,6 +30,24 @@
   setPending(spreader, self, { origin: "own", urgency: "state" });
 }
 
+/** Sets what this process says of its runner; peers hear a change at once. */
+export function setOwnRunner(
+  spreader: Spreader,
+  state: { pools: string[]; engine: EngineState },
+): void {
+  const { self } = spreader.tables;
+  if (self.identity.runner === undefined) return;
+  const runner = { ...self.identity.runner, ...state };
+  const identity = { ...self.identity, runner };
+  if (getIdentityTag(identity) === self.record.identityTag) return;
+  self.identity = identity;
+  self.record.identityTag = getIdentityTag(identity);
+  self.record.sequence += 1;
+  self.isNew = true;
+  updateRunner(spreader.tables, self);
+  setPending(spreader, self, { origin: "own", urgency: "state" });
+}
+
 /** Raises the configuration version that digests tell. */
 export function setOwnVersion(spreader: Spreader, version: number): void {
   if (version <= spreader.configurationVersion) return;
--- a/packages/core/src/membership/receiving.ts
+++ b/packages/core/src/membership/receiving.ts
@@ -1,11 +1,13 @@
 import { canSpend, spendBudget } from "./budget.ts";
 import { type Digest, encodeDigest } from "./codec.ts";
 import {
+  mergeDescribed,
   mergeIdentity,
   mergeLoad,
   mergeRecord,
   type MergeResult,
 } from "./merge.ts";
+import { getWireId } from "./record.ts";
 import { getOwnRecord } from "./own_record.ts";
 import {
   createDigest,
@@ -26,10 +28,18 @@
   nowMs: number,
 ): SendDigest[] {
   const { tables } = spreader;
-  for (const identity of digest.identities) mergeIdentity(tables, identity);
+  const identities = new Map(
+    digest.identities.map((identity) => [getWireId(identity), identity]),
+  );
   for (const record of digest.records) {
-    passOn(spreader, record.wireId, mergeRecord(tables, record, nowMs));
+    const identity = identities.get(record.wireId);
+    identities.delete(record.wireId);
+    const result = identity === undefined
+      ? mergeRecord(tables, record, nowMs)
+      : mergeDescribed(tables, { identity, record }, nowMs);
+    passOn(spreader, record.wireId, result);
   }
+  for (const identity of identities.values()) mergeIdentity(tables, identity);
   for (const load of digest.loads) {
     passOn(spreader, load.wireId, mergeLoad(tables, load, nowMs));
   }
--- a/packages/core/src/membership/record.ts
+++ b/packages/core/src/membership/record.ts
@@ -8,14 +8,30 @@
 /** Number of a member on the wire: a hash of its type and name. */
 export type WireId = number;
 
+/** Share of the work that an engine takes on. */
+export type EngineRole = "mixed" | "prefill" | "decode";
+
+/** A model that an engine has loaded or is loading. */
+export type LoadedModel = {
+  name: string;
+  version: string;
+  adapters: string[];
+  isReady: boolean;
+};
+
 /** What a sidecar's identity says of its runner. */
 export type RunnerIdentity = {
   id: string;
   kind: RunnerKind;
   pools: string[];
   dataAddress: string;
+  /** Absent where the runner does not tell. */
+  engine?: EngineState;
 };
 
+/** What an engine tells of itself. */
+export type EngineState = { role: EngineRole; models: LoadedModel[] };
+
 /** What stays the same while a process runs. */
 export type MemberIdentity = {
   type: MemberType;
@@ -41,6 +57,8 @@
   capacity: number;
   isLeaving: boolean;
   configurationVersion: ConfigurationVersion;
+  /** Eight bits of a hash of the identity. */
+  identityTag: number;
   /** Time since the member itself made the record. */
   ageMs: number;
 };
--- a/packages/core/src/membership/tables.ts
+++ b/packages/core/src/membership/tables.ts
@@ -1,4 +1,5 @@
 import { type RunnerRow, Table } from "../tables/mod.ts";
+import { getIdentityTag } from "./identity.ts";
 import {
   type DigestRecord,
   getWireId,
@@ -80,6 +81,7 @@
       capacity: 1,
       isLeaving: false,
       configurationVersion: 0,
+      identityTag: getIdentityTag(identity),
     },
     madeAtMs: 0,
     roundsLeft: 0,
--- a/packages/core/src/placement/choose_runner.ts
+++ b/packages/core/src/placement/choose_runner.ts
@@ -1,6 +1,5 @@
 import { getCapacity, getFleetMean } from "./demand.ts";
 import {
-  getAssigned,
   listAssigned,
   listReady,
   type ModelIntent,
@@ -42,9 +41,10 @@
     .filter((donor) => donor !== receiver && canGive(tables, donor, options))
     .sort((left, right) => getTokens(tables, left) - getTokens(tables, right));
   for (const donor of donors) {
+    // A runner of several models was given them by its operators.
     const runners = listReady(tables, donor.name).filter((runner) =>
-      options === undefined ||
-      options.nowMs - runner.movedAtMs >= tables.limits.dwellMs
+      runner.models.length === 1 && (options === undefined ||
+        options.nowMs - runner.movedAtMs >= tables.limits.dwellMs)
     );
     if (runners.length > 0) return preferDomain(tables, receiver, runners);
   }
@@ -54,9 +54,8 @@
 function listFree(tables: PlacementTables): PlacementRunner[] {
   const declared = new Set(tables.models.map(({ name }) => name));
   return [...tables.runners.values()].filter((runner) => {
-    const assigned = getAssigned(runner);
-    return runner.isUsable && (assigned === undefined ||
-      (runner.orderedModel === undefined && !declared.has(assigned)));
+    return runner.isUsable && runner.ordered === undefined &&
+      !runner.models.some(({ name }) => declared.has(name));
   });
 }
 
--- a/packages/core/src/placement/decide_placement.ts
+++ b/packages/core/src/placement/decide_placement.ts
@@ -3,7 +3,7 @@
 import { getCapacity, updateDemand } from "./demand.ts";
 import { chooseReceiver, chooseRunner } from "./choose_runner.ts";
 import {
-  getAssigned,
+  findModel,
   listAssigned,
   listReady,
   type ModelIntent,
@@ -42,6 +42,7 @@
   tables.updatedAtMs = nowMs;
   expireOrders(tables, nowMs);
   return [
+    ...unloadLeft(tables),
     ...assignMissing(tables, nowMs),
     ...updateVersions(tables, nowMs),
     ...loadAdapters(tables),
@@ -60,12 +61,32 @@
 
 function expireOrders(tables: PlacementTables, nowMs: number): void {
   for (const runner of tables.runners.values()) {
-    if (runner.orderedModel === undefined) continue;
-    if (nowMs - runner.orderedAtMs < orderTimeoutMs) continue;
-    runner.orderedModel = undefined;
+    if (runner.ordered === undefined) continue;
+    if (nowMs - runner.ordered.atMs < orderTimeoutMs) continue;
+    runner.ordered = undefined;
+    runner.leavingModel = undefined;
   }
 }
 
+/** Drops the models of runners that have loaded another instead. */
+function unloadLeft(tables: PlacementTables): PlacementCommand[] {
+  const commands: PlacementCommand[] = [];
+  for (const runner of tables.runners.values()) {
+    const { id, leavingModel: model, models, ordered } = runner;
+    if (model === undefined || ordered !== undefined) continue;
+    if (!models.some(({ name }) => name === model)) {
+      runner.leavingModel = undefined;
+      continue;
+    }
+    commands.push({
+      type: "order-runner",
+      runner: id,
+      order: { type: "unload-model", model },
+    });
+  }
+  return commands;
+}
+
 /** Brings models that have too few runners to their minimum. */
 function assignMissing(
   tables: PlacementTables,
@@ -93,12 +114,12 @@
   const commands: PlacementCommand[] = [];
   for (const model of tables.models) {
     const runners = listAssigned(tables, model.name);
-    const changing = runners.filter((row) => row.orderedModel !== undefined);
+    const changing = runners.filter((row) => row.ordered !== undefined);
     let free = Math.max(1, Math.floor(runners.length * updateShare)) -
       changing.length;
     for (const runner of listReady(tables, model.name)) {
       if (free <= 0 || tables.allowanceBytes < model.weightBytes) break;
-      if (runner.model?.version === model.version) continue;
+      if (findModel(runner, model.name)?.version === model.version) continue;
       if (!canSpare(tables, model)) break;
       commands.push(orderModel(tables, { runner, model, nowMs }));
       free -= 1;
@@ -118,7 +139,9 @@
   return tables.models.flatMap((model) =>
     listReady(tables, model.name).flatMap((runner) =>
       model.adapters
-        .filter((adapter) => !runner.model?.adapters.includes(adapter))
+        .filter((adapter) =>
+          findModel(runner, model.name)?.adapters.includes(adapter) === false
+        )
         .map((adapter): PlacementCommand => ({
           type: "order-runner",
           runner: runner.id,
@@ -137,7 +160,7 @@
   if (model === undefined) return [];
   if (tables.allowanceBytes < model.weightBytes) return [];
   const isWaiting = listAssigned(tables, model.name).some((runner) =>
-    runner.orderedModel !== undefined
+    runner.ordered !== undefined
   );
   if (isWaiting) return [];
   const runner = chooseRunner(tables, model, { nowMs });
@@ -173,14 +196,17 @@
   move: { runner: PlacementRunner; model: ModelIntent; nowMs: number },
 ): PlacementCommand {
   const { model, nowMs, runner } = move;
-  if (getAssigned(runner) !== model.name) runner.movedAtMs = nowMs;
-  runner.orderedModel = model.name;
-  runner.orderedAtMs = nowMs;
+  const { name, version } = model;
+  if (findModel(runner, name) === undefined) {
+    runner.movedAtMs = nowMs;
+    runner.leavingModel = runner.models.at(0)?.name;
+  }
+  runner.ordered = { model: name, version, atMs: nowMs };
   tables.allowanceBytes -= model.weightBytes;
   return {
     type: "order-runner",
     runner: runner.id,
-    order: { type: "load-model", model: model.name, version: model.version },
+    order: { type: "load-model", model: name, version },
   };
 }
 
--- a/packages/core/src/placement/tables.ts
+++ b/packages/core/src/placement/tables.ts
@@ -1,8 +1,6 @@
+import type { EngineRole, LoadedModel } from "../membership/mod.ts";
 import type { RunnerId } from "../tables/mod.ts";
 
-/** Share of the work that an engine takes on. */
-export type EngineRole = "mixed" | "prefill" | "decode";
-
 /** What is declared of a model. */
 export type ModelIntent = {
   name: string;
@@ -15,14 +13,6 @@
   prefillShare: number;
 };
 
-/** What an engine has loaded. */
-export type LoadedModel = {
-  name: string;
-  version: string;
-  adapters: string[];
-  isReady: boolean;
-};
-
 /** A runner as placement sees it. */
 export type PlacementRunner = {
   id: RunnerId;
@@ -31,13 +21,14 @@
   isUsable: boolean;
   capacity: number;
   loadTokens: number;
-  model: LoadedModel | undefined;
+  models: LoadedModel[];
   role: EngineRole;
   /** Last time at which a decision gave it another model. */
   movedAtMs: number;
   /** Model that it was ordered to load and does not yet report. */
-  orderedModel: string | undefined;
-  orderedAtMs: number;
+  ordered: { model: string; version: string; atMs: number } | undefined;
+  /** Model that it gives up once the ordered one is ready. */
+  leavingModel: string | undefined;
 };
 
 /** How long a model has been far above or below the mean. */
@@ -90,9 +81,13 @@
   };
 }
 
-/** Gets the model that a runner serves or was ordered to serve. */
-export function getAssigned(runner: PlacementRunner): string | undefined {
-  return runner.orderedModel ?? runner.model?.name;
+/** Finds a model that a runner has loaded and keeps. */
+export function findModel(
+  runner: PlacementRunner,
+  model: string,
+): LoadedModel | undefined {
+  if (runner.leavingModel === model) return undefined;
+  return runner.models.find(({ name }) => name === model);
 }
 
 /** Lists the usable runners that serve or will serve a model. */
@@ -101,7 +96,8 @@
   model: string,
 ): PlacementRunner[] {
   return [...tables.runners.values()].filter((runner) =>
-    runner.isUsable && getAssigned(runner) === model
+    runner.isUsable && (runner.ordered?.model === model ||
+      findModel(runner, model) !== undefined)
   );
 }
 
@@ -111,6 +107,20 @@
   model: string,
 ): PlacementRunner[] {
   return listAssigned(tables, model).filter((runner) =>
-    runner.orderedModel === undefined && runner.model?.isReady === true
+    runner.ordered === undefined && findModel(runner, model)?.isReady === true
   );
 }
+
+/** Takes in what a runner reports to have loaded. */
+export function updateReport(
+  runner: PlacementRunner,
+  models: LoadedModel[],
+): void {
+  runner.models = models;
+  const { ordered } = runner;
+  if (ordered === undefined) return;
+  const loaded = models.find(({ name }) => name === ordered.model);
+  if (loaded?.isReady === true && loaded.version === ordered.version) {
+    runner.ordered = undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/placement/status_writer.ts
@@ -0,0 +1,62 @@
+import type { Logger } from "@jasminetide/runtime/logging";
+import type { PlatformClient } from "@jasminetide/runtime/platform";
+import { normalizeError } from "@jasminetide/core/results";
+
+/** What a status writer works with. */
+export type StatusWriterOptions = {
+  platform: PlatformClient;
+  logger: Logger;
+  /** Name of the object of the kind `status`. */
+  name: string;
+};
+
+/** Shortest time between two writes of one status. */
+const minimumPeriodMs = 5000;
+
+/** Writes a status to the platform when it changed, but not too often. */
+export class StatusWriter {
+  readonly #options: StatusWriterOptions;
+  #written = "";
+  #version: number | undefined;
+  #nextAtMs = 0;
+  #isWriting = false;
+
+  private constructor(options: StatusWriterOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a writer that has written nothing. */
+  static create(options: StatusWriterOptions): StatusWriter {
+    return new StatusWriter(options);
+  }
+
+  /** Writes a status if it differs from the last. */
+  async write(status: unknown, nowMs: number): Promise<void> {
+    const value = JSON.stringify(status);
+    if (this.#isWriting || value === this.#written || nowMs < this.#nextAtMs) {
+      return;
+    }
+    this.#isWriting = true;
+    this.#nextAtMs = nowMs + minimumPeriodMs;
+    try {
+      await this.#put(value);
+      this.#written = value;
+    } catch (thrown) {
+      this.#version = undefined;
+      this.#options.logger.warn("status-write-failed", {
+        code: normalizeError(thrown).code,
+      });
+    } finally {
+      this.#isWriting = false;
+    }
+  }
+
+  async #put(value: string): Promise<void> {
+    const { name, platform } = this.#options;
+    const object = { kind: "status", name };
+    const version = this.#version ??
+      (await platform.get(object))?.version ?? 0;
+    const condition = version === 0 ? "absent" : { version };
+    this.#version = await platform.put(object, { value, condition });
+  }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -42,6 +42,7 @@
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
+import { PlacementKeeper } from "./placement/mod.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
 
@@ -106,6 +107,11 @@
     return this.#leases?.getFencingNumber(duty);
   }
 
+  /** Whether a runner takes new work for a model or service. */
+  hasCandidate(pool: string): boolean {
+    return (this.#membership?.getCandidates(pool).length ?? 0) > 0;
+  }
+
   /** Takes a snapshot of the counters and histograms. */
   getMetrics(): MetricsSnapshot {
     return this.#metrics.getSnapshot();
@@ -198,6 +204,16 @@
       listCandidates: () => membership.listRouters(),
     });
     this.#leases = this.#resources.use(leases);
+    this.#resources.use(PlacementKeeper.create({
+      region: settings.region,
+      configuration: this.#configuration,
+      leases,
+      membership,
+      platform,
+      timers,
+      logger,
+      getSidecar: (address) => this.#peers.getSidecar(address),
+    }));
     this.#resources.defer(() => leases.release());
   }
 
--- a/packages/runtime/src/control/peer_clients.ts
+++ b/packages/runtime/src/control/peer_clients.ts
@@ -1,5 +1,10 @@
 import { Agent } from "undici";
-import { createPeerClient, type PeerClient } from "./control_client.ts";
+import {
+  createPeerClient,
+  createSidecarClient,
+  type PeerClient,
+  type SidecarClient,
+} from "./control_client.ts";
 
 const connectTimeoutMs = 1000;
 const answerTimeoutMs = 2000;
@@ -12,6 +17,7 @@
     bodyTimeout: answerTimeoutMs,
     connections: 1,
   });
+  readonly #sidecars = new Map<string, SidecarClient>();
   readonly #clients = new Map<string, PeerClient>();
 
   private constructor() {}
@@ -30,6 +36,15 @@
     return client;
   }
 
+  /** Gets the client of a sidecar's control address (`ip:port`). */
+  getSidecar(address: string): SidecarClient {
+    const known = this.#sidecars.get(address);
+    if (known !== undefined) return known;
+    const client = createSidecarClient({ address, dispatcher: this.#agent });
+    this.#sidecars.set(address, client);
+    return client;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#agent.destroy();
   }
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -8,6 +8,7 @@
   decodeAnswerRecord,
   decodeDigest,
   encodeAnswerRecord,
+  type EngineState,
   expireFlaps,
   expireMembers,
   getCandidates,
@@ -19,6 +20,7 @@
   type MemberRow,
   type MembershipLimits,
   type MembershipTables,
+  mergeDescribed,
   mergeIdentity,
   mergeRecord,
   passOn,
@@ -30,6 +32,7 @@
   type SendDigest,
   setOwnLeaving,
   setOwnLoad,
+  setOwnRunner,
   setOwnVersion,
   setPending,
   spreadDigests,
@@ -128,6 +131,11 @@
     return this.#ready.promise;
   }
 
+  /** Pools that the runner beside this process serves. */
+  get ownPools(): readonly string[] {
+    return this.#tables.self.identity.runner?.pools ?? [];
+  }
+
   /** `ip:port` for peers. */
   get controlAddress(): string {
     return this.#options.identity.controlAddress;
@@ -215,6 +223,11 @@
     }));
   }
 
+  /** Sets what this process says of its runner. */
+  setOwnRunner(state: { pools: string[]; engine: EngineState }): void {
+    setOwnRunner(this.#spreader, state);
+  }
+
   /** Raises the configuration version that peers are told. */
   setConfigurationVersion(version: number): void {
     setOwnVersion(this.#spreader, version);
@@ -382,8 +395,8 @@
   #applyKnown(known: KnownMember[]): void {
     const nowMs = this.#options.timers.nowMs();
     for (const { identity, record } of known) {
-      mergeIdentity(this.#tables, identity);
-      if (record.epoch > 0) mergeRecord(this.#tables, record, nowMs);
+      if (record.epoch === 0) mergeIdentity(this.#tables, identity);
+      else mergeDescribed(this.#tables, { identity, record }, nowMs);
     }
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -30,6 +30,7 @@
 import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import { listServedModels, loadEngineState } from "./engine_state/mod.ts";
 import { OrderGate } from "./orders/mod.ts";
 import {
   createSettingsReader,
@@ -59,6 +60,8 @@
 
 const expirePeriodMs = 1000;
 
+const engineStatePeriodMs = 1000;
+
 const runnerConnections = 256;
 
 const maxBodyBytes = 4_194_304;
@@ -186,6 +189,7 @@
     this.#resources.use(control);
     const membership = await this.#startMembership(platform);
     this.#startFollower(platform, membership);
+    this.#startEngineState(membership);
     this.#resources.defer(() => data.close());
     const expiry = timers.subscribe(
       expirePeriodMs,
@@ -307,6 +311,24 @@
     return membership;
   }
 
+  /** Tells the fleet what the engine beside has loaded. */
+  #startEngineState(membership: Membership): void {
+    const { settings, timers } = this.#options;
+    if (settings.kind !== "engine") return;
+    const update = async (nowMs: number) => {
+      const engine = await loadEngineState(this.#runner, nowMs);
+      if (engine === undefined || !this.#configuration.isLoaded) return;
+      const { models } = this.#configuration.get().body;
+      const pools = listServedModels(engine, models);
+      membership.setOwnRunner({ pools, engine });
+    };
+    const ticks = timers.subscribe(
+      engineStatePeriodMs,
+      (nowMs) => void update(nowMs),
+    );
+    this.#resources.use(ticks);
+  }
+
   #startFollower(platform: PlatformClient, membership: Membership): void {
     const { logger, timers } = this.#options;
     const follower = ConfigurationFollower.create({
@@ -328,8 +350,7 @@
 
   /** Gets the mean load that the load cap compares with. */
   #getMeanLoad(): MeanLoad {
-    const { pools } = this.#options.settings;
-    const mean = this.#membership?.getPoolMean(pools);
+    const mean = this.#membership?.getPoolMean(this.#membership.ownPools);
     if (mean === undefined) {
       return {
         tokens: 0,
