--- a/packages/core/src/results/errors.ts
+++ b/packages/core/src/results/errors.ts
@@ -6,7 +6,7 @@
   /** Overrides what the code says about execution. */
   executed?: Executed;
   /** When the caller may come back, in milliseconds. */
-  retryAfterMs?: number;
+  retryAfterMs?: number | undefined;
   /** The error that led to this one. */
   cause?: unknown;
 };
@@ -19,26 +19,24 @@
   readonly result: ResultName;
   readonly executed: Executed;
   readonly retryAfterMs: number | undefined;
+  /** Number of the result code. */
+  readonly code: number;
+  /** HTTP status of the result code. */
+  readonly status: number;
 
   constructor(message = "", state?: ErrorState) {
-    // The base class would copy properties of the cause, such as `code`.
+    // The base class would copy properties of the cause, such as the `code` of
+    // a system error.
     super(message, { ...state, cause: undefined });
     if (state?.cause !== undefined) setCause(this, state.cause);
     this.result = state?.result ?? "internal";
-    this.executed = state?.executed ?? resultCodes[this.result].executed;
+    const row = resultCodes[this.result];
+    this.code = row.code;
+    this.status = row.status;
+    this.executed = state?.executed ?? row.executed;
     this.retryAfterMs = state?.retryAfterMs;
   }
 
-  /** Number of the result code. */
-  get code(): number {
-    return resultCodes[this.result].code;
-  }
-
-  /** HTTP status of the result code. */
-  get status(): number {
-    return resultCodes[this.result].status;
-  }
-
   /** Creates an error for a result code. */
   static create(
     result: ResultName,
--- /dev/null
+++ b/packages/load/src/soak/soak_configuration.ts
@@ -0,0 +1,126 @@
+import {
+  ConfigurationFollower,
+  ConfigurationHolder,
+  formatForPeer,
+  selectParts,
+} from "@jasminetide/runtime/configuration";
+import type { PeerClient } from "@jasminetide/runtime/control";
+import { createSilentLogger } from "@jasminetide/runtime/logging";
+import { AppError } from "@jasminetide/core/results";
+import type { FakePlatform } from "./fake_platform.ts";
+import type { World } from "./world.ts";
+
+const peerDelayMs = 4;
+const peerTimeoutMs = 2000;
+const lossProbability = 0.15;
+
+/** What a process follows the declaration with. */
+export type SoakConfigurationOptions = {
+  world: World;
+  platform: FakePlatform;
+  /** Name of the process in the history, and its address. */
+  process: string;
+  /** Whether this process watches the platform. */
+  isWatcher: boolean;
+  /** All processes by address. */
+  peers: Map<string, SoakConfiguration>;
+};
+
+/**
+ * The configuration of one process: the real holder and follower on a fake
+ * platform and fake peers.
+ */
+export class SoakConfiguration {
+  readonly #options: SoakConfigurationOptions;
+  #holder = ConfigurationHolder.create();
+  #follower: ConfigurationFollower;
+
+  private constructor(options: SoakConfigurationOptions) {
+    this.#options = options;
+    this.#follower = this.#follow();
+    options.peers.set(options.process, this);
+  }
+
+  /** Creates the configuration of a process that has just begun. */
+  static create(options: SoakConfigurationOptions): SoakConfiguration {
+    return new SoakConfiguration(options);
+  }
+
+  /** Version in force, 0 before the first. */
+  get version(): number {
+    return this.#holder.version;
+  }
+
+  /** Address at which peers ask this process. */
+  get address(): string {
+    return this.#options.process;
+  }
+
+  /** Takes in a version that another process has. */
+  observe(version: number, address: string): void {
+    this.#follower.observeVersion(version, address);
+  }
+
+  /** Starts anew without any. */
+  restart(): void {
+    this.#follower[Symbol.dispose]();
+    this.#holder = ConfigurationHolder.create();
+    this.#follower = this.#follow();
+  }
+
+  #follow(): ConfigurationFollower {
+    const { isWatcher, peers, platform, process, world } = this.#options;
+    const holder = this.#holder;
+    this.#record(0);
+    holder.subscribe(({ version }) => this.#record(version));
+    return ConfigurationFollower.create({
+      platform: platform.client,
+      holder,
+      timers: world.timers,
+      logger: createSilentLogger(),
+      getPeer: (address) => this.#createPeer(address),
+      whenReady: Promise.resolve(),
+      isWatcher: () => isWatcher,
+      listPeers: () => [...peers.keys()].filter((name) => name !== process),
+    });
+  }
+
+  /** Calls another process as its control client would. */
+  #createPeer(address: string): PeerClient {
+    const ask = async <Value>(read: (holder: ConfigurationHolder) => Value) => {
+      await this.#carry();
+      const peer = this.#options.peers.get(address);
+      if (peer === undefined) throw AppError.create("notFound", address);
+      const value = read(peer.#holder);
+      await this.#carry();
+      return value;
+    };
+    const client = {
+      getConfiguration: {
+        query: ({ afterVersion }: { afterVersion: number }) =>
+          ask((holder) =>
+            holder.version > afterVersion ? formatForPeer(holder.get()) : null
+          ),
+      },
+      getParts: {
+        query: ({ hashes }: { hashes: string[] }) =>
+          ask((holder) => selectParts(holder, hashes)),
+      },
+    };
+    return client as unknown as PeerClient;
+  }
+
+  async #carry(): Promise<void> {
+    const { world } = this.#options;
+    const isLost = world.isActive("links-lossy") &&
+      world.hasChance(lossProbability);
+    await world.wait(isLost ? peerTimeoutMs : peerDelayMs);
+    if (isLost) throw AppError.create("runnerFailed", "No answer in time");
+  }
+
+  #record(version: number): void {
+    const { process, world } = this.#options;
+    const atMs = world.nowMs();
+    world.events.push({ type: "configuration", process, atMs, version });
+  }
+}
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -13,7 +13,7 @@
 /** A caller's money call. */
 export type MoneyCall = Omit<OutgoingCall, "key"> & {
   /** Value of the `Idempotency-Key` header. */
-  keyHeader: string;
+  keyHeader: string | string[];
   declaredShardCount: number;
 };
 
@@ -28,7 +28,7 @@
   response: ServerResponse,
   context: RouterContext,
 ): Promise<void> {
-  const { key } = parseKey(call.keyHeader);
+  const { key } = parseKey(String(call.keyHeader));
   const answer = await findAnswer({ ...call, key }, context);
   context.metrics.count(`money-${answer.type}`);
   switch (answer.type) {
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -45,18 +45,12 @@
     configurationVersion: context.configuration.version,
   };
   const deadlineAtMs = arrivedAtMs + deadlineMs;
+  const outgoing = { method, path, headers, body };
   const keyHeader = request.headers["idempotency-key"];
   if (!isIdempotent && keyHeader !== undefined) {
-    const money = { method, path, headers, body, envelope, deadlineAtMs };
-    await handleMoneyCall(
-      {
-        ...money,
-        keyHeader: String(keyHeader),
-        declaredShardCount: settings.ledger.shardCount,
-      },
-      response,
-      context,
-    );
+    const money = { ...outgoing, envelope, deadlineAtMs, keyHeader };
+    const declaredShardCount = settings.ledger.shardCount;
+    await handleMoneyCall({ ...money, declaredShardCount }, response, context);
     return;
   }
   await sendRequest(
