--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -42,6 +42,7 @@
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
+import { PlacementKeeper } from "./placement/mod.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
 
@@ -112,6 +113,11 @@
     return this.#membership?.runners.get(id)?.state;
   }
 
+  /** Whether a runner takes new work for a model or service. */
+  hasCandidate(pool: string): boolean {
+    return (this.#membership?.getCandidates(pool).length ?? 0) > 0;
+  }
+
   /** Settings that the process was started with. */
   get settings(): RouterSettings {
     return this.#options.settings;
@@ -220,6 +226,16 @@
       listCandidates: () => membership.listRouters(),
     });
     this.#leases = this.#resources.use(leases);
+    this.#resources.use(PlacementKeeper.create({
+      region: settings.region,
+      configuration: this.#configuration,
+      leases,
+      membership,
+      platform,
+      timers,
+      logger,
+      getSidecar: (address) => this.#peers.getSidecar(address),
+    }));
     this.#resources.defer(() => leases.release());
   }
 
