Fetch the host list only when it changed

**Cause**: each process fetched the whole host list each second: some 6 KB/s at today's size, 30 KB/s at 1050 members. A copy of an old identity could replace a newer one, as loads raise the sequence, and identities went with every round.

A record names the sequence with which its member last changed its identity, and identities go with two rounds only.

--- a/packages/core/src/codecs_test.ts
+++ b/packages/core/src/codecs_test.ts
@@ -32,7 +32,7 @@
   capacity: 1,
   isLeaving: false,
   configurationVersion: 5,
-  identityTag: 9,
+  identitySequence: 9,
   ageMs: 100,
 };
 
--- a/packages/core/src/membership/answer_record.ts
+++ b/packages/core/src/membership/answer_record.ts
@@ -26,7 +26,7 @@
     record.capacity,
     record.isLeaving ? 1 : 0,
     record.configurationVersion,
-    record.identityTag,
+    record.identitySequence,
   ];
   return Buffer.from(encoder.encode(fields)).toString("base64url");
 }
@@ -49,7 +49,7 @@
     capacity,
     flag,
     configurationVersion,
-    identityTag,
+    identitySequence,
   ] = fields;
   return {
     wireId,
@@ -59,7 +59,7 @@
     capacity,
     isLeaving: flag === 1,
     configurationVersion,
-    identityTag,
+    identitySequence,
     ageMs: 0,
   };
 }
--- a/packages/core/src/membership/codec.ts
+++ b/packages/core/src/membership/codec.ts
@@ -33,7 +33,7 @@
 };
 
 /** Bytes of a whole record inside a digest. */
-export const recordBytes = 29;
+export const recordBytes = 32;
 
 /** Bytes of a load record inside a digest. */
 export const loadBytes = 11;
@@ -113,7 +113,7 @@
   z.instanceof(Uint8Array),
   z.instanceof(Uint32Array),
   z.instanceof(Uint8Array),
-  z.instanceof(Uint8Array),
+  z.instanceof(Uint32Array),
 ]);
 
 const loadColumnsSchema = z.tuple([
@@ -153,7 +153,7 @@
     ),
     Uint32Array.from(records, (record) => record.configurationVersion),
     Uint8Array.from(records, (record) => encodeAge(record.ageMs)),
-    Uint8Array.from(records, (record) => record.identityTag),
+    Uint32Array.from(records, (record) => record.identitySequence),
   ];
 }
 
@@ -167,7 +167,7 @@
     flags,
     versions,
     ages,
-    tags,
+    identitySequences,
   ] = columns;
   return Array.from(ids, (wireId, index) => ({
     wireId,
@@ -177,7 +177,7 @@
     capacity: capacities[index],
     isLeaving: (flags[index] & leavingFlag) !== 0,
     configurationVersion: versions[index],
-    identityTag: tags[index],
+    identitySequence: identitySequences[index],
     ageMs: ages[index] * ageUnitMs,
   }));
 }
--- a/packages/core/src/membership/identity.ts
+++ b/packages/core/src/membership/identity.ts
@@ -1,4 +1,3 @@
-import { hash32 } from "../hashing/mod.ts";
 import { z } from "zod";
 import {
   engineRoles,
@@ -43,17 +42,13 @@
 /** An identity as a digest carries it. */
 export type EncodedIdentity = z.output<typeof encodedIdentitySchema>;
 
-const identityTags = new WeakMap<MemberIdentity, number>();
-const identityTagMask = 0xff;
-
-/** Gets eight bits by which a changed identity is noticed. */
-export function getIdentityTag(identity: MemberIdentity): number {
-  const known = identityTags.get(identity);
-  if (known !== undefined) return known;
-  const text = JSON.stringify(encodeIdentity(identity));
-  const tag = hash32(text) & identityTagMask;
-  identityTags.set(identity, tag);
-  return tag;
+/** Says whether two identities are the same in every field. */
+export function isSameIdentity(
+  left: MemberIdentity,
+  right: MemberIdentity,
+): boolean {
+  return JSON.stringify(encodeIdentity(left)) ===
+    JSON.stringify(encodeIdentity(right));
 }
 
 /** Encodes an identity for a digest. */
--- a/packages/core/src/membership/membership.feature
+++ b/packages/core/src/membership/membership.feature
@@ -5,7 +5,7 @@
 
   Scenario: A digest survives its encoding
     Then 200 random digests are the same after encoding, seed 12
-    And a load in a digest takes 11 bytes and a whole record 29
+    And a load in a digest takes 11 bytes and a whole record 32
     And bytes that are no digest are refused as an invalid message
 
   Scenario: Leaving wins until a new epoch
@@ -29,3 +29,9 @@
 
   Scenario: The answer of a sidecar carries its record
     Then a record read from an answer's header is the one that was told
+
+  Scenario: An old description does not replace a newer one
+    Given a member at epoch 5
+    When it tells that it serves "b" with sequence 3, and loads up to sequence 9
+    And an old copy that it serves "a" comes with sequence 8
+    Then it serves "b"
--- a/packages/core/src/membership/membership_test.ts
+++ b/packages/core/src/membership/membership_test.ts
@@ -12,7 +12,6 @@
   type DigestRecord,
   encodeAnswerRecord,
   encodeDigest,
-  getIdentityTag,
   getPoolMean,
   getWireId,
   isHeldDown,
@@ -20,6 +19,7 @@
   loadBytes,
   type MemberIdentity,
   type MembershipTables,
+  mergeDescribed,
   mergeIdentity,
   mergeRecord,
   recordBytes,
@@ -65,7 +65,7 @@
     capacity: 1,
     isLeaving: false,
     configurationVersion: 0,
-    identityTag: getIdentityTag(identity),
+    identitySequence: 0,
     ageMs: 0,
     ...fields,
   };
@@ -120,7 +120,7 @@
     capacity: fc.integer({ min: 1, max: 8 }),
     isLeaving: fc.boolean(),
     configurationVersion: uint32,
-    identityTag: fc.integer({ min: 0, max: 255 }),
+    identitySequence: uint32,
     ageMs: fc.integer({ min: 0, max: 255 }).map((units) => units * 100),
   }, { noNullPrototype: true })),
   loads: fc.constant([]),
@@ -276,3 +276,37 @@
     });
   },
 );
+
+function describe(pools: string[]): MemberIdentity {
+  const { runner } = identity;
+  assert.ok(runner !== undefined);
+  return { ...identity, runner: { ...runner, pools } };
+}
+
+When(
+  "it tells that it serves {string} with sequence {int}, and loads up to " +
+    "sequence {int}",
+  function (this: World, pool: string, sequence: number, last: number) {
+    const record = createRecord({ sequence, identitySequence: sequence });
+    const described = { identity: describe([pool]), record };
+    mergeDescribed(this.tables, described, this.nowMs);
+    mergeRecord(
+      this.tables,
+      createRecord({ sequence: last, identitySequence: sequence }),
+      this.nowMs,
+    );
+  },
+);
+
+When(
+  "an old copy that it serves {string} comes with sequence {int}",
+  function (this: World, pool: string, sequence: number) {
+    const record = createRecord({ sequence, identitySequence: 0 });
+    const described = { identity: describe([pool]), record };
+    mergeDescribed(this.tables, described, this.nowMs);
+  },
+);
+
+Then("it serves {string}", function (this: World, pool: string) {
+  assert.deepEqual(this.tables.runners.get("runner-a")?.pools, [pool]);
+});
--- a/packages/core/src/membership/merge.ts
+++ b/packages/core/src/membership/merge.ts
@@ -1,7 +1,6 @@
 import type { RunnerRow } from "../tables/mod.ts";
 import { getNearest, getTag, type LoadRecord } from "./codec.ts";
 import { recordFlap } from "./damping.ts";
-import { getIdentityTag } from "./identity.ts";
 import {
   type DigestRecord,
   getWireId,
@@ -10,6 +9,7 @@
 } from "./record.ts";
 import {
   createMember,
+  describeRounds,
   type MemberRow,
   type MembershipTables,
 } from "./tables.ts";
@@ -62,7 +62,7 @@
     member.leavingEpoch !== record.epoch;
   const isNewer = isNewerRecord(record, member.record);
   if (isNewer) applyRecord(tables, member, { record, nowMs });
-  if (isNewer && record.identityTag !== getIdentityTag(member.identity)) {
+  if (record.identitySequence > member.identitySequence) {
     tables.unknown.add(member);
   }
   if (startsLeaving) setLeaving(tables, member, record.epoch);
@@ -110,17 +110,17 @@
   const { identity, record } = described;
   const member = mergeIdentity(tables, identity);
   if (member === tables.self) return mergeSelf(tables, record);
-  const isOld = record.epoch < member.record.epoch ||
+  const isChanged = record.epoch > member.record.epoch ||
     (record.epoch === member.record.epoch &&
-      record.sequence < member.record.sequence);
-  const isChanged = !isOld &&
-    getIdentityTag(identity) !== getIdentityTag(member.identity);
-  if (isChanged) {
-    member.identity = identity;
-    member.isNew = true;
-  }
+      record.identitySequence > member.identitySequence);
   const result = mergeRecord(tables, record, nowMs);
-  return isChanged ? "state" : result;
+  if (!isChanged) return result;
+  member.identity = identity;
+  member.identitySequence = record.identitySequence;
+  member.describeRounds = describeRounds;
+  tables.unknown.delete(member);
+  updateRunner(tables, member);
+  return "state";
 }
 
 /** Merges the frequent part of a record. */
@@ -175,7 +175,8 @@
     member.leavingEpoch = record.epoch;
   }
   if (record.epoch > epoch) {
-    member.isNew = true;
+    member.describeRounds = describeRounds;
+    member.identitySequence = 0;
     if (hadEpoch) recordFlap(tables, member, nowMs);
   }
   const { ageMs, ...rest } = record;
--- a/packages/core/src/membership/own_record.ts
+++ b/packages/core/src/membership/own_record.ts
@@ -1,8 +1,9 @@
 import { getSendBudget } from "./budget.ts";
 import { loadBytes } from "./codec.ts";
 import { updateRunner } from "./merge.ts";
-import { getIdentityTag } from "./identity.ts";
+import { isSameIdentity } from "./identity.ts";
 import type { DigestRecord, EngineState } from "./record.ts";
+import { describeRounds } from "./tables.ts";
 import { createRecord, setPending, type Spreader } from "./spreader.ts";
 
 /** A load that moved by this share of the last told is told anew. */
@@ -39,11 +40,12 @@
   if (self.identity.runner === undefined) return;
   const runner = { ...self.identity.runner, ...state };
   const identity = { ...self.identity, runner };
-  if (getIdentityTag(identity) === self.record.identityTag) return;
+  if (isSameIdentity(identity, self.identity)) return;
   self.identity = identity;
-  self.record.identityTag = getIdentityTag(identity);
   self.record.sequence += 1;
-  self.isNew = true;
+  self.record.identitySequence = self.record.sequence;
+  self.identitySequence = self.record.sequence;
+  self.describeRounds = describeRounds;
   updateRunner(spreader.tables, self);
   setPending(spreader, self, { origin: "own", urgency: "state" });
 }
--- a/packages/core/src/membership/record.ts
+++ b/packages/core/src/membership/record.ts
@@ -60,8 +60,8 @@
   capacity: number;
   isLeaving: boolean;
   configurationVersion: ConfigurationVersion;
-  /** Eight bits of a hash of the identity. */
-  identityTag: number;
+  /** Sequence with which the member last changed its identity. */
+  identitySequence: number;
   /** Time since the member itself made the record. */
   ageMs: number;
 };
--- a/packages/core/src/membership/spreading.ts
+++ b/packages/core/src/membership/spreading.ts
@@ -189,7 +189,7 @@
 
 function getEntryBytes(member: MemberRow): number {
   if (!member.isUrgent) return loadBytes;
-  if (!member.isNew) return recordBytes;
+  if (!canDescribe(member)) return recordBytes;
   return recordBytes + getIdentityBytes(member.identity);
 }
 
@@ -213,12 +213,18 @@
   for (const member of members) {
     if (member.isUrgent) {
       digest.records.push(createRecord(member, nowMs));
-      if (member.isNew) digest.identities.push(member.identity);
+      if (canDescribe(member)) digest.identities.push(member.identity);
     } else digest.loads.push(createLoad(member, nowMs));
   }
   return digest;
 }
 
+/** An identity goes with a record only if it is the one the record means. */
+function canDescribe(member: MemberRow): boolean {
+  return member.describeRounds > 0 &&
+    member.identitySequence === member.record.identitySequence;
+}
+
 function createLoad(
   member: MemberRow,
   nowMs: number,
@@ -234,8 +240,9 @@
 
 function completeRound(spreader: Spreader, member: MemberRow): void {
   member.roundsLeft -= 1;
+  member.describeRounds = Math.max(0, member.describeRounds - 1);
   if (member.roundsLeft > 0) return;
   member.isUrgent = false;
-  member.isNew = false;
+  member.describeRounds = 0;
   spreader.tables.pending.delete(member);
 }
--- a/packages/core/src/membership/tables.ts
+++ b/packages/core/src/membership/tables.ts
@@ -1,5 +1,4 @@
 import { type RunnerRow, Table } from "../tables/mod.ts";
-import { getIdentityTag } from "./identity.ts";
 import {
   type DigestRecord,
   getWireId,
@@ -7,9 +6,14 @@
   type WireId,
 } from "./record.ts";
 
+/** Rounds of a new identity; who misses them asks for it. */
+export const describeRounds = 2;
+
 /** What one process knows of one member. */
 export type MemberRow = {
   identity: MemberIdentity;
+  /** Sequence of the identity that this process holds. */
+  identitySequence: number;
   record: Omit<DigestRecord, "ageMs">;
   /** Time at which the member itself made the record, by this clock. */
   madeAtMs: number;
@@ -17,8 +21,8 @@
   roundsLeft: number;
   /** Whether it goes out at the next tick instead of the next period. */
   isUrgent: boolean;
-  /** Whether others may not know the identity yet. */
-  isNew: boolean;
+  /** Rounds in which the identity goes with the record. */
+  describeRounds: number;
   /** Epoch that is leaving; its record says so, or the host list does. */
   leavingEpoch: number | undefined;
   /** Whether the host list of this process names the member. */
@@ -73,6 +77,7 @@
 export function createMember(identity: MemberIdentity): MemberRow {
   return {
     identity,
+    identitySequence: 0,
     record: {
       wireId: getWireId(identity),
       epoch: 0,
@@ -81,12 +86,12 @@
       capacity: 1,
       isLeaving: false,
       configurationVersion: 0,
-      identityTag: getIdentityTag(identity),
+      identitySequence: 0,
     },
     madeAtMs: 0,
     roundsLeft: 0,
     isUrgent: false,
-    isNew: false,
+    describeRounds: 0,
     leavingEpoch: undefined,
     isListed: false,
     listedState: undefined,
@@ -111,7 +116,7 @@
   self.record.epoch = options.epoch;
   self.record.capacity = options.capacity;
   self.madeAtMs = options.nowMs;
-  self.isNew = true;
+  self.describeRounds = describeRounds;
   const members = Table.create<WireId, MemberRow>();
   members.set(self.record.wireId, self);
   return {
--- a/packages/load/src/measure_membership/digest_fleet.ts
+++ b/packages/load/src/measure_membership/digest_fleet.ts
@@ -212,7 +212,7 @@
       mergeRecord(tables, { ...self.record, ageMs: 0 }, this.#nowMs);
     }
     for (const row of tables.members.rows()) {
-      row.isNew = false;
+      row.describeRounds = 0;
       row.isUrgent = false;
       row.roundsLeft = 0;
     }
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -55,6 +55,11 @@
   type PlatformClient,
 } from "../platform/mod.ts";
 import { DatagramSocket } from "./datagrams.ts";
+import {
+  createReadBudget,
+  type ReadBudget,
+  spendReadBudget,
+} from "./read_budget.ts";
 import { getReadPeriodMs, isPromptReader, listMembers } from "./host_list.ts";
 
 /** Called when a member holds a configuration version. */
@@ -98,6 +103,7 @@
   readonly #leavingSinceMs = new Map<string, number>();
   readonly #wireIds = new Map<string, number>();
   #socket: DatagramSocket | undefined;
+  readonly #reads: ReadBudget;
   #nextReadAtMs = 0;
   #isReading = false;
   #observeVersion: VersionObserver = () => {};
@@ -108,6 +114,7 @@
   private constructor(options: MembershipOptions) {
     const nowMs = options.timers.nowMs();
     this.#options = options;
+    this.#reads = createReadBudget(nowMs);
     this.#drainReader = DrainReader.create(options.platform);
     this.#tables = createMembershipTables({ ...options, nowMs });
     this.#spreader = createSpreader({
@@ -240,7 +247,10 @@
     const nowMs = this.#options.timers.nowMs();
     return [...this.members.rows()].map((member) => ({
       identity: member.identity,
-      record: createRecord(member, nowMs),
+      record: {
+        ...createRecord(member, nowMs),
+        identitySequence: member.identitySequence,
+      },
     }));
   }
 
@@ -317,6 +327,7 @@
       })),
       digestBytesSent: budget.sentBytes,
       digestsSent: budget.datagrams,
+      hostListBytes: this.#options.platform.hostListBytes,
       digestBytesReceived: this.#socket?.receivedBytes ?? 0,
     };
   }
@@ -382,6 +393,8 @@
   async #loadHosts(nowMs: number): Promise<void> {
     this.#isReading = true;
     this.#nextReadAtMs = nowMs + getReadPeriodMs(this.#tables);
+    const { platform } = this.#options;
+    const beforeBytes = platform.hostListBytes;
     try {
       const hosts = await this.#loadLeaving();
       const news = applyHostList(this.#tables, listMembers(hosts));
@@ -395,6 +408,12 @@
     } catch (thrown) {
       this.#warn("host-list-failed", thrown);
     }
+    const waitMs = spendReadBudget(this.#reads, {
+      tables: this.#tables,
+      sizeBytes: platform.hostListBytes - beforeBytes,
+      nowMs,
+    });
+    this.#nextReadAtMs = Math.max(this.#nextReadAtMs, nowMs + waitMs);
     if (!this.#ready.isSettled) await this.#loadFromPeers();
     this.#ready.settle();
     this.#isReading = false;
--- a/packages/runtime/src/membership/mod.ts
+++ b/packages/runtime/src/membership/mod.ts
@@ -2,3 +2,4 @@
 export * from "./datagrams.ts";
 export * from "./host_list.ts";
 export * from "./membership.ts";
+export * from "./read_budget.ts";
--- a/packages/runtime/src/platform/client.ts
+++ b/packages/runtime/src/platform/client.ts
@@ -1,3 +1,5 @@
+import { Buffer } from "node:buffer";
+import { gunzipSync } from "node:zlib";
 import { AppError } from "@jasminetide/core/results";
 import { Pool } from "undici";
 import type { HostRecord, StoredObject } from "./types.ts";
@@ -28,12 +30,18 @@
 const defaultWritesPerSecond = 100;
 const maxConnections = 8;
 
+/** Bytes of a request and of the headers of its answer, roughly. */
+const headerBytes = 400;
+
 /** Client of the platform's object API and host list. */
 export class PlatformClient {
   readonly #pool: Pool;
   readonly #timeoutMs: number;
   readonly #limiter: WriteLimiter;
 
+  #hosts: { etag: string; list: HostRecord[] } = { etag: "", list: [] };
+  #hostListBytes = 0;
+
   private constructor(options: PlatformClientOptions) {
     this.#pool = new Pool(`http://${options.address}`, {
       connections: maxConnections,
@@ -124,10 +132,31 @@
     return JSON.parse(answer.body) as { name: string; version: number }[];
   }
 
-  /** Loads the host list, which lags. */
+  /** Bytes of host lists received, headers included. */
+  get hostListBytes(): number {
+    return this.#hostListBytes;
+  }
+
+  /** Loads the host list, which lags; it is fetched only when it changed. */
   async loadHosts(): Promise<HostRecord[]> {
-    const answer = await this.#send({ method: "GET", path: "/hosts" });
-    return JSON.parse(answer.body) as HostRecord[];
+    const answer = await this.#send({
+      method: "GET",
+      path: "/hosts",
+      headers: {
+        "accept-encoding": "gzip",
+        ...(this.#hosts.etag === ""
+          ? {}
+          : { "if-none-match": this.#hosts.etag }),
+      },
+    });
+    this.#hostListBytes += answer.receivedBytes + headerBytes;
+    if (answer.status !== 304) {
+      this.#hosts = {
+        etag: answer.etag,
+        list: JSON.parse(answer.body) as HostRecord[],
+      };
+    }
+    return this.#hosts.list;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -164,12 +193,15 @@
       body: request.body,
       signal,
     });
-    const body = await response.body.text();
-    const etag = response.headers["etag"];
+    const bytes = Buffer.from(await response.body.arrayBuffer());
+    const isPacked = response.headers["content-encoding"] === "gzip";
+    const etag = String(response.headers["etag"] ?? "");
     return {
       status: response.statusCode,
-      version: Number(String(etag ?? "0").replaceAll('"', "")),
-      body,
+      version: Number(etag.replaceAll('"', "")),
+      etag,
+      body: (isPacked ? gunzipSync(bytes) : bytes).toString("utf8"),
+      receivedBytes: bytes.length,
     };
   }
 }
@@ -183,7 +215,14 @@
   signal?: AbortSignal | undefined;
 };
 
-type PlatformAnswer = { status: number; version: number; body: string };
+type PlatformAnswer = {
+  status: number;
+  version: number;
+  etag: string;
+  body: string;
+  /** Bytes of the body as received. */
+  receivedBytes: number;
+};
 
 function createPut(
   object: ObjectName,
--- a/packages/stand_in/src/platform_server.ts
+++ b/packages/stand_in/src/platform_server.ts
@@ -1,4 +1,6 @@
+import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { gzipSync } from "node:zlib";
 import { AppError } from "@jasminetide/core/results";
 import {
   type ListeningServer,
@@ -7,6 +9,7 @@
   sendProblem,
   startServer,
 } from "@jasminetide/runtime/http";
+import type { HostRecord } from "@jasminetide/runtime/platform";
 import { z } from "zod";
 import type { HostList } from "./host_list/mod.ts";
 import { hostRecordSchema } from "./host_list/mod.ts";
@@ -80,7 +83,7 @@
   const method = match?.[2] === undefined ? request.method : "LEAVING";
   if (path === "/hosts" && request.method === "GET") {
     objects.checkRate("read");
-    sendJson(response, hosts.get());
+    sendHosts(request, response, hosts.get());
     return;
   }
   if (match === null) throw AppError.create("notFound", `No path ${path}`);
@@ -92,6 +95,28 @@
   response.writeHead(204).end();
 }
 
+/** Sends the list packed, or that it did not change. */
+function sendHosts(
+  request: IncomingMessage,
+  response: ServerResponse,
+  list: HostRecord[],
+): void {
+  const text = JSON.stringify(list);
+  const etag = `"${createHash("sha256").update(text).digest("hex")}"`;
+  if (request.headers["if-none-match"] === etag) {
+    response.writeHead(304, { etag }).end();
+    return;
+  }
+  const canUnpack = String(request.headers["accept-encoding"])
+    .includes("gzip");
+  response.writeHead(200, {
+    "content-type": "application/json",
+    etag,
+    ...(canUnpack ? { "content-encoding": "gzip" } : {}),
+  });
+  response.end(canUnpack ? gzipSync(text) : text);
+}
+
 async function parseBody<Schema extends z.ZodType>(
   request: IncomingMessage,
   schema: Schema,
