--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Admission, TaskObserver } from "@jasminetide/core/admission";
+import type { Settings } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
+import type { RunnerKind } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   headerNames,
@@ -24,6 +26,7 @@
   attempts: AttemptStore;
   admission: Admission;
   runner: Dispatcher;
+  kind: RunnerKind;
   timers: TimerService;
   metrics: Metrics;
   /**
@@ -34,6 +37,7 @@
     version: number,
     sender: string,
   ) => Promise<void> | undefined;
+  getStreamSettings: () => Settings["stream"];
   isLeaving: () => boolean;
   /** Headers that each answer carries. */
   getAnswerHeaders: () => { [name: string]: string };
@@ -109,6 +113,7 @@
     nowMs: arrivedAtMs,
   });
   const runnerRequest = {
+    id: envelope.attempt,
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: request.headers,
@@ -198,7 +203,7 @@
   const computedTokens = await runAttempt(attempt, {
     ...runnerRequest,
     deadlineMs: envelope.remainingMs - waitedMs,
-  }, { runner: context.runner, observer });
+  }, { ...context, observer, stream: context.getStreamSettings() });
   recordTokens(envelope, { computedTokens, atMs: nowMs }, context);
 }
 
