Judge deadlines with caution where durations vary

**Cause** A request was admitted if its mean duration fitted its deadline; where durations vary, many that were admitted came late and their work was wasted.

**Change** Average the deviation of the time per token besides its mean, and take the mean plus two deviations for a request's own duration.

The 59 scenarios of stand_in, admission and peak pass; without the caution one fails.

--- a/packages/core/src/admission/admission.feature
+++ b/packages/core/src/admission/admission.feature
@@ -24,6 +24,12 @@
     Then the last 10 are refused at once as not run with a time to come back
     And the others meet their deadline
 
+  Scenario: A deadline is judged with caution when durations vary
+    Given admission of 1 request at a time
+    And a runner that takes 50 or 150 ms in turn for 40 requests
+    When a request with a deadline of 220 ms arrives behind another
+    Then only that request is refused
+
   Scenario: A waiting request is refused when its time is over
     Given admission of 1 request at a time
     When a request with a deadline of 500 ms waits behind a silent runner
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -78,7 +78,7 @@
 
   /** Gets the time that work is expected to take once it runs. */
   getExpectedMs(costTokens: number): number {
-    return this.#rate.getDurationMs(costTokens);
+    return this.#rate.getCautiousDurationMs(costTokens);
   }
 
   /**
@@ -132,7 +132,7 @@
     options: { callerSignal: AbortSignal | undefined; release: () => void },
   ): Withdrawal {
     const { timers } = this.#options;
-    const ownMs = this.#rate.getDurationMs(request.costTokens);
+    const ownMs = this.#rate.getCautiousDurationMs(request.costTokens);
     return createWithdrawal({
       ...options,
       timers,
@@ -202,7 +202,7 @@
   #checkDeadline(request: AdmissionRequest): void {
     const waitMs = this.#getWaitMs(request);
     if (waitMs === 0) return;
-    const ownMs = this.#rate.getDurationMs(request.costTokens);
+    const ownMs = this.#rate.getCautiousDurationMs(request.costTokens);
     const endMs = this.#options.timers.nowMs() + waitMs + ownMs;
     if (endMs > request.deadlineAtMs) throw this.#createDeadlineError(waitMs);
   }
--- a/packages/core/src/admission/admission_test.ts
+++ b/packages/core/src/admission/admission_test.ts
@@ -210,6 +210,30 @@
   assert.equal(this.admission.running, 0);
 });
 
+Given(
+  "a runner that takes {int} or {int} ms in turn for {int} requests",
+  async function (this: World, shortMs: number, longMs: number, count: number) {
+    for (let index = 0; index < count; index += 1) {
+      this.taskMs = index % 2 === 0 ? shortMs : longMs;
+      offer(this, "trains");
+      await advance(this, longMs);
+    }
+  },
+);
+
+When(
+  "a request with a deadline of {int} ms arrives behind another",
+  async function (this: World, deadlineMs: number) {
+    offer(this, "before");
+    offer(this, "tight", { deadlineAtMs: this.timers.nowMs() + deadlineMs });
+    await setImmediate();
+  },
+);
+
+Then("only that request is refused", function (this: World) {
+  assert.deepEqual(this.refused.map(({ name }) => name), ["tight"]);
+});
+
 When(
   "a request with a deadline of {int} ms waits behind a silent runner",
   async function (this: World, deadlineMs: number) {
--- a/packages/core/src/admission/service_rate.ts
+++ b/packages/core/src/admission/service_rate.ts
@@ -1,9 +1,16 @@
-/** Weight of a new sample in the moving average. */
+/** Weight of a new sample in the moving averages. */
 const sampleWeight = 0.1;
 
-/** Time that a token of estimated cost takes in one slot, averaged. */
+/** Mean deviations that a cautious estimate adds to the mean. */
+const cautionDeviations = 2;
+
+/**
+ * Time that a token of estimated cost takes in one slot: moving averages of
+ * mean and deviation, as Jacobson (1988) estimates round-trip times.
+ */
 export class ServiceRate {
   #msPerToken: number | undefined;
+  #deviation = 0;
 
   private constructor() {}
 
@@ -15,13 +22,20 @@
   /** Takes in a completed task. */
   observe(durationMs: number, costTokens: number): void {
     const sample = durationMs / Math.max(1, costTokens);
-    this.#msPerToken = this.#msPerToken === undefined
-      ? sample
-      : this.#msPerToken + sampleWeight * (sample - this.#msPerToken);
+    const error = sample - (this.#msPerToken ?? sample);
+    this.#msPerToken = sample - (1 - sampleWeight) * error;
+    this.#deviation += sampleWeight * (Math.abs(error) - this.#deviation);
   }
 
-  /** Gets the time that work takes in one slot; 0 before the first sample. */
+  /** Gets the mean time of work in one slot; 0 before the first sample. */
   getDurationMs(tokens: number): number {
     return (this.#msPerToken ?? 0) * tokens;
   }
+
+  /** Gets a time that most work of this size does not exceed. */
+  getCautiousDurationMs(tokens: number): number {
+    const perToken = (this.#msPerToken ?? 0) +
+      cautionDeviations * this.#deviation;
+    return perToken * tokens;
+  }
 }
