--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -99,7 +99,7 @@
     for (const settings of definition.sidecars) {
       records.push(await this.#startSidecar(settings));
     }
-    this.hosts.set(records);
+    this.hosts.set([...records]);
     for (const settings of definition.routers) {
       records.push(await this.#startRouter(settings));
       this.hosts.set([...records]);
