Apply the deadline of a class

**Cause** A class may declare a deadline, and exceptions may match a class, but routers read neither: a deferrable class had the default deadline of a minute and could hardly be held back.

**Change** Resolve the settings of a request with its class; the class's deadline goes before the default and an exception before both.

**Conclusion** Classes that may wait have the time to do so.

--- a/packages/core/src/configuration/mod.ts
+++ b/packages/core/src/configuration/mod.ts
@@ -9,3 +9,4 @@
 export * from "./resolve.ts";
 export * from "./schema.ts";
 export * from "./validation.ts";
+export * from "./resolve_request.ts";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { type Match, resolveSettings } from "@jasminetide/core/configuration";
+import {
+  type Match,
+  type RequestSettings,
+  resolveRequest,
+} from "@jasminetide/core/configuration";
 import {
   createEpoch,
   defaultMembershipLimits,
@@ -41,7 +45,7 @@
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
-import type { RequestSettings, RouterContext } from "./router_context.ts";
+import type { RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
 
@@ -291,11 +295,7 @@
     const cached = this.#resolved.get(cacheKey);
     if (cached !== undefined) return cached;
     const { body } = this.#configuration.get();
-    const { settings } = resolveSettings(body, subject);
-    const requestClass =
-      body.classes.find((entry) => entry.name === settings.request.class) ??
-        body.classes[0];
-    const resolved = { settings, requestClass };
+    const resolved = resolveRequest(body, subject);
     if (this.#resolved.size >= maxResolvedSubjects) this.#resolved.clear();
     this.#resolved.set(cacheKey, resolved);
     return resolved;
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -1,8 +1,4 @@
-import type {
-  Match,
-  RequestClass,
-  Settings,
-} from "@jasminetide/core/configuration";
+import type { Match, RequestSettings } from "@jasminetide/core/configuration";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
@@ -13,12 +9,6 @@
 import type { KeyIndex } from "./callers/mod.ts";
 import type { LedgerRoutes } from "./ledger/mod.ts";
 
-/** Settings in force for one request. */
-export type RequestSettings = {
-  settings: Settings;
-  requestClass: RequestClass;
-};
-
 /** What the handlers of a router work with. */
 export type RouterContext = {
   configuration: ConfigurationHolder;
