--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -43,7 +43,7 @@
       getNowMs: () => options.timers.nowMs(),
     });
     const queue = FairQueue.create({
-      canStart: (workspace) => this.#shares.canStart(workspace),
+      canStart: (workspace) => this.#canStart(workspace),
     });
     this.#queue = new PQueue({
       concurrency: this.#limit.limit,
@@ -78,7 +78,7 @@
 
   /** Gets the time that work is expected to take once it runs. */
   getExpectedMs(costTokens: number): number {
-    return this.#rate.getDurationMs(costTokens);
+    return this.#rate.getCautiousDurationMs(costTokens);
   }
 
   /**
@@ -132,7 +132,7 @@
     options: { callerSignal: AbortSignal | undefined; release: () => void },
   ): Withdrawal {
     const { timers } = this.#options;
-    const ownMs = this.#rate.getDurationMs(request.costTokens);
+    const ownMs = this.#rate.getCautiousDurationMs(request.costTokens);
     return createWithdrawal({
       ...options,
       timers,
@@ -202,14 +202,19 @@
   #checkDeadline(request: AdmissionRequest): void {
     const waitMs = this.#getWaitMs(request);
     if (waitMs === 0) return;
-    const ownMs = this.#rate.getDurationMs(request.costTokens);
+    const ownMs = this.#rate.getCautiousDurationMs(request.costTokens);
     const endMs = this.#options.timers.nowMs() + waitMs + ownMs;
     if (endMs > request.deadlineAtMs) throw this.#createDeadlineError(waitMs);
   }
 
   #hasToWait({ workspace }: AdmissionRequest): boolean {
     return this.#running >= this.#limit.limit ||
-      !this.#shares.canStart(workspace);
+      !this.#canStart(workspace);
+  }
+
+  #canStart(workspace: string): boolean {
+    return this.#options.sharesSlots === false ||
+      this.#shares.canStart(workspace);
   }
 
   /** Estimates how long a newcomer would wait for a slot. */
