Merge small segments and encode journals in less space

**Cause**: 32 segments of 16 to 32 KiB held fewer entries than `maximumEntriesPerShard` allows, and a money call cost up to 19 KB of writes.

**Change**: small segments are merged up to 256 KiB; equal fields of entries are named once in an object; heads move to segments at 16 KiB; a late outcome in a newer segment goes before an older `unknown`.

--- a/packages/core/src/ledger/calls.ts
+++ b/packages/core/src/ledger/calls.ts
@@ -200,7 +200,7 @@
     key: call.key,
     issuedAtMs: call.issuedAtMs,
     requestHash: call.requestHash,
-    recordedAtMs: state.nowMs,
+    recordedAtMs: Math.floor(state.nowMs),
     state: entryState,
     answer: undefined,
   };
--- a/packages/core/src/ledger/codec.ts
+++ b/packages/core/src/ledger/codec.ts
@@ -6,7 +6,8 @@
 /** Version of the journal's format. */
 export const journalFormatVersion = 1;
 
-const codecOptions = { useRecords: false, variableMapSize: true };
+// Records name the fields of equal objects once in each message.
+const codecOptions = { useRecords: true };
 const encoder = new Encoder(codecOptions);
 const decoder = new Decoder(codecOptions);
 
--- a/packages/core/src/ledger/commits.ts
+++ b/packages/core/src/ledger/commits.ts
@@ -15,7 +15,7 @@
 const outcomeFlushMs = 200;
 
 /** Longest wait of intents and outcomes inside an open window. */
-const windowFlushMs = 2000;
+const windowFlushMs = 2500;
 
 /** How far before the opening a key of a window may have been issued. */
 const windowBackMs = 10_000;
--- a/packages/core/src/ledger/history.ts
+++ b/packages/core/src/ledger/history.ts
@@ -1,16 +1,6 @@
-import {
-  deleteEntry,
-  markDirty,
-  removeFromHead,
-  setHeadEntry,
-} from "./entries.ts";
-import type { KeyWindow, LedgerEntry, SegmentSlot } from "./journal.ts";
-import { maxSegments, type ShardState } from "./shard_state.ts";
-
-/** Size of a head's settled entries at which they move to a segment. */
-const sealBytes = 32_768;
-
-const sealRetryMs = 500;
+import { deleteEntry, markDirty, setHeadEntry } from "./entries.ts";
+import type { KeyWindow, LedgerEntry } from "./journal.ts";
+import type { ShardState } from "./shard_state.ts";
 
 /** Windows of former owners that are kept apart. */
 const maxDoubts = 16;
@@ -29,80 +19,6 @@
   if (state.entries.size > maximumEntriesPerShard) releaseOldest(state);
 }
 
-/** Moves settled entries of a large head to a segment of their own. */
-export function startSeal(state: ShardState): void {
-  if (state.seal !== undefined || state.headTotalBytes < sealBytes) return;
-  const entries = getSettled(state);
-  const bytes = entries.reduce(
-    (sum, entry) => sum + (state.headBytes.get(entry.key) ?? 0),
-    0,
-  );
-  if (bytes < sealBytes / 2) return;
-  const slot = findFreeSlot(state);
-  if (slot === undefined) {
-    releaseOldest(state);
-    return;
-  }
-  state.seal = {
-    slot,
-    entries,
-    retryAtMs: Number.POSITIVE_INFINITY,
-  };
-  sendSeal(state);
-}
-
-/** Writes a segment again whose answer was lost. */
-export function retrySeal(state: ShardState): void {
-  const { seal } = state;
-  if (seal === undefined || state.nowMs < seal.retryAtMs) return;
-  seal.retryAtMs = Number.POSITIVE_INFINITY;
-  sendSeal(state);
-}
-
-/** Refers to a written segment from the next head on. */
-export function completeSeal(
-  state: ShardState,
-  written: { slot: number; version: number },
-): void {
-  const { seal } = state;
-  if (seal?.slot !== written.slot) return;
-  const { entries } = seal;
-  state.seal = undefined;
-  state.slots[written.slot] = {
-    version: written.version,
-    isUsed: true,
-    newestIssuedAtMs: Math.max(0, ...entries.map((e) => e.issuedAtMs ?? 0)),
-    sealedAtMs: state.nowMs,
-  };
-  state.segmentKeys.set(written.slot, entries.map((entry) => entry.key));
-  for (const entry of entries) {
-    // A late outcome has replaced the entry: the head keeps the newer one.
-    const isCurrent = state.entries.get(entry.key) === entry;
-    if (isCurrent) removeFromHead(state, entry.key);
-  }
-  markDirty(state);
-}
-
-/**
- * Learns the version of a segment that no head refers to. It is used only
- * after the next head write has proven that this process is still the owner.
- */
-export function failSeal(
-  state: ShardState,
-  found: { slot: number; version: number },
-): void {
-  if (state.seal?.slot !== found.slot) return;
-  state.seal = undefined;
-  state.learnedVersions.set(found.slot, found.version);
-  markDirty(state);
-}
-
-/** Tries a segment again later. */
-export function scheduleSeal(state: ShardState, slot: number): void {
-  if (state.seal?.slot !== slot) return;
-  state.seal.retryAtMs = state.nowMs + sealRetryMs;
-}
-
 /** Joins windows that overlap; beyond a bound also those that do not. */
 export function mergeWindows(windows: KeyWindow[]): KeyWindow[] {
   const sorted = [...windows].sort((a, b) => a.fromMs - b.fromMs);
@@ -137,7 +53,8 @@
   }
 }
 
-function releaseOldest(state: ShardState): void {
+/** Folds the oldest segment: its keys are forgotten and refused. */
+export function releaseOldest(state: ShardState): void {
   let oldest: number | undefined;
   for (const [slot, row] of state.slots.entries()) {
     if (!row.isUsed) continue;
@@ -182,39 +99,3 @@
 function isForgettable(entry: LedgerEntry, floorMs: number): boolean {
   return entry.issuedAtMs !== undefined && entry.issuedAtMs < floorMs;
 }
-
-function getSettled(state: ShardState): LedgerEntry[] {
-  return [...state.headBytes.keys()].map((key) => state.entries.get(key))
-    .filter((entry) => entry !== undefined)
-    .filter((entry) => entry.state !== "intent");
-}
-
-function findFreeSlot(state: ShardState): number | undefined {
-  for (let slot = 0; slot < maxSegments; slot++) {
-    const row = state.slots[slot];
-    if (row === undefined) {
-      state.slots[slot] = createSlot();
-      return slot;
-    }
-    const isBusy = state.releasingSlots.has(slot) ||
-      state.learnedVersions.has(slot) ||
-      state.write?.learnedVersions.has(slot) === true;
-    if (!row.isUsed && !isBusy) return slot;
-  }
-  return undefined;
-}
-
-function createSlot(): SegmentSlot {
-  return { version: 0, isUsed: false, newestIssuedAtMs: 0, sealedAtMs: 0 };
-}
-
-function sendSeal(state: ShardState): void {
-  if (state.seal === undefined) return;
-  const { slot, entries } = state.seal;
-  state.commands.push({
-    type: "write-segment",
-    slot,
-    expected: state.slots[slot].version,
-    segment: { entries },
-  });
-}
--- a/packages/core/src/ledger/journal.ts
+++ b/packages/core/src/ledger/journal.ts
@@ -64,7 +64,12 @@
 /** Estimates the encoded size of an entry in bytes. */
 export function getEntryBytes(entry: LedgerEntry): number {
   return entryOverheadBytes + entry.key.length +
-    (entry.answer?.body.length ?? 0);
+    (entry.answer === undefined ? 0 : getAnswerBytes(entry.answer));
 }
 
-const entryOverheadBytes = 220;
+/** Estimates the encoded size of an answer in bytes. */
+export function getAnswerBytes(answer: StoredAnswer): number {
+  return answer.body.length + JSON.stringify(answer.headers).length;
+}
+
+const entryOverheadBytes = 100;
--- a/packages/core/src/ledger/ledger.feature
+++ b/packages/core/src/ledger/ledger.feature
@@ -161,10 +161,11 @@
     Then the last answer is refused as keyHistoryFull with executed "no"
 
   Scenario: History beyond one object moves to segments and is found there
-    Given "one" owns the shard
-    When 60 calls with large answers are answered by "one"
-    Then the journal has a segment
-    And no object exceeds 100000 bytes
+    Given a history of 600 seconds and 500 entries
+    And "one" owns the shard
+    When 300 calls with large answers are answered by "one"
+    Then the journal has more than 1 and at most 21 segments in use
+    And no object exceeds 400000 bytes
     When "one" dies after the outcome is written
     And "two" takes over
     And the first of these calls is sent again to "two"
--- a/packages/core/src/ledger/ledger_test.ts
+++ b/packages/core/src/ledger/ledger_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { decodeHead } from "./codec.ts";
 import { LedgerBench } from "./ledger_bench_test.ts";
 
 type World = { bench: LedgerBench };
@@ -227,9 +228,23 @@
   },
 );
 
-Then("the journal has a segment", function (this: World) {
-  assert.ok(this.bench.objects.has("segment-0"));
-});
+Given(
+  "a history of {int} seconds and {int} entries",
+  function (this: World, seconds: number, entries: number) {
+    this.bench.settings.windowMs = seconds * 1000;
+    this.bench.settings.maximumEntriesPerShard = entries;
+  },
+);
+
+Then(
+  "the journal has more than {int} and at most {int} segments in use",
+  function (this: World, below: number, most: number) {
+    const { slots } = decodeHead(this.bench.objects.get("head")?.value ?? "");
+    const count = slots.filter((slot) => slot.isUsed).length;
+    assert.ok(slots.length > count, "no segment was merged");
+    assert.ok(count > below && count <= most, `${count} segments`);
+  },
+);
 
 Then("no object exceeds {int} bytes", function (this: World, limit: number) {
   const sizes = [...this.bench.objects.values()].map((row) => row.value.length);
--- a/packages/core/src/ledger/outcomes.ts
+++ b/packages/core/src/ledger/outcomes.ts
@@ -1,11 +1,15 @@
 import { refuseCall } from "./calls.ts";
 import { deleteEntry, setHeadEntry } from "./entries.ts";
-import type { LedgerEntry, StoredAnswer } from "./journal.ts";
+import {
+  getAnswerBytes,
+  type LedgerEntry,
+  type StoredAnswer,
+} from "./journal.ts";
 import type { CallId, CallOutcome, LedgerCall } from "./messages.ts";
 import type { ShardState } from "./shard_state.ts";
 
-/** Largest body of an answer that is kept, in bytes. */
-export const maxStoredBodyBytes = 16_384;
+/** Largest answer that is kept, with its headers, in bytes. */
+const maxAnswerBytes = 16_384;
 
 /** Records what became of a dispatched call and answers its caller. */
 export function recordOutcome(
@@ -48,7 +52,7 @@
   answer: StoredAnswer,
 ): void {
   if (entry.state === "done") return;
-  const isKept = answer.body.length <= maxStoredBodyBytes;
+  const isKept = getAnswerBytes(answer) <= maxAnswerBytes;
   setHeadEntry(state, {
     ...entry,
     state: "done",
--- a/packages/core/src/ledger/ownership.ts
+++ b/packages/core/src/ledger/ownership.ts
@@ -127,9 +127,13 @@
     index += 1;
     state.segmentKeys.set(slot, entries.map((entry) => entry.key));
     for (const entry of entries) {
-      if (state.entries.has(entry.key)) continue;
+      const known = state.entries.get(entry.key);
+      // A late outcome may stand in a newer segment.
+      if (known !== undefined && entry.state !== "done") continue;
+      if (state.headBytes.has(entry.key)) continue;
       state.entries.set(entry.key, entry);
-      if (entry.issuedAtMs === undefined) state.timelessCount += 1;
+      const isTimeless = entry.issuedAtMs === undefined;
+      if (known === undefined && isTimeless) state.timelessCount += 1;
     }
   }
   beginOwnership(state);
--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -10,14 +10,7 @@
   startSettlement,
   startWrite,
 } from "./commits.ts";
-import {
-  completeSeal,
-  failSeal,
-  retrySeal,
-  scheduleSeal,
-  startSeal,
-  trimHistory,
-} from "./history.ts";
+import { trimHistory } from "./history.ts";
 import type { LedgerCall, ShardCommand, ShardEvent } from "./messages.ts";
 import { recordOutcome } from "./outcomes.ts";
 import {
@@ -33,6 +26,13 @@
   startLoading,
   startReading,
 } from "./ownership.ts";
+import {
+  completeSeal,
+  failSeal,
+  retrySeal,
+  scheduleSeal,
+  startSeal,
+} from "./segments.ts";
 import {
   createShardState,
   type ShardOptions,
--- a/packages/core/src/ledger/shard_state.ts
+++ b/packages/core/src/ledger/shard_state.ts
@@ -70,6 +70,8 @@
 export type PendingSeal = {
   slot: number;
   entries: LedgerEntry[];
+  /** Segments whose entries the new one takes over. */
+  replacedSlots: number[];
   /** When to try again after a lost answer. */
   retryAtMs: number;
 };
@@ -107,6 +109,8 @@
   calls: Map<CallId, PendingCall>;
   write: PendingWrite | undefined;
   seal: PendingSeal | undefined;
+  /** Whether segments have come since the last look for mergeable ones. */
+  isMergeDue: boolean;
   /** Start of the last confirmed write. */
   leaseStartMs: number;
   /** Time until which no other process can own the shard. */
@@ -134,6 +138,7 @@
     calls: new Map(),
     write: undefined,
     seal: undefined,
+    isMergeDue: false,
     leaseStartMs: Number.NEGATIVE_INFINITY,
     authorityUntilMs: Number.NEGATIVE_INFINITY,
     lastWriteAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/load/src/money/money_run.ts
+++ b/packages/load/src/money/money_run.ts
@@ -234,7 +234,7 @@
 ): ShardSettings {
   return {
     windowMs: 240_000,
-    maximumEntriesPerShard: 1024,
+    maximumEntriesPerShard: 2048,
     groupCommitMs: 20,
     leaseMs: 10_000,
     outageMode,
--- a/packages/operator/src/ledger/load_shard.ts
+++ b/packages/operator/src/ledger/load_shard.ts
@@ -80,7 +80,11 @@
     const stored = await platform.get(object);
     if (stored === undefined) continue;
     const segment = decodeSegment(stored.value);
-    for (const entry of segment.entries) entries.set(entry.key, entry);
+    for (const entry of segment.entries) {
+      // A late outcome may stand in another segment.
+      if (entries.get(entry.key)?.state === "done") continue;
+      entries.set(entry.key, entry);
+    }
   }
   for (const entry of head.entries) entries.set(entry.key, entry);
   return entries;
