--- /dev/null
+++ b/packages/load/src/history/check_effects.ts
@@ -0,0 +1,92 @@
+/** Checks that effects and what callers were told agree. */
+import type { MoneyOperation } from "./events.ts";
+import type { Call, HistoryIndex } from "./history_index.ts";
+import type { Violation } from "./violations.ts";
+
+/** Checks that no call that moves money took effect more than once. */
+export function checkAtMostOnce(index: HistoryIndex): Violation[] {
+  const repeated = [...index.effects].filter(([key, count]) =>
+    count > 1 && !isIdempotent(index.calls.get(key))
+  );
+  return repeated.map(
+    ([key, count]) => ({
+      check: "at-most-once",
+      subject: key,
+      detail: `took effect ${count} times`,
+    }),
+  );
+}
+
+/**
+ * Checks that what was reported as not run was not run, and that what was
+ * reported as done was done.
+ */
+export function checkNotRun(index: HistoryIndex): Violation[] {
+  if (!index.hasEffects) return [];
+  const violations = findRunChats(index);
+  for (const [key, calls] of groupMoneyCalls(index)) {
+    const effects = index.effects.get(key) ?? 0;
+    if (effects > 0 && calls.every(isNotRun)) {
+      violations.push({
+        check: "not-run-promise",
+        subject: key,
+        detail: "took effect, but every call was told that it was not run",
+      });
+    }
+    if (effects === 0 && calls.some(isAnswered)) {
+      violations.push({
+        check: "not-run-promise",
+        subject: key,
+        detail: "took no effect, but a call was answered",
+      });
+    }
+  }
+  return violations;
+}
+
+/** Chats and lookups that took effect though their callers were told not. */
+function findRunChats(index: HistoryIndex): Violation[] {
+  const calls = [...index.calls.values()].filter((call) =>
+    isIdempotent(call) && isNotRun(call) && index.effects.has(call.id)
+  );
+  return calls.map(({ id }) => ({
+    check: "not-run-promise",
+    subject: id,
+    detail: "was run, but its caller was told that it was not",
+  }));
+}
+
+/** A call that moves money. */
+export type MoneyCall = Call & { operation: MoneyOperation };
+
+/** Groups money calls by key; a call without one is a group by itself. */
+export function groupMoneyCalls(
+  index: HistoryIndex,
+): Map<string, MoneyCall[]> {
+  const groups = new Map<string, MoneyCall[]>();
+  for (const call of index.calls.values()) {
+    if (!isMoneyCall(call)) continue;
+    const key = call.operation.key ?? call.id;
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, [call]);
+    else group.push(call);
+  }
+  return groups;
+}
+
+/** Chats and lookups may run more than once. */
+function isIdempotent(call: Call | undefined): boolean {
+  return call !== undefined && call.operation.kind !== "money";
+}
+
+function isMoneyCall(call: Call): call is MoneyCall {
+  return call.operation.kind === "money";
+}
+
+function isNotRun({ outcome }: Call): boolean {
+  return outcome?.type === "failed" && outcome.executed === "no";
+}
+
+function isAnswered({ outcome }: Call): boolean {
+  return outcome?.type === "answered";
+}
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -52,7 +52,14 @@
     const { definition, timers } = options;
     const random = createSystemRandom();
     this.#options = options;
-    this.objects = ObjectApi.create({ timers, getRandom: random.getFloat });
+    this.objects = ObjectApi.create({
+      timers,
+      getRandom: random.getFloat,
+      rates: {
+        readsPerSecond: definition.standIns.platformReadsPerSecond,
+        writesPerSecond: definition.standIns.platformWritesPerSecond,
+      },
+    });
     this.weights = WeightStore.create({
       bytesPerSecond: definition.standIns.weightStoreBytesPerSecond,
     });
@@ -92,7 +99,7 @@
     for (const settings of definition.sidecars) {
       records.push(await this.#startSidecar(settings));
     }
-    this.hosts.set(records);
+    this.hosts.set([...records]);
     for (const settings of definition.routers) {
       records.push(await this.#startRouter(settings));
       this.hosts.set([...records]);
--- a/packages/router/src/relay/relay_whole.ts
+++ b/packages/router/src/relay/relay_whole.ts
@@ -1,7 +1,8 @@
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import { normalizeError } from "@jasminetide/core/results";
+import { mergeAttemptErrors } from "@jasminetide/core/attempts";
+import { type AppError, normalizeError } from "@jasminetide/core/results";
 import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
 import { type Dispatched, readAnswer } from "../attempts/mod.ts";
 
@@ -30,9 +31,22 @@
     }
     const { envelope } = dispatched.attempt;
     if (!envelope.isIdempotent) throw error;
-    if (normalizeError(error).result !== "streamInterrupted") throw error;
+    const cut = normalizeError(error);
+    if (cut.result !== "streamInterrupted") throw error;
     dispatched.context.metrics.count("answers-asked-again");
-    await relayOnce(await options.send(), response);
+    await relayOnce(await sendAgain(cut, options), response);
+  }
+}
+
+/** The first attempt has run, so a refusal of the second is not the whole. */
+async function sendAgain(
+  cut: AppError,
+  options: RelayWholeOptions,
+): Promise<Dispatched> {
+  try {
+    return await options.send();
+  } catch (thrown) {
+    throw mergeAttemptErrors([cut, normalizeError(thrown)]);
   }
 }
 
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Admission, TaskObserver } from "@jasminetide/core/admission";
-import type { PeakGate } from "@jasminetide/core/peak";
 import type { Settings } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { RunnerKind } from "@jasminetide/core/tables";
@@ -15,15 +14,17 @@
 import type { Dispatcher } from "undici";
 import { sendAnswer } from "../answers/mod.ts";
 import type { AttemptStore, StoredAttempt } from "./attempt_store.ts";
+import {
+  type PeakContext,
+  recordTokens,
+  waitForRelease,
+} from "./busiest_minute.ts";
 import { runAttempt, type RunnerRequest } from "./run_attempt.ts";
 
 /** What the data path of a sidecar works with. */
-export type RequestContext = {
+export type RequestContext = PeakContext & {
   attempts: AttemptStore;
   admission: Admission;
-  /** Holds back what may wait, and counts computed tokens. */
-  peak: PeakGate;
-  isDeferrable: (priority: number) => boolean;
   runner: Dispatcher;
   kind: RunnerKind;
   timers: TimerService;
@@ -170,7 +171,7 @@
   const { envelope, arrivedAtMs } = work;
   let hasBegun = false;
   try {
-    await waitForRelease(attempt, work, context);
+    await waitForRelease(work, attempt.abort.signal, context);
     await context.admission.run({
       workspace: envelope.workspace,
       priority: envelope.priority,
@@ -180,7 +181,7 @@
     }, async (observer) => {
       attempt.abort.signal.throwIfAborted();
       hasBegun = true;
-      await runAdmitted(attempt, work, { context, observer });
+      await runAdmitted(attempt, { ...work, observer }, context);
     }, { signal: attempt.abort.signal });
   } catch (error) {
     attempt.answer.fail(normalizeError(error));
@@ -192,11 +193,10 @@
 
 async function runAdmitted(
   attempt: StoredAttempt,
-  work: Work,
-  options: { context: RequestContext; observer: TaskObserver },
+  work: Work & { observer: TaskObserver },
+  context: RequestContext,
 ): Promise<void> {
-  const { context, observer } = options;
-  const { envelope, runnerRequest, arrivedAtMs } = work;
+  const { envelope, runnerRequest, arrivedAtMs, observer } = work;
   const nowMs = context.timers.nowMs();
   const waitedMs = nowMs - arrivedAtMs;
   context.metrics.record("admission-wait-ms", waitedMs);
@@ -204,38 +204,7 @@
     ...runnerRequest,
     deadlineMs: envelope.remainingMs - waitedMs,
   }, { ...context, observer, stream: context.getStreamSettings() });
-  recordTokens(work, { computedTokens, atMs: nowMs }, context);
-}
-
-/** Holds a deferrable request back while the minute is at its peak. */
-async function waitForRelease(
-  attempt: StoredAttempt,
-  work: Work,
-  context: RequestContext,
-): Promise<void> {
-  const { envelope, arrivedAtMs } = work;
-  if (!context.isDeferrable(envelope.priority)) return;
-  await context.peak.wait({
-    id: envelope.attempt,
-    costTokens: envelope.costTokens,
-    arrivedAtMs,
-    deadlineAtMs: arrivedAtMs + envelope.remainingMs,
-    durationMs: context.admission.getExpectedMs(envelope.costTokens),
-  }, attempt.abort.signal);
-}
-
-/** Counts what a request computed; a release has counted its estimate. */
-function recordTokens(
-  work: Work,
-  computed: { computedTokens: number | undefined; atMs: number },
-  context: RequestContext,
-): void {
-  const { costTokens, priority } = work.envelope;
-  const isDeferrable = context.isDeferrable(priority);
-  const tokens = (computed.computedTokens ?? costTokens) -
-    (isDeferrable ? costTokens : 0);
-  const { atMs } = computed;
-  context.peak.hold.meter.record(tokens, { atMs, isDeferrable });
+  recordTokens(envelope, { computedTokens, atMs: nowMs }, context);
 }
 
 function createHeaders(
