Hand the shards of a leaving host on

**Cause**: routers send nothing new to a runner whose host leaves, while its sidecar kept its shards and renewed its lease: the keys of these shards could not be called until the process ended. A money call that took more than 2.5 s was sent again on a new connection.

**Change**: a sidecar that finds its host leaving releases its shards after their last call; interim responses show that a call's connection lives; money calls carry the configuration's version and digests both ways, as other calls do.

**Measured**: local fleet, host of the owner listed as leaving: the other runner gives the first answer again, one effect (`packages/local_fleet/src/money_calls.feature`); before, no such answer came.

**Conclusion**: a drain by the platform's list needs no end of the process.

--- a/packages/local_fleet/src/money_calls.feature
+++ b/packages/local_fleet/src/money_calls.feature
@@ -29,6 +29,13 @@
     Then all answers to the refund are the same, with status 201
     And key 1 has taken effect 1 time
 
+  Scenario: A host that the platform lists as leaving hands its shards on
+    When a refund of 100 to "a1" with key 1 is sent through router 1
+    And the platform lists the host of that refund's owner as leaving
+    And the refund is sent again until it is answered by another runner
+    Then the last answer to the refund is the first one
+    And key 1 has taken effect 1 time
+
   Scenario: An unknown outcome is listed, resolved and told
     Given the answer of the next refund is lost after its effect
     When a refund of 100 to "a1" with key 1 is sent through router 1
--- a/packages/local_fleet/src/money_calls_test.ts
+++ b/packages/local_fleet/src/money_calls_test.ts
@@ -8,6 +8,7 @@
   showEntry,
   type UnknownEntry,
 } from "@jasminetide/operator/ledger";
+import type { Sidecar } from "@jasminetide/sidecar";
 import { v7 as createKey } from "uuid";
 import type { LocalFleet } from "./local_fleet.ts";
 
@@ -18,6 +19,7 @@
   keys: Map<number, string>;
   refund: Refund;
   answers: RefundAnswer[];
+  owner: Sidecar;
 };
 
 const timers = RealTimerService.create();
@@ -92,14 +94,46 @@
   },
 );
 
+/** Sidecars that own the shard of the only refund. */
+function findOwners(world: World): Sidecar[] {
+  return world.fleet.sidecars.filter((sidecar) =>
+    sidecar.ledgerShards.some((shard) =>
+      shard.role === "owner" && shard.entries > 0
+    )
+  );
+}
+
 When(
   "the runner that answered the refund is stopped",
   async function (this: World) {
-    const owners = this.fleet.sidecars.filter((sidecar) =>
-      sidecar.ledgerShards.some((shard) => shard.entries > 0)
-    );
-    assert.equal(owners.length, 1);
-    await owners[0][Symbol.asyncDispose]();
+    const [owner, ...others] = findOwners(this);
+    assert.equal(others.length, 0);
+    await owner[Symbol.asyncDispose]();
+  },
+);
+
+When(
+  "the platform lists the host of that refund's owner as leaving",
+  function (this: World) {
+    [this.owner] = findOwners(this);
+    this.fleet.hosts.drain(this.owner.host);
+  },
+);
+
+When(
+  "the refund is sent again until it is answered by another runner",
+  { timeout: 20_000 },
+  async function (this: World) {
+    do {
+      while ((await send(this, 2)).status !== 201) await wait(50);
+    } while (findOwners(this)[0] === this.owner);
+  },
+);
+
+Then(
+  "the last answer to the refund is the first one",
+  function (this: World) {
+    assert.equal(this.answers.at(-1)?.body, this.answers[0].body);
   },
 );
 
--- a/packages/router/src/ledger/ask_owner.ts
+++ b/packages/router/src/ledger/ask_owner.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
 import type { LedgerAnswer } from "@jasminetide/core/ledger";
 import {
   type Executed,
@@ -14,6 +15,7 @@
   type RequestEnvelope,
 } from "@jasminetide/runtime/exchange";
 import type { Metrics } from "@jasminetide/runtime/metrics";
+import { SilenceWatch } from "@jasminetide/runtime/streams";
 import type { Dispatcher, Pool } from "undici";
 import { v7 as createAttemptId } from "uuid";
 import type { Connections } from "../attempts/mod.ts";
@@ -37,15 +39,12 @@
   connections: Connections;
   timers: TimerService;
   metrics: Metrics;
-  /** Told the number of shards with each answer. */
-  onShardCount: (count: number) => void;
+  /** Told the headers of each answer that is the call's own. */
+  onAnswer: (headers: IncomingHttpHeaders) => void;
 };
 
-/** Time without an answer after which the connection is taken for silent. */
-const silentMs = 2500;
-
-/** The same for a second try on a new connection. */
-const resendSilentMs = 1000;
+/** Time without a heartbeat after which a connection is taken for silent. */
+const silentMs = 2000;
 
 const runningPollMs = 250;
 
@@ -62,8 +61,7 @@
   const { timers } = options;
   let isResent = false;
   while (timers.nowMs() < call.deadlineAtMs) {
-    const patienceMs = isResent ? resendSilentMs : silentMs;
-    const told = await exchange(call, { ...options, patienceMs });
+    const told = await exchange(call, options);
     if (told === "unreachable") return undefined;
     if (told === "silent") {
       if (isResent) return undefined;
@@ -87,28 +85,28 @@
 
 async function exchange(
   call: OutgoingCall,
-  options: AskOptions & { patienceMs: number },
+  options: AskOptions,
 ): Promise<LedgerAnswer | "silent" | "unreachable"> {
   const { timers, connections, runner } = options;
   const remainingMs = call.deadlineAtMs - timers.nowMs();
   const pool = connections.get(runner.dataAddress);
   const abort = new AbortController();
   let isSilent = false;
-  const silence = timers.schedule(
-    options.mayClaim ? remainingMs : Math.min(options.patienceMs, remainingMs),
-    () => {
+  using _deadline = timers.schedule(remainingMs, () => abort.abort());
+  using watch = SilenceWatch.create({
+    timers,
+    limitMs: silentMs,
+    onSilence: () => {
       isSilent = true;
       abort.abort();
     },
-  );
+  });
   try {
-    return await send(call, { ...options, pool, abort, remainingMs });
+    return await send(call, { ...options, pool, abort, remainingMs, watch });
   } catch {
     if (!isSilent) return "unreachable";
     connections.replace(runner.dataAddress, pool);
     return "silent";
-  } finally {
-    silence[Symbol.dispose]();
   }
 }
 
@@ -118,6 +116,7 @@
     pool: Pool;
     abort: AbortController;
     remainingMs: number;
+    watch: SilenceWatch;
   },
 ): Promise<LedgerAnswer | "silent"> {
   const { runner, remainingMs } = options;
@@ -138,13 +137,14 @@
     },
     body: call.body.length === 0 ? null : call.body,
     signal: options.abort.signal,
+    onInfo: () => options.watch.record(),
   });
   if (response.headers[headerNames.attempt] !== attempt) {
     options.metrics.count("answers-mismatched");
     response.body.destroy();
     return "silent";
   }
-  options.onShardCount(Number(response.headers[headerNames.ledgerShards]));
+  options.onAnswer(response.headers);
   return await readAnswer(response);
 }
 
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -7,6 +7,7 @@
   parseKey,
 } from "@jasminetide/core/ledger";
 import { AppError } from "@jasminetide/core/results";
+import { headerNames } from "@jasminetide/runtime/exchange";
 import type { RouterContext } from "../router_context.ts";
 import { askOwner, type OutgoingCall } from "./ask_owner.ts";
 
@@ -57,6 +58,10 @@
 ): Promise<LedgerAnswer> {
   const { ledgerRoutes, timers, directory } = context;
   const service = call.envelope.pool;
+  const outgoing = {
+    ...call,
+    envelope: { ...call.envelope, sender: directory.controlAddress },
+  };
   const shard = getShard(
     createScopedKey(call.envelope.workspace, call.key),
     ledgerRoutes.getShardCount(service, call.declaredShardCount),
@@ -71,11 +76,16 @@
     const choice = search.choose(runners.map((runner) => runner.id));
     const runner = runners.find((runner) => runner.id === choice?.name);
     if (choice === undefined || runner === undefined) break;
-    const answer = await askOwner(call, {
+    directory.recordDispatch(runner.id);
+    const answer = await askOwner(outgoing, {
       ...context,
       runner,
       mayClaim: choice.mayClaim,
-      onShardCount: (count) => ledgerRoutes.setShardCount(service, count),
+      onAnswer: (headers) => {
+        directory.recordAnswer(runner.id, headers);
+        const count = Number(headers[headerNames.ledgerShards]);
+        ledgerRoutes.setShardCount(service, count);
+      },
     });
     const isFinal = search.apply(runner.id, answer);
     if (search.hint !== undefined) {
--- a/packages/sidecar/src/ledger/handle_call.ts
+++ b/packages/sidecar/src/ledger/handle_call.ts
@@ -18,9 +18,17 @@
   timers: TimerService;
   /** Headers that each answer carries. */
   getAnswerHeaders: () => { [name: string]: string };
+  /** Fetches a configuration that a router has and this process lacks. */
+  syncConfiguration: (
+    version: number,
+    sender: string,
+  ) => Promise<void> | undefined;
   maximumBodyBytes: number;
 };
 
+/** Time between two interim responses, which show that the process lives. */
+const heartbeatPeriodMs = 500;
+
 const requestHashLength = 22;
 
 /** Whether a request of a router is a money call. */
@@ -40,6 +48,14 @@
     const envelope = parseEnvelope(request.headers);
     headers[headerNames.attempt] = envelope.attempt;
     const body = await readBody(request, context.maximumBodyBytes);
+    response.writeProcessing();
+    using _heartbeat = context.timers.subscribe(heartbeatPeriodMs, () => {
+      if (!response.headersSent) response.writeProcessing();
+    });
+    await context.syncConfiguration(
+      envelope.configurationVersion,
+      envelope.sender ?? "",
+    );
     const money: MoneyRequest = {
       envelope,
       method: request.method ?? "POST",
--- a/packages/sidecar/src/ledger/ledger.ts
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -15,7 +15,7 @@
 import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { Metrics } from "@jasminetide/runtime/metrics";
-import type { PlatformClient } from "@jasminetide/runtime/platform";
+import type { HostRecord, PlatformClient } from "@jasminetide/runtime/platform";
 import { type MoneyRequest, runCall, type RunnerAccess } from "./run_call.ts";
 import { JournalStore } from "./journal_store.ts";
 import { loadShardCount } from "./layout.ts";
@@ -53,6 +53,7 @@
   readonly #wakes = new Map<number, TimerSubscription>();
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #proposal: TimerSubscription;
+  #isLeaving = false;
   #shardCount: Promise<number> | undefined;
   #settings: ShardSettings | undefined;
 
@@ -136,6 +137,7 @@
 
   /** Takes no new calls; each shard is released after its last call. */
   leave(): void {
+    this.#isLeaving = true;
     this.#proposal[Symbol.dispose]();
     for (const shard of this.#shards.keys()) {
       this.#handle(shard, { type: "leave" });
@@ -166,11 +168,13 @@
     try {
       const shardCount = await this.getShardCount();
       const hosts = await platform.loadHosts();
-      const candidates = hosts.filter((host) => host.state === "live")
-        .flatMap((host) => host.processes)
-        .filter((process) => process.type === "sidecar")
-        .filter((process) => process.pools.includes(service))
-        .map((process) => process.runner);
+      const isOwnLeaving = listRunners(hosts, { service, state: "leaving" })
+        .includes(owner.name);
+      if (isOwnLeaving) {
+        this.leave();
+        return;
+      }
+      const candidates = listRunners(hosts, { service, state: "live" });
       for (let shard = 0; shard < shardCount; shard++) {
         const [first] = rankOwners({ service, shard, candidates });
         if (first === owner.name) this.#handle(shard, { type: "propose" });
@@ -189,6 +193,7 @@
         getSettings: () => this.#getSettings(),
       });
       this.#shards.set(shard, decisions);
+      if (this.#isLeaving) this.#handle(shard, { type: "leave" });
     }
     const before = decisions.state.role.type;
     const commands = decisions.handle(event, this.#options.timers.nowMs());
@@ -263,6 +268,18 @@
   }
 }
 
+/** Names the runners of a service on hosts in a state. */
+function listRunners(
+  hosts: HostRecord[],
+  options: { service: string; state: HostRecord["state"] },
+): string[] {
+  return hosts.filter((host) => host.state === options.state)
+    .flatMap((host) => host.processes)
+    .filter((process) => process.type === "sidecar")
+    .filter((process) => process.pools.includes(options.service))
+    .map((process) => process.runner);
+}
+
 function createUnavailable(detail: string): LedgerAnswer {
   return {
     type: "refused",
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -135,6 +135,11 @@
     return this.#controlAddress;
   }
 
+  /** Name of the host that the sidecar runs on. */
+  get host(): string {
+    return this.#options.settings.host;
+  }
+
   /** Shards of the ledger that this sidecar knows. */
   get ledgerShards(): ReturnType<Ledger["getDump"]> {
     return this.#ledger?.getDump() ?? [];
