Look at deadlines of waiting calls only when one has passed

**Cause**: while a takeover waits for the lease, each event of the shard went over all waiting calls.

**Change**: the earliest deadline is kept.

--- a/packages/core/src/ledger/ownership.ts
+++ b/packages/core/src/ledger/ownership.ts
@@ -21,6 +21,7 @@
   } else if (isPlatformDown(state)) refuseUnavailable(state, call);
   else {
     state.calls.set(call.id, { ...call, state: "queued" });
+    recordDeadline(state, call);
     if (role.type === "idle") startReading(state);
   }
 }
@@ -153,17 +154,30 @@
 
 /** Refuses the calls that have waited too long for an owner. */
 export function expireWaiting(state: ShardState): void {
-  for (const call of [...state.calls.values()]) {
-    if (call.state === "dispatched" || call.deadlineAtMs > state.nowMs) {
-      continue;
-    }
-    if (state.role.type !== "owner") refuseUnavailable(state, call);
+  if (state.nowMs >= state.earliestDeadlineMs) {
+    state.earliestDeadlineMs = Number.POSITIVE_INFINITY;
+    if (state.role.type !== "owner") refuseExpired(state);
   }
   if (state.role.type === "waiting" && !hasWaiting(state)) {
     state.role = { type: "idle" };
   }
 }
 
+function refuseExpired(state: ShardState): void {
+  for (const call of [...state.calls.values()]) {
+    if (call.state === "dispatched") continue;
+    if (call.deadlineAtMs > state.nowMs) recordDeadline(state, call);
+    else refuseUnavailable(state, call);
+  }
+}
+
+function recordDeadline(state: ShardState, call: LedgerCall): void {
+  state.earliestDeadlineMs = Math.min(
+    state.earliestDeadlineMs,
+    call.deadlineAtMs,
+  );
+}
+
 function hasWaiting(state: ShardState): boolean {
   for (const call of state.calls.values()) {
     if (call.state !== "dispatched") return true;
--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -228,11 +228,8 @@
     const dues = [this.#readRetryAtMs, state.seal?.retryAtMs ?? Infinity];
     if (state.role.type === "owner" || state.write !== undefined) {
       dues.push(getWriteDueMs(state) ?? Infinity);
-    } else {
-      for (const call of state.calls.values()) {
-        if (call.state !== "dispatched") dues.push(call.deadlineAtMs);
-      }
     }
+    if (state.role.type !== "owner") dues.push(state.earliestDeadlineMs);
     if (state.role.type === "waiting") dues.push(state.role.readAtMs);
     const dueMs = Math.max(Math.min(...dues), state.nowMs);
     if (dueMs >= state.wakeAtMs || dueMs === Infinity) return;
--- a/packages/core/src/ledger/shard_state.ts
+++ b/packages/core/src/ledger/shard_state.ts
@@ -120,6 +120,8 @@
   dirtySinceMs: number | undefined;
   writeCount: number;
   wakeAtMs: number;
+  /** No call that waits for an owner has an earlier deadline. */
+  earliestDeadlineMs: number;
   isLeaving: boolean;
 };
 
@@ -145,6 +147,7 @@
     dirtySinceMs: undefined,
     writeCount: 0,
     wakeAtMs: Number.POSITIVE_INFINITY,
+    earliestDeadlineMs: Number.POSITIVE_INFINITY,
     isLeaving: false,
   };
 }
