Choose chat runners by bounded rendezvous with hints

A router sees each pool as lagging records plus its own work since, keeps a turn at its home under a spill bound and else sends it to the first rank with most room. The home's sidecar keeps a hint of where the chat went; a cost rule decides between going there, importing the KV cache and computing again. Joining runners ramp up, flapping ones are held down.

--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -1,3 +1,12 @@
 /** Choice of the runner for each request. */
+export * from "./cache_path.ts";
+export * from "./chat_hints.ts";
 export * from "./chat_key.ts";
+export * from "./choose_chat_runner.ts";
+export * from "./choose_lookup_runner.ts";
+export * from "./hint_keeper.ts";
+export * from "./hold_down.ts";
+export * from "./load_bound.ts";
+export * from "./pool_view.ts";
+export * from "./prefix_hashes.ts";
 export * from "./rank.ts";
--- /dev/null
+++ b/packages/core/src/routing/pool_view.ts
@@ -0,0 +1,188 @@
+import type { RunnerId } from "../tables/mod.ts";
+import { HoldDown } from "./hold_down.ts";
+import { getRampShare } from "./load_bound.ts";
+
+/** What is known of a runner of the pool from lists and records. */
+export type PoolMember = {
+  id: RunnerId;
+  failureDomain: string;
+  capacity: number;
+  /** Load in weighted tokens as last reported. */
+  loadTokens: number;
+  /** Time at which that load was true. */
+  observedAtMs: number;
+};
+
+/** Work that this process has sent to a runner and that has not ended. */
+export type DispatchedWork = {
+  runner: RunnerId;
+  tokens: number;
+  sentAtMs: number;
+};
+
+/** A runner with the load that this process expects of it. */
+export type RunnerView = PoolMember & {
+  joinedAtMs: number;
+  /** Own work that the last record does not contain yet. */
+  recentWork: Set<DispatchedWork>;
+  recentTokens: number;
+};
+
+/** How a pool is seen. */
+export type PoolViewOptions = {
+  rampUpMs: number;
+  holdDownMs: number;
+  maximumHoldDownMs: number;
+};
+
+/**
+ * One process's view of the runners of a pool: lagging load records plus the
+ * work that the process itself has sent since. Holds down runners that flap
+ * and ramps up those that join.
+ */
+export class PoolView {
+  readonly #options: PoolViewOptions;
+  readonly #holdDown: HoldDown;
+  readonly #views = new Map<RunnerId, RunnerView>();
+  readonly #departures = new Map<RunnerId, number>();
+  #candidates: RunnerView[] = [];
+  #nextChangeMs = Infinity;
+  #version = 0;
+
+  private constructor(options: PoolViewOptions) {
+    this.#options = options;
+    this.#holdDown = HoldDown.create(options);
+  }
+
+  /** Creates a view of an empty pool. */
+  static create(options: PoolViewOptions): PoolView {
+    return new PoolView(options);
+  }
+
+  /** Gets the runners that take new work. */
+  getCandidates(nowMs: number): readonly RunnerView[] {
+    if (nowMs >= this.#nextChangeMs) this.#select(nowMs);
+    return this.#candidates;
+  }
+
+  /** Changes whenever the runners that take new work change. */
+  getVersion(nowMs: number): number {
+    this.getCandidates(nowMs);
+    return this.#version;
+  }
+
+  /** Gets a runner of the pool, whether it takes new work or not. */
+  get(id: RunnerId): RunnerView | undefined {
+    return this.#views.get(id);
+  }
+
+  /**
+   * Adds a runner or updates what is fixed of it. The members of the first
+   * list are taken as long in service: pass `joinedAtMs` as 0 for them.
+   */
+  add(
+    member: PoolMember,
+    options: { joinedAtMs: number; nowMs: number },
+  ): void {
+    if (this.#views.has(member.id)) return;
+    this.#views.set(member.id, {
+      ...member,
+      joinedAtMs: options.joinedAtMs,
+      recentWork: new Set(),
+      recentTokens: 0,
+    });
+    this.#select(options.nowMs);
+  }
+
+  /** Removes a runner; one that was lost is held down when it comes back. */
+  remove(
+    id: RunnerId,
+    options: { isLost: boolean; nowMs: number },
+  ): void {
+    const view = this.#views.get(id);
+    if (view === undefined) return;
+    this.#views.delete(id);
+    this.#departures.set(id, view.joinedAtMs);
+    if (options.isLost) this.#holdDown.recordLoss(id, options.nowMs);
+    this.#select(options.nowMs);
+  }
+
+  /**
+   * Says whether the start of a runner at a time has been seen to end, so
+   * that a late record of it does not bring it back.
+   */
+  hasLeft(id: RunnerId, joinedAtMs: number): boolean {
+    return joinedAtMs <= (this.#departures.get(id) ?? -Infinity);
+  }
+
+  /** Takes in a load record unless a fresher one is known. */
+  observeLoad(
+    id: RunnerId,
+    record: { loadTokens: number; observedAtMs: number },
+  ): void {
+    const view = this.#views.get(id);
+    if (view === undefined || record.observedAtMs < view.observedAtMs) return;
+    view.loadTokens = record.loadTokens;
+    view.observedAtMs = record.observedAtMs;
+    for (const work of view.recentWork) {
+      if (work.sentAtMs > record.observedAtMs) continue;
+      view.recentWork.delete(work);
+      view.recentTokens -= work.tokens;
+    }
+  }
+
+  /** Records work that this process sends to a runner. */
+  begin(work: DispatchedWork): void {
+    const view = this.#views.get(work.runner);
+    if (view === undefined) return;
+    view.recentWork.add(work);
+    view.recentTokens += work.tokens;
+  }
+
+  /** Records that work which this process had sent has ended. */
+  complete(work: DispatchedWork): void {
+    const view = this.#views.get(work.runner);
+    if (view === undefined) return;
+    if (view.recentWork.delete(work)) view.recentTokens -= work.tokens;
+    else view.loadTokens = Math.max(0, view.loadTokens - work.tokens);
+  }
+
+  /** Mean expected load of the candidates for a capacity of 1. */
+  getMeanTokens(nowMs: number): number {
+    const candidates = this.getCandidates(nowMs);
+    let capacity = 0;
+    let tokens = 0;
+    for (const view of candidates) {
+      capacity += this.getCapacity(view, nowMs);
+      tokens += view.loadTokens + view.recentTokens;
+    }
+    return capacity === 0 ? 0 : tokens / capacity;
+  }
+
+  /** Capacity that a runner offers at a time, after any ramp-up. */
+  getCapacity(view: RunnerView, nowMs: number): number {
+    const { rampUpMs } = this.#options;
+    if (nowMs - view.joinedAtMs >= rampUpMs) return view.capacity;
+    return view.capacity *
+      getRampShare({ joinedAtMs: view.joinedAtMs, nowMs, rampUpMs });
+  }
+
+  #select(nowMs: number): void {
+    this.#version += 1;
+    this.#candidates = [];
+    this.#nextChangeMs = Infinity;
+    for (const view of this.#views.values()) {
+      const endMs = this.#holdDown.getEndMs(view.id);
+      if (nowMs < endMs) {
+        this.#nextChangeMs = Math.min(this.#nextChangeMs, endMs);
+        continue;
+      }
+      this.#candidates.push(view);
+    }
+  }
+}
+
+/** Load of a runner as this process expects it now, in weighted tokens. */
+export function getExpectedTokens(view: RunnerView): number {
+  return view.loadTokens + view.recentTokens;
+}
--- /dev/null
+++ b/packages/load/bin/measure.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/measure/main.js";
--- /dev/null
+++ b/packages/sidecar/src/requests/answer_usage.ts
@@ -0,0 +1,10 @@
+/** Finds the usage of an OpenAI-compatible answer near its end. */
+export function findComputedTokens(tail: string): number | undefined {
+  const [prompt, answer, cached] = [
+    "prompt_tokens",
+    "completion_tokens",
+    "cached_tokens",
+  ].map((name) => new RegExp(`"${name}":\\s*(\\d+)`).exec(tail)?.[1]);
+  if (prompt === undefined || answer === undefined) return undefined;
+  return Number(prompt) + Number(answer) - Number(cached ?? "0");
+}
