--- /dev/null
+++ b/packages/operator/src/declaration/declaration_store.ts
@@ -0,0 +1,33 @@
+/** The declaration in force, as the platform holds it. */
+import type { AcceptedConfiguration } from "@jasminetide/core/configuration";
+import {
+  loadAccepted,
+  publishConfiguration,
+} from "@jasminetide/runtime/configuration";
+import type { PlatformClient } from "@jasminetide/runtime/platform";
+
+/** Loads the declaration in force, or undefined before the first. */
+export function loadDeclaration(
+  platform: PlatformClient,
+): Promise<AcceptedConfiguration | undefined> {
+  return loadAccepted(platform);
+}
+
+/**
+ * Writes a declaration if `baseVersion` is still in force; 0 stands for none.
+ *
+ * @returns the new version.
+ * @throws AppError `versionConflict`, or `platformUnavailable` when the write
+ * may or may not have taken effect.
+ */
+export async function putDeclaration(
+  platform: PlatformClient,
+  options: { text: string; baseVersion: number },
+): Promise<number> {
+  const { text, baseVersion: expectedVersion } = options;
+  const { version } = await publishConfiguration(platform, {
+    text,
+    expectedVersion,
+  });
+  return version;
+}
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -1,3 +1,4 @@
+import { canRepeat, mergeAttemptErrors } from "@jasminetide/core/attempts";
 import type { Settings } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import { getBackoffMs } from "@jasminetide/core/retries";
@@ -62,15 +63,26 @@
   ) {
     const runner = dispatch.chooseRunner(tried);
     if (runner === undefined) break;
+    if (runner.state === "leaving") {
+      tried.add(runner.id);
+      lastError ??= AppError.create(
+        "runnerLeaving",
+        `Runner ${runner.id} takes no new work`,
+      );
+      continue;
+    }
     if (lastError !== undefined) {
       await checkRetry(dispatch, context, { lastError, retryCount: count - 1 });
     }
     try {
       return await tryRunner(dispatch, runner, context);
     } catch (thrown) {
-      lastError = normalizeError(thrown);
-      if (lastError.result !== "epochMismatch") tried.add(runner.id);
-      recordFailure(runner, lastError, context);
+      const error = normalizeError(thrown);
+      if (error.result !== "epochMismatch") tried.add(runner.id);
+      recordFailure(runner, error, context);
+      lastError = lastError === undefined
+        ? error
+        : mergeAttemptErrors([lastError, error]);
     }
   }
   throw lastError ?? createNoRunnerError(dispatch);
@@ -98,6 +110,7 @@
     stream: dispatch.settings.stream,
     silences: context.pool.silences,
   };
+  context.directory.recordDispatch(runner.id);
   const sentAtMs = context.timers.nowMs();
   const start = await openAnswer(attempt, attemptContext);
   context.directory.recordAnswer(runner.id, start.headers);
@@ -116,7 +129,7 @@
 ): Promise<void> {
   const { lastError, retryCount } = options;
   const { envelope, settings } = dispatch;
-  if (!envelope.isIdempotent && lastError.executed !== "no") throw lastError;
+  if (!canRepeat(envelope, lastError)) throw lastError;
   if (lastError.result === "callerGone") throw lastError;
   // A refusal has cost the pool nothing: the next rank is asked at once.
   if (isCheapRefusal(lastError)) return;
--- a/packages/router/src/attempts/hedge_request.ts
+++ b/packages/router/src/attempts/hedge_request.ts
@@ -1,3 +1,5 @@
+import { mergeAttemptErrors } from "@jasminetide/core/attempts";
+import { normalizeError } from "@jasminetide/core/results";
 import { getHedgeDelayMs } from "@jasminetide/core/retries";
 import {
   type DispatchContext,
@@ -52,7 +54,7 @@
   first: Promise<Dispatched>,
   second: Promise<Dispatched>,
 ): Promise<Dispatched> {
-  const winner = await Promise.any([first, second]).catch(() => first);
+  const winner = await Promise.any([first, second]).catch(throwMerged);
   for (const dispatched of [first, second]) {
     void dispatched.then(
       (other) => other === winner ? undefined : retire(other),
@@ -62,6 +64,11 @@
   return winner;
 }
 
+/** Neither attempt answered; the caller gets what is true of both. */
+function throwMerged(thrown: AggregateError): never {
+  throw mergeAttemptErrors(thrown.errors.map(normalizeError));
+}
+
 async function retire(dispatched: Dispatched): Promise<void> {
   dispatched.start.abort.abort();
   await abandonAttempt(dispatched.attempt, dispatched.context);
--- a/packages/sidecar/src/requests/run_attempt.ts
+++ b/packages/sidecar/src/requests/run_attempt.ts
@@ -14,7 +14,7 @@
 } from "@jasminetide/runtime/streams";
 import type { Dispatcher } from "undici";
 import type { StoredAttempt } from "./attempt_store.ts";
-import { findComputedTokens } from "./usage.ts";
+import { findComputedTokens } from "./answer_usage.ts";
 
 /** One request as the runner gets it. */
 export type RunnerRequest = {
