Find spilled chats after their keeper was lost

**Cause** A home that was restarted had lost its hints, sidecars preferred their own old hint to the keeper's later one, and runners held down for up to a minute counted as idle.

Ranks keep hashes by list and the pool keeps its sums.

--- a/packages/core/src/routing/chat_hints.ts
+++ b/packages/core/src/routing/chat_hints.ts
@@ -4,6 +4,18 @@
 /** Where the cache of a chat is held. */
 export type ChatHint = { runner: RunnerId; tokens: number };
 
+/**
+ * Chooses the hint that is later. Chats only grow, so that it is the one with
+ * the longer prefix.
+ */
+export function chooseLongerHint(
+  left: ChatHint | undefined,
+  right: ChatHint | undefined,
+): ChatHint | undefined {
+  if (left === undefined || right === undefined) return left ?? right;
+  return right.tokens > left.tokens ? right : left;
+}
+
 /** Bounds of the hints that one sidecar keeps. */
 export type ChatHintOptions = {
   maximumHints: number;
@@ -51,15 +63,10 @@
     this.#entries.set(key, { ...hint, expiresAtMs });
   }
 
-  /**
-   * Records a hint unless a longer prefix is known. Chats only grow, so that
-   * the longest prefix is the latest.
-   */
+  /** Records a hint unless a later one is known. */
   offer(key: bigint, hint: ChatHint): void {
     const known = this.find(key);
-    if (known === undefined || known.tokens < hint.tokens) {
-      this.record(key, hint);
-    }
+    if (chooseLongerHint(known, hint) === hint) this.record(key, hint);
   }
 
   /** Gets the hints, the most recently used first. */
--- a/packages/core/src/routing/pool_view.ts
+++ b/packages/core/src/routing/pool_view.ts
@@ -26,6 +26,8 @@
   /** Own work that the last record does not contain yet. */
   recentWork: Set<DispatchedWork>;
   recentTokens: number;
+  /** Whether the runner takes new work. */
+  isCandidate: boolean;
 };
 
 /** How a pool is seen. */
@@ -45,9 +47,15 @@
   readonly #holdDown: HoldDown;
   readonly #views = new Map<RunnerId, RunnerView>();
   readonly #departures = new Map<RunnerId, number>();
+  #members: RunnerView[] = [];
   #candidates: RunnerView[] = [];
   #nextChangeMs = Infinity;
   #version = 0;
+  /** Expected load and capacity of all candidates. */
+  #tokens = 0;
+  #capacity = 0;
+  /** Candidates that have not ramped up. */
+  #ramping: RunnerView[] = [];
 
   private constructor(options: PoolViewOptions) {
     this.#options = options;
@@ -65,9 +73,13 @@
     return this.#candidates;
   }
 
-  /** Changes whenever the runners that take new work change. */
-  getVersion(nowMs: number): number {
-    this.getCandidates(nowMs);
+  /** All runners of the pool, those that are held down among them. */
+  get members(): readonly RunnerView[] {
+    return this.#members;
+  }
+
+  /** Changes whenever a runner comes or goes. */
+  get version(): number {
     return this.#version;
   }
 
@@ -90,8 +102,9 @@
       joinedAtMs: options.joinedAtMs,
       recentWork: new Set(),
       recentTokens: 0,
+      isCandidate: false,
     });
-    this.#select(options.nowMs);
+    this.#change(options.nowMs);
   }
 
   /** Removes a runner; one that was lost is held down when it comes back. */
@@ -104,7 +117,7 @@
     this.#views.delete(id);
     this.#departures.set(id, view.joinedAtMs);
     if (options.isLost) this.#holdDown.recordLoss(id, options.nowMs);
-    this.#select(options.nowMs);
+    this.#change(options.nowMs);
   }
 
   /**
@@ -122,6 +135,7 @@
   ): void {
     const view = this.#views.get(id);
     if (view === undefined || record.observedAtMs < view.observedAtMs) return;
+    const before = getExpectedTokens(view);
     view.loadTokens = record.loadTokens;
     view.observedAtMs = record.observedAtMs;
     for (const work of view.recentWork) {
@@ -129,6 +143,7 @@
       view.recentWork.delete(work);
       view.recentTokens -= work.tokens;
     }
+    this.#addTokens(view, getExpectedTokens(view) - before);
   }
 
   /** Records work that this process sends to a runner. */
@@ -137,26 +152,27 @@
     if (view === undefined) return;
     view.recentWork.add(work);
     view.recentTokens += work.tokens;
+    this.#addTokens(view, work.tokens);
   }
 
   /** Records that work which this process had sent has ended. */
   complete(work: DispatchedWork): void {
     const view = this.#views.get(work.runner);
     if (view === undefined) return;
+    const before = getExpectedTokens(view);
     if (view.recentWork.delete(work)) view.recentTokens -= work.tokens;
     else view.loadTokens = Math.max(0, view.loadTokens - work.tokens);
+    this.#addTokens(view, getExpectedTokens(view) - before);
   }
 
   /** Mean expected load of the candidates for a capacity of 1. */
   getMeanTokens(nowMs: number): number {
-    const candidates = this.getCandidates(nowMs);
-    let capacity = 0;
-    let tokens = 0;
-    for (const view of candidates) {
-      capacity += this.getCapacity(view, nowMs);
-      tokens += view.loadTokens + view.recentTokens;
+    this.getCandidates(nowMs);
+    let capacity = this.#capacity;
+    for (const view of this.#ramping) {
+      capacity += this.getCapacity(view, nowMs) - view.capacity;
     }
-    return capacity === 0 ? 0 : tokens / capacity;
+    return capacity <= 0 ? 0 : Math.max(0, this.#tokens) / capacity;
   }
 
   /** Capacity that a runner offers at a time, after any ramp-up. */
@@ -167,18 +183,39 @@
       getRampShare({ joinedAtMs: view.joinedAtMs, nowMs, rampUpMs });
   }
 
-  #select(nowMs: number): void {
+  #change(nowMs: number): void {
     this.#version += 1;
+    this.#members = [...this.#views.values()];
+    this.#select(nowMs);
+  }
+
+  #select(nowMs: number): void {
     this.#candidates = [];
     this.#nextChangeMs = Infinity;
-    for (const view of this.#views.values()) {
+    for (const view of this.#members) {
       const endMs = this.#holdDown.getEndMs(view.id);
-      if (nowMs < endMs) {
-        this.#nextChangeMs = Math.min(this.#nextChangeMs, endMs);
-        continue;
-      }
-      this.#candidates.push(view);
+      view.isCandidate = nowMs >= endMs;
+      if (view.isCandidate) this.#candidates.push(view);
+      else this.#nextChangeMs = Math.min(this.#nextChangeMs, endMs);
     }
+    this.#summarize(nowMs);
+  }
+
+  #summarize(nowMs: number): void {
+    const { rampUpMs } = this.#options;
+    this.#tokens = 0;
+    this.#capacity = 0;
+    for (const view of this.#candidates) {
+      this.#tokens += getExpectedTokens(view);
+      this.#capacity += view.capacity;
+    }
+    this.#ramping = this.#candidates.filter((view) =>
+      nowMs - view.joinedAtMs < rampUpMs
+    );
+  }
+
+  #addTokens(view: RunnerView, tokens: number): void {
+    if (view.isCandidate) this.#tokens += tokens;
   }
 }
 
--- a/packages/core/src/routing/rank.ts
+++ b/packages/core/src/routing/rank.ts
@@ -14,7 +14,12 @@
   count?: number;
 };
 
-const runnerHashes = new Map<RunnerId, number>();
+/** Hashes and capacities of a list of runners, by place in the list. */
+type RankIndex = { hashes: Uint32Array; capacities: Float64Array };
+
+const indexes = new WeakMap<readonly Rankable[], RankIndex>();
+
+const hashRange = 4294967297;
 
 /**
  * Ranks runners for a chat by weighted rendezvous hashing (Thaler and
@@ -22,6 +27,7 @@
  * 2005). Selects the best `count` in one pass without sorting the rest.
  *
  * @param key 64-bit chat key.
+ * @param runners a list that is not changed later, since its hashes are kept.
  * @returns the runners, the home first; empty when there are none.
  */
 export function rankRunners<Runner extends Rankable>(
@@ -30,40 +36,61 @@
   options: RankOptions = {},
 ): Runner[] {
   const count = Math.min(options.count ?? runners.length, runners.length);
+  const { hashes, capacities } = getIndex(runners);
   const word = foldKey(key);
   const best: Runner[] = [];
   const scores: number[] = [];
-  for (const runner of runners) {
-    const score = getScore(word, runner);
+  let leastUniform = 0;
+  let leastCapacity = 0;
+  for (let index = 0; index < runners.length; index++) {
+    const uniform = (mix32(word, hashes[index]) + 1) / hashRange;
+    const capacity = capacities[index];
+    // Spares the logarithm of runners that cannot be among the best.
+    if (capacity === leastCapacity && uniform <= leastUniform) continue;
+    const score = -Math.log(uniform) / capacity;
     if (best.length === count && score >= scores[count - 1]) continue;
-    let place = best.length < count ? best.length : count - 1;
-    while (place > 0 && scores[place - 1] > score) {
-      best[place] = best[place - 1];
-      scores[place] = scores[place - 1];
-      place -= 1;
-    }
-    best[place] = runner;
-    scores[place] = score;
+    insertRanked(runners[index], { score, best, scores, count });
+    if (best.length < count) continue;
+    leastCapacity = capacity;
+    leastUniform = Math.exp(-scores[count - 1] * capacity);
   }
   return best;
 }
 
+type Ranking<Runner> = {
+  score: number;
+  best: Runner[];
+  scores: number[];
+  count: number;
+};
+
+function insertRanked<Runner>(runner: Runner, ranking: Ranking<Runner>): void {
+  const { best, count, score, scores } = ranking;
+  let place = best.length < count ? best.length : count - 1;
+  while (place > 0 && scores[place - 1] > score) {
+    best[place] = best[place - 1];
+    scores[place] = scores[place - 1];
+    place -= 1;
+  }
+  best[place] = runner;
+  scores[place] = score;
+}
+
 /** Folds a 64-bit key into the 32 bits that ranking mixes. */
 function foldKey(key: bigint): number {
   return Number(key & 0xffffffffn) ^ Number(key >> 32n);
 }
 
-/** Exponential variate with rate `capacity`; the smallest wins. */
-function getScore(word: number, runner: Rankable): number {
-  const uniform = (mix32(word, getRunnerHash(runner.id)) + 1) / 4294967297;
-  return -Math.log(uniform) / Math.max(runner.capacity, Number.MIN_VALUE);
-}
-
-function getRunnerHash(id: RunnerId): number {
-  let hash = runnerHashes.get(id);
-  if (hash === undefined) {
-    hash = hash32(id);
-    runnerHashes.set(id, hash);
-  }
-  return hash;
+function getIndex(runners: readonly Rankable[]): RankIndex {
+  const known = indexes.get(runners);
+  if (known !== undefined) return known;
+  const index = {
+    hashes: Uint32Array.from(runners, ({ id }) => hash32(id)),
+    capacities: Float64Array.from(
+      runners,
+      ({ capacity }) => Math.max(capacity, Number.MIN_VALUE),
+    ),
+  };
+  indexes.set(runners, index);
+  return index;
 }
--- a/packages/load/src/measure/main.ts
+++ b/packages/load/src/measure/main.ts
@@ -10,6 +10,7 @@
   run,
   string,
 } from "cmd-ts";
+import { measureDecisions } from "./decision_bench.ts";
 import { writePlot } from "./plot.ts";
 import { mechanismNames, policyNames } from "./policies.ts";
 import { type FiguresByPolicy, formatFigures } from "./report.ts";
@@ -18,6 +19,9 @@
 
 const minuteMs = 60_000;
 
+/** Runners of today and of the size that is aimed at. */
+const decisionSizes = [13, 660];
+
 const program = command({
   name: "measure",
   description: "Measures routing policies in virtual time. The same seed " +
@@ -55,6 +59,11 @@
       description: "Turn off one mechanism of ours: " +
         Object.keys(mechanismNames).join(", "),
     }),
+    decisions: flag({
+      type: boolean,
+      long: "decisions",
+      description: "Time routing decisions over 13 and 660 runners instead",
+    }),
     plot: option({
       type: optional(string),
       long: "plot",
@@ -62,6 +71,13 @@
     }),
   },
   handler: async (args) => {
+    if (args.decisions) {
+      for (const runners of decisionSizes) {
+        const figures = measureDecisions({ runners, seed: args.seed });
+        console.log(JSON.stringify(figures));
+      }
+      return;
+    }
     const scenario = {
       ...todayScenario,
       seed: args.seed,
--- a/packages/load/src/measure/policies.ts
+++ b/packages/load/src/measure/policies.ts
@@ -28,6 +28,7 @@
   rampUp: boolean;
   holdDown: boolean;
   kvTransfer: boolean;
+  peakHoldBack: boolean;
 };
 
 /** Names of the mechanisms on the command line. */
@@ -37,6 +38,7 @@
   "ramp-up": "rampUp",
   "hold-down": "holdDown",
   "kv-transfer": "kvTransfer",
+  "peak-hold-back": "peakHoldBack",
 } as const satisfies Record<string, keyof Mechanisms>;
 
 /** Name of a mechanism on the command line. */
@@ -54,6 +56,7 @@
     rampUp: isOurs,
     holdDown: isOurs,
     kvTransfer: isOurs || policy === "all-knowing",
+    peakHoldBack: isOurs,
   };
   if (isOurs && without !== undefined) {
     mechanisms[mechanismNames[without]] = false;
--- a/packages/load/src/measure/traffic.ts
+++ b/packages/load/src/measure/traffic.ts
@@ -23,6 +23,8 @@
   systemTokens: number;
   promptTokens: number;
   answerTokens: number;
+  /** Answer tokens as far as they can be known beforehand. */
+  expectedAnswerTokens: number;
   /** Work as routers and sidecars count it. */
   costTokens: number;
   /** Router that the balancer chose. */
@@ -35,6 +37,8 @@
 const systemTokens = 800;
 const userTokens = { smallest: 20, mean: 80 };
 const answerTokens = { smallest: 40, mean: 360 };
+/** Text of a shift or a tour that a summary is made of. */
+const deferrableUserTokens = { smallest: 1000, mean: 4000 };
 const deferrableAnswerTokens = { smallest: 400, mean: 1200 };
 /** Median pause between two turns; one in a hundred exceeds 40 times that. */
 const pauseMedianMs = 30_000;
@@ -91,7 +95,10 @@
   let atMs = options.startMs;
   let index = 0;
   do {
-    promptTokens += draw(userTokens, random);
+    promptTokens += draw(
+      isDeferrable ? deferrableUserTokens : userTokens,
+      random,
+    );
     const answer = draw(expected, random);
     turns.push({
       atMs,
@@ -101,6 +108,7 @@
       systemTokens,
       promptTokens,
       answerTokens: answer,
+      expectedAnswerTokens: expected.mean,
       costTokens: getWeightedTokens({
         promptTokens,
         answerTokens: expected.mean,
