Bound workspace limits over all routers by grants

**Cause** Each router sees a sliver of a workspace's traffic, so that no local limit holds over all.

**Change** One process owns a workspace's bucket and grants quota; routers admit from grants that expire, or one request in advance.

**Conclusion** The decision code holds its bound; the processes do not use it yet.

--- /dev/null
+++ b/packages/core/src/limits/limits_test.ts
@@ -0,0 +1,183 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import { createSeededRandom, type RandomSource } from "../random/mod.ts";
+import { quotaGrantMs, QuotaHolder } from "./quota_holder.ts";
+import { quotaBurstMs, QuotaOwner } from "./quota_owner.ts";
+
+type Admitted = { router: number; atMs: number };
+
+type Run = {
+  routers: number;
+  requestsPerSecond: number;
+  offeredPerSecond: number;
+  durationMs: number;
+  random: RandomSource;
+  /** Share of the requests that the first router gets. */
+  firstShare?: number;
+  /** Share of the grants that are lost. */
+  lossShare?: number;
+  /** Time at which a second owner takes over, and for how long both grant. */
+  change?: { atMs: number; overlapMs: number };
+};
+
+type World = { run: Run; admitted: Admitted[] };
+
+const seed = 20_261_205;
+const bounds = { maximumWorkspaces: 10 };
+const workspace = "w";
+const stepMs = 10;
+const askPeriodMs = 250;
+const requestTokens = 100;
+
+function simulate(run: Run): Admitted[] {
+  const owners = [QuotaOwner.create(bounds), QuotaOwner.create(bounds)];
+  const holders = Array.from(
+    { length: run.routers },
+    () => QuotaHolder.create(bounds),
+  );
+  const admitted: Admitted[] = [];
+  for (let nowMs = 0; nowMs < run.durationMs; nowMs += stepMs) {
+    if (run.random.getFloat() < run.offeredPerSecond * stepMs / 1000) {
+      const router = chooseRouter(run);
+      const use = { workspace, tokens: requestTokens, nowMs };
+      if (holders[router].tryAdmit(use)) admitted.push({ router, atMs: nowMs });
+    }
+    if (nowMs % askPeriodMs !== 0) continue;
+    holders.forEach((holder, index) => {
+      askOwner(holder, {
+        run,
+        nowMs,
+        owner: owners[getOwner(run, index, nowMs)],
+      });
+    });
+  }
+  return admitted;
+}
+
+function chooseRouter(run: Run): number {
+  const { firstShare, random, routers } = run;
+  if (firstShare === undefined) return random.getInteger(routers);
+  if (random.getFloat() < firstShare) return 0;
+  return 1 + random.getInteger(routers - 1);
+}
+
+/** While both owners are asked, every other router asks the new one. */
+function getOwner(run: Run, router: number, nowMs: number): number {
+  if (run.change === undefined || nowMs < run.change.atMs) return 0;
+  if (nowMs >= run.change.atMs + run.change.overlapMs) return 1;
+  return router % 2;
+}
+
+function askOwner(
+  holder: QuotaHolder,
+  options: { run: Run; owner: QuotaOwner; nowMs: number },
+): void {
+  const { nowMs, owner, run } = options;
+  const { random, requestsPerSecond } = run;
+  const rate = { requests: requestsPerSecond, tokens: 1_000_000 };
+  for (const { wanted } of holder.takeWanted()) {
+    const quota = owner.grant({ workspace, wanted, rate, nowMs });
+    if (random.getFloat() < (run.lossShare ?? 0)) continue;
+    holder.applyGrant(workspace, { quota, nowMs });
+  }
+}
+
+function getBound(run: Run, windowMs: number): number {
+  const overlapMs = run.change?.overlapMs ?? 0;
+  const seconds = (windowMs + quotaGrantMs + quotaBurstMs + overlapMs) / 1000;
+  return run.requestsPerSecond * seconds + run.routers;
+}
+
+Given(
+  "{int} routers and a workspace limit of {int} requests a second",
+  function (this: World, routers: number, requestsPerSecond: number) {
+    this.run = {
+      routers,
+      requestsPerSecond,
+      offeredPerSecond: 100,
+      durationMs: 10_000,
+      random: createSeededRandom(seed),
+    };
+  },
+);
+
+Then(
+  "a first request is admitted at each router at once",
+  function (this: World) {
+    for (let router = 0; router < this.run.routers; router++) {
+      const holder = QuotaHolder.create(bounds);
+      assert.ok(holder.tryAdmit({ workspace, tokens: 1, nowMs: 0 }));
+    }
+  },
+);
+
+When(
+  "the workspace sends {int} requests a second for {int} seconds",
+  function (this: World, offeredPerSecond: number, seconds: number) {
+    const durationMs = seconds * 1000;
+    this.admitted = simulate({ ...this.run, offeredPerSecond, durationMs });
+  },
+);
+
+When(
+  "one router gets 3 in 4 of {int} requests a second for {int} seconds",
+  function (this: World, offeredPerSecond: number, seconds: number) {
+    this.admitted = simulate({
+      ...this.run,
+      offeredPerSecond,
+      durationMs: seconds * 1000,
+      firstShare: 0.75,
+    });
+  },
+);
+
+Then(
+  "between {int} and {int} requests are admitted",
+  function (this: World, least: number, most: number) {
+    const { length } = this.admitted;
+    assert.ok(length >= least && length <= most, `${length} admitted`);
+  },
+);
+
+Then("that router admits the most", function (this: World) {
+  const first = this.admitted.filter(({ router }) => router === 0);
+  assert.ok(first.length > this.admitted.length / 2);
+});
+
+Then(
+  "in {int} random runs no window admits more than the bound",
+  (numRuns: number) => {
+    const run = fc.record({
+      routers: fc.integer({ min: 1, max: 8 }),
+      requestsPerSecond: fc.integer({ min: 1, max: 50 }),
+      offeredPerSecond: fc.integer({ min: 1, max: 100 }),
+      lossShare: fc.double({ min: 0, max: 0.5, noNaN: true }),
+      change: fc.option(
+        fc.record({
+          atMs: fc.integer({ min: 0, max: 5000 }),
+          overlapMs: fc.integer({ min: 0, max: 3000 }),
+        }),
+        { nil: undefined },
+      ),
+      trafficSeed: fc.integer(),
+    });
+    fc.assert(
+      fc.property(run, ({ trafficSeed, ...options }) => {
+        const whole: Run = {
+          ...options,
+          durationMs: 8000,
+          random: createSeededRandom(trafficSeed),
+        };
+        const times = simulate(whole).map(({ atMs }) => atMs);
+        for (const [index, startMs] of times.entries()) {
+          const windowMs = 2000;
+          const end = times.findIndex((atMs) => atMs > startMs + windowMs);
+          const count = (end < 0 ? times.length : end) - index;
+          assert.ok(count <= getBound(whole, windowMs));
+        }
+      }),
+      { seed, numRuns },
+    );
+  },
+);
