Place chats and lookups by load in the router

**Cause** The router sent each turn to its home whatever the load, and lookups to any runner.

**Change** The router keeps a view of each pool, synced from membership, counts the work that it has sent itself, and chooses by bounded load; lookups take the less loaded of two in the own failure domain. `load.spillMultiple` is a setting.

**Measured** `npx cucumber-js`: 263 scenarios passed. With the counting of own work taken out, "Work of this router counts before any record tells it" and "Own work counts until a record contains it" fail.

--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -9,6 +9,8 @@
 const loadSchema = z.object({
   /** No engine is admitted work beyond this multiple of the pool's mean. */
   capMultiple: z.number().min(1).default(1.25),
+  /** A router sends chats elsewhere beyond this multiple of the mean. */
+  spillMultiple: z.number().min(1).default(1.04),
   /** Load in tokens below which the cap never refuses. */
   minimumTokens: z.number().int().nonnegative().default(8192),
 });
--- a/packages/core/src/membership/record.ts
+++ b/packages/core/src/membership/record.ts
@@ -69,3 +69,8 @@
 export function createEpoch(nowMs: number, random: RandomSource): number {
   return Math.floor(nowMs) * epochsPerMs + random.getInteger(epochsPerMs);
 }
+
+/** Gets the time at which the process of an epoch started. */
+export function getStartMs(epoch: Epoch): number {
+  return Math.floor(epoch / epochsPerMs);
+}
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AppError } from "@jasminetide/core/results";
-import { getChatKey, rankRunners } from "@jasminetide/core/routing";
+import { getChatKey } from "@jasminetide/core/routing";
 import { readBody, sendJson } from "@jasminetide/runtime/http";
 import { dispatchRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
+import { ChatPlacement } from "../placement/mod.ts";
 import { sendRequest } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 import {
@@ -31,10 +32,17 @@
     throw AppError.create("unknownModel", `No model "${chat.model}"`);
   }
   const key = getKey(request, { workspace, chat });
-  const ranked = rankRunners(
+  const costTokens = getCostTokens(chat, body.length);
+  using placement = ChatPlacement.create({
     key,
-    context.directory.getCandidates(chat.model),
-  );
+    costTokens,
+    pool: context.poolViews.get(chat.model, {
+      nowMs: context.timers.nowMs(),
+      rampUpMs: settings.membership.rampUpMs,
+    }),
+    settings: settings.load,
+    timers: context.timers,
+  });
   await sendRequest(
     {
       request: {
@@ -47,7 +55,7 @@
         workspace,
         priority: requestClass.priority,
         weight: settings.workspace.weight,
-        costTokens: getCostTokens(chat, body.length),
+        costTokens,
         pool: chat.model,
         chatKey: key.toString(16),
         isIdempotent: true,
@@ -55,7 +63,12 @@
       },
       deadlineAtMs: arrivedAtMs + deadlineMs,
       settings,
-      chooseRunner: (tried) => ranked.find((runner) => !tried.has(runner.id)),
+      chooseRunner: (tried) => {
+        const runner = placement.choose(tried);
+        return runner === undefined
+          ? undefined
+          : context.directory.runners.get(runner);
+      },
     },
     response,
     {
--- /dev/null
+++ b/packages/router/src/placement/chat_placement.ts
@@ -0,0 +1,64 @@
+import type { Settings } from "@jasminetide/core/configuration";
+import {
+  chooseChatRunner,
+  type DispatchedWork,
+  type PoolView,
+} from "@jasminetide/core/routing";
+import type { TimerService } from "@jasminetide/core/timers";
+
+/** A turn of a chat and what its placement works with. */
+export type ChatPlacementOptions = {
+  /** 64-bit chat key. */
+  key: bigint;
+  costTokens: number;
+  pool: PoolView;
+  settings: Settings["load"];
+  timers: TimerService;
+};
+
+/**
+ * Chooses the runners for the attempts at one turn. The work of the present
+ * attempt counts in the pool's view until the next is chosen or the placement
+ * is disposed of.
+ */
+export class ChatPlacement implements Disposable {
+  readonly #options: ChatPlacementOptions;
+  #work: DispatchedWork | undefined;
+
+  private constructor(options: ChatPlacementOptions) {
+    this.#options = options;
+  }
+
+  /** Creates the placement of a turn. */
+  static create(options: ChatPlacementOptions): ChatPlacement {
+    return new ChatPlacement(options);
+  }
+
+  /** Chooses the runner for the next attempt; its load counts from now on. */
+  choose(tried: ReadonlySet<string>): string | undefined {
+    const { costTokens, key, pool, settings, timers } = this.#options;
+    this.#complete();
+    const nowMs = timers.nowMs();
+    const { spillMultiple, minimumTokens } = settings;
+    const choice = chooseChatRunner(
+      { key, costTokens, tried },
+      pool,
+      { nowMs, spillMultiple, minimumTokens },
+    );
+    if (choice === undefined) return undefined;
+    const runner = choice.runner.id;
+    this.#work = { runner, tokens: costTokens, sentAtMs: nowMs };
+    pool.begin(this.#work);
+    return runner;
+  }
+
+  /** Records that the turn has ended. */
+  [Symbol.dispose](): void {
+    this.#complete();
+  }
+
+  #complete(): void {
+    if (this.#work !== undefined) this.#options.pool.complete(this.#work);
+    this.#work = undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/placement/mod.ts
@@ -0,0 +1,3 @@
+/** Views of the pools and the choice of runners from them. */
+export * from "./chat_placement.ts";
+export * from "./pool_views.ts";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -41,6 +41,7 @@
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
+import { PoolViews } from "./placement/mod.ts";
 import type { RequestSettings, RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -276,6 +277,8 @@
       connections: this.#connections,
       pools: this.#pools,
       ledgerRoutes: LedgerRoutes.create(),
+      poolViews: PoolViews.create({ source: membership }),
+      failureDomain: this.#options.settings.failureDomain,
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from "@jasminetide/runtime/metrics";
 import type { Connections, PoolStates } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
+import type { PoolViews } from "./placement/mod.ts";
 import type { LedgerRoutes } from "./ledger/mod.ts";
 
 /** Settings in force for one request. */
@@ -26,6 +27,9 @@
   connections: Connections;
   pools: PoolStates;
   ledgerRoutes: LedgerRoutes;
+  poolViews: PoolViews;
+  /** Failure domain of this router. */
+  failureDomain: string;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Service } from "@jasminetide/core/configuration";
 import { AppError } from "@jasminetide/core/results";
+import { chooseLookupRunner } from "@jasminetide/core/routing";
 import { copyForwardedHeaders } from "@jasminetide/runtime/exchange";
 import { readBody } from "@jasminetide/runtime/http";
 import { dispatchRequest, hedgeRequest } from "../attempts/mod.ts";
@@ -28,7 +29,10 @@
   });
   const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
   const body = await readBody(request, settings.request.maximumBodyBytes);
-  const runners = context.directory.getCandidates(service.name);
+  const pool = context.poolViews.get(service.name, {
+    nowMs: context.timers.nowMs(),
+    rampUpMs: settings.membership.rampUpMs,
+  });
   const method = request.method ?? "GET";
   const path = request.url ?? "/";
   const headers = copyForwardedHeaders(request.headers);
@@ -60,8 +64,14 @@
       deadlineAtMs,
       settings,
       chooseRunner: (tried) => {
-        const left = runners.filter((runner) => !tried.has(runner.id));
-        return left[context.random.getInteger(left.length)];
+        const { directory, failureDomain, random, timers } = context;
+        const runner = chooseLookupRunner(
+          pool.getCandidates(timers.nowMs()),
+          { failureDomain, random, tried },
+        );
+        return runner === undefined
+          ? undefined
+          : directory.runners.get(runner.id);
       },
     },
     response,
