--- a/packages/sidecar/src/requests/attempt_store.ts
+++ b/packages/sidecar/src/requests/attempt_store.ts
@@ -18,8 +18,10 @@
 /** How attempts are kept. */
 export type AttemptStoreOptions = {
   epoch: Epoch;
-  /** Time for which answers and tombstones are kept. */
+  /** Time for which it is known what became of an attempt. */
   retentionMs: number;
+  /** Time for which a whole answer that nobody reads is kept. */
+  answerRetentionMs: number;
   /** Time after which an idempotent attempt without readers is cancelled. */
   orphanMs: number;
 };
@@ -134,8 +136,8 @@
     }
     throw AppError.create(
       "epochMismatch",
-      `Nothing is known of attempt ${id} of epoch ${options.epoch}`,
-      { executed: "unknown" },
+      `No answer is kept of attempt ${id} of epoch ${options.epoch}`,
+      { executed: settlement.type === "done" ? "yes" : "unknown" },
     );
   }
 
@@ -143,11 +145,18 @@
   expire(nowMs: number): void {
     this.#table.expire(nowMs);
     for (const [id, attempt] of this.#attempts) {
-      if (this.#table.get(id) === undefined) this.#attempts.delete(id);
-      else if (this.#isOrphan(attempt, nowMs)) this.cancel(id);
+      const isKnown = this.#table.get(id) !== undefined;
+      if (!isKnown || this.#isOutdated(attempt, nowMs)) {
+        this.#attempts.delete(id);
+      } else if (this.#isOrphan(attempt, nowMs)) this.cancel(id);
     }
   }
 
+  #isOutdated(attempt: StoredAttempt, nowMs: number): boolean {
+    return attempt.answer.state !== "open" && attempt.readers === 0 &&
+      nowMs - attempt.unreadSinceMs >= this.#options.answerRetentionMs;
+  }
+
   #isOrphan(attempt: StoredAttempt, nowMs: number): boolean {
     return attempt.answer.state === "open" && attempt.readers === 0 &&
       nowMs - attempt.unreadSinceMs >= this.#options.orphanMs;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -52,9 +52,12 @@
   logger: Logger;
 };
 
-/** How long answers and tombstones are kept. */
+/** How long it is known what became of an attempt. */
 const attemptRetentionMs = 60_000;
 
+/** How long a router may take to come back for an answer. */
+const answerRetentionMs = 10_000;
+
 /** Time after which an idempotent attempt that nobody reads is cancelled. */
 const orphanMs = 5000;
 
@@ -94,6 +97,7 @@
     this.#attempts = AttemptStore.create({
       epoch: createEpoch(timers.nowMs(), createSystemRandom()),
       retentionMs: attemptRetentionMs,
+      answerRetentionMs,
       orphanMs,
     });
     this.#effective = EffectiveSettings.create({
