Check effects of money calls in histories of load

**Cause** Histories of the load tool said nothing of effects, so that neither at most once nor not-run promises were checked; the stand-in of a service knew one name and two paths.

**Change** A scenario names stand-ins that tell which keys took effect. The header of a history says which effects it has. The service's stand-in takes any name, refunds and deposits, balances and tickets; the local fleet takes a folder. Requests that the end of a run cuts are told apart.

**Conclusion** A refund that takes effect twice shows in a load run.

--- a/packages/load/src/history/check_effects.ts
+++ b/packages/load/src/history/check_effects.ts
@@ -22,9 +22,10 @@
  * reported as done was done.
  */
 export function checkNotRun(index: HistoryIndex): Violation[] {
-  if (!index.hasEffects) return [];
+  if (index.knownEffects === "none") return [];
   const violations = findRunChats(index);
   for (const [key, calls] of groupMoneyCalls(index)) {
+    if (!isEffectKnown(index, calls[0])) continue;
     const effects = index.effects.get(key) ?? 0;
     if (effects > 0 && calls.every(isNotRun)) {
       violations.push({
@@ -44,6 +45,10 @@
   return violations;
 }
 
+function isEffectKnown(index: HistoryIndex, call: MoneyCall): boolean {
+  return index.knownEffects === "all" || call.operation.key !== undefined;
+}
+
 /** Chats and lookups that took effect though their callers were told not. */
 function findRunChats(index: HistoryIndex): Violation[] {
   const calls = [...index.calls.values()].filter((call) =>
--- a/packages/load/src/history/check_history.ts
+++ b/packages/load/src/history/check_history.ts
@@ -3,7 +3,7 @@
 import { checkAtMostOnce, checkNotRun } from "./check_effects.ts";
 import { checkMoneyKeys } from "./check_money_keys.ts";
 import type { HistoryEvent } from "./events.ts";
-import { createHistoryIndex } from "./history_index.ts";
+import { createHistoryIndex, type HistoryIndex } from "./history_index.ts";
 import type { Violation } from "./violations.ts";
 
 /** Result of checking a history. */
@@ -16,8 +16,8 @@
   unknown: number;
   effects: number;
   configurations: number;
-  /** Whether the runners' effects are in the history. */
-  hasEffects: boolean;
+  /** Which runs at runners are in the history. */
+  knownEffects: HistoryIndex["knownEffects"];
   violations: Violation[];
 };
 
@@ -38,7 +38,7 @@
     unknown: outcomes.length - answered - notRun,
     effects: [...index.effects.values()].reduce((sum, one) => sum + one, 0),
     configurations: index.configurations.length,
-    hasEffects: index.hasEffects,
+    knownEffects: index.knownEffects,
     violations: [
       ...index.malformed,
       ...checkAtMostOnce(index),
@@ -57,12 +57,21 @@
     `${report.calls} calls: ${report.answered} answered, ` +
     `${report.notRun} not run, ${report.unknown} of unknown outcome`,
     `${report.effects} effects, ${report.configurations} configurations seen`,
-    ...(report.hasEffects ? [] : [
-      "Effects are not in this history: not-run promises are not checked",
-    ]),
+    ...formatUnchecked(report.knownEffects),
     ...violations.map(({ check, subject, detail }) =>
       `VIOLATION ${check}: ${subject} ${detail}`
     ),
     `${violations.length} violations`,
   ].join("\n");
 }
+
+function formatUnchecked(known: HistoryIndex["knownEffects"]): string[] {
+  switch (known) {
+    case "all":
+      return [];
+    case "by-key":
+      return ["Not-run promises are checked for money calls with keys alone"];
+    case "none":
+      return ["Effects are not in this history: not-run promises unchecked"];
+  }
+}
--- a/packages/load/src/history/events.ts
+++ b/packages/load/src/history/events.ts
@@ -8,8 +8,8 @@
 const headerSchema = z.object({
   type: z.literal("header"),
   formatVersion: z.literal(1),
-  /** Whether the runners' effects are in the history. */
-  hasEffects: z.boolean(),
+  /** Which runs at runners are in the history. */
+  effects: z.enum(["none", "by-key", "all"]),
   seed: z.number().int().optional(),
 });
 
--- a/packages/load/src/history/history_index.ts
+++ b/packages/load/src/history/history_index.ts
@@ -17,7 +17,8 @@
   /** Number of effects by key. */
   effects: Map<string, number>;
   configurations: EventOf<"configuration">[];
-  hasEffects: boolean;
+  /** Which runs at runners are in the history. */
+  knownEffects: EventOf<"header">["effects"];
   /** Events that contradict one another. */
   malformed: Violation[];
 };
@@ -30,7 +31,7 @@
     calls: new Map(),
     effects: new Map(),
     configurations: [],
-    hasEffects: false,
+    knownEffects: "none",
     malformed: [],
   };
   const completions: EventOf<"complete">[] = [];
@@ -48,7 +49,7 @@
 ): void {
   switch (event.type) {
     case "header":
-      index.hasEffects ||= event.hasEffects;
+      index.knownEffects = event.effects;
       break;
     case "invoke":
       addCall(index, event);
--- a/packages/load/src/history/history_test.ts
+++ b/packages/load/src/history/history_test.ts
@@ -94,7 +94,7 @@
 /** The parts of a sound history, which a planted violation replaces. */
 function createParts() {
   return {
-    header: [{ type: "header", formatVersion: 1, hasEffects: true }],
+    header: [{ type: "header", formatVersion: 1, effects: "all" }],
     chat: createChat("t1-0 t1-1 t1-2 "),
     lookup: createLookup("a1"),
     refund: createRefund("refund-1", { key: "key-1" }),
--- a/packages/load/src/run/load_run.ts
+++ b/packages/load/src/run/load_run.ts
@@ -18,6 +18,7 @@
 import type { HistoryEvent, Outcome } from "../history/mod.ts";
 import type { Mix, Scenario } from "../scenario/mod.ts";
 import { recordConfigurations } from "./configuration_sampler.ts";
+import { recordEffects } from "./effect_reader.ts";
 import { LoadStats } from "./load_stats.ts";
 
 /** What a run works with. */
@@ -68,7 +69,7 @@
     this.#options.record({
       type: "header",
       formatVersion: 1,
-      hasEffects: false,
+      effects: scenario.effectAddresses.length > 0 ? "by-key" : "none",
       seed: scenario.seed,
     });
     using _sampler = timers.subscribe(samplePeriodMs, () => this.#sample());
@@ -81,6 +82,9 @@
       work.push(this.#execute(arrival));
     }
     await this.#finish(work);
+    for (const address of scenario.effectAddresses) {
+      await recordEffects(address, this.#options.record);
+    }
   }
 
   /** Stops what is still in flight. */
@@ -227,6 +231,7 @@
       intendedAtMs: call.dueMs,
       firstAtMs,
       completedAtMs,
+      isUnfinished: outcome.type === "lost" && this.#abort.signal.aborted,
     });
   }
 
--- a/packages/load/src/run/load_run_test.ts
+++ b/packages/load/src/run/load_run_test.ts
@@ -87,7 +87,7 @@
 When("a short mixed load is sent to it", async function (this: World) {
   const target = this.fleet.routers[0].callerAddress;
   const events = await sendLoad(target, [chats, lookups, refunds]);
-  events.push({ type: "header", formatVersion: 1, hasEffects: true });
+  events.push({ type: "header", formatVersion: 1, effects: "by-key" });
   for (const [key, count] of this.fleet.deposits.effects) {
     for (let effect = 0; effect < count; effect += 1) {
       events.push({ type: "effect", runner: "shared", key });
--- a/packages/load/src/run/load_stats.ts
+++ b/packages/load/src/run/load_stats.ts
@@ -46,6 +46,8 @@
   intendedAtMs: number;
   firstAtMs: number | undefined;
   completedAtMs: number;
+  /** Whether the run ended while the answer was still waited for. */
+  isUnfinished?: boolean;
 };
 
 const microsecondsPerMs = 1000;
@@ -79,7 +81,7 @@
       recordMs(stats.firstByte, (firstAtMs ?? completedAtMs) - intendedAtMs);
       return;
     }
-    const name = outcome.type === "failed" ? String(outcome.code) : "lost";
+    const name = formatFailure(request);
     stats.failures.set(name, (stats.failures.get(name) ?? 0) + 1);
     const isNotRun = outcome.type === "failed" && outcome.executed === "no";
     if (isNotRun) stats.notRun += 1;
@@ -125,6 +127,12 @@
   }
 }
 
+function formatFailure(request: FinishedRequest): string {
+  if (request.isUnfinished === true) return "unfinished at the end of the run";
+  const { outcome } = request;
+  return outcome.type === "failed" ? String(outcome.code) : "lost";
+}
+
 function createMixStats(): MixStats {
   return {
     sent: 0,
--- a/packages/load/src/scenario/schema.ts
+++ b/packages/load/src/scenario/schema.ts
@@ -96,6 +96,8 @@
   /** Whose processes are asked for their configuration each second. */
   platformAddress: addressSchema.optional(),
   operatorKey: z.string().min(1).optional(),
+  /** Stand-ins of services that tell which keys took effect. */
+  effectAddresses: z.array(addressSchema).default([]),
   mixes: z.array(mixSchema).min(1),
 });
 
--- a/packages/load/src/scenario/targets.ts
+++ b/packages/load/src/scenario/targets.ts
@@ -13,11 +13,10 @@
  * @throws AppError `invalidSettings` that names the other address.
  */
 export function checkLoopbackTargets(scenario: Scenario): void {
-  const { targets, platformAddress } = scenario;
-  const addresses = platformAddress === undefined
-    ? targets
-    : [...targets, platformAddress];
+  const { effectAddresses, platformAddress, targets } = scenario;
+  const addresses = [...targets, ...effectAddresses, platformAddress];
   for (const address of addresses) {
+    if (address === undefined) continue;
     const { ip } = parseAddress(address);
     if (loopback.check(ip, isIPv6(ip) ? "ipv6" : "ipv4")) continue;
     throw AppError.create(
--- a/packages/load/src/soak/episode.ts
+++ b/packages/load/src/soak/episode.ts
@@ -48,7 +48,7 @@
   const world = World.create(options);
   const before = new Map(getViolationCounts());
   const fleet = createFleet(world, options);
-  world.events.push({ type: "header", formatVersion: 1, hasEffects: true });
+  world.events.push({ type: "header", formatVersion: 1, effects: "all" });
   for (const fault of options.faults) {
     world.timers.schedule(fault.startMs, () => beginFault(fleet, fault));
   }
--- a/packages/local_fleet/src/local_fleet.ts
+++ b/packages/local_fleet/src/local_fleet.ts
@@ -180,7 +180,10 @@
 
   #createRunner(settings: SidecarSettings): RequestListener {
     if (settings.kind === "service") {
-      const service = DepositLedger.create(this.deposits);
+      const service = DepositLedger.create(
+        this.deposits,
+        settings.pools[0],
+      );
       return (request, response) => void service.handle(request, response);
     }
     const { standIns } = this.#options.definition;
--- a/packages/local_fleet/src/main.ts
+++ b/packages/local_fleet/src/main.ts
@@ -1,3 +1,4 @@
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import { createLogger } from "@jasminetide/runtime/logging";
@@ -5,9 +6,12 @@
 import { loadFleet } from "./load_fleet.ts";
 import { LocalFleet } from "./local_fleet.ts";
 
-const folder = fileURLToPath(
+const localFolder = fileURLToPath(
   new URL("../../../examples/local", import.meta.url),
 );
+
+/** Folder of another fleet, such as `examples/vozikovy`. */
+const folder = process.argv[2] ?? localFolder;
 const logger = createLogger({ process: "local-fleet" });
 const readyPollMs = 50;
 
--- a/packages/stand_in/src/service/deposit_ledger.ts
+++ b/packages/stand_in/src/service/deposit_ledger.ts
@@ -15,6 +15,10 @@
 
 const maxBodyBytes = 65_536;
 
+/** What moves money, and what only reads. */
+const moneyPaths = new Set(["refunds", "deposits"]);
+const lookupPaths = new Set(["balances", "tickets"]);
+
 /** What runners of one service share: balances and effects. */
 export type DepositState = {
   balances: Map<string, number>;
@@ -44,14 +48,22 @@
  */
 export class DepositLedger {
   readonly #state: DepositState;
+  readonly #service: string;
 
-  private constructor(state: DepositState) {
+  private constructor(state: DepositState, service: string) {
     this.#state = state;
+    this.#service = service;
   }
 
-  /** Creates a runner of the service on shared state. */
-  static create(state: DepositState): DepositLedger {
-    return new DepositLedger(state);
+  /**
+   * Creates a runner of the service on shared state. Any service name takes
+   * refunds and deposits, and gives balances and tickets.
+   */
+  static create(
+    state: DepositState,
+    service = "deposit-ledger",
+  ): DepositLedger {
+    return new DepositLedger(state, service);
   }
 
   /** Handles one HTTP request. */
@@ -61,12 +73,14 @@
   ): Promise<void> {
     try {
       const path = request.url ?? "/";
-      if (request.method === "POST" && path === "/deposit-ledger/refunds") {
+      const [, service, resource, account] = path.split("/");
+      const isOwn = service === this.#service;
+      if (isOwn && request.method === "POST" && moneyPaths.has(resource)) {
         await this.#refund(request, response);
       } else if (
-        request.method === "GET" && path.startsWith("/deposit-ledger/balances/")
+        isOwn && request.method === "GET" && lookupPaths.has(resource)
       ) {
-        this.#getBalance(path, response);
+        this.#sendBalance(account, response);
       } else if (request.method === "PUT" && path === "/faults") {
         await this.#setFaults(request, response);
       } else if (path === "/effects") this.#sendEffects(response);
@@ -133,8 +147,7 @@
     sendJson(response, { count: effectCount, byKey, faults });
   }
 
-  #getBalance(path: string, response: ServerResponse): void {
-    const account = path.slice("/deposit-ledger/balances/".length);
+  #sendBalance(account: string, response: ServerResponse): void {
     const balance = this.#state.balances.get(account) ?? 0;
     sendJson(response, { account, balance });
   }
