--- a/packages/core/src/membership/codec.ts
+++ b/packages/core/src/membership/codec.ts
@@ -1,6 +1,11 @@
 import { Encoder } from "cbor-x";
 import { z } from "zod";
 import { AppError } from "../results/mod.ts";
+import {
+  decodeIdentity,
+  encodedIdentitySchema,
+  encodeIdentity,
+} from "./identity.ts";
 import type { DigestRecord, MemberIdentity, WireId } from "./record.ts";
 
 /**
@@ -28,7 +33,7 @@
 };
 
 /** Bytes of a whole record inside a digest. */
-export const recordBytes = 28;
+export const recordBytes = 29;
 
 /** Bytes of a load record inside a digest. */
 export const loadBytes = 11;
@@ -108,6 +113,7 @@
   z.instanceof(Uint8Array),
   z.instanceof(Uint32Array),
   z.instanceof(Uint8Array),
+  z.instanceof(Uint8Array),
 ]);
 
 const loadColumnsSchema = z.tuple([
@@ -118,24 +124,6 @@
   z.instanceof(Uint8Array),
 ]);
 
-const identitySchema = z.tuple([
-  z.enum(["router", "sidecar"]),
-  z.string(),
-  z.string(),
-  z.string(),
-  z.string(),
-  z.string(),
-  z.union([
-    z.tuple([
-      z.string(),
-      z.enum(["engine", "service"]),
-      z.array(z.string()),
-      z.string(),
-    ]),
-    z.literal(0),
-  ]),
-]);
-
 const none = z.literal(0);
 
 const digestSchema = z.tuple([
@@ -145,15 +133,13 @@
   z.union([recordColumnsSchema, none]),
   z.union([loadColumnsSchema, none]),
   z.union([z.instanceof(Uint32Array), none]),
-  z.union([z.array(identitySchema), none]),
+  z.union([z.array(encodedIdentitySchema), none]),
 ]);
 
 type RecordColumns = z.output<typeof recordColumnsSchema>;
 
 type LoadColumns = z.output<typeof loadColumnsSchema>;
 
-type EncodedIdentity = z.output<typeof identitySchema>;
-
 function encodeRecords(records: DigestRecord[]): RecordColumns {
   return [
     Uint32Array.from(records, (record) => record.wireId),
@@ -167,12 +153,22 @@
     ),
     Uint32Array.from(records, (record) => record.configurationVersion),
     Uint8Array.from(records, (record) => encodeAge(record.ageMs)),
+    Uint8Array.from(records, (record) => record.identityTag),
   ];
 }
 
 function decodeRecords(columns: RecordColumns): DigestRecord[] {
-  const [ids, epochs, sequences, loads, capacities, flags, versions, ages] =
-    columns;
+  const [
+    ids,
+    epochs,
+    sequences,
+    loads,
+    capacities,
+    flags,
+    versions,
+    ages,
+    tags,
+  ] = columns;
   return Array.from(ids, (wireId, index) => ({
     wireId,
     epoch: epochs[index],
@@ -181,6 +177,7 @@
     capacity: capacities[index],
     isLeaving: (flags[index] & leavingFlag) !== 0,
     configurationVersion: versions[index],
+    identityTag: tags[index],
     ageMs: ages[index] * ageUnitMs,
   }));
 }
@@ -206,37 +203,6 @@
   }));
 }
 
-function encodeIdentity(identity: MemberIdentity): EncodedIdentity {
-  const { runner } = identity;
-  return [
-    identity.type,
-    identity.name,
-    identity.host,
-    identity.failureDomain,
-    identity.region,
-    identity.controlAddress,
-    runner === undefined
-      ? 0
-      : [runner.id, runner.kind, runner.pools, runner.dataAddress],
-  ];
-}
-
-function decodeIdentity(encoded: EncodedIdentity): MemberIdentity {
-  const [type, name, host, failureDomain, region, controlAddress, runner] =
-    encoded;
-  const identity: MemberIdentity = {
-    type,
-    name,
-    host,
-    failureDomain,
-    region,
-    controlAddress,
-  };
-  if (runner === 0) return identity;
-  const [id, kind, pools, dataAddress] = runner;
-  return { ...identity, runner: { id, kind, pools, dataAddress } };
-}
-
 function checkColumns(columns: { length: number }[]): void {
   if (columns.every((column) => column.length === columns[0].length)) return;
   throw new Error("Columns differ in length");
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -30,6 +30,7 @@
 import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import { listServedModels, loadEngineState } from "./engine_state/mod.ts";
 import { OrderGate } from "./orders/mod.ts";
 import {
   createSettingsReader,
@@ -59,6 +60,9 @@
 
 const expirePeriodMs = 1000;
 
+const drainPollMs = 25;
+const engineStatePeriodMs = 1000;
+
 const runnerConnections = 256;
 
 const maxBodyBytes = 4_194_304;
@@ -79,7 +83,8 @@
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
   #ledger: Ledger | undefined;
-  #isLeaving = false;
+  #isStopping = false;
+  #hasLeft = false;
   #dataAddress = "";
   #controlAddress = "";
 
@@ -135,6 +140,11 @@
     return this.#controlAddress;
   }
 
+  /** Name of the host that the sidecar runs on. */
+  get host(): string {
+    return this.#options.settings.host;
+  }
+
   /** Shards of the ledger that this sidecar knows. */
   get ledgerShards(): ReturnType<Ledger["getDump"]> {
     return this.#ledger?.getDump() ?? [];
@@ -144,6 +154,11 @@
     return this.#attempts.epoch;
   }
 
+  /** Settings that the process was started with. */
+  get settings(): SidecarSettings {
+    return this.#options.settings;
+  }
+
   /** Takes a snapshot of the counters and histograms. */
   getMetrics(): MetricsSnapshot {
     return this.#metrics.getSnapshot();
@@ -154,14 +169,42 @@
     return this.#configuration.version;
   }
 
+  /** Whether the sidecar takes no new work. */
+  get isLeaving(): boolean {
+    return this.#isStopping || this.#membership?.isLeaving === true;
+  }
+
   /** Refuses new work, finishes what is in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
-    if (this.#isLeaving) return;
-    this.#isLeaving = true;
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    this.#leave();
+    await this.#wait(this.#options.settings.leaveNoticeMs);
+    while (this.#attempts.active > 0) await this.#wait(drainPollMs);
+    await this.#resources[Symbol.asyncDispose]();
+  }
+
+  /** Tells others, and hands over what others can do. */
+  #leave(): void {
+    if (this.#hasLeft) return;
+    this.#hasLeft = true;
     this.#membership?.setOwn({ isLeaving: true });
     this.#peak.refuseAll();
     this.#ledger?.leave();
-    await this.#resources[Symbol.asyncDispose]();
+    this.#options.logger.info("leaving", {
+      runner: this.#options.settings.runner,
+    });
+  }
+
+  #wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.timers.schedule(durationMs, () => resolve());
+    });
+  }
+
+  #expire(nowMs: number): void {
+    this.#attempts.expire(nowMs);
+    if (this.isLeaving) this.#leave();
   }
 
   async #start(): Promise<void> {
@@ -187,10 +230,11 @@
     this.#resources.use(control);
     const membership = await this.#startMembership(platform);
     this.#startFollower(platform, membership);
+    this.#startEngineState(membership);
     this.#resources.defer(() => data.close());
     const expiry = timers.subscribe(
       expirePeriodMs,
-      (nowMs) => this.#attempts.expire(nowMs),
+      (nowMs) => this.#expire(nowMs),
     );
     this.#resources.defer(() => expiry[Symbol.dispose]());
     logger.info("sidecar-started", {
@@ -230,7 +274,7 @@
         return this.#follower?.sync();
       },
       getStreamSettings: () => this.#effective.get().stream,
-      isLeaving: () => this.#isLeaving,
+      isLeaving: () => this.isLeaving,
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
         ...this.#membership?.getAnswerHeaders(),
@@ -308,6 +352,24 @@
     return membership;
   }
 
+  /** Tells the fleet what the engine beside has loaded. */
+  #startEngineState(membership: Membership): void {
+    const { settings, timers } = this.#options;
+    if (settings.kind !== "engine") return;
+    const update = async (nowMs: number) => {
+      const engine = await loadEngineState(this.#runner, nowMs);
+      if (engine === undefined || !this.#configuration.isLoaded) return;
+      const { models } = this.#configuration.get().body;
+      const pools = listServedModels(engine, models);
+      membership.setOwnRunner({ pools, engine });
+    };
+    const ticks = timers.subscribe(
+      engineStatePeriodMs,
+      (nowMs) => void update(nowMs),
+    );
+    this.#resources.use(ticks);
+  }
+
   #startFollower(platform: PlatformClient, membership: Membership): void {
     const { logger, timers } = this.#options;
     const follower = ConfigurationFollower.create({
@@ -329,8 +391,7 @@
 
   /** Gets the mean load that the load cap compares with. */
   #getMeanLoad(): MeanLoad {
-    const { pools } = this.#options.settings;
-    const mean = this.#membership?.getPoolMean(pools);
+    const mean = this.#membership?.getPoolMean(this.#membership.ownPools);
     if (mean === undefined) {
       return {
         tokens: 0,
@@ -374,7 +435,7 @@
         runner: settings.runner,
         epoch: this.epoch,
       },
-      isLeaving: this.#isLeaving,
+      isLeaving: this.isLeaving,
       configurationVersion: this.#configuration.version,
       attempts: this.#attempts.size,
       admission: {
