--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -46,6 +46,7 @@
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
 import { PlacementKeeper } from "./placement/mod.ts";
+import { PoolViews } from "./choice/mod.ts";
 import type { RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -318,6 +319,8 @@
       connections: this.#connections,
       pools: this.#pools,
       ledgerRoutes: LedgerRoutes.create(),
+      poolViews: PoolViews.create({ source: membership }),
+      failureDomain: this.#options.settings.failureDomain,
       timers: this.#options.timers,
       random: createSystemRandom(),
       metrics: this.#metrics,
