Stop without waiting for unused connections

**Cause** Callers open connections ahead of need. To Node.js a connection without a request is not idle, so a router that stopped waited some 4 s for it, and up to a minute where the other side keeps it open.

**Change** Track connections that have sent no request and close them when the listener stops.

**Conclusion** A planned stop waits for requests, not for connections.

--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createServer } from "node:http";
 import {
   AppError,
@@ -40,10 +40,12 @@
     server.listen(port, ip, resolve);
   });
   const bound = server.address() as AddressInfo;
+  const unused = trackUnusedSockets(server);
   const close = () =>
     new Promise<void>((resolve) => {
       server.close(() => resolve());
       server.closeIdleConnections();
+      for (const socket of unused) socket.destroy();
     });
   return {
     address: `${ip}:${bound.port}`,
@@ -57,6 +59,20 @@
   };
 }
 
+/**
+ * Tracks connections that have sent no request yet. To Node.js they are not
+ * idle, so they would hold up a stop until their headers time out.
+ */
+function trackUnusedSockets(server: Server): ReadonlySet<Socket> {
+  const unused = new Set<Socket>();
+  server.on("connection", (socket: Socket) => {
+    unused.add(socket);
+    socket.once("close", () => unused.delete(socket));
+  });
+  server.prependListener("request", ({ socket }) => unused.delete(socket));
+  return unused;
+}
+
 /**
  * Reads a whole request body.
  *
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -140,6 +140,16 @@
     return this.#ledger?.getDump() ?? [];
   }
 
+  /** Requests that wait for a slot of the runner. */
+  get queueLength(): number {
+    return this.#admission.queueLength;
+  }
+
+  /** Work admitted and not yet released, in weighted tokens. */
+  get loadTokens(): number {
+    return this.#admission.loadTokens;
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
--- a/packages/stand_in/src/engine/engine.ts
+++ b/packages/stand_in/src/engine/engine.ts
@@ -64,6 +64,11 @@
     return this.#driver.model.size;
   }
 
+  /** Chats that have arrived since the start. */
+  get requestCount(): number {
+    return this.#count;
+  }
+
   /** The model that decides what happens when. */
   get model(): EngineModel {
     return this.#driver.model;
