--- a/packages/core/src/configuration/documents.ts
+++ b/packages/core/src/configuration/documents.ts
@@ -60,7 +60,7 @@
   }
   return {
     type: "faulty",
-    faults: locateFaults(found, { text, file: options.file, tree }),
+    faults: getLocatedFaults(found, { text, file: options.file, tree }),
   };
 }
 
@@ -191,7 +191,7 @@
   return typeof value === "object" && value !== null && !Array.isArray(value);
 }
 
-function locateFaults(
+function getLocatedFaults(
   faults: ValueFault[],
   document: { text: string; file: string; tree: Node },
 ): Fault[] {
--- a/packages/core/src/ledger/ownership.ts
+++ b/packages/core/src/ledger/ownership.ts
@@ -1,4 +1,9 @@
-import { admitCall, isPlatformDown, refuseUnavailable } from "./calls.ts";
+import {
+  admitCall,
+  isPlatformDown,
+  refuseLeaving,
+  refuseUnavailable,
+} from "./calls.ts";
 import { startWrite } from "./commits.ts";
 import { setHeadEntry } from "./entries.ts";
 import { mergeWindows } from "./history.ts";
@@ -21,6 +26,7 @@
   } else if (isPlatformDown(state)) refuseUnavailable(state, call);
   else {
     state.calls.set(call.id, { ...call, state: "queued" });
+    recordDeadline(state, call);
     if (role.type === "idle") startReading(state);
   }
 }
@@ -100,7 +106,9 @@
 export function failReading(state: ShardState): void {
   state.role = { type: "idle" };
   for (const call of [...state.calls.values()]) {
-    if (call.state !== "dispatched") refuseUnavailable(state, call);
+    if (call.state === "dispatched") continue;
+    if (state.isLeaving) refuseLeaving(state, call);
+    else refuseUnavailable(state, call);
   }
 }
 
@@ -127,9 +135,13 @@
     index += 1;
     state.segmentKeys.set(slot, entries.map((entry) => entry.key));
     for (const entry of entries) {
-      if (state.entries.has(entry.key)) continue;
+      const known = state.entries.get(entry.key);
+      // A late outcome may stand in a newer segment.
+      if (known !== undefined && entry.state !== "done") continue;
+      if (state.headBytes.has(entry.key)) continue;
       state.entries.set(entry.key, entry);
-      if (entry.issuedAtMs === undefined) state.timelessCount += 1;
+      const isTimeless = entry.issuedAtMs === undefined;
+      if (known === undefined && isTimeless) state.timelessCount += 1;
     }
   }
   beginOwnership(state);
@@ -149,17 +161,30 @@
 
 /** Refuses the calls that have waited too long for an owner. */
 export function expireWaiting(state: ShardState): void {
-  for (const call of [...state.calls.values()]) {
-    if (call.state === "dispatched" || call.deadlineAtMs > state.nowMs) {
-      continue;
-    }
-    if (state.role.type !== "owner") refuseUnavailable(state, call);
+  if (state.nowMs >= state.earliestDeadlineMs) {
+    state.earliestDeadlineMs = Number.POSITIVE_INFINITY;
+    if (state.role.type !== "owner") refuseExpired(state);
   }
   if (state.role.type === "waiting" && !hasWaiting(state)) {
     state.role = { type: "idle" };
   }
 }
 
+function refuseExpired(state: ShardState): void {
+  for (const call of [...state.calls.values()]) {
+    if (call.state === "dispatched") continue;
+    if (call.deadlineAtMs > state.nowMs) recordDeadline(state, call);
+    else refuseUnavailable(state, call);
+  }
+}
+
+function recordDeadline(state: ShardState, call: LedgerCall): void {
+  state.earliestDeadlineMs = Math.min(
+    state.earliestDeadlineMs,
+    call.deadlineAtMs,
+  );
+}
+
 function hasWaiting(state: ShardState): boolean {
   for (const call of state.calls.values()) {
     if (call.state !== "dispatched") return true;
--- a/packages/load/src/soak/fake_platform.ts
+++ b/packages/load/src/soak/fake_platform.ts
@@ -35,7 +35,7 @@
 
   /** Gets an object. */
   async get(object: ObjectName): Promise<StoredObject | undefined> {
-    await this.#carry();
+    await this.#request();
     return this.store.get(getPath(object));
   }
 
@@ -44,7 +44,7 @@
     object: ObjectName,
     options: { value: string; condition: WriteCondition },
   ): Promise<number> {
-    await this.#carry();
+    await this.#request();
     const write = this.store.put(
       getPath(object),
       options.value,
@@ -63,12 +63,12 @@
     object: ObjectName,
     options: { afterVersion: number; timeoutMs: number },
   ): Promise<StoredObject | undefined> {
-    await this.#carry();
+    await this.#request();
     const untilMs = this.#world.nowMs() + options.timeoutMs;
     while (this.#world.nowMs() < untilMs) {
       const stored = this.store.get(getPath(object));
       if (stored !== undefined && stored.version > options.afterVersion) {
-        await this.#carry();
+        await this.#request();
         return stored;
       }
       await this.#world.wait(watchStepMs);
@@ -78,14 +78,14 @@
 
   /** Lists the names and versions of a kind. */
   async list(kind: string): Promise<{ name: string; version: number }[]> {
-    await this.#carry();
+    await this.#request();
     return this.store.list(`${kind}/`).map(({ path, version }) => ({
       name: path.slice(kind.length + 1),
       version,
     }));
   }
 
-  async #carry(): Promise<void> {
+  async #request(): Promise<void> {
     if (this.#world.isActive("platform-down")) {
       await this.#fail("platform calls failed");
     }
--- a/packages/operator/src/changes/compare.ts
+++ b/packages/operator/src/changes/compare.ts
@@ -31,11 +31,11 @@
 function createTree(configuration: Configuration): Tree {
   return {
     defaults: configuration.defaults,
-    classes: keyBy(configuration.classes, (entry) => entry.name),
-    workspaces: keyBy(configuration.workspaces, (entry) => entry.id),
-    models: keyBy(configuration.models, (entry) => entry.name),
-    services: keyBy(configuration.services, (entry) => entry.name),
-    exceptions: keyBy(configuration.exceptions, formatMatch),
+    classes: createKeyed(configuration.classes, (entry) => entry.name),
+    workspaces: createKeyed(configuration.workspaces, (entry) => entry.id),
+    models: createKeyed(configuration.models, (entry) => entry.name),
+    services: createKeyed(configuration.services, (entry) => entry.name),
+    exceptions: createKeyed(configuration.exceptions, formatMatch),
   };
 }
 
@@ -48,7 +48,7 @@
     .join(",");
 }
 
-function keyBy<Entry>(
+function createKeyed<Entry>(
   entries: readonly Entry[],
   getKey: (entry: Entry) => string,
 ): Tree {
@@ -77,7 +77,7 @@
   if (isObject(before) && isObject(after)) {
     return listNames(before, after).flatMap((name) =>
       compareValues(before[name], after[name], {
-        path: joinPath(path, name),
+        path: formatChildPath(path, name),
         ...(reason === undefined ? {} : { reason }),
       })
     );
@@ -114,7 +114,7 @@
   "exceptions",
 ]);
 
-function joinPath(path: string, name: string): string {
+function formatChildPath(path: string, name: string): string {
   if (path === "") return name;
   return listFields.has(path) ? `${path}[${name}]` : `${path}.${name}`;
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -15,7 +15,7 @@
 } from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { AppError, normalizeError } from "@jasminetide/core/results";
-import type { Epoch } from "@jasminetide/core/tables";
+import type { Epoch, RunnerState } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationFollower,
@@ -45,6 +45,7 @@
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
 import { handleChat, handleModels } from "./chats/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
+import { PlacementKeeper } from "./placement/mod.ts";
 import type { RouterContext } from "./router_context.ts";
 import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
@@ -75,6 +76,7 @@
   #follower: ConfigurationFollower | undefined;
   #keyIndex: KeyIndex = new Map();
   #isStopping = false;
+  #callers: ListeningServer | undefined;
   #callerAddress = "";
   #controlAddress = "";
 
@@ -110,6 +112,21 @@
     return this.#leases?.getFencingNumber(duty);
   }
 
+  /** Gets the state of a runner as this router sees it. */
+  getRunnerState(id: string): RunnerState | undefined {
+    return this.#membership?.runners.get(id)?.state;
+  }
+
+  /** Whether a runner takes new work for a model or service. */
+  hasCandidate(pool: string): boolean {
+    return (this.#membership?.getCandidates(pool).length ?? 0) > 0;
+  }
+
+  /** Settings that the process was started with. */
+  get settings(): RouterSettings {
+    return this.#options.settings;
+  }
+
   /** Takes a snapshot of the counters and histograms. */
   getMetrics(): MetricsSnapshot {
     return this.#metrics.getSnapshot();
@@ -117,15 +134,25 @@
 
   /** Whether the router has a configuration and knows a live runner. */
   get isReady(): boolean {
-    return this.#configuration.isLoaded &&
+    return !this.#isLeaving && this.#configuration.isLoaded &&
       this.#membership?.hasActiveRunner === true;
   }
 
+  get #isLeaving(): boolean {
+    return this.#isStopping || this.#membership?.isLeaving === true;
+  }
+
   /** Stops accepting, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
     this.#membership?.setOwn({ isLeaving: true });
+    this.#options.logger.info("leaving");
+    this.#callers?.announceClose();
+    await new Promise<void>((resolve) => {
+      const { settings, timers } = this.#options;
+      timers.schedule(settings.leaveNoticeMs, () => resolve());
+    });
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -150,6 +177,7 @@
     this.#startLeases(platform, membership);
     const callers = await this.#startCallers(membership);
     this.#resources.defer(() => callers.close());
+    this.#callers = callers;
     this.#callerAddress = callers.address;
     logger.info("router-started", { callers: callers.address });
   }
@@ -202,6 +230,16 @@
       listCandidates: () => membership.listRouters(),
     });
     this.#leases = this.#resources.use(leases);
+    this.#resources.use(PlacementKeeper.create({
+      region: settings.region,
+      configuration: this.#configuration,
+      leases,
+      membership,
+      platform,
+      timers,
+      logger,
+      getSidecar: (address) => this.#peers.getSidecar(address),
+    }));
     this.#resources.defer(() => leases.release());
   }
 
