Bound the number of held requests

**Cause** Held requests do not count towards the load, so any number of them, with their bodies, could be held at one sidecar.

**Change** Refuse a deferrable request as not run when `maximumQueueLength` are held already.

**Conclusion** The memory of held requests is bounded.

--- a/packages/core/src/peak/peak.feature
+++ b/packages/core/src/peak/peak.feature
@@ -19,3 +19,8 @@
     Given a gate at its peak with a held request
     When the gate refuses all
     Then the held request is refused at once as not run
+
+  Scenario: A full hold refuses the next request
+    Given a gate at its peak with a held request
+    When another deferrable request comes
+    Then the other is refused as not run and the first stays held
--- a/packages/core/src/peak/peak_gate.ts
+++ b/packages/core/src/peak/peak_gate.ts
@@ -3,23 +3,32 @@
 import type { HeldRequest, PeakHold } from "./peak_hold.ts";
 
 /** What a gate works with. */
-export type PeakGateOptions = { hold: PeakHold; timers: TimerService };
+export type PeakGateOptions = {
+  hold: PeakHold;
+  timers: TimerService;
+  /** Requests that may be held at once. */
+  getMaximumHeld: () => number;
+};
 
 /** Ends the wait of one request. */
 type Waiter = { resolve: () => void; reject: (reason: unknown) => void };
 
 const tickMs = 250;
 
+const retryAfterMs = 60_000;
+
 /** Lets held requests wait until they are released. */
 export class PeakGate {
   readonly hold: PeakHold;
   readonly #timers: TimerService;
+  readonly #getMaximumHeld: () => number;
   readonly #waiters = new Map<string, Waiter>();
   #tick: Disposable | undefined;
 
   private constructor(options: PeakGateOptions) {
     this.hold = options.hold;
     this.#timers = options.timers;
+    this.#getMaximumHeld = options.getMaximumHeld;
   }
 
   /** Creates a gate with nobody waiting. */
@@ -30,9 +39,17 @@
   /**
    * Waits until a deferrable request may run.
    *
-   * @throws AppError `callerGone` or `runnerLeaving`; it was not run.
+   * @throws AppError `overloaded`, `callerGone` or `runnerLeaving`; it was not
+   * run.
    */
   wait(request: HeldRequest, signal: AbortSignal): Promise<void> {
+    if (this.hold.size >= this.#getMaximumHeld()) {
+      return Promise.reject(
+        AppError.create("overloaded", `${this.hold.size} requests are held`, {
+          retryAfterMs,
+        }),
+      );
+    }
     return new Promise((resolve, reject) => {
       const abandon = () =>
         this.#refuse(
--- a/packages/core/src/peak/peak_test.ts
+++ b/packages/core/src/peak/peak_test.ts
@@ -61,13 +61,13 @@
   const timers = VirtualTimerService.create();
   const hold = createHold(holdBack);
   hold.meter.record(1_000_000, { atMs: 0, isDeferrable: false });
-  world.gate = PeakGate.create({ hold, timers });
+  world.gate = PeakGate.create({ hold, timers, getMaximumHeld: () => 1 });
   world.abort = new AbortController();
 }
 
-async function offerHeld(world: World): Promise<void> {
+async function offerHeld(world: World, id = "held"): Promise<void> {
   world.gate.wait({
-    id: "held",
+    id,
     costTokens: 1000,
     arrivedAtMs: 0,
     deadlineAtMs: deadlineMs,
@@ -99,6 +99,25 @@
   },
 );
 
+When(
+  "another deferrable request comes",
+  async function (this: World) {
+    await offerHeld(this, "other");
+  },
+);
+
+Then(
+  "the other is refused as not run and the first stays held",
+  function (this: World) {
+    assert.ok(this.outcome instanceof AppError);
+    assert.deepEqual(
+      [this.outcome.result, this.outcome.executed],
+      ["overloaded", "no"],
+    );
+    assert.equal(this.gate.hold.size, 1);
+  },
+);
+
 When("the caller of the held request goes", async function (this: World) {
   this.abort.abort();
   await setImmediate();
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -106,6 +106,7 @@
         meter: MinuteMeter.create(),
       }),
       timers,
+      getMaximumHeld: () => this.#effective.get().admission.maximumQueueLength,
     });
     this.#admission = Admission.create({
       getSettings: () => this.#effective.get(),
