--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createServer } from "node:http";
 import {
   AppError,
@@ -44,6 +44,7 @@
     },
   );
   await listen(server, address);
+  const unused = trackUnusedSockets(server);
   // Idle connections stay open until the close itself: a request may be on
   // its way on any of them.
   const announceClose = () => {
@@ -51,7 +52,7 @@
   };
   const close = () => {
     announceClose();
-    return closeServer(server);
+    return closeServer(server, unused);
   };
   return {
     address: getBoundAddress(server),
@@ -86,11 +87,14 @@
 }
 
 /** Closes a server; a connection that becomes idle meanwhile is closed too. */
-function closeServer(server: Server): Promise<void> {
-  const timer = setInterval(
-    () => server.closeIdleConnections(),
-    closePeriodMs,
-  );
+function closeServer(
+  server: Server,
+  unused: ReadonlySet<Socket>,
+): Promise<void> {
+  const timer = setInterval(() => {
+    server.closeIdleConnections();
+    for (const socket of unused) socket.destroy();
+  }, closePeriodMs);
   return new Promise((resolve) => {
     server.close(() => {
       clearInterval(timer);
@@ -99,6 +103,20 @@
   });
 }
 
+/**
+ * Tracks connections that have sent no request yet. To Node.js they are not
+ * idle, so they would hold up a stop until their headers time out.
+ */
+function trackUnusedSockets(server: Server): ReadonlySet<Socket> {
+  const unused = new Set<Socket>();
+  server.on("connection", (socket: Socket) => {
+    unused.add(socket);
+    socket.once("close", () => unused.delete(socket));
+  });
+  server.prependListener("request", ({ socket }) => unused.delete(socket));
+  return unused;
+}
+
 /**
  * Reads a whole request body.
  *
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -110,6 +110,7 @@
         meter: MinuteMeter.create(),
       }),
       timers,
+      getMaximumHeld: () => this.#effective.get().admission.maximumQueueLength,
     });
     this.#admission = Admission.create({
       getSettings: () => this.#effective.get(),
@@ -154,6 +155,16 @@
     return this.#ledger?.getDump() ?? [];
   }
 
+  /** Requests that wait for a slot of the runner. */
+  get queueLength(): number {
+    return this.#admission.queueLength;
+  }
+
+  /** Work admitted and not yet released, in weighted tokens. */
+  get loadTokens(): number {
+    return this.#admission.loadTokens;
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
