--- a/packages/core/src/membership/codec.ts
+++ b/packages/core/src/membership/codec.ts
@@ -1,12 +1,12 @@
 import { Encoder } from "cbor-x";
+import { z } from "zod";
 import { AppError } from "../results/mod.ts";
-import type { RunnerKind } from "../tables/mod.ts";
-import type {
-  DigestRecord,
-  MemberIdentity,
-  MemberType,
-  WireId,
-} from "./record.ts";
+import {
+  decodeIdentity,
+  encodedIdentitySchema,
+  encodeIdentity,
+} from "./identity.ts";
+import type { DigestRecord, MemberIdentity, WireId } from "./record.ts";
 
 /**
  * The frequent part of a record. Epoch and sequence are cut to 16 bits; a
@@ -33,7 +33,7 @@
 };
 
 /** Bytes of a whole record inside a digest. */
-export const recordBytes = 28;
+export const recordBytes = 29;
 
 /** Bytes of a load record inside a digest. */
 export const loadBytes = 11;
@@ -85,9 +85,8 @@
  */
 export function decodeDigest(bytes: Uint8Array): Digest {
   try {
-    const [format, sender, configurationVersion, records, loads, wanted, rest] =
-      encoder.decode(bytes) as EncodedDigest;
-    if (format !== formatNumber) throw new Error(`format ${format}`);
+    const [, sender, configurationVersion, records, loads, wanted, rest] =
+      digestSchema.parse(encoder.decode(bytes));
     if (records !== 0) checkColumns(records);
     if (loads !== 0) checkColumns(loads);
     return {
@@ -105,44 +104,41 @@
   }
 }
 
-type RecordColumns = [
-  Uint32Array,
-  Float64Array,
-  Uint32Array,
-  Uint16Array,
-  Float32Array,
-  Uint8Array,
-  Uint32Array,
-  Uint8Array,
-];
-
-type LoadColumns = [
-  Uint32Array,
-  Uint16Array,
-  Uint16Array,
-  Uint16Array,
-  Uint8Array,
-];
-
-type EncodedDigest = [
-  number,
-  WireId,
-  number,
-  RecordColumns | 0,
-  LoadColumns | 0,
-  Uint32Array | 0,
-  EncodedIdentity[] | 0,
-];
-
-type EncodedIdentity = [
-  MemberType,
-  string,
-  string,
-  string,
-  string,
-  string,
-  [string, RunnerKind, string[], string] | 0,
-];
+const recordColumnsSchema = z.tuple([
+  z.instanceof(Uint32Array),
+  z.instanceof(Float64Array),
+  z.instanceof(Uint32Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Float32Array),
+  z.instanceof(Uint8Array),
+  z.instanceof(Uint32Array),
+  z.instanceof(Uint8Array),
+  z.instanceof(Uint8Array),
+]);
+
+const loadColumnsSchema = z.tuple([
+  z.instanceof(Uint32Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Uint16Array),
+  z.instanceof(Uint8Array),
+]);
+
+const none = z.literal(0);
+
+const digestSchema = z.tuple([
+  z.literal(formatNumber),
+  z.number().int().nonnegative(),
+  z.number().int().nonnegative(),
+  z.union([recordColumnsSchema, none]),
+  z.union([loadColumnsSchema, none]),
+  z.union([z.instanceof(Uint32Array), none]),
+  z.union([z.array(encodedIdentitySchema), none]),
+]);
+
+type RecordColumns = z.output<typeof recordColumnsSchema>;
+
+type LoadColumns = z.output<typeof loadColumnsSchema>;
 
 function encodeRecords(records: DigestRecord[]): RecordColumns {
   return [
@@ -157,12 +153,22 @@
     ),
     Uint32Array.from(records, (record) => record.configurationVersion),
     Uint8Array.from(records, (record) => encodeAge(record.ageMs)),
+    Uint8Array.from(records, (record) => record.identityTag),
   ];
 }
 
 function decodeRecords(columns: RecordColumns): DigestRecord[] {
-  const [ids, epochs, sequences, loads, capacities, flags, versions, ages] =
-    columns;
+  const [
+    ids,
+    epochs,
+    sequences,
+    loads,
+    capacities,
+    flags,
+    versions,
+    ages,
+    tags,
+  ] = columns;
   return Array.from(ids, (wireId, index) => ({
     wireId,
     epoch: epochs[index],
@@ -171,6 +177,7 @@
     capacity: capacities[index],
     isLeaving: (flags[index] & leavingFlag) !== 0,
     configurationVersion: versions[index],
+    identityTag: tags[index],
     ageMs: ages[index] * ageUnitMs,
   }));
 }
@@ -196,37 +203,6 @@
   }));
 }
 
-function encodeIdentity(identity: MemberIdentity): EncodedIdentity {
-  const { runner } = identity;
-  return [
-    identity.type,
-    identity.name,
-    identity.host,
-    identity.failureDomain,
-    identity.region,
-    identity.controlAddress,
-    runner === undefined
-      ? 0
-      : [runner.id, runner.kind, runner.pools, runner.dataAddress],
-  ];
-}
-
-function decodeIdentity(encoded: EncodedIdentity): MemberIdentity {
-  const [type, name, host, failureDomain, region, controlAddress, runner] =
-    encoded;
-  const identity: MemberIdentity = {
-    type,
-    name,
-    host,
-    failureDomain,
-    region,
-    controlAddress,
-  };
-  if (runner === 0) return identity;
-  const [id, kind, pools, dataAddress] = runner;
-  return { ...identity, runner: { id, kind, pools, dataAddress } };
-}
-
 function checkColumns(columns: { length: number }[]): void {
   if (columns.every((column) => column.length === columns[0].length)) return;
   throw new Error("Columns differ in length");
--- a/packages/load/src/run/load_run.ts
+++ b/packages/load/src/run/load_run.ts
@@ -17,7 +17,7 @@
 } from "../calls/mod.ts";
 import type { HistoryEvent, Outcome } from "../history/mod.ts";
 import type { Mix, Scenario } from "../scenario/mod.ts";
-import { sampleConfigurations } from "./configuration_sampler.ts";
+import { recordConfigurations } from "./configuration_sampler.ts";
 import { LoadStats } from "./load_stats.ts";
 
 /** What a run works with. */
@@ -101,7 +101,7 @@
   #sample(): void {
     const { platformAddress, operatorKey } = this.#options.scenario;
     if (platformAddress === undefined || operatorKey === undefined) return;
-    void sampleConfigurations({
+    void recordConfigurations({
       platformAddress,
       operatorKey,
       getNowMs: () => this.getNowMs(),
--- a/packages/load/src/soak/faults.ts
+++ b/packages/load/src/soak/faults.ts
@@ -7,6 +7,7 @@
   "runner-flap",
   "planned-stop",
   "process-paused",
+  "holder-paused",
   "lists-differ",
   "workspace-surge",
   "platform-down",
@@ -117,11 +118,11 @@
 
   /** Counts the faults of an episode, and the pairs that overlapped. */
   record(faults: readonly Fault[]): void {
-    for (const fault of faults) increment(this.#kinds, fault.kind);
+    for (const fault of faults) countKey(this.#kinds, fault.kind);
     faults.forEach((first, index) => {
       for (const second of faults.slice(index + 1)) {
         if (isOverlapping(first, second)) {
-          increment(this.#pairs, formatPair(first.kind, second.kind));
+          countKey(this.#pairs, formatPair(first.kind, second.kind));
         }
       }
     });
@@ -144,7 +145,7 @@
   }
 }
 
-function increment(counts: Map<string, number>, key: string): void {
+function countKey(counts: Map<string, number>, key: string): void {
   counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
--- a/packages/operator/src/changes/format_changes.ts
+++ b/packages/operator/src/changes/format_changes.ts
@@ -23,14 +23,14 @@
 }
 
 /** Shortens key hashes, which are of use to nobody in full. */
-export function shortenHashes(value: unknown): unknown {
+export function formatHashes(value: unknown): unknown {
   if (typeof value === "string" && /^[0-9a-f]{64}$/.test(value)) {
     return `${value.slice(0, hashPrefixLength)}...`;
   }
-  if (Array.isArray(value)) return value.map(shortenHashes);
+  if (Array.isArray(value)) return value.map(formatHashes);
   if (typeof value !== "object" || value === null) return value;
   return Object.fromEntries(
-    Object.entries(value).map(([name, field]) => [name, shortenHashes(field)]),
+    Object.entries(value).map(([name, field]) => [name, formatHashes(field)]),
   );
 }
 
@@ -46,5 +46,5 @@
 }
 
 function formatSide(value: unknown): string {
-  return formatValue(shortenHashes(value));
+  return formatValue(formatHashes(value));
 }
