--- a/packages/load/src/money/fake_platform.ts
+++ b/packages/load/src/money/fake_platform.ts
@@ -62,9 +62,9 @@
   /** Reads an object. */
   read(path: string, answer: (result: ReadResult) => void): void {
     this.reads += 1;
-    this.#exchange<ReadResult>((isAnswerLost) => {
+    this.#request<ReadResult>((isAnswerLost) => {
       if (isAnswerLost) return undefined;
-      const isStale = this.#hits("staleRead");
+      const isStale = this.#isHit("staleRead");
       const row = isStale ? this.#previous.get(path) : this.store.get(path);
       return { type: "read", version: row?.version ?? 0, value: row?.value };
     }, answer);
@@ -79,7 +79,7 @@
     this.writes += 1;
     this.writtenBytes += write.value.length;
     this.largestBytes = Math.max(this.largestBytes, write.value.length);
-    this.#exchange<WriteResult>((isAnswerLost) => {
+    this.#request<WriteResult>((isAnswerLost) => {
       const result = this.#put(path, write);
       return isAnswerLost ? undefined : result;
     }, answer);
@@ -103,7 +103,7 @@
   }
 
   /** Runs the effect half way; an undefined result is a lost answer. */
-  #exchange<Result>(
+  #request<Result>(
     run: (isAnswerLost: boolean) => Result | undefined,
     answer: (result: Result | Lost) => void,
   ): void {
@@ -112,7 +112,7 @@
     const halfMs = (lowest + random.getFloat() * (highest - lowest)) / 2;
     const lose = () =>
       void timers.schedule(timeoutMs, () => answer({ type: "lost" }));
-    if (this.#hits("lostRequest")) {
+    if (this.#isHit("lostRequest")) {
       lose();
       return;
     }
@@ -121,13 +121,13 @@
         lose();
         return;
       }
-      const result = run(this.#hits("lostAnswer"));
+      const result = run(this.#isHit("lostAnswer"));
       if (result === undefined) lose();
       else timers.schedule(halfMs, () => answer(result));
     });
   }
 
-  #hits(fault: keyof PlatformFaultRates): boolean {
+  #isHit(fault: keyof PlatformFaultRates): boolean {
     return this.#options.random.getFloat() < this.#options.faults[fault];
   }
 }
--- a/packages/load/src/money/fake_router.ts
+++ b/packages/load/src/money/fake_router.ts
@@ -92,7 +92,7 @@
     timers.schedule(
       1 + random.getFloat() * 4,
       () =>
-        sidecar.call(search.shard, { ...search.request, id, mayClaim }, {
+        sidecar.accept(search.shard, { ...search.request, id, mayClaim }, {
           answer: (answer) => timers.schedule(1, () => settle(answer)),
           isGone: () => !isOpen,
         }),
--- a/packages/load/src/money/fake_sidecar.ts
+++ b/packages/load/src/money/fake_sidecar.ts
@@ -82,7 +82,7 @@
   }
 
   /** Takes a call; the answer never comes when the process dies. */
-  call(shard: number, call: LedgerCall, waiting: Waiting): void {
+  accept(shard: number, call: LedgerCall, waiting: Waiting): void {
     this.#run(() => {
       if (waiting.isGone()) return;
       this.#waiting.set(call.id, waiting);
@@ -97,7 +97,7 @@
   }
 
   /** Ends at once. */
-  kill(): void {
+  stop(): void {
     this.#recordExposed();
     this.#state = "killed";
   }
@@ -248,7 +248,7 @@
   #send(dispatch: Dispatch, request: string): void {
     const { service, timers, bug } = this.#options;
     service.run({ attempt: dispatch.callId, request }, (answer) => {
-      this.#run(() => this.#receive(dispatch, answer));
+      this.#run(() => this.#accept(dispatch, answer));
     });
     timers.schedule(answerTimeoutMs, () =>
       this.#run(() => {
@@ -259,7 +259,7 @@
   }
 
   /** An answer whose attempt is not the one waited for is dropped. */
-  #receive(sent: Dispatch, answer: ServiceAnswer): void {
+  #accept(sent: Dispatch, answer: ServiceAnswer): void {
     const dispatch = this.#dispatches.get(sent.connection);
     if (dispatch === undefined) return;
     const isOwn = sent === dispatch ||
--- a/packages/load/src/money/measure.ts
+++ b/packages/load/src/money/measure.ts
@@ -139,7 +139,7 @@
     );
     if (!isOwnerKilled) return;
     this.#timers.schedule(startMs + durationMs / 2, () => {
-      this.#sidecar.kill();
+      this.#sidecar.stop();
       this.#sidecar = this.#createSidecar(2);
     });
   }
@@ -150,12 +150,12 @@
       callsPerSecond;
     this.#timers.schedule(gapMs, (nowMs) => {
       if (nowMs >= endMs) return;
-      this.#call(this.#random.getInteger(shardCount));
+      this.#send(this.#random.getInteger(shardCount));
       this.#scheduleCall(endMs);
     });
   }
 
-  #call(shard: number): void {
+  #send(shard: number): void {
     const { outage } = this.#options;
     const nowMs = this.#timers.nowMs();
     const isCounted = outage === undefined || this.#platform.isDown;
@@ -163,7 +163,7 @@
     if (isCounted) this.#counted += 1;
     const id = `call-${this.#calls}`;
     this.#arrivedAtMs.set(id, nowMs);
-    this.#sidecar.call(shard, {
+    this.#sidecar.accept(shard, {
       id,
       key: `w 01890a5d-ac96-774b-bcce-${String(this.#calls).padStart(12, "0")}`,
       issuedAtMs: Math.floor(nowMs),
@@ -184,13 +184,13 @@
     const shares: { [kind: string]: number } = {};
     let answered = 0;
     for (const [kind, count] of this.#answers) {
-      shares[kind] = round(count / this.#counted);
+      shares[kind] = normalizeShare(count / this.#counted);
       answered += count;
     }
-    shares["no answer"] = round(1 - answered / this.#counted);
+    shares["no answer"] = normalizeShare(1 - answered / this.#counted);
     return {
       calls: this.#calls,
-      writesPerCall: round(cost.writes / this.#calls),
+      writesPerCall: normalizeShare(cost.writes / this.#calls),
       bytesPerCall: Math.round(cost.bytes / this.#calls),
       largestObjectBytes: this.#platform.largestBytes,
       addedMs: { p50: this.#getAddedMs(0.5), p99: this.#getAddedMs(0.99) },
@@ -200,7 +200,7 @@
 
   #getAddedMs(quantile: number): number {
     const value = this.#metrics.getQuantile("added-us", quantile) ?? 0;
-    return round(value / microsecondsPerMs);
+    return normalizeShare(value / microsecondsPerMs);
   }
 }
 
@@ -209,6 +209,6 @@
   return `${answer.result} ${answer.executed}`;
 }
 
-function round(value: number): number {
+function normalizeShare(value: number): number {
   return Math.round(value * 1000) / 1000;
 }
--- a/packages/load/src/money/money_callers.ts
+++ b/packages/load/src/money/money_callers.ts
@@ -54,19 +54,19 @@
     const gapMs = -Math.log(1 - random.getFloat()) * 1000 / callsPerSecond;
     timers.schedule(gapMs, () => {
       if (this.isDone) return;
-      this.#pay();
+      this.#send();
       this.start();
     });
   }
 
-  #pay(): void {
+  #send(): void {
     const { random } = this.#options;
     if (this.#past.length > 0 && random.getFloat() < oldRetryShare) {
       this.#try(this.#past[random.getInteger(this.#past.length)], 1);
       return;
     }
     const payment = this.#createPayment();
-    this.#remember(payment);
+    this.#record(payment);
     this.#try(payment, 1);
     if (random.getFloat() < duplicateShare) this.#try(payment, 1);
     if (random.getFloat() < otherBodyShare) {
@@ -90,7 +90,7 @@
     };
   }
 
-  #remember(payment: Payment): void {
+  #record(payment: Payment): void {
     if (this.#past.length < rememberedPayments) this.#past.push(payment);
     else {
       this.#past[this.#options.random.getInteger(this.#past.length)] = payment;
--- a/packages/load/src/money/money_run.ts
+++ b/packages/load/src/money/money_run.ts
@@ -178,7 +178,7 @@
       setOutage: count((isDown) => void (this.#platform.isDown = isDown)),
       pause: count((durationMs) => this.#choose().pause(durationMs)),
       replace: count((delayMs) => this.#replace(delayMs)),
-      leave: count(() => this.#leave()),
+      leave: count(() => this.#drain()),
       mixLists: count(() => this.#mixLists()),
     });
   }
@@ -190,7 +190,7 @@
   #replace(delayMs: number): void {
     const old = this.#choose();
     if (!old.isAlive) return;
-    old.kill();
+    old.stop();
     const isSameName = this.#random.getFloat() < 0.5;
     this.#timers.schedule(delayMs, () => {
       const name = isSameName ? old.owner.name : `sidecar-${this.#epoch}`;
@@ -200,7 +200,7 @@
     });
   }
 
-  #leave(): void {
+  #drain(): void {
     const sidecar = this.#choose();
     for (const shard of sidecar.shards.keys()) {
       sidecar.notify(shard, { type: "leave" });
@@ -208,7 +208,7 @@
     this.#timers.schedule(leaveMs, () => {
       const index = this.#sidecars.indexOf(sidecar);
       if (!sidecar.isAlive || index < 0) return;
-      sidecar.kill();
+      sidecar.stop();
       this.#sidecars[index] = this.#createSidecar(sidecar.owner.name);
       this.#mixLists();
     });
--- a/packages/local_fleet/src/measure_lookups/main.ts
+++ b/packages/local_fleet/src/measure_lookups/main.ts
@@ -46,7 +46,7 @@
   await using fleet = await startFleet();
   const { callerAddress } = fleet.routers[0];
   const router = new Pool(`http://${callerAddress}`, { connections: 64 });
-  const refunds = timers.subscribe(refundGapMs, () => void refund(router));
+  const refunds = timers.subscribe(refundGapMs, () => void sendRefund(router));
   await runBlock(router, "warm-up", warmUpLookups);
   for (let block = 0; block < options.blocks; block++) {
     fleet.objects.faults.outage = false;
@@ -76,7 +76,7 @@
   return fleet;
 }
 
-async function refund(router: Pool): Promise<void> {
+async function sendRefund(router: Pool): Promise<void> {
   const answer = await router.request({
     method: "POST",
     path: "/deposit-ledger/refunds",
@@ -97,13 +97,13 @@
 ): Promise<void> {
   const call = async () => {
     for (let count = 0; count < lookups / callers; count++) {
-      await lookUp(router, name);
+      await requestBalance(router, name);
     }
   };
   await Promise.all(Array.from({ length: callers }, call));
 }
 
-async function lookUp(router: Pool, name: string): Promise<void> {
+async function requestBalance(router: Pool, name: string): Promise<void> {
   const startedAtMs = timers.nowMs();
   const answer = await router.request({
     method: "GET",
--- a/packages/router/src/ledger/ask_owner.ts
+++ b/packages/router/src/ledger/ask_owner.ts
@@ -61,7 +61,7 @@
   const { timers } = options;
   let isResent = false;
   while (timers.nowMs() < call.deadlineAtMs) {
-    const told = await exchange(call, options);
+    const told = await requestOnce(call, options);
     if (told === "unreachable") return undefined;
     if (told === "silent") {
       if (isResent) return undefined;
@@ -83,7 +83,7 @@
   });
 }
 
-async function exchange(
+async function requestOnce(
   call: OutgoingCall,
   options: AskOptions,
 ): Promise<LedgerAnswer | "silent" | "unreachable"> {
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -70,7 +70,7 @@
   const { timers } = context;
   const endAtMs = Math.min(call.deadlineAtMs, timers.nowMs() + handoverMs);
   while (true) {
-    const { answer, isHandover } = await searchOwner(call, context);
+    const { answer, isHandover } = await findOwner(call, context);
     if (!isHandover || timers.nowMs() >= endAtMs) return answer;
     context.metrics.count("money-handovers");
     await wait(timers, betweenSearchesMs);
@@ -89,7 +89,7 @@
   isHandover: boolean;
 };
 
-async function searchOwner(
+async function findOwner(
   call: MoneyCall & OutgoingCall,
   context: RouterContext,
 ): Promise<Search> {
--- a/packages/sidecar/src/ledger/handle_call.ts
+++ b/packages/sidecar/src/ledger/handle_call.ts
@@ -65,7 +65,7 @@
       deadlineAtMs: arrivedAtMs + envelope.remainingMs,
       isGone: () => response.closed || response.destroyed,
     };
-    const answer = await callLedger(money, context);
+    const answer = await requestAnswer(money, context);
     const shardCount = await context.ledger.getShardCount().catch(() => 0);
     headers[headerNames.ledgerShards] = String(shardCount);
     sendLedgerAnswer(response, answer, headers);
@@ -78,13 +78,13 @@
   }
 }
 
-function callLedger(
+function requestAnswer(
   money: MoneyRequest,
   context: CallContext,
 ): Promise<LedgerAnswer> {
   const { envelope, headers, deadlineAtMs } = money;
   const parsed = parseKey(String(headers[headerNames.ledgerKey]));
-  return context.ledger.call({
+  return context.ledger.answer({
     id: envelope.attempt,
     key: createScopedKey(envelope.workspace, parsed.key),
     issuedAtMs: parsed.issuedAtMs,
--- a/packages/sidecar/src/ledger/ledger.ts
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -62,7 +62,7 @@
     this.#store = JournalStore.create(options);
     this.#proposal = options.timers.subscribe(
       proposePeriodMs,
-      () => void this.#propose(),
+      () => void this.#claimProposed(),
     );
   }
 
@@ -106,7 +106,7 @@
   }
 
   /** Answers a call; never throws. */
-  async call(call: LedgerCall, request: MoneyRequest): Promise<LedgerAnswer> {
+  async answer(call: LedgerCall, request: MoneyRequest): Promise<LedgerAnswer> {
     let shard: number;
     try {
       shard = getShard(call.key, await this.getShardCount());
@@ -136,7 +136,7 @@
   }
 
   /** Takes no new calls; each shard is released after its last call. */
-  leave(): void {
+  drain(): void {
     this.#isLeaving = true;
     this.#proposal[Symbol.dispose]();
     for (const shard of this.#shards.keys()) {
@@ -147,7 +147,7 @@
   /** Waits for the calls in flight and the release of the shards. */
   async [Symbol.asyncDispose](): Promise<void> {
     const { timers } = this.#options;
-    this.leave();
+    this.drain();
     const endAtMs = timers.nowMs() + leaveTimeoutMs;
     while (!this.#isReleased() && timers.nowMs() < endAtMs) {
       await new Promise<void>((resolve) => {
@@ -162,7 +162,7 @@
   }
 
   /** Asks for the shards that fall to this runner, if they are free. */
-  async #propose(): Promise<void> {
+  async #claimProposed(): Promise<void> {
     const { service, owner, platform, isOffered } = this.#options;
     if (!isOffered) return;
     try {
@@ -171,7 +171,7 @@
       const isOwnLeaving = listRunners(hosts, { service, state: "leaving" })
         .includes(owner.name);
       if (isOwnLeaving) {
-        this.leave();
+        this.drain();
         return;
       }
       const candidates = listRunners(hosts, { service, state: "live" });
@@ -213,20 +213,23 @@
   #run(shard: number, command: ShardCommand): void {
     switch (command.type) {
       case "read-head":
-        this.#feed(shard, this.#store.readHead(shard));
+        this.#handleLater(shard, this.#store.readHead(shard));
         break;
       case "write-head":
         this.#options.metrics.count("ledger-writes");
-        this.#feed(shard, this.#store.writeHead(shard, command));
+        this.#handleLater(shard, this.#store.writeHead(shard, command));
         break;
       case "read-segments":
-        this.#feed(shard, this.#store.readSegments(shard, command.slots));
+        this.#handleLater(
+          shard,
+          this.#store.readSegments(shard, command.slots),
+        );
         break;
       case "write-segment":
-        this.#feed(shard, this.#store.writeSegment(shard, command));
+        this.#handleLater(shard, this.#store.writeSegment(shard, command));
         break;
       case "dispatch":
-        this.#feed(shard, this.#dispatch(command));
+        this.#handleLater(shard, this.#dispatch(command));
         break;
       case "answer":
         this.#calls.get(command.callId)?.resolve(command.answer);
@@ -251,7 +254,7 @@
     return { type: "outcome", callId, outcome };
   }
 
-  #feed(shard: number, event: Promise<ShardEvent>): void {
+  #handleLater(shard: number, event: Promise<ShardEvent>): void {
     void event.then((event) => this.#handle(shard, event));
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -190,7 +190,7 @@
     this.#hasLeft = true;
     this.#membership?.setOwn({ isLeaving: true });
     this.#peak.refuseAll();
-    this.#ledger?.leave();
+    this.#ledger?.drain();
     this.#options.logger.info("leaving", {
       runner: this.#options.settings.runner,
     });
