--- a/packages/router/src/router_context.ts
+++ b/packages/router/src/router_context.ts
@@ -1,8 +1,4 @@
-import type {
-  Match,
-  RequestClass,
-  Settings,
-} from "@jasminetide/core/configuration";
+import type { Match, RequestSettings } from "@jasminetide/core/configuration";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { ConfigurationHolder } from "@jasminetide/runtime/configuration";
@@ -11,14 +7,9 @@
 import type { Metrics } from "@jasminetide/runtime/metrics";
 import type { Connections, PoolStates } from "./attempts/mod.ts";
 import type { KeyIndex } from "./callers/mod.ts";
+import type { PoolViews } from "./choice/mod.ts";
 import type { LedgerRoutes } from "./ledger/mod.ts";
 
-/** Settings in force for one request. */
-export type RequestSettings = {
-  settings: Settings;
-  requestClass: RequestClass;
-};
-
 /** What the handlers of a router work with. */
 export type RouterContext = {
   configuration: ConfigurationHolder;
@@ -26,6 +17,9 @@
   connections: Connections;
   pools: PoolStates;
   ledgerRoutes: LedgerRoutes;
+  poolViews: PoolViews;
+  /** Failure domain of this router. */
+  failureDomain: string;
   timers: TimerService;
   random: RandomSource;
   metrics: Metrics;
