Send returning chats to the runner that holds their cache

**Cause** A chat that had spilled was sent to its home again and computed again.

**Change** A sidecar that runs a turn tells the chat's home. The home refuses the next turn with `chatHeldElsewhere` (3011) and names the holder if that has room, and the router goes there next.

--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from "node:http";
 import { canRepeat, mergeAttemptErrors } from "@jasminetide/core/attempts";
 import type { Settings } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
@@ -27,6 +28,8 @@
   settings: Settings;
   /** Chooses a runner that is not among those already tried. */
   chooseRunner: (tried: ReadonlySet<string>) => RunnerRow | undefined;
+  /** Called with the headers of each refusal, before the next choice. */
+  observeRefusal?: (headers: IncomingHttpHeaders) => void;
 };
 
 /** What dispatching works with. */
@@ -114,7 +117,10 @@
   const sentAtMs = context.timers.nowMs();
   const start = await openAnswer(attempt, attemptContext);
   context.directory.recordAnswer(runner.id, start.headers);
-  if (isRefusal(start)) throw await readRefusal(start);
+  if (isRefusal(start)) {
+    dispatch.observeRefusal?.(start.headers);
+    throw await readRefusal(start);
+  }
   const nowMs = context.timers.nowMs();
   context.pool.firstBytes.record(nowMs - sentAtMs, nowMs);
   context.pool.circuit.record("succeeded", nowMs);
@@ -148,6 +154,7 @@
 }
 
 const cheapRefusals = new Set([
+  "chatHeldElsewhere",
   "epochMismatch",
   "overLoadCap",
   "runnerLeaving",
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AppError } from "@jasminetide/core/results";
 import { getChatKey } from "@jasminetide/core/routing";
+import { headerNames } from "@jasminetide/runtime/exchange";
 import { readBody, sendJson } from "@jasminetide/runtime/http";
 import { dispatchRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
@@ -69,6 +70,12 @@
           ? undefined
           : context.directory.runners.get(runner);
       },
+      observeRefusal: (refused) => {
+        const holder = refused[headerNames.chatHolder];
+        if (typeof holder !== "string") return;
+        context.metrics.count("chats-redirected");
+        placement.setHolder(decodeURIComponent(holder));
+      },
     },
     response,
     {
--- a/packages/router/src/placement/chat_placement.ts
+++ b/packages/router/src/placement/chat_placement.ts
@@ -4,6 +4,7 @@
   type DispatchedWork,
   type PoolView,
 } from "@jasminetide/core/routing";
+import type { RunnerId } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 
 /** A turn of a chat and what its placement works with. */
@@ -24,6 +25,7 @@
 export class ChatPlacement implements Disposable {
   readonly #options: ChatPlacementOptions;
   #work: DispatchedWork | undefined;
+  #holder: RunnerId | undefined;
 
   private constructor(options: ChatPlacementOptions) {
     this.#options = options;
@@ -41,7 +43,7 @@
     const nowMs = timers.nowMs();
     const { spillMultiple, minimumTokens } = settings;
     const choice = chooseChatRunner(
-      { key, costTokens, tried },
+      { key, costTokens, holder: this.#holder, tried },
       pool,
       { nowMs, spillMultiple, minimumTokens },
     );
@@ -52,6 +54,11 @@
     return runner;
   }
 
+  /** Sets the runner that the chat's home has named as the holder. */
+  setHolder(holder: RunnerId): void {
+    this.#holder = holder;
+  }
+
   /** Records that the turn has ended. */
   [Symbol.dispose](): void {
     this.#complete();
--- a/packages/runtime/src/control/peer_clients.ts
+++ b/packages/runtime/src/control/peer_clients.ts
@@ -1,5 +1,10 @@
 import { Agent } from "undici";
-import { createPeerClient, type PeerClient } from "./control_client.ts";
+import {
+  createPeerClient,
+  createSidecarClient,
+  type PeerClient,
+  type SidecarClient,
+} from "./control_client.ts";
 
 const connectTimeoutMs = 1000;
 const answerTimeoutMs = 2000;
@@ -13,6 +18,7 @@
     connections: 1,
   });
   readonly #clients = new Map<string, PeerClient>();
+  readonly #sidecars = new Map<string, SidecarClient>();
 
   private constructor() {}
 
@@ -30,6 +36,15 @@
     return client;
   }
 
+  /** Gets the client of a sidecar by its control address (`ip:port`). */
+  getSidecar(address: string): SidecarClient {
+    const known = this.#sidecars.get(address);
+    if (known !== undefined) return known;
+    const client = createSidecarClient({ address, dispatcher: this.#agent });
+    this.#sidecars.set(address, client);
+    return client;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#agent.destroy();
   }
--- a/packages/runtime/src/control/peer_router.ts
+++ b/packages/runtime/src/control/peer_router.ts
@@ -6,7 +6,7 @@
 import { type FencedOrder, fencedOrderSchema } from "@jasminetide/core/leases";
 import type { Executed } from "@jasminetide/core/results";
 import { initTRPC } from "@trpc/server";
-import { settleSchema } from "./messages.ts";
+import { chatClaimsSchema, settleSchema } from "./messages.ts";
 import { z } from "zod";
 
 const trpc = initTRPC.create();
@@ -46,6 +46,7 @@
 export type SidecarHandlers = PeerHandlers & {
   settle(request: z.output<typeof settleSchema>): Settlement;
   order(request: FencedOrder): Promise<OrderOutcome>;
+  claimChats(claims: z.output<typeof chatClaimsSchema>): void;
 };
 
 /** Creates the procedures that every process serves. */
@@ -60,6 +61,9 @@
     settle: trpc.procedure.input(settleSchema).mutation(({ input }) =>
       handlers.settle(input)
     ),
+    claimChats: trpc.procedure.input(chatClaimsSchema).mutation(({ input }) =>
+      handlers.claimChats(input)
+    ),
     order: trpc.procedure.input(fencedOrderSchema).mutation(({ input }) =>
       handlers.order(input)
     ),
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -18,6 +18,8 @@
   sender: "jt-sender",
   pool: "jt-pool",
   chatKey: "jt-chat-key",
+  /** Runner that holds a chat, in the refusal of its home. */
+  chatHolder: "jt-chat-holder",
   idempotent: "jt-idempotent",
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
--- /dev/null
+++ b/packages/sidecar/src/hints/mod.ts
@@ -0,0 +1,2 @@
+/** Where chats are held that this runner or its pool serves. */
+export * from "./chat_locator.ts";
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -2,7 +2,7 @@
 import type { Admission, TaskObserver } from "@jasminetide/core/admission";
 import type { Settings } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
-import type { RunnerKind } from "@jasminetide/core/tables";
+import type { RunnerId, RunnerKind } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   headerNames,
@@ -39,6 +39,10 @@
   ) => Promise<void> | undefined;
   getStreamSettings: () => Settings["stream"];
   isLeaving: () => boolean;
+  /** Finds the runner that should get a turn instead of this one. */
+  findHolder: (envelope: RequestEnvelope) => RunnerId | undefined;
+  /** Records that the turn of a chat runs here. */
+  recordHeld: (envelope: RequestEnvelope) => void;
   /** Headers that each answer carries. */
   getAnswerHeaders: () => { [name: string]: string };
   maximumBodyBytes: number;
@@ -107,6 +111,7 @@
   if (context.isLeaving()) {
     throw AppError.create("runnerLeaving", "Runner takes no new work");
   }
+  checkHolder(envelope, response, context);
   const attempt = context.attempts.begin(envelope.attempt, {
     epoch: envelope.epoch,
     isIdempotent: envelope.isIdempotent,
@@ -129,6 +134,18 @@
   });
 }
 
+/** Refuses a turn whose cache another runner holds, and names that runner. */
+function checkHolder(
+  envelope: RequestEnvelope,
+  response: ServerResponse,
+  context: RequestContext,
+): void {
+  const holder = context.findHolder(envelope);
+  if (holder === undefined) return;
+  response.setHeader(headerNames.chatHolder, encodeURIComponent(holder));
+  throw AppError.create("chatHeldElsewhere", `Runner ${holder} holds the chat`);
+}
+
 /** Sends an answer; interim responses show that the connection is alive. */
 async function passAnswer(
   attempt: StoredAttempt,
@@ -181,6 +198,7 @@
     }, async (observer) => {
       attempt.abort.signal.throwIfAborted();
       hasBegun = true;
+      context.recordHeld(envelope);
       await runAdmitted(attempt, { ...work, observer }, context);
     }, { signal: attempt.abort.signal });
   } catch (error) {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -8,7 +8,7 @@
 import type { Match } from "@jasminetide/core/configuration";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { MinuteMeter, PeakGate, PeakHold } from "@jasminetide/core/peak";
-import type { Epoch } from "@jasminetide/core/tables";
+import type { Epoch, RunnerId } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationFollower,
@@ -30,6 +30,7 @@
 import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
+import { ChatLocator } from "./hints/mod.ts";
 import { OrderGate } from "./orders/mod.ts";
 import {
   createSettingsReader,
@@ -79,6 +80,7 @@
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
   #ledger: Ledger | undefined;
+  #locator: ChatLocator | undefined;
   #isLeaving = false;
   #dataAddress = "";
   #controlAddress = "";
@@ -140,6 +142,11 @@
     return this.#ledger?.getDump() ?? [];
   }
 
+  /** Name of the runner beside this sidecar. */
+  get runner(): RunnerId {
+    return this.#options.settings.runner;
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
@@ -186,11 +193,17 @@
     this.#controlAddress = control.address;
     this.#resources.use(control);
     const membership = await this.#startMembership(platform);
+    if (settings.kind === "engine") {
+      this.#locator = this.#createLocator(membership);
+    }
     this.#startFollower(platform, membership);
     this.#resources.defer(() => data.close());
     const expiry = timers.subscribe(
       expirePeriodMs,
-      (nowMs) => this.#attempts.expire(nowMs),
+      (nowMs) => {
+        this.#attempts.expire(nowMs);
+        settings.pools.forEach((pool) => this.#locator?.announce(pool));
+      },
     );
     this.#resources.defer(() => expiry[Symbol.dispose]());
     logger.info("sidecar-started", {
@@ -231,6 +244,12 @@
       },
       getStreamSettings: () => this.#effective.get().stream,
       isLeaving: () => this.#isLeaving,
+      findHolder: (envelope) => this.#locator?.findHolder(envelope),
+      recordHeld: (envelope) => {
+        if (this.#locator === undefined) return;
+        this.#metrics.count("chat-turns");
+        this.#locator.recordHeld(envelope);
+      },
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
         ...this.#membership?.getAnswerHeaders(),
@@ -264,6 +283,8 @@
         getParts: (hashes) => selectParts(this.#configuration, hashes),
         order: (order) => this.#requireOrders().apply(order),
         isDutyHeld: () => false,
+        claimChats: (claims) =>
+          claims.forEach((claim) => this.#locator?.recordClaim(claim)),
         getMembers: () => this.#membership?.listMembers() ?? [],
         settle: ({ attempt, epoch }) =>
           this.#attempts.settle(attempt, { epoch, nowMs: timers.nowMs() }),
@@ -358,6 +379,20 @@
     };
   }
 
+  #createLocator(membership: Membership): ChatLocator {
+    return ChatLocator.create({
+      self: this.#options.settings.runner,
+      source: membership,
+      timers: this.#options.timers,
+      getLoadSettings: () => this.#effective.get().load,
+      sendClaims: (home, claims) => {
+        this.#metrics.count("chats-claimed", claims.length);
+        this.#peers.getSidecar(home.controlAddress).claimChats.mutate(claims)
+          .catch(() => this.#metrics.count("chat-claims-lost", claims.length));
+      },
+    });
+  }
+
   #isDeferrable(priority: number): boolean {
     if (!this.#configuration.isLoaded) return false;
     const { classes } = this.#configuration.get().body;
@@ -386,6 +421,7 @@
       membership: this.#membership?.getSnapshot(),
       highestFencingNumber: this.#orders?.highestFencingNumber,
       peak: this.#getPeakDump(),
+      chatHints: this.#locator?.size ?? 0,
       ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
