--- a/packages/operator/src/apply/apply_declaration.ts
+++ b/packages/operator/src/apply/apply_declaration.ts
@@ -13,10 +13,10 @@
 } from "../declaration/mod.ts";
 import type { Base } from "./base_file.ts";
 import {
-  announcePublication,
   findReplacedVersion,
   findUndone,
   loadPublications,
+  recordPublication,
 } from "./recent_changes.ts";
 
 /** What became of an attempt to apply a declaration. */
@@ -73,7 +73,7 @@
   const changes = compareDeclarations(accepted?.body, body);
   const undone = await findUnseen(platform, { ...options, accepted, changes });
   if (undone.length > 0) {
-    const changedByOthers = undone.map(invertChange);
+    const changedByOthers = undone.map(createInverse);
     const version = baseVersion;
     return {
       type: "conflict",
@@ -83,7 +83,7 @@
       changes,
     };
   }
-  await announcePublication(platform, {
+  await recordPublication(platform, {
     hash,
     baseVersion,
     baseHash: accepted === undefined ? "" : hashConfiguration(accepted.body),
@@ -155,7 +155,7 @@
   });
 }
 
-function invertChange(change: Change): Change {
+function createInverse(change: Change): Change {
   const { before: after, after: before, ...rest } = change;
   const type = change.type === "changed"
     ? "changed"
--- a/packages/operator/src/apply/plan_declaration.ts
+++ b/packages/operator/src/apply/plan_declaration.ts
@@ -8,7 +8,7 @@
   type Change,
   compareDeclarations,
   formatChanges,
-  shortenHashes,
+  formatHashes,
 } from "../changes/mod.ts";
 import type { CommandResult } from "../output/mod.ts";
 
@@ -36,7 +36,7 @@
 export function reportPlan(plan: Plan): CommandResult {
   return {
     exitCode: exitCodes.ok,
-    document: { ...plan, changes: shortenHashes(plan.changes) },
+    document: { ...plan, changes: formatHashes(plan.changes) },
     formatText: (style) =>
       [
         formatChanges(plan.changes, style),
--- a/packages/router/src/attempts/hedge_request.ts
+++ b/packages/router/src/attempts/hedge_request.ts
@@ -54,7 +54,7 @@
   first: Promise<Dispatched>,
   second: Promise<Dispatched>,
 ): Promise<Dispatched> {
-  const winner = await Promise.any([first, second]).catch(throwMerged);
+  const winner = await Promise.any([first, second]).catch(throwMergedError);
   for (const dispatched of [first, second]) {
     void dispatched.then(
       (other) => other === winner ? undefined : retire(other),
@@ -65,7 +65,7 @@
 }
 
 /** Neither attempt answered; the caller gets what is true of both. */
-function throwMerged(thrown: AggregateError): never {
+function throwMergedError(thrown: AggregateError): never {
   throw mergeAttemptErrors(thrown.errors.map(normalizeError));
 }
 
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -5,7 +5,7 @@
 import { readBody, sendJson } from "@jasminetide/runtime/http";
 import { dispatchRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
-import { ChatPlacement } from "../placement/mod.ts";
+import { ChatChoice } from "../choice/mod.ts";
 import { sendRequest } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 import {
@@ -34,7 +34,7 @@
   }
   const key = getKey(request, { workspace, chat });
   const costTokens = getCostTokens(chat, body.length);
-  using placement = ChatPlacement.create({
+  using choice = ChatChoice.create({
     key,
     costTokens,
     pool: context.poolViews.get(chat.model, {
@@ -65,16 +65,16 @@
       deadlineAtMs: arrivedAtMs + deadlineMs,
       settings,
       chooseRunner: (tried) => {
-        const runner = placement.choose(tried);
+        const runner = choice.choose(tried);
         return runner === undefined
-          ? undefined
+          ? context.directory.getCandidates(chat.model, tried)[0]
           : context.directory.runners.get(runner);
       },
       observeRefusal: (refused) => {
         const holder = refused[headerNames.chatHolder];
         if (typeof holder !== "string") return;
         context.metrics.count("chats-redirected");
-        placement.setHolder(decodeURIComponent(holder));
+        choice.setHolder(decodeURIComponent(holder));
       },
     },
     response,
--- a/packages/router/src/placement/chat_placement.ts
+++ b/packages/router/src/choice/chat_choice.ts
@@ -7,8 +7,8 @@
 import type { RunnerId } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 
-/** A turn of a chat and what its placement works with. */
-export type ChatPlacementOptions = {
+/** A turn of a chat and what its choice works with. */
+export type ChatChoiceOptions = {
   /** 64-bit chat key. */
   key: bigint;
   costTokens: number;
@@ -19,21 +19,21 @@
 
 /**
  * Chooses the runners for the attempts at one turn. The work of the present
- * attempt counts in the pool's view until the next is chosen or the placement
+ * attempt counts in the pool's view until the next is chosen or the choice
  * is disposed of.
  */
-export class ChatPlacement implements Disposable {
-  readonly #options: ChatPlacementOptions;
+export class ChatChoice implements Disposable {
+  readonly #options: ChatChoiceOptions;
   #work: DispatchedWork | undefined;
   #holder: RunnerId | undefined;
 
-  private constructor(options: ChatPlacementOptions) {
+  private constructor(options: ChatChoiceOptions) {
     this.#options = options;
   }
 
-  /** Creates the placement of a turn. */
-  static create(options: ChatPlacementOptions): ChatPlacement {
-    return new ChatPlacement(options);
+  /** Creates the choice for a turn. */
+  static create(options: ChatChoiceOptions): ChatChoice {
+    return new ChatChoice(options);
   }
 
   /** Chooses the runner for the next attempt; its load counts from now on. */
--- a/packages/router/src/placement/placement_test.ts
+++ b/packages/router/src/choice/chat_choice_test.ts
@@ -3,7 +3,7 @@
 import { settingsSchema } from "@jasminetide/core/configuration";
 import type { RunnerRow } from "@jasminetide/core/tables";
 import { VirtualTimerService } from "@jasminetide/core/timers";
-import { ChatPlacement } from "./chat_placement.ts";
+import { ChatChoice } from "./chat_choice.ts";
 import { PoolViews } from "./pool_views.ts";
 
 type World = {
@@ -43,10 +43,10 @@
   return world.views.get("assistant", { nowMs, rampUpMs });
 }
 
-function createPlacement(world: World, costTokens: number): ChatPlacement {
+function createPlacement(world: World, costTokens: number): ChatChoice {
   const { timers } = world;
   const pool = getPool(world);
-  return ChatPlacement.create({ key: 7n, costTokens, pool, settings, timers });
+  return ChatChoice.create({ key: 7n, costTokens, pool, settings, timers });
 }
 
 function place(world: World, tried = new Set<string>()): string | undefined {
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -7,6 +7,8 @@
   parseKey,
 } from "@jasminetide/core/ledger";
 import { AppError } from "@jasminetide/core/results";
+import type { TimerService } from "@jasminetide/core/timers";
+import { headerNames } from "@jasminetide/runtime/exchange";
 import type { RouterContext } from "../router_context.ts";
 import { askOwner, type OutgoingCall } from "./ask_owner.ts";
 
@@ -22,6 +24,11 @@
 
 const betweenAsksMs = 20;
 
+const betweenSearchesMs = 100;
+
+/** Longest time for which a leaving owner's successor is waited for. */
+const handoverMs = 5000;
+
 /** Brings a money call to the owner of its key and answers the caller. */
 export async function handleMoneyCall(
   call: MoneyCall,
@@ -51,12 +58,47 @@
   }
 }
 
+/**
+ * Asks for the answer until a sidecar has the last word. While an owner
+ * leaves, the next one may not be ready yet: the search begins again for a
+ * while, which the key makes safe.
+ */
 async function findAnswer(
   call: MoneyCall & OutgoingCall,
   context: RouterContext,
 ): Promise<LedgerAnswer> {
+  const { timers } = context;
+  const endAtMs = Math.min(call.deadlineAtMs, timers.nowMs() + handoverMs);
+  while (true) {
+    const { answer, isHandover } = await searchOwner(call, context);
+    if (!isHandover || timers.nowMs() >= endAtMs) return answer;
+    context.metrics.count("money-handovers");
+    await wait(timers, betweenSearchesMs);
+  }
+}
+
+function wait(timers: TimerService, durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    timers.schedule(durationMs, () => resolve());
+  });
+}
+
+type Search = {
+  answer: LedgerAnswer;
+  /** Whether nobody has the last word and an owner was leaving. */
+  isHandover: boolean;
+};
+
+async function searchOwner(
+  call: MoneyCall & OutgoingCall,
+  context: RouterContext,
+): Promise<Search> {
   const { ledgerRoutes, timers, directory } = context;
   const service = call.envelope.pool;
+  const outgoing = {
+    ...call,
+    envelope: { ...call.envelope, sender: directory.controlAddress },
+  };
   const shard = getShard(
     createScopedKey(call.envelope.workspace, call.key),
     ledgerRoutes.getShardCount(service, call.declaredShardCount),
@@ -66,25 +108,31 @@
     shard,
     hint: ledgerRoutes.getOwner(service, shard),
   });
+  let isHandover = false;
   while (timers.nowMs() < call.deadlineAtMs) {
     const runners = directory.getCandidates(service);
     const choice = search.choose(runners.map((runner) => runner.id));
     const runner = runners.find((runner) => runner.id === choice?.name);
     if (choice === undefined || runner === undefined) break;
-    const answer = await askOwner(call, {
+    directory.recordDispatch(runner.id);
+    const answer = await askOwner(outgoing, {
       ...context,
       runner,
       mayClaim: choice.mayClaim,
-      onShardCount: (count) => ledgerRoutes.setShardCount(service, count),
+      onAnswer: (headers) => {
+        directory.recordAnswer(runner.id, headers);
+        const count = Number(headers[headerNames.ledgerShards]);
+        ledgerRoutes.setShardCount(service, count);
+      },
     });
     const isFinal = search.apply(runner.id, answer);
     if (search.hint !== undefined) {
       ledgerRoutes.setOwner(service, shard, search.hint);
     }
-    if (isFinal && answer !== undefined) return answer;
-    await new Promise<void>((resolve) => {
-      timers.schedule(betweenAsksMs, () => resolve());
-    });
+    if (isFinal && answer !== undefined) return { answer, isHandover: false };
+    isHandover ||= answer?.type === "refused" &&
+      answer.result === "runnerLeaving";
+    await wait(timers, betweenAsksMs);
   }
-  return search.last;
+  return { answer: search.last, isHandover };
 }
--- a/packages/router/src/placement/mod.ts
+++ b/packages/router/src/placement/mod.ts
@@ -1,3 +1,3 @@
-/** Views of the pools and the choice of runners from them. */
-export * from "./chat_placement.ts";
-export * from "./pool_views.ts";
+/** The duty to place models on the runners of a region. */
+export * from "./placement_keeper.ts";
+export * from "./status_writer.ts";
--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -70,7 +70,7 @@
           { failureDomain, random, tried },
         );
         return runner === undefined
-          ? undefined
+          ? directory.getCandidates(service.name, tried)[0]
           : directory.runners.get(runner.id);
       },
     },
--- a/packages/runtime/src/control/peer_clients.ts
+++ b/packages/runtime/src/control/peer_clients.ts
@@ -17,8 +17,8 @@
     bodyTimeout: answerTimeoutMs,
     connections: 1,
   });
-  readonly #clients = new Map<string, PeerClient>();
   readonly #sidecars = new Map<string, SidecarClient>();
+  readonly #clients = new Map<string, PeerClient>();
 
   private constructor() {}
 
@@ -36,7 +36,7 @@
     return client;
   }
 
-  /** Gets the client of a sidecar by its control address (`ip:port`). */
+  /** Gets the client of a sidecar's control address (`ip:port`). */
   getSidecar(address: string): SidecarClient {
     const known = this.#sidecars.get(address);
     if (known !== undefined) return known;
