Hand hints over and split the measurement's modules

**Change** A scenario covers the hand-over of hints by a leaving home. Digests, the room of a sidecar and the choice of a cache path are modules of their own.

--- /dev/null
+++ b/packages/load/src/measure/digests.ts
@@ -0,0 +1,105 @@
+import {
+  createSeededRandom,
+  type RandomSource,
+} from "@jasminetide/core/random";
+import type { PoolView } from "@jasminetide/core/routing";
+import { type Collector, recordBytes } from "./collector.ts";
+import type { EventQueue } from "./event_queue.ts";
+import type { RouterNode } from "./router_node.ts";
+import { getRunnerName, type Scenario } from "./scenario.ts";
+import type { SidecarNode } from "./sidecar_node.ts";
+
+const digestPeriodMs = 1000;
+const digestDelayMs = { smallest: 200, range: 2800 };
+const digestLossShare = 0.05;
+
+/** The parts of one experiment. */
+export type Fleet = {
+  events: EventQueue;
+  scenario: Scenario;
+  nodes: SidecarNode[];
+  routers: RouterNode[];
+  collector: Collector;
+};
+
+/** Adds a runner to a view of the pool. */
+export function addRunner(
+  pool: PoolView,
+  options: { runner: number; scenario: Scenario; joinedAtMs: number },
+): void {
+  const { runner, scenario, joinedAtMs } = options;
+  pool.add({
+    id: getRunnerName(runner),
+    failureDomain: `domain-${runner % scenario.failureDomains + 1}`,
+    capacity: 1,
+    loadTokens: 0,
+    observedAtMs: joinedAtMs,
+  }, { joinedAtMs, nowMs: Math.max(0, joinedAtMs) });
+}
+
+/** Sends each sidecar's load to every other process, late and with losses. */
+export function startDigests(fleet: Fleet): void {
+  const { events, nodes, scenario } = fleet;
+  const random = createSeededRandom(scenario.seed + 2);
+  for (const node of nodes) {
+    const send = (nowMs: number) => sendDigest({ node, nowMs, random }, fleet);
+    events.subscribe(digestPeriodMs, send);
+    events.subscribe(digestPeriodMs, () => node.announceChats());
+    node.subscribe(send);
+  }
+}
+
+function sendDigest(
+  digest: { node: SidecarNode; nowMs: number; random: RandomSource },
+  fleet: Fleet,
+): void {
+  const { node, nowMs, random } = digest;
+  const { events, nodes, routers, collector } = fleet;
+  if (node.state === "down") return;
+  const record = {
+    loadTokens: node.loadTokens,
+    observedAtMs: nowMs,
+    joinedAtMs: node.startedAtMs,
+    isLeaving: node.state === "leaving",
+  };
+  collector.recordControl(recordBytes * routers.length, nowMs);
+  for (const process of [...routers, ...nodes]) {
+    if (process === node || random.getFloat() < digestLossShare) continue;
+    const delayMs = digestDelayMs.smallest +
+      random.getFloat() * digestDelayMs.range;
+    events.schedule(nowMs + delayMs, () => {
+      applyRecord(record, { runner: nodes.indexOf(node), process, fleet });
+    });
+  }
+}
+
+type DigestRecord = {
+  loadTokens: number;
+  observedAtMs: number;
+  /** Start of the sidecar, which its epoch tells. */
+  joinedAtMs: number;
+  isLeaving: boolean;
+};
+
+/** Takes in a record; one of a new epoch tells of a runner that has joined. */
+function applyRecord(
+  record: DigestRecord,
+  options: {
+    runner: number;
+    process: RouterNode | SidecarNode;
+    fleet: Fleet;
+  },
+): void {
+  const { process, runner, fleet: { scenario } } = options;
+  const { pool } = process;
+  const id = getRunnerName(runner);
+  const { joinedAtMs, observedAtMs } = record;
+  if (record.isLeaving) {
+    pool.remove(id, { isLost: false, nowMs: observedAtMs });
+    return;
+  }
+  if (pool.get(id) === undefined && !pool.hasLeft(id, joinedAtMs)) {
+    addRunner(pool, { runner, scenario, joinedAtMs });
+  }
+  pool.observeLoad(id, record);
+}
--- /dev/null
+++ b/packages/load/src/measure/load_room.ts
@@ -0,0 +1,62 @@
+import { getCapTokens, isUnderCap } from "@jasminetide/core/admission";
+import { settingsSchema } from "@jasminetide/core/configuration";
+import { getLoadBoundTokens, type PoolView } from "@jasminetide/core/routing";
+import type { RunnerId } from "@jasminetide/core/tables";
+import { loadBounds } from "./scenario.ts";
+
+/** A sidecar's own load and its view of the others. */
+export type LoadedSidecar = {
+  id: RunnerId;
+  pool: PoolView;
+  loadTokens: number;
+};
+
+/** Work that asks for room. */
+export type RoomRequest = {
+  costTokens: number;
+  /** Whether only the load cap applies, not the spill bound. */
+  isLastResort: boolean;
+  nowMs: number;
+};
+
+const admissionSettings = settingsSchema.parse({
+  load: {
+    capMultiple: loadBounds.capMultiple,
+    minimumTokens: loadBounds.minimumTokens,
+  },
+});
+
+/** Says whether a sidecar has room by its exact load and the lagging mean. */
+export function hasRoom(sidecar: LoadedSidecar, request: RoomRequest): boolean {
+  const { id, loadTokens, pool } = sidecar;
+  const { costTokens, nowMs } = request;
+  const own = pool.get(id);
+  pool.observeLoad(id, { loadTokens, observedAtMs: nowMs });
+  const capacity = own === undefined ? 1 : pool.getCapacity(own, nowMs);
+  const capTokens = request.isLastResort
+    ? getProductCapTokens(pool, { capacity, nowMs })
+    : getLoadBoundTokens({
+      meanTokens: pool.getMeanTokens(nowMs),
+      multiple: loadBounds.refuseMultiple,
+      minimumTokens: loadBounds.minimumTokens,
+      capacity,
+    });
+  return isUnderCap(loadTokens, { costTokens, capTokens });
+}
+
+/** Gets the load cap by the product's own rule. */
+function getProductCapTokens(
+  pool: PoolView,
+  options: { capacity: number; nowMs: number },
+): number {
+  const { capacity, nowMs } = options;
+  const views = pool.getCandidates(nowMs);
+  const oldestMs = Math.min(...views.map((view) => view.observedAtMs));
+  return getCapTokens({
+    tokens: pool.getMeanTokens(nowMs),
+    ageMs: nowMs - oldestMs,
+    errorTokens: 0,
+    runners: views.length,
+    staleRunners: 0,
+  }, { settings: admissionSettings, capacity });
+}
--- a/packages/load/src/measure/run_experiment.ts
+++ b/packages/load/src/measure/run_experiment.ts
@@ -1,15 +1,12 @@
-import {
-  createSeededRandom,
-  type RandomSource,
-} from "@jasminetide/core/random";
+import { createSeededRandom } from "@jasminetide/core/random";
 import { PoolView } from "@jasminetide/core/routing";
 import {
   Collector,
   type MinuteFigures,
   type PolicyFigures,
-  recordBytes,
 } from "./collector.ts";
 import { type ChurnEvent, createChurn } from "./churn.ts";
+import { addRunner, type Fleet, startDigests } from "./digests.ts";
 import { EventQueue } from "./event_queue.ts";
 import {
   getMechanisms,
@@ -36,9 +33,6 @@
 
 const rampUpMs = 2000;
 const holdDown = { holdDownMs: 1000, maximumHoldDownMs: 4000 };
-const digestPeriodMs = 1000;
-const digestDelayMs = { smallest: 200, range: 2800 };
-const digestLossShare = 0.05;
 /** Lag of each router's list; the last stands for the sidecars. */
 const listLagsMs = [500, 1000, 2000, 4000];
 /** Time the host list takes to notice a runner that stopped unannounced. */
@@ -75,14 +69,6 @@
   return { figures: collector.getFigures(), minutes: collector.getMinutes() };
 }
 
-type Fleet = {
-  events: EventQueue;
-  scenario: Scenario;
-  nodes: SidecarNode[];
-  routers: RouterNode[];
-  collector: Collector;
-};
-
 function createSidecars(
   scenario: Scenario,
   options: { events: EventQueue; mechanisms: Mechanisms },
@@ -146,20 +132,6 @@
   return pool;
 }
 
-function addRunner(
-  pool: PoolView,
-  options: { runner: number; scenario: Scenario; joinedAtMs: number },
-): void {
-  const { runner, scenario, joinedAtMs } = options;
-  pool.add({
-    id: getRunnerName(runner),
-    failureDomain: `domain-${runner % scenario.failureDomains + 1}`,
-    capacity: 1,
-    loadTokens: 0,
-    observedAtMs: joinedAtMs,
-  }, { joinedAtMs, nowMs: Math.max(0, joinedAtMs) });
-}
-
 /** Changes a runner now and every process's list after its own lag. */
 function scheduleChurn(event: ChurnEvent, fleet: Fleet): void {
   const { events, nodes, routers, scenario } = fleet;
@@ -204,70 +176,3 @@
     addRunner(pool, { runner, scenario, joinedAtMs: 0 });
   } else pool.remove(id, { isLost: type === "lost", nowMs: atMs });
 }
-
-/** Sends each sidecar's load to every other process, late and with losses. */
-function startDigests(fleet: Fleet): void {
-  const { events, nodes, scenario } = fleet;
-  const random = createSeededRandom(scenario.seed + 2);
-  for (const node of nodes) {
-    const send = (nowMs: number) => sendDigest({ node, nowMs, random }, fleet);
-    events.subscribe(digestPeriodMs, send);
-    events.subscribe(digestPeriodMs, () => node.announceChats());
-    node.subscribe(send);
-  }
-}
-
-function sendDigest(
-  digest: { node: SidecarNode; nowMs: number; random: RandomSource },
-  fleet: Fleet,
-): void {
-  const { node, nowMs, random } = digest;
-  const { events, nodes, routers, collector } = fleet;
-  if (node.state === "down") return;
-  const record = {
-    loadTokens: node.loadTokens,
-    observedAtMs: nowMs,
-    joinedAtMs: node.startedAtMs,
-    isLeaving: node.state === "leaving",
-  };
-  collector.recordControl(recordBytes * routers.length, nowMs);
-  for (const process of [...routers, ...nodes]) {
-    if (process === node || random.getFloat() < digestLossShare) continue;
-    const delayMs = digestDelayMs.smallest +
-      random.getFloat() * digestDelayMs.range;
-    events.schedule(nowMs + delayMs, () => {
-      applyRecord(record, { runner: nodes.indexOf(node), process, fleet });
-    });
-  }
-}
-
-type DigestRecord = {
-  loadTokens: number;
-  observedAtMs: number;
-  /** Start of the sidecar, which its epoch tells. */
-  joinedAtMs: number;
-  isLeaving: boolean;
-};
-
-/** Takes in a record; one of a new epoch tells of a runner that has joined. */
-function applyRecord(
-  record: DigestRecord,
-  options: {
-    runner: number;
-    process: RouterNode | SidecarNode;
-    fleet: Fleet;
-  },
-): void {
-  const { process, runner, fleet: { scenario } } = options;
-  const { pool } = process;
-  const id = getRunnerName(runner);
-  const { joinedAtMs, observedAtMs } = record;
-  if (record.isLeaving) {
-    pool.remove(id, { isLost: false, nowMs: observedAtMs });
-    return;
-  }
-  if (pool.get(id) === undefined && !pool.hasLeft(id, joinedAtMs)) {
-    addRunner(pool, { runner, scenario, joinedAtMs });
-  }
-  pool.observeLoad(id, record);
-}
--- a/packages/load/src/measure/sidecar_node.ts
+++ b/packages/load/src/measure/sidecar_node.ts
@@ -1,12 +1,8 @@
-import { getCapTokens, isUnderCap } from "@jasminetide/core/admission";
-import { settingsSchema } from "@jasminetide/core/configuration";
 import {
   type ChatHint,
   ChatHints,
-  chooseCachePath,
   chooseLongerHint,
-  getLoadBoundTokens,
-  PoolView,
+  type PoolView,
   rankRunners,
   selectHintKeepers,
 } from "@jasminetide/core/routing";
@@ -15,7 +11,9 @@
 import type { EventQueue } from "./event_queue.ts";
 import { HeldTurns } from "./held_turns.ts";
 import type { Mechanisms } from "./policies.ts";
-import { engineModel, hopMs, loadBounds } from "./scenario.ts";
+import { choosePath } from "./choose_path.ts";
+import { hasRoom } from "./load_room.ts";
+import { hopMs } from "./scenario.ts";
 import type { Turn } from "./traffic.ts";
 
 /** What a router asks of a sidecar. */
@@ -46,13 +44,6 @@
   findPeer: (id: RunnerId) => SidecarNode | undefined;
 };
 
-const admissionSettings = settingsSchema.parse({
-  load: {
-    capMultiple: loadBounds.capMultiple,
-    minimumTokens: loadBounds.minimumTokens,
-  },
-});
-
 const maxHints = 200_000;
 const hintRetentionMs = 4 * 3_600_000;
 
@@ -97,13 +88,19 @@
     if (this.state !== "active") return { type: "refused" };
     const { turn } = request;
     const known = this.#findHint(turn);
-    if (!this.#hasRoom(turn, request.isLastResort)) {
+    if (!this.#canAdmit(request)) {
       const holder = known?.runner === this.id ? undefined : known?.runner;
       return { type: "refused", holder };
     }
     const localTokens = this.engine.getCachedTokens(turn);
     const source = this.#findSource(request);
-    const path = this.#choosePath(request, { source, localTokens });
+    const path = choosePath(request, {
+      source,
+      localTokens,
+      pool: this.pool,
+      canTransfer: this.#options.mechanisms.kvTransfer,
+      nowMs: this.#options.events.nowMs,
+    });
     if (path === "redirect" && source !== undefined) {
       this.#recordHolder(turn, source);
       return { type: "redirected", holder: source.peer.id };
@@ -218,40 +215,13 @@
     this.engine.fail(nowMs);
   }
 
-  #hasRoom(turn: Turn, isLastResort: boolean): boolean {
+  #canAdmit(request: TurnRequest): boolean {
     if (!this.#options.mechanisms.boundedLoad) return true;
-    const { nowMs } = this.#options.events;
-    const own = this.pool.get(this.id);
-    this.pool.observeLoad(this.id, {
-      loadTokens: this.loadTokens,
-      observedAtMs: nowMs,
+    return hasRoom(this, {
+      costTokens: request.turn.costTokens,
+      isLastResort: request.isLastResort,
+      nowMs: this.#options.events.nowMs,
     });
-    const capacity = own === undefined ? 1 : this.pool.getCapacity(own, nowMs);
-    const capTokens = isLastResort
-      ? this.#getCapTokens(capacity)
-      : getLoadBoundTokens({
-        meanTokens: this.pool.getMeanTokens(nowMs),
-        multiple: loadBounds.refuseMultiple,
-        minimumTokens: loadBounds.minimumTokens,
-        capacity,
-      });
-    const { costTokens } = turn;
-    return isUnderCap(this.loadTokens, { costTokens, capTokens });
-  }
-
-  /** Gets the load cap by the product's own rule. */
-  #getCapTokens(capacity: number): number {
-    const { nowMs } = this.#options.events;
-    const views = this.pool.getCandidates(nowMs);
-    const oldestMs = Math.min(...views.map((view) => view.observedAtMs));
-    const tokens = this.pool.getMeanTokens(nowMs);
-    return getCapTokens({
-      tokens,
-      ageMs: nowMs - oldestMs,
-      errorTokens: 0,
-      runners: views.length,
-      staleRunners: 0,
-    }, { settings: admissionSettings, capacity });
   }
 
   #findHint(turn: Turn) {
@@ -327,32 +297,6 @@
     return { peer, tokens };
   }
 
-  #choosePath(
-    request: TurnRequest,
-    options: { source: Source | undefined; localTokens: number },
-  ) {
-    const { source, localTokens } = options;
-    if (source === undefined) return "recompute";
-    const { nowMs } = this.#options.events;
-    const { turn } = request;
-    const view = this.pool.get(source.peer.id);
-    const canHolderAdmit = view !== undefined &&
-      view.loadTokens + turn.costTokens <=
-        loadBounds.spillMultiple * this.pool.getMeanTokens(nowMs);
-    return chooseCachePath({
-      localTokens,
-      heldTokens: Math.min(source.tokens, turn.promptTokens),
-      canHolderAdmit,
-      canRedirect: request.canRedirect && request.source === undefined,
-    }, {
-      ...engineModel,
-      transferTokensPerSecond: this.#options.mechanisms.kvTransfer
-        ? engineModel.transferTokensPerSecond
-        : 0,
-      redirectMs: 2 * hopMs,
-    });
-  }
-
   #createHints(): ChatHints {
     return ChatHints.create({
       maximumHints: maxHints,
@@ -362,4 +306,5 @@
   }
 }
 
-type Source = { peer: SidecarNode; tokens: number };
+/** A peer that holds a chat, with the tokens that it is said to hold. */
+export type Source = { peer: SidecarNode; tokens: number };
--- a/packages/sidecar/src/hints/chat_locator.ts
+++ b/packages/sidecar/src/hints/chat_locator.ts
@@ -118,9 +118,9 @@
   }
 
   /**
-   * Tells the homes of the chats held here after a runner of the pool has come
-   * or gone, the most recently used first. A restarted home, or the one that
-   * takes its place, gets its hints back in this way.
+   * Tells homes where their chats are after a runner of the pool has come or
+   * gone, the most recently used first. A restarted home gets its hints back in
+   * this way, and a leaving one hands them over.
    */
   announce(pool: string): void {
     const runners = this.#options.source.getCandidates(pool);
--- a/packages/sidecar/src/hints/hints.feature
+++ b/packages/sidecar/src/hints/hints.feature
@@ -37,3 +37,8 @@
     Then the home names no other runner for the next turn
     When all sidecars see which runners there are
     Then the home names rank 2 for the next turn
+
+  Scenario: A leaving home hands its hints over
+    When a turn runs at rank 2
+    And the home leaves and sees which runners are left
+    Then rank 1 names rank 2 for the next turn
--- a/packages/sidecar/src/hints/hints_test.ts
+++ b/packages/sidecar/src/hints/hints_test.ts
@@ -86,10 +86,20 @@
   this.rows = this.rows.filter((row) => row !== this.order[rank]);
 });
 
+When(
+  "the home leaves and sees which runners are left",
+  function (this: World) {
+    const home = this.order[0];
+    this.rows = this.rows.filter((row) => row !== home);
+    getLocator(this, 0).announce(turn.pool);
+  },
+);
+
 Then(
-  "the home names rank {int} for the next turn",
-  function (this: World, rank: number) {
-    assert.equal(getLocator(this, 0).findHolder(turn), this.order[rank].id);
+  /^(?:the home|rank (\d+)) names rank (\d+) for the next turn$/,
+  function (this: World, asked: string | null, rank: string) {
+    const found = getLocator(this, Number(asked ?? "0")).findHolder(turn);
+    assert.equal(found, this.order[Number(rank)].id);
   },
 );
 
