--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -10,14 +10,7 @@
   startSettlement,
   startWrite,
 } from "./commits.ts";
-import {
-  completeSeal,
-  failSeal,
-  retrySeal,
-  scheduleSeal,
-  startSeal,
-  trimHistory,
-} from "./history.ts";
+import { trimHistory } from "./history.ts";
 import type { LedgerCall, ShardCommand, ShardEvent } from "./messages.ts";
 import { recordOutcome } from "./outcomes.ts";
 import {
@@ -33,6 +26,13 @@
   startLoading,
   startReading,
 } from "./ownership.ts";
+import {
+  completeSeal,
+  failSeal,
+  retrySeal,
+  scheduleSeal,
+  startSeal,
+} from "./segments.ts";
 import {
   createShardState,
   type ShardOptions,
@@ -224,11 +224,8 @@
     const dues = [this.#readRetryAtMs, state.seal?.retryAtMs ?? Infinity];
     if (state.role.type === "owner" || state.write !== undefined) {
       dues.push(getWriteDueMs(state) ?? Infinity);
-    } else {
-      for (const call of state.calls.values()) {
-        if (call.state !== "dispatched") dues.push(call.deadlineAtMs);
-      }
     }
+    if (state.role.type !== "owner") dues.push(state.earliestDeadlineMs);
     if (state.role.type === "waiting") dues.push(state.role.readAtMs);
     const dueMs = Math.max(Math.min(...dues), state.nowMs);
     if (dueMs >= state.wakeAtMs || dueMs === Infinity) return;
--- /dev/null
+++ b/packages/load/src/measure/run_experiment.ts
@@ -0,0 +1,178 @@
+import { createSeededRandom } from "@jasminetide/core/random";
+import { PoolView } from "@jasminetide/core/routing";
+import {
+  Collector,
+  type MinuteFigures,
+  type PolicyFigures,
+} from "./collector.ts";
+import { type ChurnEvent, createChurn } from "./churn.ts";
+import { addRunner, type Fleet, startDigests } from "./digests.ts";
+import { EventQueue } from "./event_queue.ts";
+import {
+  getMechanisms,
+  type MechanismName,
+  type Mechanisms,
+  type PolicyName,
+} from "./policies.ts";
+import { RouterNode } from "./router_node.ts";
+import { getRunnerName, type Scenario } from "./scenario.ts";
+import { SidecarNode } from "./sidecar_node.ts";
+import { createTraffic, type Turn } from "./traffic.ts";
+
+/** What is measured. */
+export type ExperimentOptions = {
+  policy: PolicyName;
+  without?: MechanismName | undefined;
+};
+
+/** Result of one policy. */
+export type ExperimentResult = {
+  figures: PolicyFigures;
+  minutes: MinuteFigures[];
+};
+
+const rampUpMs = 2000;
+const holdDown = { holdDownMs: 1000, maximumHoldDownMs: 4000 };
+/** Lag of each router's list; the last stands for the sidecars. */
+const listLagsMs = [500, 1000, 2000, 4000];
+/** Time the host list takes to notice a runner that stopped unannounced. */
+const lossNoticeMs = 1000;
+
+/** Runs the traffic of a scenario through one policy. */
+export function runExperiment(
+  scenario: Scenario,
+  options: ExperimentOptions,
+): ExperimentResult {
+  const events = EventQueue.create();
+  const mechanisms = getMechanisms(options.policy, options.without);
+  const sidecars = createSidecars(scenario, { events, mechanisms });
+  const nodes = [...sidecars.values()];
+  const collector = Collector.create(scenario, nodes);
+  const routers = createRouters(scenario, {
+    ...options,
+    events,
+    mechanisms,
+    sidecars,
+    collector,
+  });
+  const fleet = { events, scenario, nodes, routers, collector };
+  for (const event of createChurn(scenario)) scheduleChurn(event, fleet);
+  startDigests(fleet);
+  events.subscribe(
+    collector.samplePeriodMs,
+    (nowMs) => collector.sample(nowMs),
+  );
+  for (const turn of createTraffic(scenario)) {
+    events.schedule(turn.atMs, () => routers[turn.router].accept(turn));
+  }
+  events.advance(scenario.warmUpMs + scenario.durationMs);
+  return { figures: collector.getFigures(), minutes: collector.getMinutes() };
+}
+
+function createSidecars(
+  scenario: Scenario,
+  options: { events: EventQueue; mechanisms: Mechanisms },
+): Map<string, SidecarNode> {
+  const sidecars = new Map<string, SidecarNode>();
+  for (let index = 0; index < scenario.runners; index++) {
+    const id = getRunnerName(index);
+    sidecars.set(
+      id,
+      SidecarNode.create({
+        ...options,
+        id,
+        pool: createPool(scenario, options.mechanisms),
+        findPeer: (peer) => sidecars.get(peer),
+      }),
+    );
+  }
+  return sidecars;
+}
+
+function createRouters(
+  scenario: Scenario,
+  options: ExperimentOptions & {
+    events: EventQueue;
+    mechanisms: Mechanisms;
+    sidecars: Map<string, SidecarNode>;
+    collector: Collector;
+  },
+): RouterNode[] {
+  const nodes = [...options.sidecars.values()];
+  const oracle = (turn: Turn) =>
+    nodes.filter((node) => node.state === "active").map((node) => ({
+      id: node.id,
+      loadTokens: node.loadTokens + node.incomingTokens,
+      cachedTokens: node.engine.getCachedTokens(turn),
+    }));
+  return Array.from(
+    { length: scenario.routers },
+    (_, index) =>
+      RouterNode.create({
+        ...options,
+        index,
+        oracle,
+        pool: createPool(scenario, options.mechanisms),
+        random: createSeededRandom(scenario.seed + 100 + index),
+        findSidecar: (id) => options.sidecars.get(id),
+      }),
+  );
+}
+
+function createPool(scenario: Scenario, mechanisms: Mechanisms): PoolView {
+  const pool = PoolView.create({
+    rampUpMs: mechanisms.rampUp ? rampUpMs : 0,
+    ...(mechanisms.holdDown
+      ? holdDown
+      : { holdDownMs: 0, maximumHoldDownMs: 0 }),
+  });
+  for (let index = 0; index < scenario.runners; index++) {
+    addRunner(pool, { runner: index, scenario, joinedAtMs: -rampUpMs });
+  }
+  return pool;
+}
+
+/** Changes a runner now and every process's list after its own lag. */
+function scheduleChurn(event: ChurnEvent, fleet: Fleet): void {
+  const { events, nodes, routers, scenario } = fleet;
+  if (event.router !== undefined) {
+    const { pool } = routers[event.router];
+    events.schedule(event.atMs, () => applyList(event, { pool, scenario }));
+    return;
+  }
+  events.schedule(event.atMs, (nowMs) => {
+    changeRunner(event, { node: nodes[event.runner], nowMs });
+  });
+  const noticeMs = event.type === "lost" ? lossNoticeMs : 0;
+  [...routers, ...nodes].forEach((process, index) => {
+    const lagMs = listLagsMs[index % listLagsMs.length];
+    events.schedule(event.atMs + noticeMs + lagMs, () => {
+      applyList(event, { pool: process.pool, scenario });
+    });
+  });
+}
+
+function changeRunner(
+  event: ChurnEvent,
+  options: { node: SidecarNode; nowMs: number },
+): void {
+  const { node, nowMs } = options;
+  if (event.type === "back") node.start(nowMs);
+  else if (event.type === "leaving") {
+    node.state = "leaving";
+    node.exportChats(nowMs);
+  } else node.stop(nowMs);
+}
+
+function applyList(
+  event: ChurnEvent,
+  options: { pool: PoolView; scenario: Scenario },
+): void {
+  const { pool, scenario } = options;
+  const { atMs, runner, type } = event;
+  const id = getRunnerName(runner);
+  if (type === "back") addRunner(pool, { runner, scenario, joinedAtMs: atMs });
+  else if (type === "shown") {
+    addRunner(pool, { runner, scenario, joinedAtMs: 0 });
+  } else pool.remove(id, { isLost: type === "lost", nowMs: atMs });
+}
--- a/packages/router/src/chats/handle_chat.ts
+++ b/packages/router/src/chats/handle_chat.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AppError } from "@jasminetide/core/results";
-import { getChatKey, rankRunners } from "@jasminetide/core/routing";
+import { getChatKey } from "@jasminetide/core/routing";
+import { headerNames } from "@jasminetide/runtime/exchange";
 import { readBody, sendJson } from "@jasminetide/runtime/http";
 import { dispatchRequest } from "../attempts/mod.ts";
 import { authenticateCaller, getDeadlineMs } from "../callers/mod.ts";
+import { ChatChoice } from "../choice/mod.ts";
 import { sendRequest } from "../relay/mod.ts";
 import type { RouterContext } from "../router_context.ts";
 import {
@@ -31,6 +33,17 @@
     throw AppError.create("unknownModel", `No model "${chat.model}"`);
   }
   const key = getKey(request, { workspace, chat });
+  const costTokens = getCostTokens(chat, body.length);
+  using choice = ChatChoice.create({
+    key,
+    costTokens,
+    pool: context.poolViews.get(chat.model, {
+      nowMs: context.timers.nowMs(),
+      rampUpMs: settings.membership.rampUpMs,
+    }),
+    settings: settings.load,
+    timers: context.timers,
+  });
   await sendRequest(
     {
       request: {
@@ -43,7 +56,7 @@
         workspace,
         priority: requestClass.priority,
         weight: settings.workspace.weight,
-        costTokens: getCostTokens(chat, body.length),
+        costTokens,
         pool: chat.model,
         chatKey: key.toString(16),
         isIdempotent: true,
@@ -52,8 +65,16 @@
       deadlineAtMs: arrivedAtMs + deadlineMs,
       settings,
       chooseRunner: (tried) => {
-        const left = context.directory.getCandidates(chat.model, tried);
-        return rankRunners(key, left)[0];
+        const runner = choice.choose(tried);
+        return runner === undefined
+          ? context.directory.getCandidates(chat.model, tried)[0]
+          : context.directory.runners.get(runner);
+      },
+      observeRefusal: (refused) => {
+        const holder = refused[headerNames.chatHolder];
+        if (typeof holder !== "string") return;
+        context.metrics.count("chats-redirected");
+        choice.setHolder(decodeURIComponent(holder));
       },
     },
     response,
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -8,6 +8,7 @@
 } from "@jasminetide/core/ledger";
 import { AppError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
+import { headerNames } from "@jasminetide/runtime/exchange";
 import type { RouterContext } from "../router_context.ts";
 import { askOwner, type OutgoingCall } from "./ask_owner.ts";
 
@@ -69,7 +70,7 @@
   const { timers } = context;
   const endAtMs = Math.min(call.deadlineAtMs, timers.nowMs() + handoverMs);
   while (true) {
-    const { answer, isHandover } = await searchOwner(call, context);
+    const { answer, isHandover } = await findOwner(call, context);
     if (!isHandover || timers.nowMs() >= endAtMs) return answer;
     context.metrics.count("money-handovers");
     await wait(timers, betweenSearchesMs);
@@ -88,12 +89,16 @@
   isHandover: boolean;
 };
 
-async function searchOwner(
+async function findOwner(
   call: MoneyCall & OutgoingCall,
   context: RouterContext,
 ): Promise<Search> {
   const { ledgerRoutes, timers, directory } = context;
   const service = call.envelope.pool;
+  const outgoing = {
+    ...call,
+    envelope: { ...call.envelope, sender: directory.controlAddress },
+  };
   const shard = getShard(
     createScopedKey(call.envelope.workspace, call.key),
     ledgerRoutes.getShardCount(service, call.declaredShardCount),
@@ -109,11 +114,16 @@
     const choice = search.choose(runners.map((runner) => runner.id));
     const runner = runners.find((runner) => runner.id === choice?.name);
     if (choice === undefined || runner === undefined) break;
-    const answer = await askOwner(call, {
+    directory.recordDispatch(runner.id);
+    const answer = await askOwner(outgoing, {
       ...context,
       runner,
       mayClaim: choice.mayClaim,
-      onShardCount: (count) => ledgerRoutes.setShardCount(service, count),
+      onAnswer: (headers) => {
+        directory.recordAnswer(runner.id, headers);
+        const count = Number(headers[headerNames.ledgerShards]);
+        ledgerRoutes.setShardCount(service, count);
+      },
     });
     const isFinal = search.apply(runner.id, answer);
     if (search.hint !== undefined) {
--- a/packages/sidecar/src/ledger/ledger.ts
+++ b/packages/sidecar/src/ledger/ledger.ts
@@ -15,7 +15,7 @@
 import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { Metrics } from "@jasminetide/runtime/metrics";
-import type { PlatformClient } from "@jasminetide/runtime/platform";
+import type { HostRecord, PlatformClient } from "@jasminetide/runtime/platform";
 import { type MoneyRequest, runCall, type RunnerAccess } from "./run_call.ts";
 import { JournalStore } from "./journal_store.ts";
 import { loadShardCount } from "./layout.ts";
@@ -53,6 +53,7 @@
   readonly #wakes = new Map<number, TimerSubscription>();
   readonly #calls = new Map<CallId, OpenCall>();
   readonly #proposal: TimerSubscription;
+  #isLeaving = false;
   #shardCount: Promise<number> | undefined;
   #settings: ShardSettings | undefined;
 
@@ -61,7 +62,7 @@
     this.#store = JournalStore.create(options);
     this.#proposal = options.timers.subscribe(
       proposePeriodMs,
-      () => void this.#propose(),
+      () => void this.#claimProposed(),
     );
   }
 
@@ -105,7 +106,7 @@
   }
 
   /** Answers a call; never throws. */
-  async call(call: LedgerCall, request: MoneyRequest): Promise<LedgerAnswer> {
+  async answer(call: LedgerCall, request: MoneyRequest): Promise<LedgerAnswer> {
     let shard: number;
     try {
       shard = getShard(call.key, await this.getShardCount());
@@ -135,7 +136,8 @@
   }
 
   /** Takes no new calls; each shard is released after its last call. */
-  leave(): void {
+  drain(): void {
+    this.#isLeaving = true;
     this.#proposal[Symbol.dispose]();
     for (const shard of this.#shards.keys()) {
       this.#handle(shard, { type: "leave" });
@@ -145,7 +147,7 @@
   /** Waits for the calls in flight and the release of the shards. */
   async [Symbol.asyncDispose](): Promise<void> {
     const { timers } = this.#options;
-    this.leave();
+    this.drain();
     const endAtMs = timers.nowMs() + leaveTimeoutMs;
     while (!this.#isReleased() && timers.nowMs() < endAtMs) {
       await new Promise<void>((resolve) => {
@@ -160,17 +162,19 @@
   }
 
   /** Asks for the shards that fall to this runner, if they are free. */
-  async #propose(): Promise<void> {
+  async #claimProposed(): Promise<void> {
     const { service, owner, platform, isOffered } = this.#options;
     if (!isOffered) return;
     try {
       const shardCount = await this.getShardCount();
       const hosts = await platform.loadHosts();
-      const candidates = hosts.filter((host) => host.state === "live")
-        .flatMap((host) => host.processes)
-        .filter((process) => process.type === "sidecar")
-        .filter((process) => process.pools.includes(service))
-        .map((process) => process.runner);
+      const isOwnLeaving = listRunners(hosts, { service, state: "leaving" })
+        .includes(owner.name);
+      if (isOwnLeaving) {
+        this.drain();
+        return;
+      }
+      const candidates = listRunners(hosts, { service, state: "live" });
       for (let shard = 0; shard < shardCount; shard++) {
         const [first] = rankOwners({ service, shard, candidates });
         if (first === owner.name) this.#handle(shard, { type: "propose" });
@@ -189,6 +193,7 @@
         getSettings: () => this.#getSettings(),
       });
       this.#shards.set(shard, decisions);
+      if (this.#isLeaving) this.#handle(shard, { type: "leave" });
     }
     const before = decisions.state.role.type;
     const commands = decisions.handle(event, this.#options.timers.nowMs());
@@ -208,20 +213,23 @@
   #run(shard: number, command: ShardCommand): void {
     switch (command.type) {
       case "read-head":
-        this.#feed(shard, this.#store.readHead(shard));
+        this.#handleLater(shard, this.#store.readHead(shard));
         break;
       case "write-head":
         this.#options.metrics.count("ledger-writes");
-        this.#feed(shard, this.#store.writeHead(shard, command));
+        this.#handleLater(shard, this.#store.writeHead(shard, command));
         break;
       case "read-segments":
-        this.#feed(shard, this.#store.readSegments(shard, command.slots));
+        this.#handleLater(
+          shard,
+          this.#store.readSegments(shard, command.slots),
+        );
         break;
       case "write-segment":
-        this.#feed(shard, this.#store.writeSegment(shard, command));
+        this.#handleLater(shard, this.#store.writeSegment(shard, command));
         break;
       case "dispatch":
-        this.#feed(shard, this.#dispatch(command));
+        this.#handleLater(shard, this.#dispatch(command));
         break;
       case "answer":
         this.#calls.get(command.callId)?.resolve(command.answer);
@@ -246,7 +254,7 @@
     return { type: "outcome", callId, outcome };
   }
 
-  #feed(shard: number, event: Promise<ShardEvent>): void {
+  #handleLater(shard: number, event: Promise<ShardEvent>): void {
     void event.then((event) => this.#handle(shard, event));
   }
 
@@ -263,6 +271,18 @@
   }
 }
 
+/** Names the runners of a service on hosts in a state. */
+function listRunners(
+  hosts: HostRecord[],
+  options: { service: string; state: HostRecord["state"] },
+): string[] {
+  return hosts.filter((host) => host.state === options.state)
+    .flatMap((host) => host.processes)
+    .filter((process) => process.type === "sidecar")
+    .filter((process) => process.pools.includes(options.service))
+    .map((process) => process.runner);
+}
+
 function createUnavailable(detail: string): LedgerAnswer {
   return {
     type: "refused",
