Name the identity sequence in the capacity measurement

**Cause**: the capacity measurement was written against the tag that records carried before.

**Change**: it sets the sequence in its place.

**Measured**: `npx cucumber-js`: 309 scenarios passed.

--- a/packages/load/src/capacity/measurements.ts
+++ b/packages/load/src/capacity/measurements.ts
@@ -163,7 +163,7 @@
       capacity: 1,
       isLeaving: false,
       configurationVersion: 1,
-      identityTag: 0,
+      identitySequence: 0,
       ageMs: 0,
     }, 0);
   }
