Run membership in the soak

**Cause** Routers of an episode kept a list of their own making instead of the tables that the product decides on.

**Change** Each router of an episode has the real tables: host lists that lag and differ, records of answers, hold-down after failures.

**Conclusion** A runner that leaves may still be chosen where no digest tells of it, and takes no such work.

--- a/packages/load/src/soak/episode.ts
+++ b/packages/load/src/soak/episode.ts
@@ -7,6 +7,7 @@
 import { SoakCallers } from "./soak_callers.ts";
 import { SoakConfiguration } from "./soak_configuration.ts";
 import { SoakDuties } from "./soak_duties.ts";
+import type { ListedRunner } from "./soak_members.ts";
 import { SoakEditors } from "./soak_editors.ts";
 import { type RepeatRule, SoakRouter } from "./soak_router.ts";
 import { SoakSidecar } from "./soak_sidecar.ts";
@@ -111,6 +112,7 @@
       routers: routers.map(({ name }) => name),
     }),
   };
+  listRunners(fleet);
   world.timers.subscribe(hostListLagMs, () => listRunners(fleet));
   world.timers.subscribe(digestPeriodMs, () => sendVersions(fleet));
   return fleet;
@@ -142,13 +144,17 @@
 
 /** Each router sees the list late, and its own list while lists differ. */
 function listRunners(fleet: Fleet): void {
-  const live = fleet.sidecars.filter((sidecar) =>
-    sidecar.isUp && !sidecar.isLeaving
-  ).map(({ row }) => row.id);
+  const hosts = fleet.sidecars.filter((sidecar) => sidecar.isUp).map(
+    ({ isLeaving, row }): ListedRunner => ({
+      id: row.id,
+      state: isLeaving ? "leaving" : "live",
+    }),
+  );
   const differs = fleet.world.isActive("lists-differ");
   for (const router of fleet.routers) {
-    const listed = live.filter(() => !differs || fleet.world.hasChance(0.5));
-    router.setListed(new Set(listed));
+    router.applyList(
+      hosts.filter(() => !differs || fleet.world.hasChance(0.5)),
+    );
   }
 }
 
--- a/packages/load/src/soak/soak_router.ts
+++ b/packages/load/src/soak/soak_router.ts
@@ -2,6 +2,7 @@
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import { getChatKey, rankRunners } from "@jasminetide/core/routing";
 import type { Links, Reply } from "./links.ts";
+import { type ListedRunner, SoakMembers } from "./soak_members.ts";
 import type { SoakConfiguration } from "./soak_configuration.ts";
 import type { RunReply, SettleReply, SoakSidecar } from "./soak_sidecar.ts";
 import type { World } from "./world.ts";
@@ -36,26 +37,24 @@
   readonly name: string;
   readonly configuration: SoakConfiguration;
   readonly #options: SoakRouterOptions;
-  /** Runners that this router takes for live. */
-  #listed: ReadonlySet<string>;
-  readonly #epochs = new Map<string, number>();
+  readonly #members: SoakMembers;
   #attempts = 0;
 
   private constructor(name: string, options: SoakRouterOptions) {
     this.name = name;
     this.#options = options;
     this.configuration = options.configuration;
-    this.#listed = new Set(options.sidecars.map(({ row }) => row.id));
+    this.#members = SoakMembers.create(options.world, name);
   }
 
-  /** Creates a router that lists every runner. */
+  /** Creates a router that knows no runner. */
   static create(name: string, options: SoakRouterOptions): SoakRouter {
     return new SoakRouter(name, options);
   }
 
-  /** Replaces the host list as this router sees it. */
-  setListed(runners: ReadonlySet<string>): void {
-    this.#listed = runners;
+  /** Applies the host list as this router sees it. */
+  applyList(listed: readonly ListedRunner[]): void {
+    this.#members.applyList(listed);
   }
 
   /**
@@ -77,6 +76,9 @@
         this.#options.world.count(`attempt failed: ${error.result}`);
         const { mayRepeat = canRepeat } = this.#options;
         if (!mayRepeat(request, error)) break;
+        if (error.result === "runnerFailed") {
+          this.#members.recordFailure(sidecar.row.id);
+        }
         if (error.result !== "epochMismatch") tried.add(sidecar.row.id);
       }
     }
@@ -89,16 +91,14 @@
     tried: ReadonlySet<string>,
   ): SoakSidecar | undefined {
     const { sidecars } = this.#options;
-    const rows = sidecars.map(({ row }) => row).filter(({ id }) =>
-      this.#listed.has(id) && !tried.has(id)
-    );
+    const rows = this.#members.listCandidates(tried);
     const key = getChatKey({
       workspace: request.workspace,
       model: "assistant",
       messages: [{ role: "user", content: request.call }],
     });
     const [best] = rankRunners(key, rows);
-    return sidecars.find(({ row }) => row === best);
+    return sidecars.find(({ row }) => row.id === best?.id);
   }
 
   async #tryRunner(
@@ -108,7 +108,8 @@
     const { world } = this.#options;
     this.#attempts += 1;
     const attempt = `${this.name}-${this.#attempts}`;
-    const epoch = this.#epochs.get(sidecar.row.id) ?? 0;
+    const epoch = this.#members.getEpoch(sidecar.row.id);
+    if (sidecar.isLeaving) world.count("leaving runners chosen");
     let reply: Reply;
     try {
       reply = await this.#waitAtMost(
@@ -167,8 +168,7 @@
   ): string {
     const { attempt, reply } = options;
     this.#checkOwn(attempt, reply);
-    const known = this.#epochs.get(sidecar.row.id) ?? 0;
-    this.#epochs.set(sidecar.row.id, Math.max(known, reply.epoch));
+    this.#members.recordReply(sidecar.row.id, reply);
     this.configuration.observe(
       reply.configurationVersion,
       sidecar.configuration.address,
--- a/packages/load/src/soak/soak_sidecar.ts
+++ b/packages/load/src/soak/soak_sidecar.ts
@@ -30,6 +30,9 @@
   type: "answer" | "refusal";
   attempt: string;
   epoch: number;
+  /** Increases with each reply of an epoch. */
+  sequence: number;
+  isLeaving: boolean;
   configurationVersion: number;
   answer?: string;
   error?: AppError;
@@ -69,6 +72,7 @@
   #isLeaving = false;
   #pausedUntilMs = 0;
   #running = 0;
+  #replies = 0;
 
   private constructor(
     world: World,
@@ -242,7 +246,15 @@
 
   #createReply(type: RunReply["type"], attempt: string): RunReply {
     const configurationVersion = this.configuration.version;
-    return { type, attempt, epoch: this.epoch, configurationVersion };
+    this.#replies += 1;
+    return {
+      type,
+      attempt,
+      epoch: this.epoch,
+      sequence: this.#replies,
+      isLeaving: this.#isLeaving,
+      configurationVersion,
+    };
   }
 
   #createRefusal(attempt: string, error: AppError): RunReply {
