--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -8,7 +8,7 @@
 import type { Match } from "@jasminetide/core/configuration";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { MinuteMeter, PeakGate, PeakHold } from "@jasminetide/core/peak";
-import type { Epoch } from "@jasminetide/core/tables";
+import type { Epoch, RunnerId } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
   ConfigurationFollower,
@@ -31,6 +31,7 @@
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { Pool } from "undici";
 import { listServedModels, loadEngineState } from "./engine_state/mod.ts";
+import { ChatLocator } from "./hints/mod.ts";
 import { OrderGate } from "./orders/mod.ts";
 import {
   createSettingsReader,
@@ -52,9 +53,12 @@
   logger: Logger;
 };
 
-/** How long answers and tombstones are kept. */
+/** How long it is known what became of an attempt. */
 const attemptRetentionMs = 60_000;
 
+/** How long a router may take to come back for an answer. */
+const answerRetentionMs = 10_000;
+
 /** Time after which an idempotent attempt that nobody reads is cancelled. */
 const orphanMs = 5000;
 
@@ -83,6 +87,7 @@
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
   #ledger: Ledger | undefined;
+  #locator: ChatLocator | undefined;
   #isStopping = false;
   #hasLeft = false;
   #dataAddress = "";
@@ -94,6 +99,7 @@
     this.#attempts = AttemptStore.create({
       epoch: createEpoch(timers.nowMs(), createSystemRandom()),
       retentionMs: attemptRetentionMs,
+      answerRetentionMs,
       orphanMs,
     });
     this.#effective = EffectiveSettings.create({
@@ -106,6 +112,7 @@
         meter: MinuteMeter.create(),
       }),
       timers,
+      getMaximumHeld: () => this.#effective.get().admission.maximumQueueLength,
     });
     this.#admission = Admission.create({
       getSettings: () => this.#effective.get(),
@@ -150,6 +157,21 @@
     return this.#ledger?.getDump() ?? [];
   }
 
+  /** Requests that wait for a slot of the runner. */
+  get queueLength(): number {
+    return this.#admission.queueLength;
+  }
+
+  /** Work admitted and not yet released, in weighted tokens. */
+  get loadTokens(): number {
+    return this.#admission.loadTokens;
+  }
+
+  /** Name of the runner beside this sidecar. */
+  get runner(): RunnerId {
+    return this.#options.settings.runner;
+  }
+
   get epoch(): Epoch {
     return this.#attempts.epoch;
   }
@@ -190,7 +212,7 @@
     this.#hasLeft = true;
     this.#membership?.setOwn({ isLeaving: true });
     this.#peak.refuseAll();
-    this.#ledger?.leave();
+    this.#ledger?.drain();
     this.#options.logger.info("leaving", {
       runner: this.#options.settings.runner,
     });
@@ -204,6 +226,8 @@
 
   #expire(nowMs: number): void {
     this.#attempts.expire(nowMs);
+    const { pools } = this.#options.settings;
+    pools.forEach((pool) => this.#locator?.announce(pool));
     if (this.isLeaving) this.#leave();
   }
 
@@ -229,6 +253,9 @@
     this.#controlAddress = control.address;
     this.#resources.use(control);
     const membership = await this.#startMembership(platform);
+    if (settings.kind === "engine") {
+      this.#locator = this.#createLocator(membership);
+    }
     this.#startFollower(platform, membership);
     this.#startEngineState(membership);
     this.#resources.defer(() => data.close());
@@ -275,6 +302,12 @@
       },
       getStreamSettings: () => this.#effective.get().stream,
       isLeaving: () => this.isLeaving,
+      findHolder: (envelope) => this.#locator?.findHolder(envelope),
+      recordHeld: (envelope) => {
+        if (this.#locator === undefined) return;
+        this.#metrics.count("chat-turns");
+        this.#locator.recordHeld(envelope);
+      },
       getAnswerHeaders: () => ({
         [headerNames.configurationVersion]: String(this.#configuration.version),
         ...this.#membership?.getAnswerHeaders(),
@@ -308,6 +341,8 @@
         getParts: (hashes) => selectParts(this.#configuration, hashes),
         order: (order) => this.#requireOrders().apply(order),
         isDutyHeld: () => false,
+        claimChats: (claims) =>
+          claims.forEach((claim) => this.#locator?.recordClaim(claim)),
         getMembers: () => this.#membership?.listMembers() ?? [],
         settle: ({ attempt, epoch }) =>
           this.#attempts.settle(attempt, { epoch, nowMs: timers.nowMs() }),
@@ -419,6 +454,20 @@
     };
   }
 
+  #createLocator(membership: Membership): ChatLocator {
+    return ChatLocator.create({
+      self: this.#options.settings.runner,
+      source: membership,
+      timers: this.#options.timers,
+      getLoadSettings: () => this.#effective.get().load,
+      sendClaims: (home, claims) => {
+        this.#metrics.count("chats-claimed", claims.length);
+        this.#peers.getSidecar(home.controlAddress).claimChats.mutate(claims)
+          .catch(() => this.#metrics.count("chat-claims-lost", claims.length));
+      },
+    });
+  }
+
   #isDeferrable(priority: number): boolean {
     if (!this.#configuration.isLoaded) return false;
     const { classes } = this.#configuration.get().body;
@@ -447,6 +496,7 @@
       membership: this.#membership?.getSnapshot(),
       highestFencingNumber: this.#orders?.highestFencingNumber,
       peak: this.#getPeakDump(),
+      chatHints: this.#locator?.size ?? 0,
       ledger: this.#ledger?.getDump() ?? [],
       metrics: this.#metrics.getSnapshot(),
     };
