Let the load tool go on to another router when one refuses connections

Cause: in the run of real processes 708 of 3192 calls counted as lost, nearly all of them sent to the router that was being restarted. Change: a refused connection leads to the next target, as behind a balancer.

--- a/packages/load/src/calls/create_call.ts
+++ b/packages/load/src/calls/create_call.ts
@@ -5,7 +5,7 @@
 
 /** A request with what it means, before its target is chosen. */
 export type PlannedCall = {
-  request: Omit<CallRequest, "target" | "key">;
+  request: Omit<CallRequest, "targets" | "key">;
   operation: Operation;
 };
 
--- a/packages/load/src/calls/send_call.ts
+++ b/packages/load/src/calls/send_call.ts
@@ -9,7 +9,8 @@
 
 /** A request of a caller. */
 export type CallRequest = {
-  target: string;
+  /** Where to send it; those after the first when a connection is refused. */
+  targets: readonly string[];
   method: "GET" | "POST";
   path: string;
   key: string;
@@ -33,23 +34,42 @@
   signal: AbortSignal;
 };
 
-/** Sends one request and reads its answer; it never throws. */
+/**
+ * Sends one request and reads its answer; it never throws. As a balancer
+ * would, it goes to the next target when a connection is refused.
+ */
 export async function sendCall(
   call: CallRequest,
   context: CallContext,
 ): Promise<CallResult> {
-  try {
-    const response = await request(`http://${call.target}${call.path}`, {
-      method: call.method,
-      headers: createHeaders(call),
-      ...(call.body === undefined ? {} : { body: call.body }),
-      dispatcher: context.dispatcher,
-      signal: context.signal,
-    });
-    return await readResponse(call, response, context);
-  } catch {
-    return { outcome: { type: "lost" } };
+  for (const target of call.targets) {
+    try {
+      return await sendTo(target, call, context);
+    } catch (error) {
+      if (!isRefused(error)) break;
+    }
   }
+  return { outcome: { type: "lost" } };
+}
+
+async function sendTo(
+  target: string,
+  call: CallRequest,
+  context: CallContext,
+): Promise<CallResult> {
+  const response = await request(`http://${target}${call.path}`, {
+    method: call.method,
+    headers: createHeaders(call),
+    ...(call.body === undefined ? {} : { body: call.body }),
+    dispatcher: context.dispatcher,
+    signal: context.signal,
+  });
+  return readResponse(call, response, context);
+}
+
+function isRefused(error: unknown): boolean {
+  return error instanceof Error && "code" in error &&
+    error.code === "ECONNREFUSED";
 }
 
 function createHeaders(call: CallRequest): Record<string, string> {
--- a/packages/load/src/run/load_run.ts
+++ b/packages/load/src/run/load_run.ts
@@ -197,7 +197,7 @@
         operation,
       });
       const { outcome, firstAtMs } = await sendCall(
-        { ...call.request, target: this.#chooseTarget(), key: mix.key },
+        { ...call.request, targets: this.#orderTargets(), key: mix.key },
         {
           dispatcher: this.#agent,
           getNowMs: () => this.getNowMs(),
@@ -235,8 +235,10 @@
     });
   }
 
-  #chooseTarget(): string {
+  /** The routers from a random one on. */
+  #orderTargets(): string[] {
     const { targets } = this.#options.scenario;
-    return targets[this.#random.getInteger(targets.length)];
+    const first = this.#random.getInteger(targets.length);
+    return [...targets.slice(first), ...targets.slice(0, first)];
   }
 }
