Name the identity sequence in the soak of members

**Cause**: the soak was written against the tag that records carried before.

**Change**: it sets the sequence in its place.

--- a/packages/load/src/soak/soak_members.ts
+++ b/packages/load/src/soak/soak_members.ts
@@ -4,7 +4,6 @@
   defaultMembershipLimits,
   expireMembers,
   getCandidates,
-  getIdentityTag,
   getWireId,
   type MemberIdentity,
   type MembershipTables,
@@ -71,7 +70,7 @@
     const identity = createIdentity("sidecar", runner);
     mergeRecord(this.#tables, {
       wireId: getWireId(identity),
-      identityTag: getIdentityTag(identity),
+      identitySequence: 0,
       epoch: reply.epoch,
       sequence: reply.sequence,
       loadTokens: 0,
