Authenticate processes to each other by mutual TLS

Cause: connections between routers and sidecars were plain and anyone on the network could send attempts and control calls.

Connections.replaceAll walked a map that it added to and never ended; it walks a copy.

The whole suite was not run.

Conclusion: a peer without a valid certificate is refused unrun, and renewed certificates are taken up without a restart.

--- a/packages/load/src/run/configuration_sampler.ts
+++ b/packages/load/src/run/configuration_sampler.ts
@@ -29,7 +29,7 @@
   }
   await Promise.all(entries.map(async ({ name, controlAddress }) => {
     try {
-      const dump = await fetchDump(controlAddress, options.operatorKey);
+      const dump = await fetchDump(controlAddress, options);
       const { configurationVersion: version } = dumpSchema.parse(dump);
       const atMs = options.getNowMs();
       options.record({ type: "configuration", process: name, atMs, version });
--- a/packages/operator/src/commands/fleet_commands.ts
+++ b/packages/operator/src/commands/fleet_commands.ts
@@ -29,7 +29,7 @@
         flags,
         output,
         async ({ connection, platform }) =>
-          reportStatus(await loadStatus(platform, connection.operatorKey)),
+          reportStatus(await loadStatus(platform, connection)),
       ),
   });
 }
@@ -66,7 +66,7 @@
           listProcesses(await platform.loadHosts()),
         )
           .controlAddress;
-        const dump = await fetchDump(address, connection.operatorKey);
+        const dump = await fetchDump(address, connection);
         return {
           exitCode: exitCodes.ok,
           document: dump,
--- a/packages/operator/src/connection/operator_client.ts
+++ b/packages/operator/src/connection/operator_client.ts
@@ -1,6 +1,6 @@
 import { AppError } from "@jasminetide/core/results";
 import type { HostRecord } from "@jasminetide/runtime/platform";
-import { request } from "undici";
+import { Agent, request } from "undici";
 
 /** A process of the fleet as the host list names it. */
 export type ProcessEntry = {
@@ -32,6 +32,13 @@
 
 const dumpTimeoutMs = 3000;
 
+/** What proves an operator to a process, and a process to an operator. */
+export type DumpOptions = {
+  operatorKey: string;
+  /** Authority of the fleet in PEM; plain connections when absent. */
+  authority?: string;
+};
+
 /**
  * Fetches the state of a process.
  *
@@ -39,9 +46,9 @@
  */
 export async function fetchDump(
   controlAddress: string,
-  operatorKey: string,
+  options: DumpOptions,
 ): Promise<unknown> {
-  const { statusCode, text } = await requestDump(controlAddress, operatorKey);
+  const { statusCode, text } = await requestDump(controlAddress, options);
   if (statusCode === 401) {
     throw AppError.create(
       "unauthorized",
@@ -56,15 +63,23 @@
   throw createFailure(controlAddress, `answered ${statusCode}`);
 }
 
-async function requestDump(controlAddress: string, operatorKey: string) {
+async function requestDump(controlAddress: string, options: DumpOptions) {
+  const { operatorKey, authority } = options;
+  const scheme = authority === undefined ? "http" : "https";
+  const dispatcher = authority === undefined
+    ? undefined
+    : new Agent({ connect: { ca: authority } });
   try {
-    const answer = await request(`http://${controlAddress}/dump`, {
+    const answer = await request(`${scheme}://${controlAddress}/dump`, {
+      ...(dispatcher === undefined ? {} : { dispatcher }),
       headers: { authorization: `Bearer ${operatorKey}` },
       signal: AbortSignal.timeout(dumpTimeoutMs),
     });
     return { statusCode: answer.statusCode, text: await answer.body.text() };
   } catch (error) {
     throw createFailure(controlAddress, "did not answer", error);
+  } finally {
+    await dispatcher?.destroy();
   }
 }
 
--- a/packages/operator/src/connection/profile.ts
+++ b/packages/operator/src/connection/profile.ts
@@ -12,6 +12,8 @@
   operatorKey: z.string().min(1).optional(),
   /** File that holds the operators' key. */
   operatorKeyFile: z.string().min(1).optional(),
+  /** File of the authority that signs the processes' certificates. */
+  authorityFile: z.string().min(1).optional(),
   /** Declaration that commands work on. */
   fleetFile: z.string().min(1).optional(),
 });
@@ -30,6 +32,8 @@
 export type Connection = {
   platformAddress: string;
   operatorKey: string;
+  /** Authority of the fleet in PEM; plain connections when absent. */
+  authority?: string;
   fleetFile: string;
 };
 
@@ -68,6 +72,9 @@
   return {
     platformAddress: platform.data,
     operatorKey: await resolveKey(flags, profile),
+    ...(profile.authorityFile === undefined ? {} : {
+      authority: await loadText(resolveBeside(flags, profile.authorityFile)),
+    }),
     fleetFile: flags.file ?? resolveFleetFile(flags, profile),
   };
 }
@@ -98,10 +105,14 @@
 }
 
 async function loadKey(file: string): Promise<string> {
+  return (await loadText(file)).trim();
+}
+
+async function loadText(file: string): Promise<string> {
   try {
-    return (await readFile(file, "utf8")).trim();
+    return await readFile(file, "utf8");
   } catch (error) {
-    throw AppError.create("invalidSettings", `Cannot read key "${file}"`, {
+    throw AppError.create("invalidSettings", `Cannot read "${file}"`, {
       cause: error,
     });
   }
--- a/packages/operator/src/status/load_status.ts
+++ b/packages/operator/src/status/load_status.ts
@@ -3,6 +3,7 @@
 import PQueue from "p-queue";
 import { z } from "zod";
 import {
+  type DumpOptions,
   fetchDump,
   listProcesses,
   type ProcessEntry,
@@ -32,7 +33,7 @@
 /** Asks every process of the host list for its version. */
 export async function loadStatus(
   platform: PlatformClient,
-  operatorKey: string,
+  options: DumpOptions,
 ): Promise<FleetStatus> {
   const accepted = await loadDeclaration(platform);
   const acceptedVersion = accepted?.version ?? 0;
@@ -40,7 +41,7 @@
   const queue = new PQueue({ concurrency: maxConcurrentDumps });
   const processes = await Promise.all(
     entries.map((entry) =>
-      queue.add(() => loadProcess(entry, { operatorKey, acceptedVersion }))
+      queue.add(() => loadProcess(entry, { ...options, acceptedVersion }))
     ),
   );
   return { acceptedVersion, processes };
@@ -48,10 +49,10 @@
 
 async function loadProcess(
   entry: ProcessEntry,
-  options: { operatorKey: string; acceptedVersion: number },
+  options: DumpOptions & { acceptedVersion: number },
 ): Promise<ProcessStatus> {
   try {
-    const dump = await fetchDump(entry.controlAddress, options.operatorKey);
+    const dump = await fetchDump(entry.controlAddress, options);
     const { configurationVersion: version } = dumpSchema.parse(dump);
     return { ...entry, version, drift: getDrift(version, options) };
   } catch (thrown) {
--- a/packages/router/src/attempts/connections.ts
+++ b/packages/router/src/attempts/connections.ts
@@ -1,3 +1,4 @@
+import type { PeerCredentials } from "@jasminetide/runtime/tls";
 import { Pool } from "undici";
 
 /** Connections to one address. */
@@ -18,6 +19,7 @@
 export class Connections {
   readonly #pools = new Map<string, Pool>();
   readonly #createPool: PoolFactory;
+  #renewal: Disposable | undefined;
 
   private constructor(createPool: PoolFactory) {
     this.#createPool = createPool;
@@ -28,6 +30,18 @@
     return new Connections(createPool);
   }
 
+  /**
+   * Creates an empty set whose connections present the credentials in force;
+   * when these change, new requests take new connections.
+   */
+  static createSecure(credentials: PeerCredentials): Connections {
+    const connections = new Connections(createSecurePools(credentials));
+    connections.#renewal = credentials.subscribe(() =>
+      connections.replaceAll()
+    );
+    return connections;
+  }
+
   /** Gets the pool of an address (`ip:port`). */
   get(address: string): Pool {
     let pool = this.#pools.get(address);
@@ -59,10 +73,11 @@
 
   /** Retires every pool, so that new connections use new credentials. */
   replaceAll(): void {
-    for (const [address, pool] of this.#pools) this.replace(address, pool);
+    for (const [address, pool] of [...this.#pools]) this.replace(address, pool);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#renewal?.[Symbol.dispose]();
     await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
   }
 }
@@ -70,3 +85,11 @@
 function createPlainPool(address: string, options: Pool.Options): Pool {
   return new Pool(`http://${address}`, options);
 }
+
+function createSecurePools(credentials: PeerCredentials): PoolFactory {
+  return (address, options) =>
+    new Pool(`https://${address}`, {
+      ...options,
+      connect: credentials.clientOptions,
+    });
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -40,6 +40,7 @@
 import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
+import { PeerCredentials } from "@jasminetide/runtime/tls";
 import polka from "polka";
 import { Connections, PoolStates } from "./attempts/mod.ts";
 import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
@@ -66,11 +67,12 @@
   readonly #options: RouterOptions;
   readonly #metrics = Metrics.create();
   readonly #configuration = ConfigurationHolder.create();
-  readonly #connections = Connections.create();
+  readonly #credentials: PeerCredentials | undefined;
+  readonly #connections: Connections;
   readonly #pools = PoolStates.create();
   readonly #resources = ResourceStack.create();
   readonly #resolved = new Map<string, RequestSettings>();
-  readonly #peers = PeerClients.create();
+  readonly #peers: PeerClients;
   #membership: Membership | undefined;
   #leases: LeaseKeeper | undefined;
   readonly #epoch: Epoch;
@@ -81,14 +83,25 @@
   #callerAddress = "";
   #controlAddress = "";
 
-  private constructor(options: RouterOptions) {
+  private constructor(
+    options: RouterOptions,
+    credentials: PeerCredentials | undefined,
+  ) {
     this.#options = options;
+    this.#credentials = credentials;
+    this.#connections = credentials === undefined
+      ? Connections.create()
+      : Connections.createSecure(credentials);
+    this.#peers = PeerClients.create({ credentials });
     this.#epoch = createEpoch(options.timers.nowMs(), createSystemRandom());
   }
 
   /** Starts a router and its listeners. */
   static async create(options: RouterOptions): Promise<Router> {
-    const router = new Router(options);
+    const { settings, timers, logger } = options;
+    const credentials = settings.tls &&
+      await PeerCredentials.create({ files: settings.tls, timers, logger });
+    const router = new Router(options, credentials);
     await router.#start();
     return router;
   }
@@ -163,6 +176,7 @@
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
+    if (this.#credentials !== undefined) this.#resources.use(this.#credentials);
     this.#resources.use(this.#connections);
     this.#resources.use(this.#peers);
     this.#resources.use(this.#configuration.subscribe(({ body }) => {
@@ -263,8 +277,10 @@
   }
 
   #startControl(): Promise<ListeningServer> {
-    const { settings } = this.#options;
+    const { settings, logger } = this.#options;
     return startControlServer({
+      credentials: this.#credentials,
+      logger,
       address: settings.controlAddress,
       operatorKeyHash: settings.operatorKeyHash,
       getDump: () => this.#getDump(),
--- a/packages/runtime/src/control/control_client.ts
+++ b/packages/runtime/src/control/control_client.ts
@@ -6,6 +6,8 @@
 export type ControlClientOptions = {
   address: string;
   dispatcher: Dispatcher;
+  /** Whether the connection is encrypted. */
+  isSecure?: boolean;
 };
 
 /** Creates a client of the procedures of any process. */
@@ -25,8 +27,9 @@
 export type SidecarClient = ReturnType<typeof createSidecarClient>;
 
 function createLink(options: ControlClientOptions) {
+  const scheme = options.isSecure ? "https" : "http";
   return httpLink({
-    url: `http://${options.address}/rpc`,
+    url: `${scheme}://${options.address}/rpc`,
     fetch: (url, init) =>
       fetch(url as string, {
         ...(init as object),
--- a/packages/runtime/src/control/control_server.ts
+++ b/packages/runtime/src/control/control_server.ts
@@ -5,10 +5,13 @@
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
   type ListeningServer,
+  refusePeer,
   sendJson,
   sendProblem,
   startServer,
 } from "../http/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { PeerCredentials } from "../tls/mod.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 /** What a control listener serves. */
@@ -19,6 +22,9 @@
   operatorKeyHash: string;
   /** Gives the state of the process; never secrets. */
   getDump: () => unknown;
+  /** Peers need a certificate when present; plain connections otherwise. */
+  credentials?: PeerCredentials;
+  logger: Logger;
   /** Operators' actions by path. */
   actions?: { [path: string]: (body: unknown) => Promise<unknown> };
 };
@@ -36,13 +42,15 @@
     router: options.router,
     basePath: rpcPrefix,
   });
+  const { credentials, logger } = options;
   return startServer(options.address, (request, response) => {
-    if (request.url?.startsWith(rpcPrefix)) {
-      handleRpc(request, response);
+    if (!request.url?.startsWith(rpcPrefix)) {
+      handleOperator(request, response, options);
       return;
     }
-    handleOperator(request, response, options);
-  });
+    if (refusePeer(request, response, options)) return;
+    handleRpc(request, response);
+  }, { credentials, logger });
 }
 
 function handleOperator(
--- a/packages/runtime/src/control/peer_clients.ts
+++ b/packages/runtime/src/control/peer_clients.ts
@@ -1,5 +1,7 @@
 import { Agent } from "undici";
+import type { PeerCredentials } from "../tls/mod.ts";
 import {
+  type ControlClientOptions,
   createPeerClient,
   createSidecarClient,
   type PeerClient,
@@ -9,29 +11,36 @@
 const connectTimeoutMs = 1000;
 const answerTimeoutMs = 2000;
 
+/** How peers are reached. */
+export type PeerClientsOptions = {
+  /** Plain connections when absent. */
+  credentials?: PeerCredentials;
+};
+
 /** Clients of other processes' procedures, by control address. */
 export class PeerClients {
-  readonly #agent = new Agent({
-    connect: { timeout: connectTimeoutMs },
-    headersTimeout: answerTimeoutMs,
-    bodyTimeout: answerTimeoutMs,
-    connections: 1,
-  });
+  readonly #credentials: PeerCredentials | undefined;
+  readonly #renewal: Disposable | undefined;
   readonly #sidecars = new Map<string, SidecarClient>();
   readonly #clients = new Map<string, PeerClient>();
+  #agent: Agent;
 
-  private constructor() {}
+  private constructor({ credentials }: PeerClientsOptions) {
+    this.#credentials = credentials;
+    this.#agent = createAgent(credentials);
+    this.#renewal = credentials?.subscribe(() => this.replaceAll());
+  }
 
   /** Creates an empty set; connections are opened on demand. */
-  static create(): PeerClients {
-    return new PeerClients();
+  static create(options: PeerClientsOptions = {}): PeerClients {
+    return new PeerClients(options);
   }
 
   /** Gets the client of a control address (`ip:port`). */
   get(address: string): PeerClient {
     const known = this.#clients.get(address);
     if (known !== undefined) return known;
-    const client = createPeerClient({ address, dispatcher: this.#agent });
+    const client = createPeerClient(this.#getOptions(address));
     this.#clients.set(address, client);
     return client;
   }
@@ -40,12 +49,39 @@
   getSidecar(address: string): SidecarClient {
     const known = this.#sidecars.get(address);
     if (known !== undefined) return known;
-    const client = createSidecarClient({ address, dispatcher: this.#agent });
+    const client = createSidecarClient(this.#getOptions(address));
     this.#sidecars.set(address, client);
     return client;
   }
 
+  /** Retires every connection, so that new ones use new credentials. */
+  replaceAll(): void {
+    const retired = this.#agent;
+    this.#agent = createAgent(this.#credentials);
+    this.#clients.clear();
+    this.#sidecars.clear();
+    void retired.close().catch(() => {});
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#renewal?.[Symbol.dispose]();
     await this.#agent.destroy();
   }
+
+  #getOptions(address: string): ControlClientOptions {
+    return {
+      address,
+      dispatcher: this.#agent,
+      isSecure: this.#credentials !== undefined,
+    };
+  }
+}
+
+function createAgent(credentials: PeerCredentials | undefined): Agent {
+  return new Agent({
+    connect: { timeout: connectTimeoutMs, ...credentials?.clientOptions },
+    headersTimeout: answerTimeoutMs,
+    bodyTimeout: answerTimeoutMs,
+    connections: 1,
+  });
 }
--- a/packages/runtime/src/exchange/headers_test.ts
+++ b/packages/runtime/src/exchange/headers_test.ts
@@ -2,7 +2,12 @@
 import { Then } from "@cucumber/cucumber";
 import { AppError } from "@jasminetide/core/results";
 import fc from "fast-check";
-import { formatEnvelope, headerNames, parseEnvelope } from "./mod.ts";
+import {
+  copyForwardedHeaders,
+  formatEnvelope,
+  headerNames,
+  parseEnvelope,
+} from "./mod.ts";
 
 const name = fc.string({ minLength: 1, unit: "grapheme" });
 const amount = fc.nat();
@@ -35,6 +40,23 @@
   },
 );
 
+Then(
+  "headers with the fleet's prefix from seed {int} are not copied",
+  (seed: number) => {
+    const own = fc.oneof(
+      fc.constantFrom(...Object.values(headerNames)),
+      fc.stringMatching(/^jt-[a-z0-9-]{0,12}$/),
+    );
+    fc.assert(
+      fc.property(fc.dictionary(own, fc.string()), (headers) => {
+        const copied = copyForwardedHeaders({ ...headers, "x-other": "kept" });
+        assert.deepEqual(copied, { "x-other": "kept" });
+      }),
+      { seed, numRuns: 300 },
+    );
+  },
+);
+
 Then(
   "no headers from seed {int} make the reader throw an uncoded error",
   (seed: number) => {
--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -2,12 +2,16 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { createServer } from "node:http";
+import { createServer as createTlsServer } from "node:https";
 import {
   AppError,
   formatProblem,
   normalizeError,
+  resultCodes,
 } from "@jasminetide/core/results";
+import type { Logger } from "../logging/mod.ts";
 import { parseAddress } from "../settings/mod.ts";
+import { checkPeer, type PeerCredentials } from "../tls/mod.ts";
 
 /** Handles one HTTP request. */
 export type RequestHandler = (
@@ -30,19 +34,31 @@
 /** Largest total of request headers that a listener takes. */
 const maxHeaderBytes = 16_384;
 
+/** How a server encrypts. */
+export type SecureServerOptions = {
+  /** Plain connections when absent. */
+  credentials?: PeerCredentials;
+  logger: Logger;
+};
+
 /** Starts a server at `ip:port`; port 0 takes a free one. */
 export async function startServer(
   address: string,
   handler: RequestHandler,
+  secure?: SecureServerOptions,
 ): Promise<ListeningServer> {
   let isClosing = false;
-  const server = createServer(
-    { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: keepAliveMs },
-    (request, response) => {
-      if (isClosing) response.setHeader("connection", "close");
-      handler(request, response);
-    },
-  );
+  const listener: RequestHandler = (request, response) => {
+    if (isClosing) response.setHeader("connection", "close");
+    handler(request, response);
+  };
+  const server = secure?.credentials === undefined
+    ? createServer(serverLimits, listener)
+    : createSecureServer(listener, {
+      credentials: secure.credentials,
+      logger: secure.logger,
+      isClosing: () => isClosing,
+    });
   await listen(server, address);
   const unused = trackUnusedSockets(server);
   // Idle connections stay open until the close itself: a request may be on
@@ -70,6 +86,36 @@
 /** Time after which idle connections are closed; longer than clients wait. */
 const keepAliveMs = 65_000;
 
+const serverLimits = {
+  maxHeaderSize: maxHeaderBytes,
+  keepAliveTimeout: keepAliveMs,
+};
+
+/** Creates a server that follows the credentials as they are renewed. */
+function createSecureServer(
+  listener: RequestHandler,
+  options: Required<SecureServerOptions> & { isClosing: () => boolean },
+): Server {
+  const { credentials, logger, isClosing } = options;
+  const server = createTlsServer(
+    { ...serverLimits, ...credentials.serverOptions },
+    listener,
+  );
+  const renewal = credentials.subscribe(() =>
+    server.setSecureContext(credentials.serverOptions)
+  );
+  server.once("close", () => renewal[Symbol.dispose]());
+  server.on("tlsClientError", (error: NodeJS.ErrnoException, socket) => {
+    if (isClosing()) return;
+    logger.warn("peer-refused", {
+      code: resultCodes.peerUnauthorized.code,
+      reason: error.code ?? error.message,
+      peer: formatPeer(socket),
+    });
+  });
+  return server;
+}
+
 /** Period at which connections that became idle are closed. */
 const closePeriodMs = 100;
 
@@ -89,11 +135,11 @@
 /** Closes a server; a connection that becomes idle meanwhile is closed too. */
 function closeServer(
   server: Server,
-  unused: ReadonlySet<Socket>,
+  unused: ReadonlyMap<string, Socket>,
 ): Promise<void> {
   const timer = setInterval(() => {
     server.closeIdleConnections();
-    for (const socket of unused) socket.destroy();
+    for (const socket of unused.values()) socket.destroy();
   }, closePeriodMs);
   return new Promise((resolve) => {
     server.close(() => {
@@ -105,18 +151,51 @@
 
 /**
  * Tracks connections that have sent no request yet. To Node.js they are not
- * idle, so they would hold up a stop until their headers time out.
+ * idle, so they would hold up a stop until their headers time out. They are
+ * kept by the other end's address, since a request over TLS has a socket of
+ * its own.
  */
-function trackUnusedSockets(server: Server): ReadonlySet<Socket> {
-  const unused = new Set<Socket>();
+function trackUnusedSockets(server: Server): ReadonlyMap<string, Socket> {
+  const unused = new Map<string, Socket>();
   server.on("connection", (socket: Socket) => {
-    unused.add(socket);
-    socket.once("close", () => unused.delete(socket));
+    const peer = formatPeer(socket);
+    unused.set(peer, socket);
+    socket.once("close", () => {
+      if (unused.get(peer) === socket) unused.delete(peer);
+    });
   });
-  server.prependListener("request", ({ socket }) => unused.delete(socket));
+  server.prependListener(
+    "request",
+    ({ socket }) => unused.delete(formatPeer(socket)),
+  );
   return unused;
 }
 
+function formatPeer({ remoteAddress, remotePort }: Socket): string {
+  return `${remoteAddress}:${remotePort}`;
+}
+
+/**
+ * Refuses a request whose other end has no certificate of the authority, when
+ * the listener has credentials.
+ *
+ * @returns whether it was refused and answered.
+ */
+export function refusePeer(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: SecureServerOptions,
+): boolean {
+  if (options.credentials === undefined) return false;
+  try {
+    checkPeer(request, options.logger);
+    return false;
+  } catch (error) {
+    sendProblem(response, error, { connection: "close" });
+    return true;
+  }
+}
+
 /**
  * Reads a whole request body.
  *
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -24,11 +24,16 @@
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import { headerNames } from "@jasminetide/runtime/exchange";
-import { type ListeningServer, startServer } from "@jasminetide/runtime/http";
+import {
+  type ListeningServer,
+  refusePeer,
+  startServer,
+} from "@jasminetide/runtime/http";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { Membership } from "@jasminetide/runtime/membership";
 import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
+import { PeerCredentials } from "@jasminetide/runtime/tls";
 import { Pool } from "undici";
 import { listServedModels, loadEngineState } from "./engine_state/mod.ts";
 import { ChatLocator } from "./hints/mod.ts";
@@ -82,7 +87,8 @@
   readonly #effective: EffectiveSettings;
   readonly #runner: Pool;
   readonly #resources = ResourceStack.create();
-  readonly #peers = PeerClients.create();
+  readonly #credentials: PeerCredentials | undefined;
+  readonly #peers: PeerClients;
   #membership: Membership | undefined;
   #orders: OrderGate | undefined;
   #follower: ConfigurationFollower | undefined;
@@ -93,9 +99,14 @@
   #dataAddress = "";
   #controlAddress = "";
 
-  private constructor(options: SidecarOptions) {
+  private constructor(
+    options: SidecarOptions,
+    credentials: PeerCredentials | undefined,
+  ) {
     const { settings, timers } = options;
     this.#options = options;
+    this.#credentials = credentials;
+    this.#peers = PeerClients.create({ credentials });
     this.#attempts = AttemptStore.create({
       epoch: createEpoch(timers.nowMs(), createSystemRandom()),
       retentionMs: attemptRetentionMs,
@@ -127,7 +138,10 @@
 
   /** Starts a sidecar and its listeners. */
   static async create(options: SidecarOptions): Promise<Sidecar> {
-    const sidecar = new Sidecar(options);
+    const { settings, timers, logger } = options;
+    const credentials = settings.tls &&
+      await PeerCredentials.create({ files: settings.tls, timers, logger });
+    const sidecar = new Sidecar(options, credentials);
     await sidecar.#start();
     return sidecar;
   }
@@ -237,6 +251,7 @@
       address: settings.platformAddress,
     });
     this.#resources.use(platform);
+    if (this.#credentials !== undefined) this.#resources.use(this.#credentials);
     this.#resources.use(this.#peers);
     this.#orders = OrderGate.create({
       duty: getPlacementDuty(settings.region),
@@ -314,9 +329,14 @@
       }),
       maximumBodyBytes: maxBodyBytes,
     };
+    const secure = {
+      credentials: this.#credentials,
+      logger: this.#options.logger,
+    };
     return startServer(
       this.#options.settings.dataAddress,
       (request, response) => {
+        if (refusePeer(request, response, secure)) return;
         if (isMoneyCall(request) && this.#ledger !== undefined) {
           void handleCall(request, response, {
             ...context,
@@ -324,12 +344,15 @@
           });
         } else void handleRequest(request, response, context);
       },
+      secure,
     );
   }
 
   #startControl(): Promise<ListeningServer> {
     const { settings, timers } = this.#options;
     return startControlServer({
+      credentials: this.#credentials,
+      logger: this.#options.logger,
       address: settings.controlAddress,
       operatorKeyHash: settings.operatorKeyHash,
       getDump: () => this.#getDump(),
