--- a/packages/local_fleet/src/streams.feature
+++ b/packages/local_fleet/src/streams.feature
@@ -47,3 +47,8 @@
     Given the links lose the next request
     When a caller refunds 5 to account "lost" without a key
     Then account "lost" has been refunded 5 once
+
+  Scenario: A chat whose runner fails is answered by another
+    Given 2 of the engines refuse every request
+    When a caller streams 8 chats of 5 tokens one after the other
+    Then each of the 8 chats is whole
--- a/packages/local_fleet/src/streams_test.ts
+++ b/packages/local_fleet/src/streams_test.ts
@@ -11,6 +11,7 @@
   links: Map<string, FaultLink>;
   streamed: string;
   expectedTokens: string[];
+  wholeChats: number;
 };
 
 Given(
@@ -226,3 +227,28 @@
     assert.equal(this.fleet.deposits.balances.get(account), -amount);
   },
 );
+
+Given(
+  "{int} of the engines refuse every request",
+  function (this: World, count: number) {
+    const engines = [...this.fleet.engines.values()].slice(0, count);
+    for (const engine of engines) engine.faults.refuse = true;
+  },
+);
+
+When(
+  "a caller streams {int} chats of {int} tokens one after the other",
+  async function (this: World, chats: number, tokens: number) {
+    this.wholeChats = 0;
+    for (let turn = 0; turn < chats; turn++) {
+      await streamChat(this, { tokens: tokens + turn });
+      const isWhole = this.streamed.endsWith("data: [DONE]\n\n") &&
+        getTokens(this).join() === this.expectedTokens.join();
+      if (isWhole) this.wholeChats += 1;
+    }
+  },
+);
+
+Then("each of the {int} chats is whole", function (this: World, chats: number) {
+  assert.equal(this.wholeChats, chats);
+});
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -57,42 +57,76 @@
 ): Promise<Dispatched> {
   checkCircuit(dispatch, context);
   context.pool.retries.recordAttempt();
+  const progress = createProgress();
   const { maximumAttempts } = dispatch.settings.retry;
-  const tried = new Set<string>();
-  const mismatched = new Set<string>();
-  let lastError: AppError | undefined;
-  let failures = 0;
-  while (failures < maximumAttempts) {
-    const runner = dispatch.chooseRunner(tried);
+  while (progress.failures < maximumAttempts) {
+    const runner = chooseNext(dispatch, progress);
     if (runner === undefined) break;
-    if (runner.state === "leaving") {
-      tried.add(runner.id);
-      lastError ??= AppError.create(
-        "runnerLeaving",
-        `Runner ${runner.id} takes no new work`,
-      );
-      continue;
-    }
-    if (lastError !== undefined) {
-      await checkRetry(dispatch, context, { lastError, failures });
-    }
+    await checkRetry(dispatch, context, progress);
     try {
       return await tryRunner(dispatch, runner, context);
     } catch (thrown) {
       const error = normalizeError(thrown);
       recordFailure(runner, error, context);
-      // A new epoch is learnt from the refusal and asked once more.
-      const isNews = error.result === "epochMismatch" &&
-        !mismatched.has(runner.id);
-      if (isNews) mismatched.add(runner.id);
-      else tried.add(runner.id);
-      if (!isCheapRefusal(error)) failures += 1;
-      lastError = lastError === undefined
-        ? error
-        : mergeAttemptErrors([lastError, error]);
+      recordProgress(progress, runner, error);
     }
   }
-  throw lastError ?? createNoRunnerError(dispatch);
+  throw progress.lastError ?? createNoRunnerError(dispatch);
+}
+
+/** How far the attempts at one request have come. */
+type Progress = {
+  /** Runners that are not asked again. */
+  tried: Set<string>;
+  /** Runners whose epoch was learnt from a refusal. */
+  mismatched: Set<string>;
+  /** Attempts that cost their pool something. */
+  failures: number;
+  /** The errors so far, merged. */
+  lastError: AppError | undefined;
+};
+
+function createProgress(): Progress {
+  return {
+    tried: new Set(),
+    mismatched: new Set(),
+    failures: 0,
+    lastError: undefined,
+  };
+}
+
+/** Chooses the next runner; one that has begun to leave is passed over. */
+function chooseNext(
+  dispatch: DispatchRequest,
+  progress: Progress,
+): RunnerRow | undefined {
+  let runner = dispatch.chooseRunner(progress.tried);
+  while (runner?.state === "leaving") {
+    progress.tried.add(runner.id);
+    progress.lastError ??= AppError.create(
+      "runnerLeaving",
+      `Runner ${runner.id} takes no new work`,
+    );
+    runner = dispatch.chooseRunner(progress.tried);
+  }
+  return runner;
+}
+
+function recordProgress(
+  progress: Progress,
+  runner: RunnerRow,
+  error: AppError,
+): void {
+  const { lastError, mismatched, tried } = progress;
+  // A new epoch is learnt from the refusal and asked once more.
+  const isNews = error.result === "epochMismatch" &&
+    !mismatched.has(runner.id);
+  if (isNews) mismatched.add(runner.id);
+  else tried.add(runner.id);
+  if (!isCheapRefusal(error)) progress.failures += 1;
+  progress.lastError = lastError === undefined
+    ? error
+    : mergeAttemptErrors([lastError, error]);
 }
 
 async function tryRunner(
@@ -125,19 +159,34 @@
     dispatch.observeRefusal?.(start.headers);
     throw await readRefusal(start);
   }
+  if (dispatch.envelope.isIdempotent) await checkStatus(runner, start);
   const nowMs = context.timers.nowMs();
   context.pool.firstBytes.record(nowMs - sentAtMs, nowMs);
   context.pool.circuit.record("succeeded", nowMs);
   return { attempt, start, context: attemptContext };
 }
 
+/** Fails an attempt whose runner has failed, so that another is asked. */
+async function checkStatus(
+  runner: RunnerRow,
+  start: AnswerStart,
+): Promise<void> {
+  if (start.status < 500) return;
+  await start.response.body.dump();
+  throw AppError.create(
+    "runnerFailed",
+    `Runner ${runner.id} answered with status ${start.status}`,
+  );
+}
+
 /** Waits before a repetition, or throws why there is none. */
 async function checkRetry(
   dispatch: DispatchRequest,
   context: DispatchContext,
-  options: { lastError: AppError; failures: number },
+  progress: Progress,
 ): Promise<void> {
-  const { lastError, failures } = options;
+  const { lastError, failures } = progress;
+  if (lastError === undefined) return;
   const { envelope, settings } = dispatch;
   if (!canRepeat(envelope, lastError)) throw lastError;
   if (lastError.result === "callerGone") throw lastError;
--- a/packages/stand_in/src/main_settings.ts
+++ b/packages/stand_in/src/main_settings.ts
@@ -32,6 +32,8 @@
 /** Settings of `jasminetide-stand-in service`. */
 export const serviceSettingsSchema = z.strictObject({
   address: addressSchema,
+  /** Name of the service, the first segment of its paths. */
+  service: z.string().min(1).default("deposit-ledger"),
 });
 
 /** Settings of `jasminetide-stand-in service`, parsed. */
--- a/packages/stand_in/src/programs.ts
+++ b/packages/stand_in/src/programs.ts
@@ -53,7 +53,10 @@
 export function startService(
   settings: ServiceSettings,
 ): Promise<ListeningServer> {
-  const service = DepositLedger.create(createDepositState());
+  const service = DepositLedger.create(
+    createDepositState(),
+    settings.service,
+  );
   const listener: RequestListener = (request, response) =>
     void service.handle(request, response);
   return startServer(settings.address, listener);
--- a/packages/stand_in/src/service/deposit_ledger_test.ts
+++ b/packages/stand_in/src/service/deposit_ledger_test.ts
@@ -37,7 +37,10 @@
 }
 
 Given("a service stand-in", async function (this: World) {
-  this.service = await startService({ address: "127.0.0.1:0" });
+  this.service = await startService({
+    address: "127.0.0.1:0",
+    service: "deposit-ledger",
+  });
 });
 
 After(async function (this: World) {
