--- a/packages/router/src/services/handle_service.ts
+++ b/packages/router/src/services/handle_service.ts
@@ -27,6 +27,11 @@
     workspace,
     service: service.name,
   });
+  const hasKey = request.headers["idempotency-key"] !== undefined;
+  context.limiter.check(workspace, {
+    tokens: serviceCostTokens,
+    ...(hasKey ? { executed: "unknown" } : {}),
+  });
   const deadlineMs = getDeadlineMs(request, settings.request.deadlineMs);
   const body = await readBody(request, settings.request.maximumBodyBytes);
   const pool = context.poolViews.get(service.name, {
--- a/packages/runtime/src/control/peer_clients.ts
+++ b/packages/runtime/src/control/peer_clients.ts
@@ -2,8 +2,10 @@
 import type { PeerCredentials } from "../tls/mod.ts";
 import {
   type ControlClientOptions,
+  createEntryClient,
   createPeerClient,
   createSidecarClient,
+  type EntryClient,
   type PeerClient,
   type SidecarClient,
 } from "./control_client.ts";
@@ -21,6 +23,7 @@
 export class PeerClients {
   readonly #credentials: PeerCredentials | undefined;
   readonly #renewal: Disposable | undefined;
+  readonly #entries = new Map<string, EntryClient>();
   readonly #sidecars = new Map<string, SidecarClient>();
   readonly #clients = new Map<string, PeerClient>();
   #agent: Agent;
@@ -54,10 +57,20 @@
     return client;
   }
 
+  /** Gets the client of a router's control address (`ip:port`). */
+  getEntry(address: string): EntryClient {
+    const known = this.#entries.get(address);
+    if (known !== undefined) return known;
+    const client = createEntryClient(this.#getOptions(address));
+    this.#entries.set(address, client);
+    return client;
+  }
+
   /** Retires every connection, so that new ones use new credentials. */
   replaceAll(): void {
     const retired = this.#agent;
     this.#agent = createAgent(this.#credentials);
+    this.#entries.clear();
     this.#clients.clear();
     this.#sidecars.clear();
     void retired.close().catch(() => {});
