Tell that a request between untrusted processes was not run

Cause: a router whose certificate a sidecar refused told its caller code 3008 with executed "unknown", although the refusal precedes everything; likewise where the router did not accept the sidecar's certificate.

Change: the refusal of a request that begins an attempt carries the attempt and executed "no"; that of a question about an earlier attempt carries neither. Errors of certificate checks count as a connection never made (3010).

Conclusion: callers may repeat such requests.

--- a/packages/local_fleet/src/mutual_tls_test.ts
+++ b/packages/local_fleet/src/mutual_tls_test.ts
@@ -4,12 +4,15 @@
 import { fetchDump } from "@jasminetide/operator/connection";
 import {
   type Certificate,
+  type CertificateDates,
   CertificateFolder,
   createAuthority,
 } from "@jasminetide/testing/certificates";
 import { Agent, request } from "undici";
 import type { LocalFleet } from "./local_fleet.ts";
-import { startTestFleet } from "./test_fleet.ts";
+import { callerKey, getUrl, startTestFleet } from "./test_fleet.ts";
+
+const dayMs = 86_400_000;
 
 type World = {
   fleet: LocalFleet;
@@ -22,19 +25,66 @@
   await this.fleetFolder?.[Symbol.asyncDispose]();
 });
 
+async function startSecureFleet(
+  world: World,
+  dates: { router?: CertificateDates; sidecar?: CertificateDates } = {},
+): Promise<void> {
+  world.fleetFolder = await CertificateFolder.create();
+  world.authority = await createAuthority();
+  const { authority, fleetFolder } = world;
+  const tls = await fleetFolder.write("sidecar", authority, dates.sidecar);
+  const routerTls = await fleetFolder.write("router", authority, dates.router);
+  world.fleet = await startTestFleet({
+    change: ({ routers, sidecars, ...rest }) => ({
+      ...rest,
+      routers: routers.map((router) => ({ ...router, tls: routerTls })),
+      sidecars: sidecars.map((sidecar) => ({ ...sidecar, tls })),
+    }),
+  });
+}
+
 Given(
   "a local fleet with certificates in its settings",
+  function (this: World) {
+    return startSecureFleet(this);
+  },
+);
+
+Given(
+  /^a local fleet whose (router|sidecar)s have expired certificates$/,
+  function (this: World, type: "router" | "sidecar") {
+    return startSecureFleet(this, {
+      [type]: {
+        notBeforeDate: new Date(Date.now() - 2 * dayMs),
+        notAfterDate: new Date(Date.now() - dayMs),
+      },
+    });
+  },
+);
+
+When(
+  "a caller of the fleet asks for a chat of two tokens",
   async function (this: World) {
-    this.fleetFolder = await CertificateFolder.create();
-    this.authority = await createAuthority();
-    const tls = await this.fleetFolder.write("process", this.authority);
-    this.fleet = await startTestFleet({
-      change: (definition) => ({
-        ...definition,
-        routers: definition.routers.map((router) => ({ ...router, tls })),
-        sidecars: definition.sidecars.map((sidecar) => ({ ...sidecar, tls })),
+    const response = await fetch(getUrl(this.fleet, "/v1/chat/completions"), {
+      method: "POST",
+      headers: { authorization: `Bearer ${callerKey}` },
+      body: JSON.stringify({
+        model: "assistant",
+        messages: [{ role: "user", content: "hello" }],
+        max_tokens: 2,
       }),
     });
+    this.problem = await response.json() as Problem;
+  },
+);
+
+Then(
+  "the caller is told code {int} and executed {string}",
+  function (this: World, code: number, executed: string) {
+    assert.deepEqual(
+      [this.problem.code, this.problem.executed],
+      [code, executed],
+    );
   },
 );
 
--- a/packages/router/src/attempts/request_answer.ts
+++ b/packages/router/src/attempts/request_answer.ts
@@ -163,6 +163,16 @@
   "EHOSTUNREACH",
   "ENETUNREACH",
   "UND_ERR_CONNECT_TIMEOUT",
+  // The sidecar's certificate was not accepted, before the request was sent.
+  "CERT_HAS_EXPIRED",
+  "CERT_NOT_YET_VALID",
+  "CERT_SIGNATURE_FAILURE",
+  "DEPTH_ZERO_SELF_SIGNED_CERT",
+  "ERR_TLS_CERT_ALTNAME_INVALID",
+  "SELF_SIGNED_CERT_IN_CHAIN",
+  "UNABLE_TO_GET_ISSUER_CERT",
+  "UNABLE_TO_GET_ISSUER_CERT_LOCALLY",
+  "UNABLE_TO_VERIFY_LEAF_SIGNATURE",
 ]);
 
 /** Says whether a connection was never made, so that nothing was sent. */
--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -175,6 +175,12 @@
   return `${remoteAddress}:${remotePort}`;
 }
 
+/** How a listener refuses peers. */
+export type RefusePeerOptions = SecureServerOptions & {
+  /** Headers of the refusal. */
+  headers?: Record<string, string>;
+};
+
 /**
  * Refuses a request whose other end has no certificate of the authority, when
  * the listener has credentials.
@@ -184,14 +190,17 @@
 export function refusePeer(
   request: IncomingMessage,
   response: ServerResponse,
-  options: SecureServerOptions,
+  options: RefusePeerOptions,
 ): boolean {
   if (options.credentials === undefined) return false;
   try {
     checkPeer(request, options.logger);
     return false;
   } catch (error) {
-    sendProblem(response, error, { connection: "close" });
+    sendProblem(response, error, {
+      ...options.headers,
+      connection: "close",
+    });
     return true;
   }
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import { Admission, type MeanLoad } from "@jasminetide/core/admission";
 import {
   createEpoch,
@@ -336,7 +337,8 @@
     return startServer(
       this.#options.settings.dataAddress,
       (request, response) => {
-        if (refusePeer(request, response, secure)) return;
+        const headers = getPeerRefusalHeaders(request);
+        if (refusePeer(request, response, { ...secure, headers })) return;
         if (isMoneyCall(request) && this.#ledger !== undefined) {
           void handleCall(request, response, {
             ...context,
@@ -526,6 +528,19 @@
   }
 }
 
+/**
+ * Marks the refusal of an untrusted peer as that of the attempt that its
+ * request would begin. Requests about an attempt sent before carry no such
+ * header, so that their refusal says nothing of it.
+ */
+function getPeerRefusalHeaders(
+  { headers }: IncomingMessage,
+): Record<string, string> {
+  const attempt = headers[headerNames.attempt];
+  if (typeof attempt !== "string") return {};
+  return { [headerNames.attempt]: attempt, [headerNames.executed]: "no" };
+}
+
 /** What exceptions for this runner may match. */
 function getSubject(settings: SidecarSettings): Match {
   const { runner, host, failureDomain, kind, pools } = settings;
--- a/packages/testing/src/certificates/mod.ts
+++ b/packages/testing/src/certificates/mod.ts
@@ -7,6 +7,9 @@
 /** A certificate and its key, in PEM. */
 export type Certificate = { cert: string; key: string };
 
+/** Validity of a certificate; a year from now when absent. */
+export type CertificateDates = { notBeforeDate?: Date; notAfterDate?: Date };
+
 /** Names of a process's files. */
 export type CertificateFiles = {
   certificateFile: string;
@@ -33,7 +36,7 @@
 /** Creates a certificate of a process on the loopback address. */
 export async function createCertificate(
   authority: Certificate,
-  dates: { notBeforeDate?: Date; notAfterDate?: Date } = {},
+  dates: CertificateDates = {},
 ): Promise<Certificate> {
   const made = await generate([{ name: "commonName", value: "process" }], {
     ...shared,
@@ -63,13 +66,17 @@
   }
 
   /** Writes a new certificate of an authority, over the one before. */
-  async write(name: string, authority: Certificate): Promise<CertificateFiles> {
+  async write(
+    name: string,
+    authority: Certificate,
+    dates: CertificateDates = {},
+  ): Promise<CertificateFiles> {
     const files = {
       certificateFile: join(this.#directory, `${name}.pem`),
       keyFile: join(this.#directory, `${name}.key`),
       authorityFile: join(this.#directory, `${name}-authority.pem`),
     };
-    const { cert, key } = await createCertificate(authority);
+    const { cert, key } = await createCertificate(authority, dates);
     await writeFile(files.certificateFile, cert);
     await writeFile(files.keyFile, key);
     await writeFile(files.authorityFile, authority.cert);
