--- a/packages/sidecar/src/listeners.ts
+++ b/packages/sidecar/src/listeners.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import { AppError } from "@jasminetide/core/results";
 import { formatForPeer, selectParts } from "@jasminetide/runtime/configuration";
 import {
@@ -25,7 +26,8 @@
   const context = createRequestContext(state);
   const secure = { credentials, logger };
   return startServer(settings.dataAddress, (request, response) => {
-    if (refusePeer(request, response, secure)) return;
+    const headers = getPeerRefusalHeaders(request);
+    if (refusePeer(request, response, { ...secure, headers })) return;
     const { ledger } = state;
     if (isMoneyCall(request) && ledger !== undefined) {
       void handleCall(request, response, { ...context, ledger });
@@ -61,6 +63,19 @@
   });
 }
 
+/**
+ * Marks the refusal of an untrusted peer as that of the attempt that its
+ * request would begin. Requests about an attempt sent before carry no such
+ * header, so that their refusal says nothing of it.
+ */
+function getPeerRefusalHeaders(
+  { headers }: IncomingMessage,
+): Record<string, string> {
+  const attempt = headers[headerNames.attempt];
+  if (typeof attempt !== "string") return {};
+  return { [headerNames.attempt]: attempt, [headerNames.executed]: "no" };
+}
+
 function createRequestContext(state: SidecarState): RequestContext {
   const { metrics } = state;
   return {
