Share the way in which routers and sidecars join the fleet

Cause: both started membership and the configuration follower by the same code written twice; router.ts held the callers' listener and settings besides. Change: joinFleet in runtime/joining; the callers' listener and settings in modules of their own.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,24 +1,14 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  type Match,
-  type RequestSettings,
-  resolveRequest,
-} from "@jasminetide/core/configuration";
-import {
-  createEpoch,
-  defaultMembershipLimits,
-} from "@jasminetide/core/membership";
+import { createEpoch } from "@jasminetide/core/membership";
 import {
   type Duty,
   getPlacementDuty,
   statusDuty,
 } from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
-import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { Epoch, RunnerState } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import {
-  ConfigurationFollower,
+  type ConfigurationFollower,
   ConfigurationHolder,
   formatForPeer,
   selectParts,
@@ -29,28 +19,22 @@
   startControlServer,
 } from "@jasminetide/runtime/control";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
-import {
-  type ListeningServer,
-  sendJson,
-  sendProblem,
-  startServer,
-} from "@jasminetide/runtime/http";
+import type { ListeningServer } from "@jasminetide/runtime/http";
+import { joinFleet } from "@jasminetide/runtime/joining";
 import { LeaseKeeper } from "@jasminetide/runtime/leases";
 import type { Logger } from "@jasminetide/runtime/logging";
-import { Membership } from "@jasminetide/runtime/membership";
+import type { Membership } from "@jasminetide/runtime/membership";
 import { Metrics, type MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { PeerCredentials } from "@jasminetide/runtime/tls";
-import polka from "polka";
 import { Connections, PoolStates } from "./attempts/mod.ts";
-import { createKeyIndex, type KeyIndex } from "./callers/mod.ts";
-import { handleChat, handleModels } from "./chats/mod.ts";
+import { startCallerListener } from "./caller_listener.ts";
+import { CallerSettings } from "./callers/mod.ts";
+import { PoolViews } from "./choice/mod.ts";
 import { LedgerRoutes } from "./ledger/mod.ts";
 import { WorkspaceLimiter } from "./limits/mod.ts";
 import { PlacementKeeper } from "./placement/mod.ts";
-import { PoolViews } from "./choice/mod.ts";
 import type { RouterContext } from "./router_context.ts";
-import { handleService } from "./services/mod.ts";
 import type { RouterSettings } from "./settings.ts";
 
 /** What a router is started with. */
@@ -60,9 +44,6 @@
   logger: Logger;
 };
 
-/** Settings of requests that are kept before the cache is emptied. */
-const maxResolvedSubjects = 50_000;
-
 /** Takes requests of callers and brings them to runners. */
 export class Router {
   readonly #options: RouterOptions;
@@ -72,16 +53,15 @@
   readonly #connections: Connections;
   readonly #pools = PoolStates.create();
   readonly #resources = ResourceStack.create();
-  readonly #resolved = new Map<string, RequestSettings>();
+  readonly #callers = CallerSettings.create(this.#configuration);
   readonly #peers: PeerClients;
   #membership: Membership | undefined;
   #leases: LeaseKeeper | undefined;
   #limiter: WorkspaceLimiter | undefined;
   readonly #epoch: Epoch;
   #follower: ConfigurationFollower | undefined;
-  #keyIndex: KeyIndex = new Map();
   #isStopping = false;
-  #callers: ListeningServer | undefined;
+  #callerListener: ListeningServer | undefined;
   #callerAddress = "";
   #controlAddress = "";
 
@@ -164,7 +144,7 @@
     this.#isStopping = true;
     this.#membership?.setOwn({ isLeaving: true });
     this.#options.logger.info("leaving");
-    this.#callers?.announceClose();
+    this.#callerListener?.announceClose();
     await new Promise<void>((resolve) => {
       const { settings, timers } = this.#options;
       timers.schedule(settings.leaveNoticeMs, () => resolve());
@@ -181,54 +161,35 @@
     if (this.#credentials !== undefined) this.#resources.use(this.#credentials);
     this.#resources.use(this.#connections);
     this.#resources.use(this.#peers);
-    this.#resources.use(this.#configuration.subscribe(({ body }) => {
-      this.#keyIndex = createKeyIndex(body);
-      this.#resolved.clear();
-      this.#pools.clear();
-    }));
+    this.#resources.use(this.#callers);
+    this.#resources.use(
+      this.#configuration.subscribe(() => this.#pools.clear()),
+    );
     const control = await this.#startControl();
     this.#resources.use(control);
     this.#controlAddress = control.address;
-    const membership = await this.#startMembership(platform);
-    this.#startFollower(platform, membership);
-    this.#startLeases(platform, membership);
-    const callers = await this.#startCallers(membership);
-    this.#resources.defer(() => callers.close());
-    this.#callers = callers;
-    this.#callerAddress = callers.address;
-    logger.info("router-started", { callers: callers.address });
-  }
-
-  async #startMembership(platform: PlatformClient): Promise<Membership> {
-    const { logger, settings, timers } = this.#options;
-    const random = createSystemRandom();
-    const membership = await Membership.create({
-      identity: {
-        type: "router",
-        name: settings.name,
-        host: settings.host,
-        failureDomain: settings.failureDomain,
-        region: settings.region,
-        controlAddress: this.#controlAddress,
-      },
+    const { membership, follower } = await joinFleet({
+      ...this.#options,
+      platform,
+      peers: this.#peers,
+      configuration: this.#configuration,
+      resources: this.#resources,
       epoch: this.#epoch,
       capacity: 1,
-      limits: defaultMembershipLimits,
-      digestKey: settings.digestKey,
-      timers,
-      random,
-      logger,
-      platform,
-      getPeer: (address) => this.#peers.get(address),
-      peerAddresses: settings.peerAddresses,
+      controlAddress: control.address,
     });
-    this.#resources.use(membership);
     this.#membership = membership;
-    this.#resources.use(this.#configuration.subscribe(({ body, version }) => {
-      membership.setConfigurationVersion(version);
-      membership.setLimits(body.defaults.membership);
-    }));
-    return membership;
+    this.#follower = follower;
+    this.#startLeases(platform, membership);
+    const limiter = this.#createLimiter(membership);
+    const callers = await startCallerListener(settings.callerAddress, {
+      context: this.#createContext(membership, limiter),
+      isReady: () => this.isReady,
+    });
+    this.#resources.defer(() => callers.close());
+    this.#callerListener = callers;
+    this.#callerAddress = callers.address;
+    logger.info("router-started", { callers: callers.address });
   }
 
   #startLeases(platform: PlatformClient, membership: Membership): void {
@@ -260,24 +221,6 @@
     this.#resources.defer(() => leases.release());
   }
 
-  #startFollower(platform: PlatformClient, membership: Membership): void {
-    const { logger, timers } = this.#options;
-    const follower = ConfigurationFollower.create({
-      platform,
-      holder: this.#configuration,
-      timers,
-      logger,
-      getPeer: (address) => this.#peers.get(address),
-      isWatcher: () => membership.isWatcher,
-      listPeers: () => membership.listRouterAddresses(),
-      whenReady: membership.whenReady,
-    });
-    membership.setVersionObserver((version, address) =>
-      follower.observeVersion(version, address)
-    );
-    this.#follower = this.#resources.use(follower);
-  }
-
   #startControl(): Promise<ListeningServer> {
     const { settings, logger } = this.#options;
     return startControlServer({
@@ -300,38 +243,6 @@
     });
   }
 
-  #startCallers(membership: Membership): Promise<ListeningServer> {
-    const limiter = this.#createLimiter(membership);
-    const context = this.#createContext(membership, limiter);
-    const app = polka({
-      onNoMatch: (_request, response) =>
-        sendProblem(response, AppError.create("notFound", "No such path")),
-    });
-    app.get(
-      "/healthz",
-      (_request, response) => sendJson(response, { status: "ok" }),
-    );
-    app.get("/readyz", (_request, response) => this.#sendReady(response));
-    app.get(
-      "/v1/models",
-      handleWith(context, handleModels),
-    );
-    app.post("/v1/chat/completions", handleWith(context, handleChat));
-    app.all("/*", handleWith(context, handleService));
-    return startServer(
-      this.#options.settings.callerAddress,
-      (request, response) => {
-        app.handler(request as polka.Request, response);
-      },
-    );
-  }
-
-  #sendReady(response: ServerResponse): void {
-    sendJson(response, { ready: this.isReady }, {
-      status: this.isReady ? 200 : 503,
-    });
-  }
-
   #createLimiter(membership: Membership): WorkspaceLimiter {
     const { logger, settings, timers } = this.#options;
     const limiter = WorkspaceLimiter.create({
@@ -342,7 +253,7 @@
       metrics: this.#metrics,
       listRouters: () => membership.listRouters(),
       getRate: (workspace) => {
-        const rate = this.#resolve({ workspace }).settings.workspace;
+        const rate = this.#callers.resolve({ workspace }).settings.workspace;
         return {
           requests: rate.requestsPerSecond,
           tokens: rate.tokensPerSecond,
@@ -373,22 +284,11 @@
       metrics: this.#metrics,
       logger: this.#options.logger,
       syncConfiguration: () => this.#follower?.sync(),
-      getKeyIndex: () => this.#keyIndex,
-      resolve: (subject) => this.#resolve(subject),
+      getKeyIndex: () => this.#callers.keyIndex,
+      resolve: (subject) => this.#callers.resolve(subject),
     };
   }
 
-  #resolve(subject: Match): RequestSettings {
-    const cacheKey = JSON.stringify(subject);
-    const cached = this.#resolved.get(cacheKey);
-    if (cached !== undefined) return cached;
-    const { body } = this.#configuration.get();
-    const resolved = resolveRequest(body, subject);
-    if (this.#resolved.size >= maxResolvedSubjects) this.#resolved.clear();
-    this.#resolved.set(cacheKey, resolved);
-    return resolved;
-  }
-
   #getDump() {
     return {
       process: { type: "router", name: this.#options.settings.name },
@@ -400,29 +300,3 @@
     };
   }
 }
-
-type Handler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-  context: RouterContext,
-) => Promise<void> | void;
-
-/** Answers with a problem document when a handler throws. */
-function handleWith(context: RouterContext, handler: Handler) {
-  return async (request: IncomingMessage, response: ServerResponse) => {
-    try {
-      await context.syncConfiguration();
-      await handler(request, response, context);
-    } catch (thrown) {
-      const error = normalizeError(thrown);
-      context.metrics.count(`answered-${error.result}`);
-      if (error.result === "internal") {
-        context.logger.error("request-failed", {
-          code: error.code,
-          detail: error.message,
-        });
-      }
-      sendProblem(response, error);
-    }
-  };
-}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,6 +1,8 @@
 import { getPlacementDuty } from "@jasminetide/core/leases";
+import type { RunnerIdentity } from "@jasminetide/core/membership";
 import type { Epoch, RunnerId } from "@jasminetide/core/tables";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
+import { joinFleet } from "@jasminetide/runtime/joining";
 import type { MetricsSnapshot } from "@jasminetide/runtime/metrics";
 import { PlatformClient } from "@jasminetide/runtime/platform";
 import { PeerCredentials } from "@jasminetide/runtime/tls";
@@ -12,8 +14,6 @@
   createLedger,
   createLocator,
   startEngineState,
-  startFollower,
-  startMembership,
 } from "./start_parts.ts";
 import {
   createState,
@@ -184,17 +184,30 @@
     const control = await startControlListener(state);
     this.#controlAddress = control.address;
     options.resources.use(control);
-    const membership = await startMembership(state, {
+    const { membership, follower } = await joinFleet({
+      ...state,
       ...options,
-      dataAddress: this.advertisedDataAddress,
+      epoch: this.epoch,
+      capacity: state.settings.capacity,
       controlAddress: control.address,
+      runner: createRunnerIdentity(state.settings, this.advertisedDataAddress),
+      sections: ["exceptions"],
+      getLoadTokens: () => state.admission.loadTokens,
     });
     state.membership = membership;
+    state.follower = follower;
     if (state.settings.kind === "engine") {
       state.locator = createLocator(state, membership);
     }
-    state.follower = startFollower(state, membership, options);
     startEngineState(state, membership, options);
     options.resources.defer(() => data.close());
   }
 }
+
+function createRunnerIdentity(
+  settings: SidecarSettings,
+  dataAddress: string,
+): RunnerIdentity {
+  const { kind, pools, runner: id } = settings;
+  return { id, kind, pools, dataAddress };
+}
