--- a/packages/router/src/attempts/read_answer.ts
+++ b/packages/router/src/attempts/read_answer.ts
@@ -2,10 +2,9 @@
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import { getSilenceLimitMs } from "@jasminetide/core/retries";
 import { headerNames } from "@jasminetide/runtime/exchange";
-import { SilenceWatch } from "@jasminetide/runtime/streams";
+import { SilenceWatch, subscribeAbort } from "@jasminetide/runtime/streams";
 import type { AnswerStart, Attempt, AttemptContext } from "./attempt.ts";
 import { isRefusal, readRefusal, recoverAnswer } from "./open_answer.ts";
-import { subscribeAbort } from "./request_answer.ts";
 
 /**
  * Reads an answer to its end. Where the connection fails or goes silent, the
--- a/packages/router/src/attempts/request_answer.ts
+++ b/packages/router/src/attempts/request_answer.ts
@@ -1,6 +1,6 @@
 import { AppError } from "@jasminetide/core/results";
 import { formatEnvelope, headerNames } from "@jasminetide/runtime/exchange";
-import { SilenceWatch } from "@jasminetide/runtime/streams";
+import { SilenceWatch, subscribeAbort } from "@jasminetide/runtime/streams";
 import type { Dispatcher, Pool } from "undici";
 import type { AnswerStart, Attempt, AttemptContext } from "./attempt.ts";
 
@@ -114,18 +114,6 @@
   }
 }
 
-/** Calls a listener at the abort of a signal until disposed. */
-export function subscribeAbort(
-  signal: AbortSignal,
-  listener: () => void,
-): Disposable {
-  if (signal.aborted) listener();
-  signal.addEventListener("abort", listener);
-  return {
-    [Symbol.dispose]: () => signal.removeEventListener("abort", listener),
-  };
-}
-
 /** Drops an answer that belongs to another attempt; closes its connection. */
 function checkOwnAnswer(
   attempt: Attempt,
--- a/packages/sidecar/src/requests/handle_request.ts
+++ b/packages/sidecar/src/requests/handle_request.ts
@@ -160,7 +160,6 @@
   const closed = new Promise<void>((resolve) => {
     response.once("close", resolve);
   });
-  response.writeProcessing();
   using _heartbeat = context.timers.subscribe(heartbeatPeriodMs, () => {
     if (!response.headersSent) response.writeProcessing();
   });
--- a/packages/sidecar/src/requests/run_attempt.ts
+++ b/packages/sidecar/src/requests/run_attempt.ts
@@ -11,6 +11,7 @@
   endMarkEvent,
   EventTracker,
   SilenceWatch,
+  subscribeAbort,
 } from "@jasminetide/runtime/streams";
 import type { Dispatcher } from "undici";
 import type { StoredAttempt } from "./attempt_store.ts";
@@ -63,12 +64,16 @@
   request: RunnerRequest,
   options: RunOptions,
 ): Promise<number | undefined> {
-  using deadline = createDeadline(request.deadlineMs, options.timers);
+  using _deadline = options.timers.schedule(request.deadlineMs, () => {
+    attempt.abort.abort(
+      AppError.create("deadlineExceeded", "Runner passed the deadline"),
+    );
+  });
   const run: Run = {
     attempt,
     request,
     options,
-    signal: AbortSignal.any([attempt.abort.signal, deadline.signal]),
+    signal: attempt.abort.signal,
     tracker: EventTracker.create(),
     isStream: false,
     tail: "",
@@ -100,15 +105,19 @@
 };
 
 async function pumpAnswer(run: Run): Promise<void> {
-  const silence = new AbortController();
+  const connection = new AbortController();
+  using _cancel = subscribeAbort(
+    run.signal,
+    () => connection.abort(run.signal.reason),
+  );
   using watch = SilenceWatch.create({
     timers: run.options.timers,
     limitMs: run.isStream
       ? run.options.stream.betweenChunksMs
       : run.request.deadlineMs,
-    onSilence: () => silence.abort(),
+    onSilence: () => connection.abort(createSilenceError()),
   });
-  const response = await sendToRunner(run, silence.signal);
+  const response = await sendToRunner(run, connection.signal);
   const isStream = String(response.headers["content-type"])
     .startsWith("text/event-stream");
   if (!run.isStream) {
@@ -128,7 +137,7 @@
 
 function sendToRunner(
   run: Run,
-  silence: AbortSignal,
+  signal: AbortSignal,
 ): Promise<Dispatcher.ResponseData> {
   const { options, request } = run;
   return options.runner.request({
@@ -139,7 +148,7 @@
       ...(options.kind === "engine" ? createEngineHeaders(run) : {}),
     },
     body: request.body.length === 0 ? null : request.body,
-    signal: AbortSignal.any([run.signal, silence]),
+    signal,
   });
 }
 
@@ -207,20 +216,8 @@
     resumes < run.options.stream.maximumResumes;
 }
 
-function createDeadline(
-  durationMs: number,
-  timers: TimerService,
-): Disposable & { signal: AbortSignal } {
-  const abort = new AbortController();
-  const timer = timers.schedule(durationMs, () => {
-    abort.abort(
-      AppError.create("deadlineExceeded", "Runner passed the deadline"),
-    );
-  });
-  return {
-    signal: abort.signal,
-    [Symbol.dispose]: () => timer[Symbol.dispose](),
-  };
+function createSilenceError(): AppError {
+  return AppError.create("runnerFailed", "Runner went silent");
 }
 
 function createFailure(run: Run, thrown: unknown): AppError {
