--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -12,7 +12,7 @@
   /** A router sends chats elsewhere beyond this multiple of the mean. */
   spillMultiple: z.number().min(1).default(1.04),
   /** Load in tokens below which the cap never refuses. */
-  minimumTokens: z.number().int().nonnegative().default(8192),
+  minimumTokens: z.number().int().nonnegative().default(4096),
 });
 
 const admissionSchema = z.object({
@@ -83,8 +83,8 @@
   budgetBytesPerSecond: z.number().int().positive().default(11_000),
   staleAfterMs: positiveMs.default(10_000),
   holdDownMs: positiveMs.default(1000),
-  maximumHoldDownMs: positiveMs.default(60_000),
-  rampUpMs: positiveMs.default(20_000),
+  maximumHoldDownMs: positiveMs.default(4000),
+  rampUpMs: positiveMs.default(2000),
 });
 
 const placementSchema = z.object({
--- a/packages/core/src/membership/tables.ts
+++ b/packages/core/src/membership/tables.ts
@@ -57,7 +57,7 @@
   budgetBytesPerSecond: 11_000,
   staleAfterMs: 10_000,
   holdDownMs: 1000,
-  maximumHoldDownMs: 60_000,
+  maximumHoldDownMs: 4000,
 };
 
 /** Everything that membership decisions read and write. */
--- a/packages/load/src/measure/run_experiment.ts
+++ b/packages/load/src/measure/run_experiment.ts
@@ -15,7 +15,7 @@
   type PolicyName,
 } from "./policies.ts";
 import { RouterNode } from "./router_node.ts";
-import { getRunnerName, type Scenario } from "./scenario.ts";
+import { getRunnerName, productSettings, type Scenario } from "./scenario.ts";
 import { SidecarNode } from "./sidecar_node.ts";
 import { createTraffic, type Turn } from "./traffic.ts";
 
@@ -31,8 +31,7 @@
   minutes: MinuteFigures[];
 };
 
-const rampUpMs = 2000;
-const holdDown = { holdDownMs: 1000, maximumHoldDownMs: 4000 };
+const { rampUpMs, ...holdDown } = productSettings.membership;
 /** Lag of each router's list; the last stands for the sidecars. */
 const listLagsMs = [500, 1000, 2000, 4000];
 /** Time the host list takes to notice a runner that stopped unannounced. */
--- a/packages/load/src/measure/scenario.ts
+++ b/packages/load/src/measure/scenario.ts
@@ -1,3 +1,5 @@
+import { type Settings, settingsSchema } from "@jasminetide/core/configuration";
+
 /** Size and behaviour of the measured fleet. */
 export type Scenario = {
   seed: number;
@@ -57,16 +59,19 @@
 /** One way between two processes. */
 export const hopMs = 2;
 
+/** The product's defaults, so that what is measured is what runs. */
+export const productSettings: Settings = settingsSchema.parse({});
+
 /** Bounds of the load in the experiment. */
 export const loadBounds = {
-  capMultiple: 1.25,
+  capMultiple: productSettings.load.capMultiple,
   /** The highest with which the all-knowing router keeps the skew target. */
   knowingMultiple: 1.1,
   /** Multiple of the mean beyond which a sidecar sends a turn elsewhere. */
   refuseMultiple: 1.08,
   /** Multiple of the mean beyond which a router chooses another rank. */
-  spillMultiple: 1.04,
-  minimumTokens: 4096,
+  spillMultiple: productSettings.load.spillMultiple,
+  minimumTokens: productSettings.load.minimumTokens,
 } as const;
 
 /** Name of the runner at an index. */
