--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -64,7 +64,7 @@
     if (runner === undefined) break;
     await checkRetry(dispatch, context, progress);
     try {
-      return await tryRunner(dispatch, runner, context);
+      return await tryRunner(dispatch, runner, { context, progress });
     } catch (thrown) {
       const error = normalizeError(thrown);
       recordFailure(runner, error, context);
@@ -132,8 +132,9 @@
 async function tryRunner(
   dispatch: DispatchRequest,
   runner: RunnerRow,
-  context: DispatchContext,
+  options: { context: DispatchContext; progress: Progress },
 ): Promise<Dispatched> {
+  const { context, progress } = options;
   const attempt: Attempt = {
     runner,
     request: dispatch.request,
@@ -142,6 +143,7 @@
       ...dispatch.envelope,
       attempt: createAttemptId(),
       epoch: runner.epoch,
+      isRepeated: progress.failures > 0,
       remainingMs: 0,
       sender: context.directory.controlAddress,
     },
