--- a/packages/load/src/measure/router_node.ts
+++ b/packages/load/src/measure/router_node.ts
@@ -242,8 +242,6 @@
     this.pool.complete(work);
     journey.refusals += 1;
     journey.holder = undefined;
-    // A turn whose attempt failed has waited already.
-    journey.isReleased = true;
     const { events } = this.#options;
     events.schedule(events.nowMs + hopMs, () => this.#try(journey));
   }
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -64,7 +64,7 @@
     if (runner === undefined) break;
     await checkRetry(dispatch, context, progress);
     try {
-      return await tryRunner(dispatch, runner, { context, progress });
+      return await tryRunner(dispatch, runner, context);
     } catch (thrown) {
       const error = normalizeError(thrown);
       recordFailure(runner, error, context);
@@ -132,9 +132,8 @@
 async function tryRunner(
   dispatch: DispatchRequest,
   runner: RunnerRow,
-  options: { context: DispatchContext; progress: Progress },
+  context: DispatchContext,
 ): Promise<Dispatched> {
-  const { context, progress } = options;
   const attempt: Attempt = {
     runner,
     request: dispatch.request,
@@ -143,7 +142,6 @@
       ...dispatch.envelope,
       attempt: createAttemptId(),
       epoch: runner.epoch,
-      isRepeated: progress.failures > 0,
       remainingMs: 0,
       sender: context.directory.controlAddress,
     },
--- a/packages/runtime/src/exchange/headers.ts
+++ b/packages/runtime/src/exchange/headers.ts
@@ -21,7 +21,6 @@
   /** Runner that holds a chat, in the refusal of its home. */
   chatHolder: "jt-chat-holder",
   idempotent: "jt-idempotent",
-  repeated: "jt-repeated",
   configurationVersion: "jt-configuration",
   digest: "jt-digest",
   executed: "jt-executed",
@@ -54,8 +53,6 @@
   chatKey: string;
   /** Whether the request may be cancelled and repeated. */
   isIdempotent: boolean;
-  /** Whether an earlier attempt failed; such a request is not held back. */
-  isRepeated?: boolean;
   configurationVersion: number;
   /** Control address of the router, from which a sidecar fetches. */
   sender?: string;
@@ -76,7 +73,6 @@
     [headerNames.pool]: encodeURIComponent(envelope.pool),
     [headerNames.chatKey]: envelope.chatKey,
     [headerNames.idempotent]: envelope.isIdempotent ? "1" : "0",
-    ...(envelope.isRepeated === true ? { [headerNames.repeated]: "1" } : {}),
     [headerNames.configurationVersion]: String(envelope.configurationVersion),
     ...(envelope.sender === undefined
       ? {}
@@ -101,7 +97,6 @@
     pool: getDecoded(headers, headerNames.pool),
     chatKey: getText(headers, headerNames.chatKey),
     isIdempotent: getText(headers, headerNames.idempotent) === "1",
-    ...(headers[headerNames.repeated] === "1" ? { isRepeated: true } : {}),
     configurationVersion: getNumber(headers, headerNames.configurationVersion),
     ...(typeof headers[headerNames.sender] === "string"
       ? { sender: headers[headerNames.sender] as string }
--- a/packages/runtime/src/exchange/headers_test.ts
+++ b/packages/runtime/src/exchange/headers_test.ts
@@ -24,21 +24,6 @@
   pool: name,
   chatKey: fc.stringMatching(/^[0-9a-f]{1,16}$/),
   configurationVersion: amount,
-  isRepeated: fc.constant(true),
-}, {
-  requiredKeys: [
-    "attempt",
-    "epoch",
-    "workspace",
-    "isIdempotent",
-    "priority",
-    "weight",
-    "costTokens",
-    "remainingMs",
-    "pool",
-    "chatKey",
-    "configurationVersion",
-  ],
 });
 
 Then(
--- a/packages/sidecar/src/requests/busiest_minute.ts
+++ b/packages/sidecar/src/requests/busiest_minute.ts
@@ -10,17 +10,13 @@
   isDeferrable: (priority: number) => boolean;
 };
 
-/**
- * Holds a deferrable request back while the minute is at its peak. One whose
- * earlier attempt failed has waited already.
- */
+/** Holds a deferrable request back while the minute is at its peak. */
 export async function waitForRelease(
   work: { envelope: RequestEnvelope; arrivedAtMs: number },
   signal: AbortSignal,
   context: PeakContext,
 ): Promise<void> {
   const { envelope, arrivedAtMs } = work;
-  if (envelope.isRepeated === true) return;
   if (!context.isDeferrable(envelope.priority)) return;
   await context.peak.wait({
     id: envelope.attempt,
@@ -37,10 +33,9 @@
   computed: { computedTokens: number | undefined; atMs: number },
   context: PeakContext,
 ): void {
-  const { costTokens, isRepeated, priority } = envelope;
+  const { costTokens, priority } = envelope;
   const isDeferrable = context.isDeferrable(priority);
-  const isCounted = isDeferrable && isRepeated !== true;
   const { atMs, computedTokens = costTokens } = computed;
-  const tokens = computedTokens - (isCounted ? costTokens : 0);
+  const tokens = computedTokens - (isDeferrable ? costTokens : 0);
   context.peak.hold.meter.record(tokens, { atMs, isDeferrable });
 }
