--- a/packages/core/src/results/assert.ts
+++ b/packages/core/src/results/assert.ts
@@ -11,11 +11,17 @@
 }
 
 /**
- * Sets what happens when an invariant is broken. Tests keep the default, which
- * throws; processes in production count and log.
+ * Sets what happens when an invariant is broken, until disposed. Tests keep the
+ * default, which throws; processes in production count and log.
  */
-export function setViolationHandler(handler: ViolationHandler): void {
+export function setViolationHandler(handler: ViolationHandler): Disposable {
+  const before = handleViolation;
   handleViolation = handler;
+  return {
+    [Symbol.dispose]: () => {
+      handleViolation = before;
+    },
+  };
 }
 
 /** Checks an invariant that must always hold. */
--- a/packages/local_fleet/src/main.ts
+++ b/packages/local_fleet/src/main.ts
@@ -2,7 +2,7 @@
 import { fileURLToPath } from "node:url";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import { createLogger } from "@jasminetide/runtime/logging";
-import { runProgram } from "@jasminetide/runtime/process";
+import { logViolations, runProgram } from "@jasminetide/runtime/process";
 import { loadFleet } from "./load_fleet.ts";
 import { LocalFleet } from "./local_fleet.ts";
 
@@ -16,6 +16,7 @@
 const readyPollMs = 50;
 
 await runProgram(async () => {
+  logViolations(logger);
   const timers = RealTimerService.create();
   const fleet = await LocalFleet.create({
     definition: await loadFleet(folder),
--- a/packages/runtime/src/control/control_server.ts
+++ b/packages/runtime/src/control/control_server.ts
@@ -1,6 +1,6 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { Buffer } from "node:buffer";
-import { AppError } from "@jasminetide/core/results";
+import { AppError, getViolationCounts } from "@jasminetide/core/results";
 import type { AnyTRPCRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
@@ -21,7 +21,7 @@
   /** SHA-256 of the operators' key, in hexadecimal. */
   operatorKeyHash: string;
   /** Gives the state of the process; never secrets. */
-  getDump: () => unknown;
+  getDump: () => object;
   /** Peers need a certificate when present; plain connections otherwise. */
   credentials?: PeerCredentials;
   logger: Logger;
@@ -61,7 +61,10 @@
   try {
     checkOperatorKey(request, options.operatorKeyHash);
     if (request.url === "/dump") {
-      sendJson(response, options.getDump());
+      sendJson(response, {
+        ...options.getDump(),
+        violations: Object.fromEntries(getViolationCounts()),
+      });
       return;
     }
     throw AppError.create("notFound", `No operator path ${request.url}`);
