--- /dev/null
+++ b/packages/runtime/src/membership/host_list_reader.ts
@@ -0,0 +1,89 @@
+import {
+  applyHostList,
+  type MemberRow,
+  type MembershipTables,
+} from "@jasminetide/core/membership";
+import {
+  applyDrains,
+  type DrainIntent,
+  DrainReader,
+  type HostRecord,
+  type PlatformClient,
+} from "../platform/mod.ts";
+import { getReadPeriodMs, isPromptReader, listMembers } from "./host_list.ts";
+import {
+  createReadBudget,
+  type ReadBudget,
+  spendReadBudget,
+} from "./read_budget.ts";
+
+/** What the host list is read with and into. */
+export type HostListReaderOptions = {
+  tables: MembershipTables;
+  platform: PlatformClient;
+  /** Told of what could not be read; what is known stays. */
+  warn: (event: string, thrown: unknown) => void;
+  nowMs: number;
+};
+
+/** Reads the host list and the operators' drains, within a budget. */
+export class HostListReader {
+  readonly #options: HostListReaderOptions;
+  readonly #budget: ReadBudget;
+  readonly #drainReader: DrainReader;
+  #drains: DrainIntent[] = [];
+  #nextReadAtMs = 0;
+  #isReading = false;
+
+  private constructor(options: HostListReaderOptions) {
+    this.#options = options;
+    this.#budget = createReadBudget(options.nowMs);
+    this.#drainReader = DrainReader.create(options.platform);
+  }
+
+  /** Creates a reader whose first read is due at once. */
+  static create(options: HostListReaderOptions): HostListReader {
+    return new HostListReader(options);
+  }
+
+  /** Whether the list is to be read now. */
+  isDue(nowMs: number): boolean {
+    return nowMs >= this.#nextReadAtMs && !this.#isReading;
+  }
+
+  /**
+   * Reads the list into the tables.
+   *
+   * @returns members whose leaving is news that others have to hear.
+   */
+  async read(nowMs: number): Promise<MemberRow[]> {
+    const { platform, tables, warn } = this.#options;
+    this.#isReading = true;
+    this.#nextReadAtMs = nowMs + getReadPeriodMs(tables);
+    const beforeBytes = platform.hostListBytes;
+    let news: MemberRow[] = [];
+    try {
+      news = applyHostList(tables, listMembers(await this.#load()));
+    } catch (thrown) {
+      warn("host-list-failed", thrown);
+    }
+    const sizeBytes = platform.hostListBytes - beforeBytes;
+    const waitMs = spendReadBudget(this.#budget, { tables, sizeBytes, nowMs });
+    this.#nextReadAtMs = Math.max(this.#nextReadAtMs, nowMs + waitMs);
+    this.#isReading = false;
+    return news;
+  }
+
+  /** Loads the host list with the operators' drains marked in it. */
+  async #load(): Promise<HostRecord[]> {
+    const { platform, tables, warn } = this.#options;
+    const hosts = await platform.loadHosts();
+    if (!isPromptReader(tables)) return hosts;
+    try {
+      this.#drains = await this.#drainReader.load();
+    } catch (thrown) {
+      warn("drains-failed", thrown);
+    }
+    return applyDrains(hosts, this.#drains);
+  }
+}
--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -1,6 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
 import {
-  applyHostList,
   createMembershipTables,
   createRecord,
   createRotatingScheme,
@@ -47,20 +46,10 @@
 import { ResourceStack } from "../disposal/mod.ts";
 import { headerNames } from "../exchange/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import {
-  applyDrains,
-  type DrainIntent,
-  DrainReader,
-  type HostRecord,
-  type PlatformClient,
-} from "../platform/mod.ts";
+import type { PlatformClient } from "../platform/mod.ts";
 import { DatagramSocket } from "./datagrams.ts";
-import {
-  createReadBudget,
-  type ReadBudget,
-  spendReadBudget,
-} from "./read_budget.ts";
-import { getReadPeriodMs, isPromptReader, listMembers } from "./host_list.ts";
+import { HostListReader } from "./host_list_reader.ts";
+import { isPromptReader } from "./host_list.ts";
 
 /** Called when a member holds a configuration version. */
 export type VersionObserver = (version: number, controlAddress: string) => void;
@@ -103,20 +92,22 @@
   readonly #leavingSinceMs = new Map<string, number>();
   readonly #wireIds = new Map<string, number>();
   #socket: DatagramSocket | undefined;
-  readonly #reads: ReadBudget;
-  #nextReadAtMs = 0;
-  #isReading = false;
+  readonly #hostList: HostListReader;
   #observeVersion: VersionObserver = () => {};
-  readonly #drainReader: DrainReader;
-  #drains: DrainIntent[] = [];
   readonly #ready = createDeferred();
+  /** Whether peers are being asked for what they know. */
+  #isAsking = false;
 
   private constructor(options: MembershipOptions) {
     const nowMs = options.timers.nowMs();
     this.#options = options;
-    this.#reads = createReadBudget(nowMs);
-    this.#drainReader = DrainReader.create(options.platform);
     this.#tables = createMembershipTables({ ...options, nowMs });
+    this.#hostList = HostListReader.create({
+      tables: this.#tables,
+      platform: options.platform,
+      warn: (event, thrown) => this.#warn(event, thrown),
+      nowMs,
+    });
     this.#spreader = createSpreader({
       tables: this.#tables,
       scheme: createRotatingScheme(options.random),
@@ -354,8 +345,8 @@
   #tick(): void {
     const nowMs = this.#options.timers.nowMs();
     this.#readLoad();
-    if (nowMs >= this.#nextReadAtMs && !this.#isReading) {
-      void this.#loadHosts(nowMs);
+    if (this.#hostList.isDue(nowMs) && !this.#isAsking) {
+      void this.#readHosts(nowMs);
     }
     this.#noteLeaving(nowMs);
     expireMembers(this.#tables, nowMs);
@@ -391,45 +382,17 @@
   }
 
   /** Reads the host list; on failure what is known stays. */
-  async #loadHosts(nowMs: number): Promise<void> {
-    this.#isReading = true;
-    this.#nextReadAtMs = nowMs + getReadPeriodMs(this.#tables);
-    const { platform } = this.#options;
-    const beforeBytes = platform.hostListBytes;
-    try {
-      const hosts = await this.#loadLeaving();
-      const news = applyHostList(this.#tables, listMembers(hosts));
-      for (const member of news) {
-        setPending(this.#spreader, member, {
-          origin: "received",
-          urgency: "state",
-        });
-      }
-      this.#send(spreadDigests(this.#spreader, this.#options.timers.nowMs()));
-    } catch (thrown) {
-      this.#warn("host-list-failed", thrown);
+  async #readHosts(nowMs: number): Promise<void> {
+    for (const member of await this.#hostList.read(nowMs)) {
+      const urgency = "state" as const;
+      setPending(this.#spreader, member, { origin: "received", urgency });
     }
-    const waitMs = spendReadBudget(this.#reads, {
-      tables: this.#tables,
-      sizeBytes: platform.hostListBytes - beforeBytes,
-      nowMs,
-    });
-    this.#nextReadAtMs = Math.max(this.#nextReadAtMs, nowMs + waitMs);
-    if (!this.#ready.isSettled) await this.#loadFromPeers();
+    this.#send(spreadDigests(this.#spreader, this.#options.timers.nowMs()));
+    if (this.#ready.isSettled) return;
+    this.#isAsking = true;
+    await this.#loadFromPeers();
+    this.#isAsking = false;
     this.#ready.settle();
-    this.#isReading = false;
-  }
-
-  /** Loads the host list with the operators' drains marked in it. */
-  async #loadLeaving(): Promise<HostRecord[]> {
-    const hosts = await this.#options.platform.loadHosts();
-    if (!isPromptReader(this.#tables)) return hosts;
-    try {
-      this.#drains = await this.#drainReader.load();
-    } catch (thrown) {
-      this.#warn("drains-failed", thrown);
-    }
-    return applyDrains(hosts, this.#drains);
   }
 
   /** At the start, asks one peer for what it knows; more if none answers. */
