Make one piece of code serve where logic stood twice

Cause: a read of the whole change. Routers parsed a sidecar's problem document in two places; waiting on the timer service was written anew in six; the settle procedure of sidecars has had no caller since the data path settles attempts. Change: parseProblem in core/results and wait in core/timers serve them; the procedure and its schema are gone. Behaviour stays, no test or bound changed. Conclusion: the configuration follower, the ledger's shell, the object API and a few test tools still wait by themselves.

--- a/packages/core/src/results/errors.ts
+++ b/packages/core/src/results/errors.ts
@@ -88,6 +88,26 @@
   };
 }
 
+/**
+ * Parses a problem document of another process into the error that it stands
+ * for.
+ *
+ * @param retryAfter value of the `Retry-After` header, in seconds.
+ */
+export function parseProblem(
+  text: string,
+  retryAfter: string | string[] | undefined,
+): AppError {
+  const problem = JSON.parse(text) as Problem;
+  const names = Object.keys(resultCodes) as ResultName[];
+  const result = names.find((name) => resultCodes[name].code === problem.code);
+  const seconds = Number(retryAfter);
+  return AppError.create(result ?? "runnerFailed", problem.detail, {
+    executed: problem.executed,
+    ...(Number.isFinite(seconds) ? { retryAfterMs: seconds * 1000 } : {}),
+  });
+}
+
 /** Turns anything thrown into an error with a result code. */
 export function normalizeError(thrown: unknown): AppError {
   if (thrown instanceof AppError) return thrown;
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -5,6 +5,7 @@
 import { getBackoffMs } from "@jasminetide/core/retries";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { RunnerRow } from "@jasminetide/core/tables";
+import { wait } from "@jasminetide/core/timers";
 import type { RequestEnvelope } from "@jasminetide/runtime/exchange";
 import type { Membership } from "@jasminetide/runtime/membership";
 import { v7 as createAttemptId } from "uuid";
@@ -203,7 +204,7 @@
   });
   const leftMs = dispatch.deadlineAtMs - context.timers.nowMs();
   if (delayMs >= leftMs) throw lastError;
-  await new Promise((resolve) => context.timers.schedule(delayMs, resolve));
+  await wait(context.timers, delayMs);
 }
 
 const cheapRefusals = new Set([
--- a/packages/router/src/attempts/open_answer.ts
+++ b/packages/router/src/attempts/open_answer.ts
@@ -1,9 +1,7 @@
 import {
   AppError,
-  type formatProblem,
   normalizeError,
-  resultCodes,
-  type ResultName,
+  parseProblem,
 } from "@jasminetide/core/results";
 import { headerNames } from "@jasminetide/runtime/exchange";
 import type { AnswerStart, Attempt, AttemptContext } from "./attempt.ts";
@@ -74,14 +72,7 @@
 /** Turns a sidecar's refusal into the error that it stands for. */
 export async function readRefusal(start: AnswerStart): Promise<AppError> {
   const text = await start.response.body.text();
-  const problem = JSON.parse(text) as ReturnType<typeof formatProblem>;
-  const names = Object.keys(resultCodes) as ResultName[];
-  const result = names.find((name) => resultCodes[name].code === problem.code);
-  const retryAfter = Number(start.headers["retry-after"]);
-  return AppError.create(result ?? "runnerFailed", problem.detail, {
-    executed: problem.executed,
-    ...(Number.isFinite(retryAfter) ? { retryAfterMs: retryAfter * 1000 } : {}),
-  });
+  return parseProblem(text, start.headers["retry-after"]);
 }
 
 /** Says whether an answer is the sidecar's own refusal. */
--- a/packages/router/src/ledger/ask_owner.ts
+++ b/packages/router/src/ledger/ask_owner.ts
@@ -1,13 +1,9 @@
 import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { LedgerAnswer } from "@jasminetide/core/ledger";
-import {
-  type Executed,
-  resultCodes,
-  type ResultName,
-} from "@jasminetide/core/results";
+import { parseProblem } from "@jasminetide/core/results";
 import type { RunnerRow } from "@jasminetide/core/tables";
-import type { TimerService } from "@jasminetide/core/timers";
+import { type TimerService, wait } from "@jasminetide/core/timers";
 import {
   copyForwardedHeaders,
   formatEnvelope,
@@ -77,12 +73,6 @@
   return answer.type === "refused" && answer.result === "keyRunning";
 }
 
-function wait(timers: TimerService, durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    timers.schedule(durationMs, () => resolve());
-  });
-}
-
 async function requestOnce(
   call: OutgoingCall,
   options: AskOptions,
@@ -177,19 +167,15 @@
   text: string,
   retryAfter: string | string[] | undefined,
 ): LedgerAnswer {
-  const problem = JSON.parse(text) as {
-    code: number;
-    detail: string;
-    executed: Executed;
-  };
-  const names = Object.keys(resultCodes) as ResultName[];
-  const result = names.find((name) => resultCodes[name].code === problem.code);
-  const seconds = Number(retryAfter);
+  const { result, executed, message, retryAfterMs } = parseProblem(
+    text,
+    retryAfter,
+  );
   return {
     type: "refused",
-    result: result ?? "runnerFailed",
-    executed: problem.executed,
-    detail: problem.detail,
-    ...(Number.isFinite(seconds) ? { retryAfterMs: seconds * 1000 } : {}),
+    result,
+    executed,
+    detail: message,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
   };
 }
--- a/packages/router/src/ledger/handle_money.ts
+++ b/packages/router/src/ledger/handle_money.ts
@@ -7,7 +7,7 @@
   parseKey,
 } from "@jasminetide/core/ledger";
 import { AppError } from "@jasminetide/core/results";
-import type { TimerService } from "@jasminetide/core/timers";
+import { wait } from "@jasminetide/core/timers";
 import { headerNames } from "@jasminetide/runtime/exchange";
 import type { RouterContext } from "../router_context.ts";
 import { askOwner, type OutgoingCall } from "./ask_owner.ts";
@@ -77,12 +77,6 @@
   }
 }
 
-function wait(timers: TimerService, durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    timers.schedule(durationMs, () => resolve());
-  });
-}
-
 type Search = {
   answer: LedgerAnswer;
   /** Whether nobody has the last word and an owner was leaving. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -6,7 +6,7 @@
 } from "@jasminetide/core/leases";
 import { createSystemRandom } from "@jasminetide/core/random";
 import type { Epoch, RunnerState } from "@jasminetide/core/tables";
-import type { TimerService } from "@jasminetide/core/timers";
+import { type TimerService, wait } from "@jasminetide/core/timers";
 import {
   type ConfigurationFollower,
   ConfigurationHolder,
@@ -145,10 +145,8 @@
     this.#membership?.setOwn({ isLeaving: true });
     this.#options.logger.info("leaving");
     this.#callerListener?.announceClose();
-    await new Promise<void>((resolve) => {
-      const { settings, timers } = this.#options;
-      timers.schedule(settings.leaveNoticeMs, () => resolve());
-    });
+    const { settings, timers } = this.#options;
+    await wait(timers, settings.leaveNoticeMs);
     await this.#resources[Symbol.asyncDispose]();
   }
 
--- a/packages/runtime/src/control/messages.ts
+++ b/packages/runtime/src/control/messages.ts
@@ -1,12 +1,6 @@
 /** Schemas of the control messages between processes. */
 import { z } from "zod";
 
-/** Question about an attempt whose own answer did not arrive. */
-export const settleSchema = z.object({
-  attempt: z.string().min(1),
-  epoch: z.number().int(),
-});
-
 /** Workspaces that one wish for quota may name. */
 export const maximumQuotaWishes = 256;
 
--- a/packages/runtime/src/control/peer_router.ts
+++ b/packages/runtime/src/control/peer_router.ts
@@ -1,4 +1,3 @@
-import type { Settlement } from "@jasminetide/core/attempts";
 import type {
   DigestRecord,
   MemberIdentity,
@@ -11,7 +10,6 @@
   type QuotaGrantMessage,
   quotaWishesSchema,
   type QuotaWishMessage,
-  settleSchema,
 } from "./messages.ts";
 import { z } from "zod";
 
@@ -50,7 +48,6 @@
 
 /** What a sidecar answers besides. */
 export type SidecarHandlers = PeerHandlers & {
-  settle(request: z.output<typeof settleSchema>): Settlement;
   order(request: FencedOrder): Promise<OrderOutcome>;
   claimChats(claims: z.output<typeof chatClaimsSchema>): void;
 };
@@ -80,9 +77,6 @@
 export function createSidecarRouter(handlers: SidecarHandlers) {
   return trpc.router({
     ...createPeerProcedures(handlers),
-    settle: trpc.procedure.input(settleSchema).mutation(({ input }) =>
-      handlers.settle(input)
-    ),
     claimChats: trpc.procedure.input(chatClaimsSchema).mutation(({ input }) =>
       handlers.claimChats(input)
     ),
--- a/packages/sidecar/src/listeners.ts
+++ b/packages/sidecar/src/listeners.ts
@@ -39,7 +39,7 @@
 export function startControlListener(
   state: SidecarState,
 ): Promise<ListeningServer> {
-  const { attempts, configuration, credentials, logger, settings } = state;
+  const { configuration, credentials, logger, settings } = state;
   return startControlServer({
     credentials,
     logger,
@@ -57,8 +57,6 @@
       claimChats: (claims) =>
         claims.forEach((claim) => state.locator?.recordClaim(claim)),
       getMembers: () => state.membership?.listMembers() ?? [],
-      settle: ({ attempt, epoch }) =>
-        attempts.settle(attempt, { epoch, nowMs: state.timers.nowMs() }),
     }),
   });
 }
--- a/packages/sidecar/src/requests/attempt_store.ts
+++ b/packages/sidecar/src/requests/attempt_store.ts
@@ -1,4 +1,4 @@
-import { AttemptTable, type Settlement } from "@jasminetide/core/attempts";
+import { AttemptTable } from "@jasminetide/core/attempts";
 import { AppError } from "@jasminetide/core/results";
 import type { AttemptId, Epoch } from "@jasminetide/core/tables";
 import { AnswerBuffer } from "../answers/mod.ts";
@@ -110,14 +110,6 @@
     );
   }
 
-  /** Says what became of an attempt; one never received is withdrawn. */
-  settle(
-    id: AttemptId,
-    options: { epoch: Epoch; nowMs: number },
-  ): Settlement {
-    return this.#table.settle(id, options);
-  }
-
   /**
    * Settles an attempt and gets its answer.
    *
@@ -128,7 +120,7 @@
     id: AttemptId,
     options: { epoch: Epoch; nowMs: number },
   ): StoredAttempt {
-    const settlement = this.settle(id, options);
+    const settlement = this.#table.settle(id, options);
     const attempt = this.#attempts.get(id);
     if (settlement.type !== "unknown" && attempt !== undefined) return attempt;
     if (settlement.type === "tombstoned") {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,6 +1,7 @@
 import { getPlacementDuty } from "@jasminetide/core/leases";
 import type { RunnerIdentity } from "@jasminetide/core/membership";
 import type { Epoch, RunnerId } from "@jasminetide/core/tables";
+import { wait } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import { joinFleet } from "@jasminetide/runtime/joining";
 import type { MetricsSnapshot } from "@jasminetide/runtime/metrics";
@@ -118,8 +119,8 @@
     if (state.isStopping) return;
     state.isStopping = true;
     this.#leave();
-    await this.#wait(state.settings.leaveNoticeMs);
-    while (state.attempts.active > 0) await this.#wait(drainPollMs);
+    await wait(state.timers, state.settings.leaveNoticeMs);
+    while (state.attempts.active > 0) await wait(state.timers, drainPollMs);
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -134,12 +135,6 @@
     logger.info("leaving", { runner: settings.runner });
   }
 
-  #wait(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.#state.timers.schedule(durationMs, () => resolve());
-    });
-  }
-
   #expire(nowMs: number): void {
     const { attempts, locator, settings } = this.#state;
     attempts.expire(nowMs);
