--- /dev/null
+++ b/packages/core/src/pools/mod.ts
@@ -0,0 +1,6 @@
+/** Load and health of the runners of a service, and the choice among them. */
+export * from "./choose_runner.ts";
+export * from "./prefix_holders.ts";
+export * from "./repeat_budget.ts";
+export * from "./runner_health.ts";
+export * from "./runner_load.ts";
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -61,6 +61,7 @@
   platformLimited: row(5004, 429, "no", "Platform rate limit reached"),
   valueTooLarge: row(5005, 413, "no", "Value too large"),
   hashMismatch: row(5006, 422, "no", "Body does not match its hash"),
+  noDeclaration: row(5007, 503, "no", "No declaration is known yet"),
   staleFencingNumber: row(6001, 409, "no", "Fencing number is old"),
   leaseLost: row(6002, 409, "no", "Lease is held by another"),
   invalidSettings: row(6003, 422, "no", "Invalid process settings"),
--- /dev/null
+++ b/packages/gateway/src/following/object_follower.ts
@@ -0,0 +1,157 @@
+import type { RandomSource } from "@jasminetide/core/random";
+import { normalizeError } from "@jasminetide/core/results";
+import { type TimerService, wait } from "@jasminetide/core/timers";
+import type { Logger } from "@jasminetide/runtime/logging";
+import type { ObjectSource } from "./object_source.ts";
+
+/** What following the objects of one kind needs. */
+export type ObjectFollowerOptions<Value> = {
+  /** Name of the kind in logs. */
+  name: string;
+  source: ObjectSource<Value>;
+  /** Longest wait of one watch; bounds how long a dead connection is kept. */
+  watchMs: number;
+  timers: TimerService;
+  random: RandomSource;
+  logger: Logger;
+  /** Called with all objects after each change. */
+  onObjects: (objects: ReadonlyMap<string, Value>) => void;
+  /**
+   * Time after an outage for which objects that went missing are kept, since
+   * their writers may put them back.
+   */
+  keepMissingMs: number;
+};
+
+/** Keeps a copy of the objects of one kind by watching them. */
+export class ObjectFollower<Value> {
+  readonly #options: ObjectFollowerOptions<Value>;
+  #objects = new Map<string, Value>();
+  readonly #missing = new Set<string>();
+  #revision: number | undefined;
+  #failures = 0;
+  #keepMissingUntilMs = 0;
+  #isStopped = false;
+
+  private constructor(options: ObjectFollowerOptions<Value>) {
+    this.#options = options;
+  }
+
+  /** Starts to follow. */
+  static create<Value>(
+    options: ObjectFollowerOptions<Value>,
+  ): ObjectFollower<Value> {
+    const follower = new ObjectFollower(options);
+    void follower.#run();
+    return follower;
+  }
+
+  /** Whether the store answered the last call. */
+  get isConnected(): boolean {
+    return this.#revision !== undefined && this.#failures === 0;
+  }
+
+  [Symbol.dispose](): void {
+    this.#isStopped = true;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isStopped) {
+      try {
+        await this.#step();
+        this.#regain();
+      } catch (thrown) {
+        await this.#backOff(thrown);
+      }
+    }
+  }
+
+  async #step(): Promise<void> {
+    const { source, watchMs } = this.#options;
+    if (this.#revision === undefined) {
+      const { objects, revision } = await source.list();
+      this.#regain();
+      this.#replace(objects);
+      this.#revision = revision;
+      return;
+    }
+    const result = await source.watch(this.#revision, watchMs);
+    this.#regain();
+    if (result.type === "expired") {
+      this.#options.logger.info("history-expired", {
+        kind: this.#options.name,
+        revision: this.#revision,
+      });
+      this.#revision = undefined;
+      return;
+    }
+    for (const { name, value } of result.changes) this.#change(name, value);
+    this.#revision = result.revision;
+    if (result.changes.length > 0) this.#publish();
+  }
+
+  #replace(objects: Map<string, Value>): void {
+    for (const name of this.#objects.keys()) {
+      if (!objects.has(name)) this.#change(name, undefined);
+    }
+    for (const [name, value] of objects) this.#change(name, value);
+    this.#publish();
+  }
+
+  #change(name: string, value: Value | undefined): void {
+    if (value !== undefined) {
+      this.#missing.delete(name);
+      this.#objects.set(name, value);
+      return;
+    }
+    if (this.#options.timers.nowMs() < this.#keepMissingUntilMs) {
+      this.#missing.add(name);
+    } else this.#objects.delete(name);
+  }
+
+  #publish(): void {
+    this.#options.onObjects(this.#objects);
+  }
+
+  /** Takes in that the store answers, after an outage too. */
+  #regain(): void {
+    if (this.#failures === 0) return;
+    const { keepMissingMs, logger, name, timers } = this.#options;
+    logger.info("store-regained", { kind: name, failures: this.#failures });
+    this.#failures = 0;
+    this.#keepMissingUntilMs = timers.nowMs() + keepMissingMs;
+    timers.schedule(keepMissingMs, () => this.#dropMissing());
+  }
+
+  #dropMissing(): void {
+    if (this.#options.timers.nowMs() < this.#keepMissingUntilMs) return;
+    if (this.#missing.size === 0) return;
+    for (const name of this.#missing) this.#objects.delete(name);
+    this.#missing.clear();
+    this.#publish();
+  }
+
+  async #backOff(thrown: unknown): Promise<void> {
+    const { logger, name, random, timers } = this.#options;
+    const error = normalizeError(thrown);
+    this.#failures += 1;
+    if (this.#failures === 1) {
+      logger.warn("store-lost", {
+        kind: name,
+        code: error.code,
+        detail: error.message,
+        revision: this.#revision,
+      });
+    }
+    const boundMs = Math.min(
+      firstBackOffMs * 2 ** Math.min(this.#failures - 1, 4),
+      maxBackOffMs,
+    );
+    await wait(timers, boundMs * (0.5 + random.getFloat() / 2));
+  }
+}
+
+const firstBackOffMs = 100;
+
+/** Longest pause between calls to a store that does not answer. */
+const maxBackOffMs = 800;
--- /dev/null
+++ b/packages/gateway/src/gateway_context.ts
@@ -0,0 +1,27 @@
+import type { PrefixHolders, RepeatBudget } from "@jasminetide/core/pools";
+import type { RandomSource } from "@jasminetide/core/random";
+import type { RouteTable } from "@jasminetide/core/routes";
+import type { TimerService } from "@jasminetide/core/timers";
+import type { Metrics } from "@jasminetide/runtime/metrics";
+import type { RequestLog } from "./request_log.ts";
+import type { WireProtocol } from "./protocol.ts";
+import type { Directory } from "./upstreams/mod.ts";
+
+/** What serving a request needs of its router. */
+export type GatewayContext = {
+  protocol: WireProtocol;
+  directory: Directory;
+  holders: PrefixHolders;
+  failureDomain: string;
+  timers: TimerService;
+  random: RandomSource;
+  metrics: Metrics;
+  requestLog: RequestLog;
+  /** Declared routes in force; undefined before the first version. */
+  getRoutes: () => RouteTable | undefined;
+  getRepeatBudget: (service: string) => RepeatBudget;
+  /** Routers that share the budgets, this one included. */
+  countRouters: () => number;
+  /** Whether callers should use other connections from now on. */
+  isStopping: () => boolean;
+};
--- /dev/null
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -0,0 +1,62 @@
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { CallerLimits } from "@jasminetide/core/routes";
+import { parseAddress } from "@jasminetide/runtime/settings";
+
+/** A server for callers. */
+export class CallerListener {
+  readonly #server: Server;
+
+  private constructor(server: Server) {
+    this.#server = server;
+  }
+
+  /** Starts to listen at `ip:port`. */
+  static async create(
+    address: string,
+    handler: RequestListener,
+  ): Promise<CallerListener> {
+    const server = createServer({
+      maxHeaderSize: maxHeaderBytes,
+      connectionsCheckingInterval: checkPeriodMs,
+      noDelay: true,
+    }, handler);
+    const { ip, port } = parseAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen({ host: ip, port, backlog: acceptBacklog }, resolve);
+    });
+    return new CallerListener(server);
+  }
+
+  /** Applies declared limits to connections from now on. */
+  setLimits(limits: CallerLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs + limitMarginMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + limitMarginMs;
+  }
+
+  /** Connections that are open. */
+  countConnections(): Promise<number> {
+    return new Promise((resolve) =>
+      this.#server.getConnections((_error, count) => resolve(count ?? 0))
+    );
+  }
+
+  /** Stops listening and closes every connection. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.closeAllConnections();
+    await closed;
+  }
+}
+
+/** Headers of one request; declared limits of deployments lie below. */
+const maxHeaderBytes = 65_536;
+
+/** Period at which slow and idle connections are looked for. */
+const checkPeriodMs = 1000;
+
+/** Added to declared limits, so that no caller within them is cut off. */
+const limitMarginMs = 500;
+
+/** Connections that wait to be accepted when many callers come at once. */
+const acceptBacklog = 1024;
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,4 @@
+/** A router that takes any request by declared routes, without sidecars. */
+export * from "./gateway.ts";
+export * from "./protocol.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/gateway/src/requests/exchange.ts
@@ -0,0 +1,320 @@
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { chooseEngine, choosePlainRunner } from "@jasminetide/core/pools";
+import { AppError } from "@jasminetide/core/results";
+import type { DeclaredRoute } from "@jasminetide/core/routes";
+import type { TimerSubscription } from "@jasminetide/core/timers";
+import type { GatewayContext } from "../gateway_context.ts";
+import type { AnswerHead, CallerRequest, RunnerAnswer } from "../protocol.ts";
+import type { Upstream } from "../upstreams/mod.ts";
+import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+import { decideNext, type NextStep } from "./decide_next.ts";
+import { EventSplitter } from "./event_splitter.ts";
+import { selectForwarded } from "./forwarded_headers.ts";
+
+/** A request that was found to be allowed. */
+export type AdmittedRequest = {
+  caller: CallerRequest;
+  route: DeclaredRoute;
+  service: string;
+  workspace: string | undefined;
+  body: Buffer;
+  /** When it must be answered, by the timer service. */
+  deadlineMs: number;
+};
+
+/** What an exchange needs. */
+export type ExchangeOptions = {
+  context: GatewayContext;
+  admitted: AdmittedRequest;
+  request: IncomingMessage;
+  response: ServerResponse;
+  answer: CallerAnswer;
+};
+
+/** Brings one admitted request to runners until its caller is answered. */
+export class Exchange {
+  readonly #options: ExchangeOptions;
+  readonly #tried = new Set<string>();
+  readonly #splitter: EventSplitter;
+  #attempt: Attempt | undefined;
+  #attempts = 0;
+  #runs = 0;
+  #isOver = false;
+  #lastAnswer: Extract<AttemptEnd, { type: "answered" }> | undefined;
+
+  private constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.#splitter = EventSplitter.create(undefined);
+  }
+
+  /** Serves a request; resolves when its caller was answered or has left. */
+  static async serve(options: ExchangeOptions): Promise<void> {
+    const exchange = new Exchange(options);
+    const { admitted, context, response } = options;
+    response.once("close", () => exchange.#abandon());
+    const limit: TimerSubscription = context.timers.schedule(
+      admitted.deadlineMs - context.timers.nowMs(),
+      () => exchange.#expire(),
+    );
+    await exchange.#run();
+    limit[Symbol.dispose]();
+  }
+
+  async #run(): Promise<void> {
+    let step: NextStep = "repeat";
+    while (!this.#isOver && (step === "repeat" || step === "resume")) {
+      const upstream = this.#choose();
+      if (upstream === undefined || !this.#takeRepeat()) {
+        this.#giveUp(upstream === undefined ? "no runner" : "no budget");
+        return;
+      }
+      const end = await this.#try(upstream);
+      if (this.#isOver) return;
+      step = decideNext(end, this.#getProgress());
+      this.#observe(upstream, end);
+      this.#finish(step, end);
+    }
+  }
+
+  #getProgress() {
+    const { answer, admitted: { route } } = this.#options;
+    return {
+      kind: route.kind,
+      isResumable: route.isResumable,
+      hasBegun: answer.hasBegun,
+      runs: this.#runs,
+      maxRuns: route.maxAttempts,
+      attempts: this.#attempts,
+    };
+  }
+
+  #choose(): Upstream | undefined {
+    const { context, admitted } = this.#options;
+    const all = context.directory.listReady(admitted.service);
+    const untried = all.filter(({ id }) => !this.#tried.has(id));
+    const runners = untried.length > 0 ? untried : all;
+    const nowMs = context.timers.nowMs();
+    const { failureDomain, random } = context;
+    const homeKey = getHomeKey(admitted.caller);
+    if (homeKey === undefined) {
+      return choosePlainRunner(runners, { nowMs, random, failureDomain });
+    }
+    const holders = context.holders.getHolders(homeKey, nowMs);
+    const chosen = chooseEngine(runners, { nowMs, random, homeKey, holders });
+    if (chosen !== undefined) {
+      context.holders.record(homeKey, chosen.id, nowMs);
+    }
+    return chosen;
+  }
+
+  /** Takes a repeat from the budget; the first send is no repeat. */
+  #takeRepeat(): boolean {
+    const { admitted, context } = this.#options;
+    const budget = context.getRepeatBudget(admitted.service);
+    const nowMs = context.timers.nowMs();
+    if (this.#attempts === 0) {
+      budget.recordRequest(nowMs);
+      return true;
+    }
+    return budget.tryTake(nowMs, context.countRouters());
+  }
+
+  #try(upstream: Upstream): Promise<AttemptEnd> {
+    const { admitted, context, request } = this.#options;
+    this.#attempts += 1;
+    this.#tried.add(upstream.id);
+    const lastEventId = this.#splitter.lastId;
+    this.#attempt = Attempt.create({
+      upstream,
+      attemptId: admitted.caller.attemptId,
+      protocol: context.protocol,
+      request: {
+        method: request.method ?? "GET",
+        target: request.url ?? "/",
+        headers: context.protocol.formatRunnerHeaders(
+          selectForwarded(request.rawHeaders, { without: ["content-length"] }),
+          {
+            runnerId: upstream.id,
+            timeoutMs: Math.max(1, Math.floor(this.#getLeftMs())),
+            workspace: admitted.workspace,
+            lastEventId,
+          },
+        ),
+        body: admitted.body,
+      },
+      sink: this.#createSink(),
+      onSent: () => {
+        this.#runs += 1;
+      },
+      onAnswer: (answer) => this.#takeAnswer(upstream, answer),
+    });
+    context.requestLog.record(admitted.caller.attemptId, "sent", {
+      runner: upstream.id,
+      service: admitted.service,
+      attempt: this.#attempts,
+      load: upstream.load.getEstimate(context.timers.nowMs()),
+      afterEvent: lastEventId,
+    });
+    return this.#attempt.ended;
+  }
+
+  #takeAnswer(upstream: Upstream, answer: RunnerAnswer): void {
+    if (answer.isNotRun) this.#runs -= 1;
+    if (answer.load === undefined) return;
+    upstream.load.observe(answer.load, this.#options.context.timers.nowMs());
+  }
+
+  /** Passes on successful streams event by event. */
+  #createSink(): AnswerSink {
+    const { admitted: { route }, answer } = this.#options;
+    return {
+      accepts: (head) => route.kind === "stream" && head.status < 300,
+      begin: (head) => this.#beginStream(head),
+      write: (bytes) => {
+        const whole = this.#splitter.append(bytes);
+        return whole.length === 0 || answer.write(whole);
+      },
+      onceWritable: (handler) => answer.onceWritable(handler),
+      end: () => {
+        const rest = this.#splitter.takePartial();
+        if (rest.length > 0) answer.write(rest);
+        answer.end();
+        return undefined;
+      },
+    };
+  }
+
+  #beginStream(head: AnswerHead): void {
+    const { answer } = this.#options;
+    if (!answer.hasBegun) answer.begin(head);
+  }
+
+  #observe(upstream: Upstream, end: AttemptEnd): void {
+    const nowMs = this.#options.context.timers.nowMs();
+    const { health } = upstream;
+    switch (end.type) {
+      case "relayed":
+        health.observe("succeeded", nowMs);
+        return;
+      case "answered":
+        health.observe(end.head.status < 500 ? "succeeded" : "failed", nowMs);
+        return;
+      case "notRun":
+        health.observe("failed", nowMs);
+        return;
+      case "unsent":
+      case "broken":
+        health.observe("lost", nowMs);
+        return;
+      case "cancelled":
+        return;
+    }
+  }
+
+  #finish(step: NextStep, end: AttemptEnd): void {
+    const { answer } = this.#options;
+    this.#log("attempt-ended", { end: end.type, step, ...describeEnd(end) });
+    if (end.type === "answered") this.#lastAnswer = end;
+    switch (step) {
+      case "answer":
+        if (end.type === "answered") answer.sendWhole(end.head, end.body);
+        break;
+      case "refuse":
+        this.#refuse("No runner took the request");
+        break;
+      case "fail":
+        this.#fail("The runner gave no whole answer");
+        break;
+      case "breakOff":
+        answer.breakOff();
+        break;
+      case "resume":
+        this.#splitter.takePartial();
+        return;
+      case "repeat":
+        return;
+      case "none":
+        break;
+    }
+    this.#isOver = true;
+  }
+
+  /** Ends a request that no further runner is tried for. */
+  #giveUp(reason: string): void {
+    this.#log("gave-up", { reason, attempts: this.#attempts });
+    this.#isOver = true;
+    const { answer } = this.#options;
+    if (answer.hasBegun) answer.breakOff();
+    else if (this.#lastAnswer !== undefined) {
+      answer.sendWhole(this.#lastAnswer.head, this.#lastAnswer.body);
+    } else if (this.#runs > 0) this.#fail("No other runner could be tried");
+    else this.#refuse("No runner is free");
+  }
+
+  #refuse(message: string): void {
+    const { answer, context } = this.#options;
+    const retryAfterMs = chooseRetryAfterMs(context.random.getFloat());
+    answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
+  }
+
+  #fail(message: string): void {
+    this.#options.answer.sendError(AppError.create("runnerFailed", message));
+  }
+
+  /** Gives the final answer when the time limit is reached. */
+  #expire(): void {
+    if (this.#isOver) return;
+    const { answer } = this.#options;
+    const mayHaveRun = this.#runs > 0;
+    this.#isOver = true;
+    this.#attempt?.cancel();
+    this.#log("expired", { mayHaveRun, hasBegun: answer.hasBegun });
+    if (answer.hasBegun) answer.breakOff();
+    else if (mayHaveRun) {
+      answer.sendError(
+        AppError.create("deadlineExceeded", "No answer within the time limit"),
+      );
+    } else this.#refuse("Not sent within the time limit");
+  }
+
+  /** Withdraws the request of a caller that has left. */
+  #abandon(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#attempt?.cancel();
+    this.#log("caller-left", { attempts: this.#attempts });
+  }
+
+  #getLeftMs(): number {
+    const { admitted, context } = this.#options;
+    return admitted.deadlineMs - context.timers.nowMs();
+  }
+
+  #log(event: string, fields: Record<string, string | number | boolean>): void {
+    const { admitted, context } = this.#options;
+    context.requestLog.record(admitted.caller.attemptId, event, fields);
+  }
+}
+
+/**
+ * Part of a prompt that decides which engine is its home: the last that is
+ * shared with other requests. The very last belongs to the request itself.
+ */
+function getHomeKey(caller: CallerRequest): string | undefined {
+  return (caller.prompt.at(-2) ?? caller.prompt.at(-1))?.id;
+}
+
+/** Spreads returning callers over the time in which places come free. */
+function chooseRetryAfterMs(random: number): number {
+  return minRetryAfterMs + random * retryAfterSpreadMs;
+}
+
+const minRetryAfterMs = 150;
+const retryAfterSpreadMs = 350;
+
+function describeEnd(end: AttemptEnd): Record<string, string | number> {
+  if ("reason" in end) return { reason: end.reason };
+  return "head" in end ? { status: end.head.status } : {};
+}
--- /dev/null
+++ b/packages/gateway/src/requests/mod.ts
@@ -0,0 +1,8 @@
+/** Requests of callers and the attempts at runners that answer them. */
+export * from "./attempt.ts";
+export * from "./caller_answer.ts";
+export * from "./decide_next.ts";
+export * from "./event_splitter.ts";
+export * from "./exchange.ts";
+export * from "./forwarded_headers.ts";
+export * from "./serve_request.ts";
--- /dev/null
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -0,0 +1,105 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import {
+  chooseService,
+  type DeclaredRoute,
+  type RouteTable,
+} from "@jasminetide/core/routes";
+import type { GatewayContext } from "../gateway_context.ts";
+import type { CallerRequest } from "../protocol.ts";
+import { CallerAnswer } from "./caller_answer.ts";
+import { Exchange } from "./exchange.ts";
+import { readWholeBody } from "./read_body.ts";
+
+/** Answers one request of a caller; never throws. */
+export async function serveRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  context: GatewayContext,
+): Promise<void> {
+  const answer = CallerAnswer.create(response, context.isStopping);
+  const arrivedAtMs = context.timers.nowMs();
+  const caller = context.protocol.readCallerRequest(request.headers);
+  context.metrics.count("requests");
+  try {
+    const admission = admitRequest(request, caller, context);
+    const body = await readWholeBody(request, admission.maxBodyBytes);
+    if (body === undefined) return;
+    const deadlineMs = arrivedAtMs + admission.limitMs;
+    const admitted = { ...admission, deadlineMs, body, caller };
+    await Exchange.serve({ context, admitted, request, response, answer });
+    context.metrics.record(
+      `answer-ms-${admitted.route.kind}`,
+      context.timers.nowMs() - arrivedAtMs,
+    );
+    context.metrics.count(`answered-${response.statusCode}`);
+  } catch (thrown) {
+    const error = normalizeError(thrown);
+    context.metrics.count(`refused-${error.result}`);
+    context.requestLog.record(caller.attemptId, "refused", {
+      code: error.code,
+      detail: error.message,
+      version: context.getRoutes()?.declaration.version,
+    });
+    if (answer.hasBegun) answer.breakOff();
+    else answer.sendError(error);
+  }
+}
+
+type Admission = {
+  route: DeclaredRoute;
+  service: string;
+  workspace: string | undefined;
+  maxBodyBytes: number;
+  /** Longest time from its arrival to its answer. */
+  limitMs: number;
+};
+
+/**
+ * Finds the route, workspace and service of a request by the declaration in
+ * force.
+ *
+ * @throws AppError `notFound`, `unauthorized` or `noDeclaration`.
+ */
+function admitRequest(
+  request: IncomingMessage,
+  caller: CallerRequest,
+  context: GatewayContext,
+): Admission {
+  const routes = context.getRoutes();
+  if (routes === undefined) {
+    throw AppError.create("noDeclaration", "No declaration is known yet", {
+      retryAfterMs: startRetryAfterMs,
+    });
+  }
+  const route = routes.findRoute(request.headers.host ?? "", request.url ?? "");
+  if (route === undefined) throw AppError.create("notFound", "No such route");
+  const workspace = route.isPublic
+    ? undefined
+    : authenticate(caller.apiKey, routes);
+  const service = chooseService(route, context.random);
+  if (service === undefined) {
+    throw AppError.create("noRunner", `Route ${route.name} has no service`, {
+      retryAfterMs: startRetryAfterMs,
+    });
+  }
+  const { maxBodyBytes } = routes.declaration.callerLimits;
+  const limitMs = Math.min(route.timeoutMs, caller.timeoutMs ?? Infinity);
+  return { route, service, workspace, maxBodyBytes, limitMs };
+}
+
+/** Finds the workspace of a key; undefined where no keys are declared. */
+function authenticate(
+  apiKey: string | undefined,
+  routes: RouteTable,
+): string | undefined {
+  if (routes.declaration.workspaces === undefined) return undefined;
+  const workspace = routes.findWorkspace(apiKey ?? "");
+  if (workspace === undefined) {
+    throw AppError.create("unauthorized", "The API key is not known");
+  }
+  return workspace.name;
+}
+
+/** Time in which a router that has just started learns what it needs. */
+const startRetryAfterMs = 300;
--- /dev/null
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -0,0 +1,106 @@
+import type { Buffer } from "node:buffer";
+import { AppError } from "@jasminetide/core/results";
+import { HTTPParser } from "http-parser-js";
+import type { AnswerHead } from "../protocol.ts";
+
+/** What a parser reports of the answers that it reads. */
+export type AnswerEvents = {
+  onHead: (head: AnswerHead, canStay: boolean) => void;
+  onBody: (bytes: Buffer) => void;
+  /** @param hasMore whether bytes follow that belong to no request. */
+  onComplete: (hasMore: boolean) => void;
+};
+
+/** Fields of the library's parser that its types leave out. */
+type ParserState = {
+  offset: number;
+  end: number;
+  consumeLine(): string | undefined;
+  body_bytes: number;
+  state: string;
+  BODY_CHUNKHEAD: () => void;
+};
+
+/** Reads the HTTP/1.1 answers of one connection, more strictly than its base. */
+export class AnswerParser {
+  readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
+  #isInterim = false;
+
+  private constructor(events: AnswerEvents, isHeadRequest: () => boolean) {
+    const parser = this.#parser;
+    const state = parser as unknown as ParserState;
+    state.BODY_CHUNKHEAD = () => readChunkHead(state);
+    parser[HTTPParser.kOnHeadersComplete] = (info) => {
+      checkFraming(info.headers);
+      this.#isInterim = info.statusCode < 200;
+      if (this.#isInterim) return 0;
+      events.onHead(
+        { status: info.statusCode, rawHeaders: info.headers },
+        info.shouldKeepAlive,
+      );
+      return isHeadRequest() ? 1 : 0;
+    };
+    parser[HTTPParser.kOnBody] = (bytes) => events.onBody(bytes);
+    parser[HTTPParser.kOnMessageComplete] = () => {
+      if (!this.#isInterim) events.onComplete(state.offset < state.end);
+    };
+  }
+
+  /**
+   * Creates a parser.
+   *
+   * @param isHeadRequest whether the request in flight has the method HEAD,
+   * whose answers have no body.
+   */
+  static create(
+    events: AnswerEvents,
+    isHeadRequest: () => boolean,
+  ): AnswerParser {
+    return new AnswerParser(events, isHeadRequest);
+  }
+
+  /** Reads bytes; returns what is wrong with them, if anything. */
+  read(bytes: Buffer): Error | undefined {
+    try {
+      const result = this.#parser.execute(bytes);
+      return result instanceof Error ? result : undefined;
+    } catch (error) {
+      return error as Error;
+    }
+  }
+
+  /** Takes in the regular end of the connection; an error if it came early. */
+  finish(): Error | undefined {
+    return this.#parser.finish() ?? undefined;
+  }
+}
+
+/** The library takes a chunk size that is no number for the last chunk. */
+function readChunkHead(state: ParserState): void {
+  const line = state.consumeLine();
+  if (line === undefined) return;
+  if (!/^[0-9a-f]{1,8}[ \t]*(;.*)?$/i.test(line)) {
+    throw AppError.create("runnerFailed", "Chunk size is no number");
+  }
+  state.body_bytes = parseInt(line, 16);
+  state.state = state.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
+}
+
+/** Refuses answers whose length can be read in two ways. */
+function checkFraming(rawHeaders: readonly string[]): void {
+  let lengths = 0;
+  let encodings = 0;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index].toLowerCase();
+    const value = rawHeaders[index + 1];
+    if (name === "content-length") {
+      lengths += 1;
+      if (!/^\d+$/.test(value)) lengths += 1;
+    }
+    if (name === "transfer-encoding") {
+      encodings += value.toLowerCase() === "chunked" ? 1 : 2;
+    }
+  }
+  if (lengths + encodings <= 1) return;
+  throw AppError.create("runnerFailed", "Answer has an ambiguous length");
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -0,0 +1,90 @@
+import type { TimerService } from "@jasminetide/core/timers";
+import type { Logger } from "@jasminetide/runtime/logging";
+import { type RunnerRecord, Upstream } from "./upstream.ts";
+
+/** What the directory of runners needs. */
+export type DirectoryOptions = { timers: TimerService; logger: Logger };
+
+/** The runners that this router knows, by service. */
+export class Directory {
+  readonly #options: DirectoryOptions;
+  readonly #upstreams = new Map<string, Upstream>();
+  readonly #byService = new Map<string, Upstream[]>();
+
+  private constructor(options: DirectoryOptions) {
+    this.#options = options;
+  }
+
+  /** Creates an empty directory. */
+  static create(options: DirectoryOptions): Directory {
+    return new Directory(options);
+  }
+
+  /** Runners of a service that take new requests. */
+  listReady(service: string): readonly Upstream[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Whether any runner takes new requests. */
+  get hasReady(): boolean {
+    return this.#byService.size > 0;
+  }
+
+  /** All runners that are known, draining ones too. */
+  list(): Iterable<Upstream> {
+    return this.#upstreams.values();
+  }
+
+  /** Replaces what is known by what the platform says now. */
+  apply(records: ReadonlyMap<string, RunnerRecord>): void {
+    for (const [id, upstream] of this.#upstreams) {
+      const record = records.get(id);
+      if (record === undefined || isOtherProcess(record, upstream.record)) {
+        this.#remove(id, upstream);
+      }
+    }
+    for (const record of records.values()) this.#put(record);
+    this.#index();
+  }
+
+  #put(record: RunnerRecord): void {
+    const known = this.#upstreams.get(record.id);
+    if (known === undefined) {
+      const { timers } = this.#options;
+      this.#upstreams.set(record.id, Upstream.create(record, timers));
+      this.#log("runner-added", record);
+      return;
+    }
+    if (known.record.isDraining !== record.isDraining) {
+      this.#log(record.isDraining ? "runner-draining" : "runner-ready", record);
+    }
+    known.record = record;
+  }
+
+  #remove(id: string, upstream: Upstream): void {
+    upstream.connections.close();
+    this.#upstreams.delete(id);
+    this.#log("runner-removed", upstream.record);
+  }
+
+  #index(): void {
+    this.#byService.clear();
+    for (const upstream of this.#upstreams.values()) {
+      const { isDraining, service } = upstream.record;
+      if (isDraining) continue;
+      const others = this.#byService.get(service);
+      if (others === undefined) this.#byService.set(service, [upstream]);
+      else others.push(upstream);
+    }
+  }
+
+  #log(event: string, record: RunnerRecord): void {
+    const { address, id, service } = record;
+    this.#options.logger.info(event, { runner: id, service, address });
+  }
+}
+
+function isOtherProcess(left: RunnerRecord, right: RunnerRecord): boolean {
+  return left.startedAtMs !== right.startedAtMs ||
+    left.address !== right.address || left.service !== right.service;
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/mod.ts
@@ -0,0 +1,6 @@
+/** Runners, the connections to them and what is known of them. */
+export * from "./answer_parser.ts";
+export * from "./connection_pool.ts";
+export * from "./directory.ts";
+export * from "./runner_connection.ts";
+export * from "./upstream.ts";
