Take no request that a stopping gateway cannot finish, pass unframed answers on unframed

Change: idle connections are closed once the balancer has been told; an answer whose end shows only by its connection is passed on in the same way.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,6 +73,7 @@
     const limitMs = stop.graceSeconds * 1000 - stopMarginMs;
     logger.info("leaving", { openRequests: this.#openRequests });
     await wait(timers, stop.noticeMs);
+    this.#listener?.closeIdle();
     while (
       this.#openRequests > 0 && timers.nowMs() - startedAtMs < limitMs
     ) await wait(timers, stopCheckPeriodMs);
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { CallerLimits } from "@jasminetide/core/routes";
 import { parseAddress } from "@jasminetide/runtime/settings";
@@ -34,18 +35,20 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + limitMarginMs;
   }
 
-  /** Connections that are open. */
-  countConnections(): Promise<number> {
-    return new Promise((resolve) =>
-      this.#server.getConnections((_error, count) => resolve(count ?? 0))
-    );
+  /**
+   * Stops listening and closes the connections without a request, so that no
+   * request is taken that could not be finished.
+   */
+  closeIdle(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
   }
 
   /** Stops listening and closes every connection. */
   async [Symbol.asyncDispose](): Promise<void> {
-    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#server.close();
     this.#server.closeAllConnections();
-    await closed;
+    await once(this.#server, "close");
   }
 }
 
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -30,6 +30,8 @@
   status: number;
   /** Names and values by turns. */
   rawHeaders: readonly string[];
+  /** Whether the end of the body shows; else it ends with its connection. */
+  isFramed: boolean;
 };
 
 /** What the headers of a runner's answer say. */
--- a/packages/gateway/src/requests/caller_answer.ts
+++ b/packages/gateway/src/requests/caller_answer.ts
@@ -38,7 +38,7 @@
 
   /** Sends a runner's whole answer. */
   sendWhole(head: AnswerHead, body: Buffer): void {
-    this.#writeHead(head, body.length);
+    this.#writeHead(head, head.isFramed ? body.length : undefined);
     this.#response.end(body);
   }
 
@@ -95,6 +95,9 @@
       headers.push("Content-Length", String(length));
     }
     if (this.#isStopping()) headers.push("Connection", "close");
+    // A body of unknown length may have been cut short, so it is passed on
+    // without a length too and ends with the connection.
+    if (!head.isFramed) this.#response.useChunkedEncodingByDefault = false;
     this.#response.writeHead(head.status, headers);
   }
 }
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -31,11 +31,12 @@
     const state = parser as unknown as ParserState;
     state.BODY_CHUNKHEAD = () => readChunkHead(state);
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
-      checkFraming(info.headers);
+      const isFramed = checkFraming(info.headers) ||
+        statusesWithoutBody.has(info.statusCode) || isHeadRequest();
       this.#isInterim = info.statusCode < 200;
       if (this.#isInterim) return 0;
       events.onHead(
-        { status: info.statusCode, rawHeaders: info.headers },
+        { status: info.statusCode, rawHeaders: info.headers, isFramed },
         info.shouldKeepAlive,
       );
       return isHeadRequest() ? 1 : 0;
@@ -86,8 +87,14 @@
   state.state = state.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
 }
 
-/** Refuses answers whose length can be read in two ways. */
-function checkFraming(rawHeaders: readonly string[]): void {
+const statusesWithoutBody = new Set([204, 304]);
+
+/**
+ * Refuses answers whose length can be read in two ways.
+ *
+ * @returns whether the headers say where the body ends.
+ */
+function checkFraming(rawHeaders: readonly string[]): boolean {
   let lengths = 0;
   let encodings = 0;
   for (let index = 0; index < rawHeaders.length; index += 2) {
@@ -101,6 +108,6 @@
       encodings += value.toLowerCase() === "chunked" ? 1 : 2;
     }
   }
-  if (lengths + encodings <= 1) return;
+  if (lengths + encodings <= 1) return lengths + encodings === 1;
   throw AppError.create("runnerFailed", "Answer has an ambiguous length");
 }
