Notice a store that is back sooner, keep missing runners no longer than that allows

Change: short watches while the store does not answer; missing runners are kept from the last failed call on; connections are closed as they become idle in a stop.

--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -17,8 +17,8 @@
   /** Called with all objects after each change. */
   onObjects: (objects: ReadonlyMap<string, Value>) => void;
   /**
-   * Time after an outage for which objects that went missing are kept, since
-   * their writers may put them back.
+   * Time from the last call of an outage for which objects that went missing
+   * are kept, since their writers may put them back.
    */
   keepMissingMs: number;
 };
@@ -30,6 +30,8 @@
   readonly #missing = new Set<string>();
   #revision: number | undefined;
   #failures = 0;
+  #calledAtMs = 0;
+  #failedCallAtMs = 0;
   #keepMissingUntilMs = 0;
   #isStopped = false;
 
@@ -57,6 +59,7 @@
 
   async #run(): Promise<void> {
     while (!this.#isStopped) {
+      this.#calledAtMs = this.#options.timers.nowMs();
       try {
         await this.#step();
         this.#regain();
@@ -75,7 +78,9 @@
       this.#revision = revision;
       return;
     }
-    const result = await source.watch(this.#revision, watchMs);
+    // While the store does not answer, short calls notice its return sooner.
+    const waitMs = this.#failures > 0 ? probeWaitMs : watchMs;
+    const result = await source.watch(this.#revision, waitMs);
     this.#regain();
     if (result.type === "expired") {
       this.#options.logger.info("history-expired", {
@@ -119,8 +124,10 @@
     const { keepMissingMs, logger, name, timers } = this.#options;
     logger.info("store-regained", { kind: name, failures: this.#failures });
     this.#failures = 0;
-    this.#keepMissingUntilMs = timers.nowMs() + keepMissingMs;
-    timers.schedule(keepMissingMs, () => this.#dropMissing());
+    // The store may have come back as early as the last call that failed.
+    this.#keepMissingUntilMs = this.#failedCallAtMs + keepMissingMs;
+    const leftMs = Math.max(0, this.#keepMissingUntilMs - timers.nowMs());
+    timers.schedule(leftMs, () => this.#dropMissing());
   }
 
   #dropMissing(): void {
@@ -135,6 +142,7 @@
     const { logger, name, random, timers } = this.#options;
     const error = normalizeError(thrown);
     this.#failures += 1;
+    this.#failedCallAtMs = this.#calledAtMs;
     if (this.#failures === 1) {
       logger.warn("store-lost", {
         kind: name,
@@ -151,6 +159,9 @@
   }
 }
 
+/** Wait of a watch while the store does not answer. */
+const probeWaitMs = 50;
+
 const firstBackOffMs = 100;
 
 /** Longest pause between calls to a store that does not answer. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -76,7 +76,11 @@
     this.#listener?.closeIdle();
     while (
       this.#openRequests > 0 && timers.nowMs() - startedAtMs < limitMs
-    ) await wait(timers, stopCheckPeriodMs);
+    ) {
+      await wait(timers, stopCheckPeriodMs);
+      // Answers that had begun before the stop did not say that it was coming.
+      this.#listener?.closeIdle();
+    }
     logger.info("left", { openRequests: this.#openRequests });
     await this.#resources[Symbol.asyncDispose]();
   }
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -40,15 +40,16 @@
    * request is taken that could not be finished.
    */
   closeIdle(): void {
-    this.#server.close();
+    if (this.#server.listening) this.#server.close();
     this.#server.closeIdleConnections();
   }
 
   /** Stops listening and closes every connection. */
   async [Symbol.asyncDispose](): Promise<void> {
-    this.#server.close();
+    const closed = once(this.#server, "close");
+    if (this.#server.listening) this.#server.close();
     this.#server.closeAllConnections();
-    await once(this.#server, "close");
+    await closed;
   }
 }
 
