Let engines copy shared parts of prompts from engines that hold them

Ruled out: eviction. Change: a request placed on an engine that does not hold its shared part names one that does, or the next home, as source of a copy.

--- a/packages/core/src/pools/choose_runner.ts
+++ b/packages/core/src/pools/choose_runner.ts
@@ -58,6 +58,15 @@
   holders: ReadonlySet<string>;
 };
 
+/** A chosen engine and where it may copy the shared part from. */
+export type EngineChoice<Runner> = {
+  runner: Runner;
+  /** Whether it is believed to hold the shared part. */
+  isHolder: boolean;
+  /** The next best home, which may hold the part if nothing is known. */
+  otherHome: Runner | undefined;
+};
+
 /**
  * Chooses the engine of a request with a prompt: an engine that holds the
  * shared part and is within the load bound, else the next by rendezvous hash
@@ -68,7 +77,7 @@
 export function chooseEngine<Runner extends PoolRunner>(
   runners: readonly Runner[],
   context: EngineChoiceContext,
-): Runner | undefined {
+): EngineChoice<Runner> | undefined {
   const { holders, homeKey, nowMs } = context;
   const candidates = preferHealthy(runners, nowMs);
   const bound = getLoadBound(candidates, nowMs);
@@ -86,13 +95,20 @@
     runner.load.getEstimate(nowMs) < Math.min(bound, runner.slots) &&
     runner.health.getFailureShare(nowMs) < failingShare
   );
-  return within?.runner ??
+  const chosen = within ??
     chooseLeast(
-      candidates,
-      (runner) =>
+      ranked,
+      ({ runner }) =>
         runner.load.getEstimate(nowMs) / runner.slots +
         runner.health.getFailureShare(nowMs) * failureLoad,
     );
+  if (chosen === undefined) return undefined;
+  const other = ranked.find((candidate) => candidate !== chosen);
+  return {
+    runner: chosen.runner,
+    isHolder: chosen.isHolder,
+    otherHome: other?.runner,
+  };
 }
 
 /** Share of failed requests above which an engine is no home. */
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -1,6 +1,10 @@
 import type { RandomSource } from "@jasminetide/core/random";
 import { normalizeError } from "@jasminetide/core/results";
-import { type TimerService, wait } from "@jasminetide/core/timers";
+import {
+  type TimerService,
+  type TimerSubscription,
+  wait,
+} from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { ObjectSource } from "./object_source.ts";
 
@@ -33,6 +37,7 @@
   #calledAtMs = 0;
   #failedCallAtMs = 0;
   #keepMissingUntilMs = 0;
+  #dropTimer: TimerSubscription | undefined;
   #isStopped = false;
 
   private constructor(options: ObjectFollowerOptions<Value>) {
@@ -127,11 +132,12 @@
     // The store may have come back as early as the last call that failed.
     this.#keepMissingUntilMs = this.#failedCallAtMs + keepMissingMs;
     const leftMs = Math.max(0, this.#keepMissingUntilMs - timers.nowMs());
-    timers.schedule(leftMs, () => this.#dropMissing());
+    this.#dropTimer?.[Symbol.dispose]();
+    this.#dropTimer = timers.schedule(leftMs, () => this.#dropMissing());
   }
 
   #dropMissing(): void {
-    if (this.#options.timers.nowMs() < this.#keepMissingUntilMs) return;
+    this.#keepMissingUntilMs = 0;
     if (this.#missing.size === 0) return;
     for (const name of this.#missing) this.#objects.delete(name);
     this.#missing.clear();
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -6,9 +6,11 @@
 /** A server for callers. */
 export class CallerListener {
   readonly #server: Server;
+  readonly #closed: Promise<unknown>;
 
   private constructor(server: Server) {
     this.#server = server;
+    this.#closed = once(server, "close");
   }
 
   /** Starts to listen at `ip:port`. */
@@ -46,10 +48,9 @@
 
   /** Stops listening and closes every connection. */
   async [Symbol.asyncDispose](): Promise<void> {
-    const closed = once(this.#server, "close");
     if (this.#server.listening) this.#server.close();
     this.#server.closeAllConnections();
-    await closed;
+    await this.#closed;
   }
 }
 
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -23,6 +23,11 @@
   workspace: string | undefined;
   /** Last event that the caller has; set when a broken stream goes on. */
   lastEventId: string | undefined;
+  /**
+   * `ip:port` of another engine, from which the runner may copy what that one
+   * keeps of the prompt.
+   */
+  cacheSource: string | undefined;
 };
 
 /** Status line and headers of an answer, as they came. */
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -24,6 +24,13 @@
   deadlineMs: number;
 };
 
+/** Where an attempt goes. */
+type Placement = {
+  upstream: Upstream;
+  /** `ip:port` of an engine that may hold the shared part of the prompt. */
+  cacheSource: string | undefined;
+};
+
 /** What an exchange needs. */
 export type ExchangeOptions = {
   context: GatewayContext;
@@ -65,15 +72,15 @@
   async #run(): Promise<void> {
     let step: NextStep = "repeat";
     while (!this.#isOver && (step === "repeat" || step === "resume")) {
-      const upstream = this.#choose();
-      if (upstream === undefined || !this.#takeRepeat()) {
-        this.#giveUp(upstream === undefined ? "no runner" : "no budget");
+      const placement = this.#choose();
+      if (placement === undefined || !this.#takeRepeat()) {
+        this.#giveUp(placement === undefined ? "no runner" : "no budget");
         return;
       }
-      const end = await this.#try(upstream);
+      const end = await this.#try(placement);
       if (this.#isOver) return;
       step = decideNext(end, this.#getProgress());
-      this.#observe(upstream, end);
+      this.#observe(placement.upstream, end);
       this.#finish(step, end);
     }
   }
@@ -90,7 +97,7 @@
     };
   }
 
-  #choose(): Upstream | undefined {
+  #choose(): Placement | undefined {
     const { context, admitted } = this.#options;
     const all = context.directory.listReady(admitted.service);
     const untried = all.filter(({ id }) => !this.#tried.has(id));
@@ -99,14 +106,32 @@
     const { failureDomain, random } = context;
     const homeKey = getHomeKey(admitted.caller);
     if (homeKey === undefined) {
-      return choosePlainRunner(runners, { nowMs, random, failureDomain });
+      const upstream = choosePlainRunner(runners, {
+        nowMs,
+        random,
+        failureDomain,
+      });
+      return upstream && { upstream, cacheSource: undefined };
     }
     const holders = context.holders.getHolders(homeKey, nowMs);
-    const chosen = chooseEngine(runners, { nowMs, random, homeKey, holders });
-    if (chosen !== undefined) {
-      context.holders.record(homeKey, chosen.id, nowMs);
+    const choice = chooseEngine(runners, { nowMs, random, homeKey, holders });
+    if (choice === undefined) return undefined;
+    const { runner: upstream } = choice;
+    const source = choice.isHolder
+      ? undefined
+      : this.#findLiveHolder(holders) ?? choice.otherHome;
+    context.holders.record(homeKey, upstream.id, nowMs);
+    return { upstream, cacheSource: source?.record.address };
+  }
+
+  /** Finds an engine that holds the shared part of the prompt. */
+  #findLiveHolder(holders: ReadonlySet<string>): Upstream | undefined {
+    const { directory, timers } = this.#options.context;
+    for (const id of holders) {
+      const upstream = directory.find(id);
+      if (upstream?.health.isAvoided(timers.nowMs()) === false) return upstream;
     }
-    return chosen;
+    return undefined;
   }
 
   /** Takes a repeat from the budget; the first send is no repeat. */
@@ -121,7 +146,7 @@
     return budget.tryTake(nowMs, context.countRouters());
   }
 
-  #try(upstream: Upstream): Promise<AttemptEnd> {
+  #try({ cacheSource, upstream }: Placement): Promise<AttemptEnd> {
     const { admitted, context, request } = this.#options;
     this.#attempts += 1;
     this.#tried.add(upstream.id);
@@ -140,6 +165,7 @@
             timeoutMs: Math.max(1, Math.floor(this.#getLeftMs())),
             workspace: admitted.workspace,
             lastEventId,
+            cacheSource,
           },
         ),
         body: admitted.body,
@@ -156,6 +182,7 @@
       attempt: this.#attempts,
       load: upstream.load.getEstimate(context.timers.nowMs()),
       afterEvent: lastEventId,
+      cacheSource,
     });
     return this.#attempt.ended;
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,7 +23,7 @@
      * Time after an outage for which runners that went missing are kept. Those
      * that live are back within two seconds.
      */
-    keepMissingMs: durationMs.default(2800),
+    keepMissingMs: durationMs.default(2500),
   }),
   stop: z.strictObject({
     /** Time in which the balancer learns of a planned stop. */
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -30,9 +30,9 @@
     return this.#byService.size > 0;
   }
 
-  /** All runners that are known, draining ones too. */
-  list(): Iterable<Upstream> {
-    return this.#upstreams.values();
+  /** Finds a runner, a draining one too. */
+  find(id: string): Upstream | undefined {
+    return this.#upstreams.get(id);
   }
 
   /** Replaces what is known by what the platform says now. */
