--- a/packages/core/src/configuration/configuration_faults_test.ts
+++ b/packages/core/src/configuration/configuration_faults_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type Fault,
   formatFaults,
--- a/packages/core/src/configuration/documents.ts
+++ b/packages/core/src/configuration/documents.ts
@@ -7,7 +7,7 @@
   parseTree,
   printParseErrorCode,
 } from "jsonc-parser";
-import { z } from "zod";
+import * as z from "zod";
 import { AppError } from "../results/mod.ts";
 import { type Fault, formatFaults, formatFound, formatPath } from "./faults.ts";
 
--- a/packages/core/src/configuration/parts.ts
+++ b/packages/core/src/configuration/parts.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import { hash32 } from "../hashing/mod.ts";
 import { AppError } from "../results/mod.ts";
 import { isJsonObject, type Json, type JsonObject } from "./json.ts";
--- a/packages/core/src/configuration/schema.ts
+++ b/packages/core/src/configuration/schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const positiveMs = z.number().int().positive();
 const ratio = z.number().min(0).max(1);
--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { AppError } from "../results/mod.ts";
 
 const holderSchema = z.object({
--- a/packages/core/src/leases/orders.ts
+++ b/packages/core/src/leases/orders.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const name = z.string().min(1);
 
--- a/packages/core/src/ledger/codec.ts
+++ b/packages/core/src/ledger/codec.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { Decoder, Encoder } from "cbor-x";
-import { z } from "zod";
+import * as z from "zod";
 import { AppError } from "../results/mod.ts";
 import type { JournalHead, JournalSegment, LedgerEntry } from "./journal.ts";
 
--- a/packages/core/src/ledger/objects.ts
+++ b/packages/core/src/ledger/objects.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { ScopedKey } from "./key.ts";
 
 /** Where an object of the ledger stands in the platform. */
--- a/packages/core/src/membership/codec.ts
+++ b/packages/core/src/membership/codec.ts
@@ -1,5 +1,5 @@
 import { Encoder } from "cbor-x";
-import { z } from "zod";
+import * as z from "zod";
 import { AppError } from "../results/mod.ts";
 import {
   decodeIdentity,
--- a/packages/core/src/pools/choose_runner.ts
+++ b/packages/core/src/pools/choose_runner.ts
@@ -54,6 +54,8 @@
 export type EngineChoiceContext = ChoiceContext & {
   /** Identifier of the part of the prompt that decides the home. */
   homeKey: string;
+  /** Size of the prompt up to and with that part, in tokens. */
+  sharedTokens: number;
   /** Runners that are believed to hold the part in their cache. */
   holders: ReadonlySet<string>;
 };
@@ -78,9 +80,9 @@
   runners: readonly Runner[],
   context: EngineChoiceContext,
 ): EngineChoice<Runner> | undefined {
-  const { holders, homeKey, nowMs } = context;
+  const { holders, homeKey, nowMs, sharedTokens } = context;
   const candidates = preferHealthy(runners, nowMs);
-  const bound = getLoadBound(candidates, nowMs);
+  const bound = getLoadBound(candidates, { nowMs, sharedTokens });
   const key = hash32(homeKey);
   const ranked = candidates
     .map((runner) => ({
@@ -114,16 +116,32 @@
 /** Share of failed requests above which an engine is no home. */
 const failingShare = 0.3;
 
-/** Most requests that an engine may hold and still be given one as a home. */
-function getLoadBound(runners: readonly PoolRunner[], nowMs: number): number {
+/**
+ * Most requests that an engine may hold and still be given one as a home.
+ * Requests with much to read stay at their home longer than those that are
+ * cheap to read elsewhere.
+ */
+function getLoadBound(
+  runners: readonly PoolRunner[],
+  context: { nowMs: number; sharedTokens: number },
+): number {
   if (runners.length === 0) return 0;
   let total = 0;
-  for (const runner of runners) total += runner.load.getEstimate(nowMs);
-  return (total / runners.length) * boundMultiple + boundSlack;
+  for (const runner of runners) {
+    total += runner.load.getEstimate(context.nowMs);
+  }
+  const costliness = Math.min(1, context.sharedTokens / costlyTokens);
+  const multiple = cheapMultiple +
+    (costlyMultiple - cheapMultiple) * costliness;
+  return (total / runners.length) * multiple + boundSlack;
 }
 
-/** Multiple of the mean load that a home may hold. */
-const boundMultiple = 1.5;
+/** Multiples of the mean load that a home may hold. */
+const cheapMultiple = 1.3;
+const costlyMultiple = 1.7;
+
+/** Shared tokens from which the higher multiple holds in full. */
+const costlyTokens = 4000;
 
 /** Requests above that multiple, so that small loads stay at their homes. */
 const boundSlack = 3;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -104,8 +104,8 @@
     const runners = untried.length > 0 ? untried : all;
     const nowMs = context.timers.nowMs();
     const { failureDomain, random } = context;
-    const homeKey = getHomeKey(admitted.caller);
-    if (homeKey === undefined) {
+    const home = getHome(admitted.caller);
+    if (home === undefined) {
       const upstream = choosePlainRunner(runners, {
         nowMs,
         random,
@@ -113,8 +113,9 @@
       });
       return upstream && { upstream, cacheSource: undefined };
     }
+    const { homeKey } = home;
     const holders = context.holders.getHolders(homeKey, nowMs);
-    const choice = chooseEngine(runners, { nowMs, random, homeKey, holders });
+    const choice = chooseEngine(runners, { ...home, nowMs, random, holders });
     if (choice === undefined) return undefined;
     const { runner: upstream } = choice;
     const source = choice.isHolder
@@ -326,11 +327,17 @@
 }
 
 /**
- * Part of a prompt that decides which engine is its home: the last that is
- * shared with other requests. The very last belongs to the request itself.
+ * Finds the part of a prompt that decides which engine is its home: the last
+ * that is shared with other requests. The very last belongs to the request.
  */
-function getHomeKey(caller: CallerRequest): string | undefined {
-  return (caller.prompt.at(-2) ?? caller.prompt.at(-1))?.id;
+function getHome(
+  { prompt }: CallerRequest,
+): { homeKey: string; sharedTokens: number } | undefined {
+  const shared = prompt.length > 1 ? prompt.slice(0, -1) : prompt;
+  const homeKey = shared.at(-1)?.id;
+  if (homeKey === undefined) return undefined;
+  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+  return { homeKey, sharedTokens };
 }
 
 /** Spreads returning callers over the time in which places come free. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,5 +1,5 @@
 import { addressSchema } from "@jasminetide/runtime/settings";
-import { z } from "zod";
+import * as z from "zod";
 
 const durationMs = z.number().int().positive();
 
--- a/packages/runtime/src/configuration/publish.ts
+++ b/packages/runtime/src/configuration/publish.ts
@@ -7,7 +7,7 @@
   type StoredDeclaration,
 } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
-import { z } from "zod";
+import * as z from "zod";
 import type { PlatformClient } from "../platform/mod.ts";
 import { configurationObject, getPartObject } from "./objects.ts";
 
--- a/packages/runtime/src/control/messages.ts
+++ b/packages/runtime/src/control/messages.ts
@@ -1,5 +1,5 @@
 /** Schemas of the control messages between processes. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Workspaces that one wish for quota may name. */
 export const maximumQuotaWishes = 256;
--- a/packages/runtime/src/control/peer_router.ts
+++ b/packages/runtime/src/control/peer_router.ts
@@ -11,7 +11,7 @@
   quotaWishesSchema,
   type QuotaWishMessage,
 } from "./messages.ts";
-import { z } from "zod";
+import * as z from "zod";
 
 const trpc = initTRPC.create();
 
--- a/packages/runtime/src/platform/drains.ts
+++ b/packages/runtime/src/platform/drains.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { PlatformClient } from "./client.ts";
 import type { HostRecord } from "./types.ts";
 
--- a/packages/runtime/src/process/daemon.ts
+++ b/packages/runtime/src/process/daemon.ts
@@ -1,7 +1,7 @@
 import { setViolationHandler } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import { command, option, string } from "cmd-ts";
-import type { z } from "zod";
+import type * as z from "zod";
 import { RealTimerService } from "../clock/mod.ts";
 import { createLogger, type Logger, type LogLevel } from "../logging/mod.ts";
 import { loadSettings } from "../settings/mod.ts";
--- a/packages/runtime/src/settings/mod.ts
+++ b/packages/runtime/src/settings/mod.ts
@@ -2,7 +2,7 @@
 import { readFile } from "node:fs/promises";
 import { requireDocument } from "@jasminetide/core/configuration";
 import { AppError } from "@jasminetide/core/results";
-import { z } from "zod";
+import * as z from "zod";
 
 /** `ip:port`. */
 export const addressSchema = z.string().regex(
