Tell a reset from a regular end of a runner's connection

Cause: the new requests feature failed on an answer without length that is reset: libuv reports the end of the stream where bytes and the reset come in one wake-up. Change: a socket without other end at its end was reset; scripted runners, raw callers and a test wire stand round a gateway in tests.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
   readonly #context: GatewayContext;
   #listener: CallerListener | undefined;
   #routes: RouteTable | undefined;
+  #callerAddress = "";
   #hasRunners = false;
   #isStopping = false;
   #openRequests = 0;
@@ -59,6 +60,11 @@
     return !this.#isStopping && this.#routes !== undefined && this.#hasRunners;
   }
 
+  /** `ip:port` for callers. */
+  get callerAddress(): string {
+    return this.#callerAddress;
+  }
+
   /** Version of the declaration in force, 0 before the first. */
   get declarationVersion(): number {
     return this.#routes?.declaration.version ?? 0;
@@ -103,8 +109,9 @@
         },
       ),
     );
+    this.#callerAddress = this.#listener.address;
     this.#follow();
-    logger.info("gateway-started", { callers: settings.callerAddress });
+    logger.info("gateway-started", { callers: this.#callerAddress });
   }
 
   #follow(): void {
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -1,4 +1,5 @@
 import { once } from "node:events";
+import type { AddressInfo } from "node:net";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { CallerLimits } from "@jasminetide/core/routes";
 import { parseAddress } from "@jasminetide/runtime/settings";
@@ -31,6 +32,12 @@
     return new CallerListener(server);
   }
 
+  /** `ip:port` that was bound. */
+  get address(): string {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
   /** Applies declared limits to connections from now on. */
   setLimits(limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs + limitMarginMs;
--- /dev/null
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -0,0 +1,443 @@
+import assert from "node:assert/strict";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { wait } from "@jasminetide/core/timers";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import {
+  createDeclaration,
+  createRunnerRecord,
+  formatAnswer,
+  formatHead,
+  RawCaller,
+  resetSocket,
+  type Script,
+  ScriptedRunner,
+  type SeenRequest,
+  startTestGateway,
+  type TestGateway,
+  testHeaders,
+} from "../test_support/mod.ts";
+
+type World = {
+  gatewayUnderTest: TestGateway;
+  scriptedRunners: Map<string, ScriptedRunner>;
+  rawCallers: RawCaller[];
+  answers: string[];
+};
+
+const timers = RealTimerService.create();
+
+async function addRunner(world: World, id: string): Promise<void> {
+  const runner = await ScriptedRunner.create(() => {});
+  world.scriptedRunners.set(id, runner);
+  world.gatewayUnderTest.runners.put(
+    id,
+    createRunnerRecord(id, runner.address),
+  );
+}
+
+async function waitUntilReady(world: World): Promise<void> {
+  while (!world.gatewayUnderTest.gateway.isReady) await wait(timers, 1);
+}
+
+function setScript(world: World, script: Script): void {
+  for (const runner of world.scriptedRunners.values()) runner.script = script;
+}
+
+function listSeen(world: World): SeenRequest[] {
+  return [...world.scriptedRunners.values()].flatMap(({ seen }) => seen);
+}
+
+let attempts = 0;
+
+async function sendRequest(
+  world: World,
+  path: string,
+  headers: Record<string, string> = {},
+): Promise<RawCaller> {
+  const { callerAddress } = world.gatewayUnderTest.gateway;
+  const caller = await RawCaller.create(callerAddress);
+  world.rawCallers.push(caller);
+  attempts += 1;
+  const attemptId = `attempt-${attempts}`;
+  caller.send({ path, attemptId, headers });
+  return caller;
+}
+
+function getCaller(world: World): RawCaller {
+  const caller = world.rawCallers.at(-1);
+  assert.ok(caller);
+  return caller;
+}
+
+function hasWholeAnswer({ hasEnded, text }: RawCaller): boolean {
+  const end = text.indexOf("\r\n\r\n");
+  if (end < 0) return hasEnded;
+  const length = /content-length: (\d+)/i.exec(text.slice(0, end))?.[1];
+  if (length !== undefined) return text.length >= end + 4 + Number(length);
+  return hasEnded || text.endsWith("0\r\n\r\n");
+}
+
+function getStatus(caller: RawCaller): number {
+  return Number(/^HTTP\/1\.1 (\d+)/.exec(caller.text)?.[1]);
+}
+
+Given(
+  "a gateway and a runner {string}",
+  async function (this: World, id: string) {
+    this.rawCallers = [];
+    this.scriptedRunners = new Map();
+    this.gatewayUnderTest = await startTestGateway();
+    this.gatewayUnderTest.declarations.put("main", createDeclaration(1));
+    await addRunner(this, id);
+    await waitUntilReady(this);
+  },
+);
+
+After(async function (this: World) {
+  if (this.gatewayUnderTest === undefined) return;
+  for (const caller of this.rawCallers) caller[Symbol.dispose]();
+  for (const runner of this.scriptedRunners.values()) {
+    await runner[Symbol.asyncDispose]();
+  }
+  await this.gatewayUnderTest.gateway[Symbol.asyncDispose]();
+});
+
+Given("a runner {string}", async function (this: World, id: string) {
+  await addRunner(this, id);
+  await wait(timers, 1);
+});
+
+Given(
+  "the runner answers {string} with {string}",
+  function (this: World, status: string, body: string) {
+    setScript(
+      this,
+      ({ attemptId, socket }) =>
+        socket.write(formatAnswer(attemptId, body, status)),
+    );
+  },
+);
+
+Given(
+  "runner {string} answers {string} with {string}",
+  function (this: World, id: string, status: string, body: string) {
+    const runner = this.scriptedRunners.get(id);
+    assert.ok(runner);
+    runner.script = ({ attemptId, socket }) =>
+      socket.write(formatAnswer(attemptId, body, status));
+  },
+);
+
+Given("both runners answer {string}", function (this: World, body: string) {
+  setScript(
+    this,
+    ({ attemptId, socket }) => socket.write(formatAnswer(attemptId, body)),
+  );
+});
+
+Given(
+  "the runner answers without length {string} and closes",
+  function (this: World, body: string) {
+    setScript(this, ({ attemptId, socket }) =>
+      socket.end(
+        `${formatHead(attemptId)}Connection: close\r\n\r\n${body}`,
+      ));
+  },
+);
+
+/** Bytes of answers that are wrong or that end too soon. */
+const faultyAnswers: Record<string, (attemptId: string) => string> = {
+  "10 bytes of a length of 20": (id) =>
+    `${formatHead(id)}Content-Length: 20\r\n\r\n0123456789`,
+  "one chunk and no last chunk": (id) =>
+    `${formatHead(id)}Transfer-Encoding: chunked\r\nConnection: close` +
+    "\r\n\r\n5\r\n01234\r\n",
+  "10 bytes without length": (id) =>
+    `${formatHead(id)}Connection: close\r\n\r\n0123456789`,
+  "a chunk size that is no number": (id) =>
+    `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n`,
+  "bytes that are no answer": () => "SSH-2.0-something\r\n\r\n",
+  "a success without its mark": (id) =>
+    `HTTP/1.1 200 OK\r\n${testHeaders.attempt}: ${id}\r\n` +
+    "Content-Length: 2\r\n\r\nok",
+};
+
+Given(
+  /^the runner cuts its answer short: (.+), then it (closes|resets)$/,
+  function (this: World, how: string, end: string) {
+    const format = faultyAnswers[how];
+    assert.ok(format, how);
+    setScript(
+      this,
+      ({ attemptId, socket }) =>
+        socket.write(format(attemptId), () => {
+          if (end === "closes") socket.end();
+          else resetSocket(socket);
+        }),
+    );
+  },
+);
+
+Given("the runner answers every request twice", function (this: World) {
+  setScript(this, ({ attemptId, socket }) => {
+    socket.write(formatAnswer(attemptId, `for ${attemptId}`));
+    setImmediate(() =>
+      socket.write(formatAnswer(attemptId, `again for ${attemptId}`))
+    );
+  });
+});
+
+Given(
+  "both runners close every request unanswered",
+  function (this: World) {
+    setScript(this, ({ socket }) => socket.destroy());
+  },
+);
+
+/** Lets the first request be handled in one way and the others in another. */
+function setScripts(world: World, first: Script, others: Script): void {
+  let count = 0;
+  setScript(world, (request) => {
+    count += 1;
+    if (count === 1) first(request);
+    else others(request);
+  });
+}
+
+const refuseUnrun: Script = ({ attemptId, socket }) =>
+  socket.write(
+    `HTTP/1.1 503 Busy\r\n${testHeaders.attempt}: ${attemptId}\r\n` +
+      `${testHeaders.notRun}: 1\r\nContent-Length: 0\r\n\r\n`,
+  );
+
+Given(
+  "the runner that is tried first refuses unrun, the other answers {string}",
+  function (this: World, body: string) {
+    setScripts(
+      this,
+      refuseUnrun,
+      ({ attemptId, socket }) => socket.write(formatAnswer(attemptId, body)),
+    );
+  },
+);
+
+Given("the runner refuses unrun", function (this: World) {
+  setScript(this, refuseUnrun);
+});
+
+Given("the runner has gone without a word", async function (this: World) {
+  await this.scriptedRunners.get("first")?.[Symbol.asyncDispose]();
+  this.scriptedRunners.clear();
+});
+
+Given("the runner does not answer", function (this: World) {
+  setScript(this, () => {});
+});
+
+function formatEvents(ids: number[]): string {
+  return ids.map((id) => `id: ${id}\ndata: event ${id}\n\n`).join("");
+}
+
+function formatChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const breakOffInThird: Script = ({ attemptId, socket }) => {
+  const begin = `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n`;
+  const part = formatChunk(formatEvents([1, 2])) + formatChunk("id: 3\ndata");
+  socket.write(begin + part, () => socket.destroy());
+};
+
+const goOnAtThird: Script = ({ attemptId, socket }) =>
+  socket.write(
+    `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n` +
+      formatChunk(formatEvents([3, 4])) + "0\r\n\r\n",
+  );
+
+Given(
+  "the runner that is tried first breaks off in event 3, the other goes on",
+  function (this: World) {
+    setScripts(this, breakOffInThird, goOnAtThird);
+  },
+);
+
+Given("the runner breaks off in event 3", function (this: World) {
+  setScript(this, breakOffInThird);
+});
+
+When("a caller sends {string}", async function (this: World, path: string) {
+  await sendRequest(this, path);
+});
+
+When(
+  "a caller sends {string} with {string}",
+  async function (this: World, path: string, header: string) {
+    const [name, value] = header.split(": ");
+    await sendRequest(this, path, { [name]: value });
+  },
+);
+
+When(
+  "a request with both a length and chunks is sent",
+  async function (this: World) {
+    await sendRequest(this, "/lookup/1", {
+      "content-length": "5",
+      "transfer-encoding": "chunked",
+    });
+  },
+);
+
+When(
+  "a caller sends {string} and then {string}",
+  async function (this: World, first: string, second: string) {
+    for (const path of [first, second]) {
+      const caller = await sendRequest(this, path);
+      await caller.waitUntil(hasWholeAnswer);
+    }
+  },
+);
+
+When(
+  "a caller sends {string} and leaves once it has arrived",
+  async function (this: World, path: string) {
+    const arrived = this.scriptedRunners.get("first")?.waitForRequest();
+    const caller = await sendRequest(this, path);
+    await arrived;
+    caller[Symbol.dispose]();
+  },
+);
+
+When(
+  "{int} callers send prompts that share a part, one after the other",
+  async function (this: World, count: number) {
+    for (let index = 0; index < count; index++) {
+      const prompt = `common,shared,own-${index}`;
+      const caller = await sendRequest(this, "/summary/1", {
+        [testHeaders.prompt]: prompt,
+      });
+      await caller.waitUntil(hasWholeAnswer);
+    }
+  },
+);
+
+Then("the caller gets status {int}", async function (
+  this: World,
+  status: number,
+) {
+  const caller = getCaller(this);
+  await caller.waitUntil(hasWholeAnswer);
+  assert.equal(getStatus(caller), status);
+});
+
+Then(
+  "the caller gets status {int} and {string} with the runner's mark",
+  async function (this: World, status: number, body: string) {
+    const caller = getCaller(this);
+    await caller.waitUntil(hasWholeAnswer);
+    assert.equal(getStatus(caller), status);
+    assert.match(caller.text, new RegExp(`^${testHeaders.mark}: m`, "m"));
+    assert.ok(caller.text.endsWith(body));
+  },
+);
+
+Then(
+  "the caller gets status {int} with a time to come back",
+  async function (this: World, status: number) {
+    const caller = getCaller(this);
+    await caller.waitUntil(hasWholeAnswer);
+    assert.equal(getStatus(caller), status);
+    assert.match(caller.text, /^Retry-After: 0\.\d+\r$/m);
+  },
+);
+
+Then("the runner saw {string}", async function (this: World, line: string) {
+  await getCaller(this).waitUntil(hasWholeAnswer);
+  const head = listSeen(this)[0]?.head.toLowerCase() ?? "";
+  assert.ok(head.split("\r\n").includes(line), head);
+});
+
+Then(
+  "the runner was given at most {int} ms",
+  function (this: World, limitMs: number) {
+    const head = listSeen(this)[0]?.head ?? "";
+    const pattern = new RegExp(`^${testHeaders.timeout}: (\\d+)`, "m");
+    const timeoutMs = Number(pattern.exec(head)?.[1]);
+    assert.ok(timeoutMs > 0 && timeoutMs <= limitMs, head);
+  },
+);
+
+Then("no runner saw a request", function (this: World) {
+  assert.equal(listSeen(this).length, 0);
+});
+
+Then(
+  /^(\d+) requests? reached runners$/,
+  function (this: World, count: string) {
+    assert.equal(listSeen(this).length, Number(count));
+  },
+);
+
+Then(
+  "the connection ends after {string} without any length",
+  async function (this: World, body: string) {
+    const caller = getCaller(this);
+    await caller.waitUntil(({ hasEnded }) => hasEnded);
+    assert.ok(caller.text.endsWith(`\r\n\r\n${body}`), caller.text);
+    assert.doesNotMatch(caller.text, /content-length|transfer-encoding/i);
+  },
+);
+
+Then("both callers get their own answer", function (this: World) {
+  const ids = listSeen(this).map(({ attemptId }) => attemptId);
+  assert.equal(ids.length, 2);
+  this.rawCallers.forEach((caller, index) =>
+    assert.ok(caller.text.endsWith(`\r\n\r\nfor ${ids[index]}`), caller.text)
+  );
+});
+
+Then("the runner sees its connection close", async function (this: World) {
+  await listSeen(this)[0].closed;
+});
+
+function listEventIds(caller: RawCaller): string {
+  return [...caller.text.matchAll(/^id: (\d+)$/gm)]
+    .map((match) => match[1])
+    .join(" ");
+}
+
+Then(
+  "the caller gets events {string} once each and a regular end",
+  async function (this: World, ids: string) {
+    const caller = getCaller(this);
+    await caller.waitUntil(hasWholeAnswer);
+    assert.equal(listEventIds(caller), ids);
+    assert.ok(caller.text.endsWith("0\r\n\r\n"));
+  },
+);
+
+Then(
+  "the caller gets events {string} and no regular end",
+  async function (this: World, ids: string) {
+    const caller = getCaller(this);
+    await caller.waitUntil(({ hasEnded }) => hasEnded);
+    assert.equal(listEventIds(caller), ids);
+    assert.ok(!caller.text.endsWith("0\r\n\r\n"));
+  },
+);
+
+Then(
+  "the second request asked to go on after event {string}",
+  function (this: World, id: string) {
+    const second = listSeen(this).find(({ head }) =>
+      head.includes(`${testHeaders.afterEvent}: ${id}`)
+    );
+    assert.ok(second);
+  },
+);
+
+Then("one runner got them all", function (this: World) {
+  const counts = [...this.scriptedRunners.values()].map(({ seen }) =>
+    seen.length
+  );
+  assert.ok(counts.includes(0), counts.join(" "));
+});
--- /dev/null
+++ b/packages/gateway/src/test_support/mod.ts
@@ -0,0 +1,6 @@
+/** Callers, runners and stores that tests put around a gateway. */
+export * from "./raw_caller.ts";
+export * from "./scripted_runner.ts";
+export * from "./test_gateway.ts";
+export * from "./test_protocol.ts";
+export * from "./test_source.ts";
--- /dev/null
+++ b/packages/gateway/src/test_support/raw_caller.ts
@@ -0,0 +1,80 @@
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { parseAddress } from "@jasminetide/runtime/settings";
+import { testHeaders } from "./test_protocol.ts";
+import { testHost } from "./test_gateway.ts";
+
+/** How a caller's request is made. */
+export type RawRequest = {
+  path: string;
+  attemptId: string;
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+};
+
+/** A caller that sees every byte of its connection. */
+export class RawCaller {
+  readonly socket: Socket;
+  /** Everything that was received. */
+  text = "";
+  #hasEnded = false;
+  #onChange: () => void = () => {};
+
+  private constructor(socket: Socket) {
+    this.socket = socket;
+    socket.on("error", () => {});
+    socket.on("data", (bytes) => {
+      this.text += bytes.toString("latin1");
+      this.#onChange();
+    });
+    socket.on("close", () => {
+      this.#hasEnded = true;
+      this.#onChange();
+    });
+  }
+
+  /** Connects to a gateway. */
+  static async create(address: string): Promise<RawCaller> {
+    const { ip, port } = parseAddress(address);
+    const socket = connect(port, ip);
+    await once(socket, "connect");
+    return new RawCaller(socket);
+  }
+
+  /** Whether the connection has closed. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Sends a request. */
+  send(request: RawRequest): void {
+    const body = request.body ?? "";
+    const headers: Record<string, string> = {
+      host: testHost,
+      [testHeaders.attempt]: request.attemptId,
+      ...(body === "" ? {} : { "content-length": String(body.length) }),
+      ...request.headers,
+    };
+    const lines = Object.entries(headers).map(([name, value]) =>
+      `${name}: ${value}\r\n`
+    );
+    this.socket.write(
+      `${request.method ?? "POST"} ${request.path} HTTP/1.1\r\n` +
+        `${lines.join("")}\r\n${body}`,
+    );
+  }
+
+  /** Waits until what was received fulfils a condition. */
+  async waitUntil(condition: (caller: RawCaller) => boolean): Promise<void> {
+    while (!condition(this)) {
+      await new Promise<void>((resolve) => {
+        this.#onChange = resolve;
+      });
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.socket.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -0,0 +1,112 @@
+import { once } from "node:events";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { testHeaders } from "./test_protocol.ts";
+
+/** A request as a scripted runner has read it. */
+export type SeenRequest = {
+  head: string;
+  attemptId: string;
+  socket: Socket;
+  /** Settles when the connection of the request has closed. */
+  closed: Promise<unknown>;
+};
+
+/** Answers a request by writing bytes to its socket. */
+export type Script = (request: SeenRequest) => void;
+
+/** A runner that answers each request by a script, byte by byte. */
+export class ScriptedRunner {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #waiting: ((request: SeenRequest) => void)[] = [];
+  readonly seen: SeenRequest[] = [];
+  script: Script;
+
+  private constructor(script: Script) {
+    this.script = script;
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  /** Starts a runner on a free port of the loopback address. */
+  static async create(script: Script): Promise<ScriptedRunner> {
+    const runner = new ScriptedRunner(script);
+    runner.#server.listen(0, "127.0.0.1");
+    await once(runner.#server, "listening");
+    return runner;
+  }
+
+  /** `ip:port`. */
+  get address(): string {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  /** Waits for the next request that arrives. */
+  waitForRequest(): Promise<SeenRequest> {
+    return new Promise((resolve) => this.#waiting.push(resolve));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = once(this.#server, "close");
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+    await closed;
+  }
+
+  #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    const closed = once(socket, "close");
+    socket.on("error", () => {});
+    let text = "";
+    socket.on("data", (bytes) => {
+      text += bytes.toString("latin1");
+      const end = text.indexOf("\r\n\r\n");
+      if (end < 0) return;
+      const head = text.slice(0, end);
+      const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+      if (text.length < end + 4 + length) return;
+      text = text.slice(end + 4 + length);
+      this.#take({ head, attemptId: readAttemptId(head), socket, closed });
+    });
+  }
+
+  #take(request: SeenRequest): void {
+    this.seen.push(request);
+    this.script(request);
+    for (const resolve of this.#waiting.splice(0)) resolve(request);
+  }
+}
+
+/**
+ * Resets a connection. Node.js' own `resetAndDestroy` closes regularly first,
+ * which the other end may see before the reset.
+ */
+export function resetSocket(socket: Socket): void {
+  Object.assign(socket, { resetAndClosing: true }).destroy();
+}
+
+function readAttemptId(head: string): string {
+  const pattern = new RegExp(`^${testHeaders.attempt}: (.*)$`, "im");
+  return pattern.exec(head)?.[1]?.trim() ?? "";
+}
+
+/** Head of a genuine answer, ready for its framing headers. */
+export function formatHead(attemptId: string, status = "200 OK"): string {
+  return `HTTP/1.1 ${status}\r\n${testHeaders.attempt}: ${attemptId}\r\n` +
+    `${testHeaders.mark}: m\r\n`;
+}
+
+/** A whole genuine answer with a length. */
+export function formatAnswer(
+  attemptId: string,
+  body: string,
+  status = "200 OK",
+): string {
+  return `${formatHead(attemptId, status)}Content-Length: ${body.length}` +
+    `\r\n\r\n${body}`;
+}
--- /dev/null
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -0,0 +1,126 @@
+import type {
+  DeclaredRoute,
+  RoutingDeclaration,
+} from "@jasminetide/core/routes";
+import type { TimerService } from "@jasminetide/core/timers";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import { createSilentLogger } from "@jasminetide/runtime/logging";
+import { Gateway } from "../gateway.ts";
+import { gatewaySettingsSchema } from "../settings.ts";
+import type { RunnerRecord } from "../upstreams/mod.ts";
+import { testProtocol } from "./test_protocol.ts";
+import { TestSource } from "./test_source.ts";
+
+/** Host name of the tests' routes. */
+export const testHost = "tests.example";
+
+const commonRoute = {
+  host: testHost,
+  timeoutMs: 5000,
+  goalMs: 100,
+  pauseGoalMs: undefined,
+  priority: 0,
+  services: [{ service: "service", weight: 1 }],
+  maxAttempts: 2,
+  isPublic: true,
+  isResumable: false,
+} as const;
+
+/** A route of each kind, by its path. */
+export const testRoutes: DeclaredRoute[] = [
+  { ...commonRoute, services: [...commonRoute.services] },
+].flatMap((route) => [
+  { ...route, name: "lookup", pathPrefix: "/lookup/", kind: "idempotent" },
+  {
+    ...route,
+    name: "payout",
+    pathPrefix: "/payout/",
+    kind: "nonIdempotent",
+    maxAttempts: 1,
+  },
+  {
+    ...route,
+    name: "story",
+    pathPrefix: "/story/",
+    kind: "stream",
+    isResumable: true,
+  },
+  { ...route, name: "summary", pathPrefix: "/summary/", kind: "stream" },
+  {
+    ...route,
+    name: "private",
+    pathPrefix: "/private/",
+    kind: "idempotent",
+    isPublic: false,
+  },
+]);
+
+/** Creates a declaration with the tests' routes. */
+export function createDeclaration(
+  version: number,
+  routes: DeclaredRoute[] = testRoutes,
+): RoutingDeclaration {
+  return {
+    version,
+    routes,
+    services: [
+      { name: "service", maxConnections: 100, engine: undefined },
+    ],
+    workspaces: [
+      { name: "kiosk", apiKeys: ["kiosk-key"], priority: undefined },
+    ],
+    callerLimits: {
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** Creates the record of a runner at an address. */
+export function createRunnerRecord(id: string, address: string): RunnerRecord {
+  return {
+    id,
+    service: "service",
+    address,
+    failureDomain: "a",
+    slots: 4,
+    isDraining: false,
+    startedAtMs: 1,
+  };
+}
+
+/** A gateway with the stores that it follows. */
+export type TestGateway = {
+  gateway: Gateway;
+  declarations: TestSource<RoutingDeclaration>;
+  runners: TestSource<RunnerRecord>;
+};
+
+/** Starts a gateway on free ports of the loopback address. */
+export async function startTestGateway(
+  timers: TimerService = RealTimerService.create(),
+): Promise<TestGateway> {
+  const declarations = TestSource.create<RoutingDeclaration>();
+  const runners = TestSource.create<RunnerRecord>();
+  const gateway = await Gateway.create({
+    settings: gatewaySettingsSchema.parse({
+      name: "gateway-1",
+      host: "host-1",
+      failureDomain: "a",
+      callerAddress: "127.0.0.1:0",
+      readinessAddress: "127.0.0.1:0",
+      peerAddress: "127.0.0.1:0",
+      platform: { address: "127.0.0.1:1" },
+      stop: { noticeMs: 1, graceSeconds: 5 },
+      repeats: { ratio: 1, slack: 100 },
+      log: {},
+    }),
+    timers,
+    logger: createSilentLogger(),
+    protocol: testProtocol,
+    declarations,
+    runners,
+  });
+  return { gateway, declarations, runners };
+}
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -155,9 +155,15 @@
     listener?.onComplete();
   }
 
-  /** The other end closed regularly, which ends an answer without length. */
+  /** The other end closed, which ends an answer without length. */
   #finish(): void {
     this.#canStay = false;
+    // The event loop reports a reset as a regular end where it comes right
+    // after bytes, but a socket that was reset has no other end any more.
+    if (this.#socket.remotePort === undefined) {
+      this.#break("connection reset");
+      return;
+    }
     const error = this.#listener === undefined
       ? undefined
       : this.#parser.finish();
