--- /dev/null
+++ b/packages/core/src/pools/pools_test.ts
@@ -0,0 +1,290 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createSeededRandom } from "../random/mod.ts";
+import {
+  chooseEngine,
+  choosePlainRunner,
+  type PoolRunner,
+  PrefixHolders,
+  RepeatBudget,
+  RunnerHealth,
+  RunnerLoad,
+} from "./mod.ts";
+
+type World = {
+  pool: PoolRunner[];
+  poolNowMs: number;
+  holders: PrefixHolders;
+  heldBy: string;
+  load: RunnerLoad;
+  budgets: RepeatBudget[];
+  repeatTimesMs: number[];
+};
+
+const random = createSeededRandom(11);
+
+function createRunner(id: string, outstanding = 0): PoolRunner {
+  const load = RunnerLoad.create();
+  load.ownOutstanding = outstanding;
+  return {
+    id,
+    failureDomain: "a",
+    slots: 96,
+    load,
+    health: RunnerHealth.create(),
+  };
+}
+
+function createPool(world: World, count: number, outstanding = 0): void {
+  world.poolNowMs = 10_000;
+  world.holders = PrefixHolders.create({ maxParts: 100 });
+  world.pool = Array.from(
+    { length: count },
+    (_, index) => createRunner(`r${index}`, outstanding),
+  );
+}
+
+function choose(
+  world: World,
+  homeKey: string,
+  sharedTokens = 10_000,
+  pool = world.pool,
+) {
+  const nowMs = world.poolNowMs;
+  const holders = world.holders.getHolders(homeKey, nowMs);
+  const choice = chooseEngine(pool, {
+    nowMs,
+    random,
+    homeKey,
+    sharedTokens,
+    holders,
+  });
+  assert.ok(choice);
+  return choice;
+}
+
+Given("{int} engines without load", function (this: World, count: number) {
+  createPool(this, count);
+});
+
+Given(
+  "{int} engines with {int} requests each",
+  function (this: World, count: number, outstanding: number) {
+    createPool(this, count, outstanding);
+  },
+);
+
+Given(
+  "an engine holds the part {string}",
+  function (this: World, part: string) {
+    this.heldBy = choose(this, part).runner.id;
+    this.holders.record(part, this.heldBy, this.poolNowMs);
+  },
+);
+
+When("{int} engines are added", function (this: World, count: number) {
+  for (let index = 0; index < count; index++) {
+    this.pool.unshift(createRunner(`added${index}`));
+  }
+});
+
+Then(
+  "the part {string} goes to its holder",
+  function (this: World, part: string) {
+    assert.equal(choose(this, part).runner.id, this.heldBy);
+  },
+);
+
+Then(
+  "{int} shared parts have the same home in any order of the engines",
+  function (this: World, count: number) {
+    const reversed = [...this.pool].reverse();
+    const homes = new Set<string>();
+    for (let index = 0; index < count; index++) {
+      const part = `part-${index}`;
+      const { runner } = choose(this, part);
+      assert.equal(choose(this, part, 10_000, reversed).runner, runner);
+      homes.add(runner.id);
+    }
+    assert.equal(homes.size, this.pool.length);
+  },
+);
+
+When(
+  "{int} requests for the part {string} of {int} tokens arrive at once",
+  function (this: World, count: number, part: string, tokens: number) {
+    for (let index = 0; index < count; index++) {
+      const { runner } = choose(this, part, tokens);
+      runner.load.ownOutstanding += 1;
+      this.holders.record(part, runner.id, this.poolNowMs);
+    }
+  },
+);
+
+Then(
+  "no engine has more than {int} times the mean and {int}",
+  function (this: World, multiple: number, slack: number) {
+    const loads = this.pool.map(({ load }) => load.ownOutstanding);
+    const mean = loads.reduce((sum, each) => sum + each, 0) / loads.length;
+    assert.ok(Math.max(...loads) <= multiple * mean + slack, loads.join(" "));
+  },
+);
+
+When(
+  "the home of the part {string} has {int} requests",
+  function (this: World, part: string, outstanding: number) {
+    const { runner } = choose(this, part);
+    runner.load.ownOutstanding = outstanding;
+    this.heldBy = runner.id;
+  },
+);
+
+Then(
+  "a prompt of {int} shared tokens stays at its home",
+  function (this: World, tokens: number) {
+    assert.equal(choose(this, "p", tokens).runner.id, this.heldBy);
+  },
+);
+
+Then(
+  "a prompt of {int} shared tokens goes elsewhere and may be copied from home",
+  function (this: World, tokens: number) {
+    const choice = choose(this, "p", tokens);
+    assert.notEqual(choice.runner.id, this.heldBy);
+    assert.equal(choice.otherHome?.id, this.heldBy);
+  },
+);
+
+Given("{int} plain runners", function (this: World, count: number) {
+  createPool(this, count);
+});
+
+When(
+  "runner {int} loses {int} requests in a row",
+  function (this: World, index: number, count: number) {
+    for (let lost = 0; lost < count; lost++) {
+      this.pool[index].health.observe("lost", this.poolNowMs);
+    }
+  },
+);
+
+When(
+  "every runner loses {int} requests in a row",
+  function (this: World, count: number) {
+    for (const { health } of this.pool) {
+      for (let lost = 0; lost < count; lost++) {
+        health.observe("lost", this.poolNowMs);
+      }
+    }
+  },
+);
+
+When(
+  "runner {int} fails {int} of {int} requests",
+  function (this: World, index: number, failed: number, count: number) {
+    for (let request = 0; request < count; request++) {
+      const outcome = request < count - failed ? "succeeded" : "failed";
+      this.pool[index].health.observe(outcome, this.poolNowMs);
+    }
+  },
+);
+
+When(
+  "{int} ms pass without requests",
+  function (this: World, durationMs: number) {
+    this.poolNowMs += durationMs;
+  },
+);
+
+function placePlain(world: World, count: number): (string | undefined)[] {
+  return Array.from({ length: count }, () =>
+    choosePlainRunner(world.pool, {
+      nowMs: world.poolNowMs,
+      random,
+      failureDomain: "a",
+    })?.id);
+}
+
+Then(
+  /^it gets (none|some) of (\d+) requests$/,
+  function (this: World, amount: string, count: string) {
+    const hits = placePlain(this, Number(count)).filter((id) => id === "r2");
+    assert.equal(hits.length > 0, amount === "some");
+  },
+);
+
+Then("{int} requests are all placed", function (this: World, count: number) {
+  assert.ok(placePlain(this, count).every((id) => id !== undefined));
+});
+
+Given(
+  "a runner that reports {int} running when this router has {int} there",
+  function (this: World, running: number, own: number) {
+    this.poolNowMs = 10_000;
+    this.load = RunnerLoad.create();
+    this.load.ownOutstanding = own;
+    this.load.observe({ running, waiting: 0, slots: 96 }, this.poolNowMs);
+  },
+);
+
+When("this router sends {int} more", function (this: World, count: number) {
+  this.load.ownOutstanding += count;
+});
+
+When("{int} ms pass without reports", function (this: World, ms: number) {
+  this.poolNowMs += ms;
+});
+
+Then(
+  "the runner is estimated to hold {int}",
+  function (this: World, count: number) {
+    assert.equal(this.load.getEstimate(this.poolNowMs), count);
+  },
+);
+
+Given(
+  "{int} routers with a budget of {float} repeats a request and {int} more in {int} s",
+  function (
+    this: World,
+    routers: number,
+    ratio: number,
+    slack: number,
+    seconds: number,
+  ) {
+    const windowMs = seconds * 1000;
+    this.repeatTimesMs = [];
+    this.budgets = Array.from(
+      { length: routers },
+      () => RepeatBudget.create({ ratio, slack, windowMs }),
+    );
+  },
+);
+
+When(
+  "each has {int} requests a second for {int} s, of which all want a repeat",
+  function (this: World, perSecond: number, seconds: number) {
+    for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 1000 / perSecond) {
+      for (const budget of this.budgets) {
+        budget.recordRequest(nowMs);
+        if (!budget.tryTake(nowMs, this.budgets.length)) continue;
+        this.repeatTimesMs.push(nowMs);
+      }
+    }
+  },
+);
+
+Then(
+  "in no {int} s the repeats are over the budget, and {int} or more were taken",
+  function (this: World, seconds: number, least: number) {
+    const requests = 4 * 50 * seconds;
+    const times = this.repeatTimesMs;
+    for (const startMs of times) {
+      const repeats = times.filter((timeMs) =>
+        timeMs >= startMs && timeMs < startMs + seconds * 1000
+      );
+      const elapsed = Math.min(requests, (startMs / 1000 + seconds) * 200);
+      assert.ok(repeats.length <= 0.2 * elapsed + 54);
+    }
+    assert.ok(times.length >= least, String(times.length));
+  },
+);
--- a/packages/gateway/src/test_support/test_source.ts
+++ b/packages/gateway/src/test_support/test_source.ts
@@ -23,6 +23,13 @@
     return this.#calls;
   }
 
+  /** Whether a watch waits for what follows the last change. */
+  get isRead(): boolean {
+    return this.#waiting.some(({ revision }) =>
+      revision >= this.#changes.length
+    );
+  }
+
   /** Writes or deletes an object. */
   put(name: string, value: Value | undefined): void {
     if (value === undefined) this.#objects.delete(name);
