Hand over requests of silent runners, test the platform's adapter

Change: a runner that is silent beyond a multiple of the route's goal is given up where another may take over; for streams only if it is silent to all.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -2,8 +2,9 @@
 
 const shared = {
   forceExit: true,
-  paths: process.env.FEATURES?.split(" ") ?? ["packages/*/src/**/*.feature"],
-  import: ["packages/*/dist/**/*_test.js"],
+  paths: process.env.FEATURES?.split(" ") ??
+    ["packages/*/src/**/*.feature", "platform/src/**/*.feature"],
+  import: ["packages/*/dist/**/*_test.js", "platform/dist/**/*_test.js"],
 };
 
 /** Every test that has to pass. */
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -45,6 +45,8 @@
   onSent: () => void;
   /** Called with what an answer's headers say. */
   onAnswer: (answer: RunnerAnswer) => void;
+  /** Called whenever bytes of the answer come. */
+  onHeard: () => void;
 };
 
 /** One send of a request to one runner. */
@@ -92,6 +94,11 @@
     this.#end({ type: "cancelled" });
   }
 
+  /** Gives the runner up, as if the connection had broken. */
+  giveUp(reason: string): void {
+    if (!this.#isOver) this.#breakOff(reason);
+  }
+
   async #send(): Promise<void> {
     const { connections } = this.#options.upstream;
     let connection = connections.takeIdle();
@@ -128,6 +135,7 @@
   #takeHead(head: AnswerHead): void {
     const answer = this.#answer;
     this.#head = head;
+    this.#options.onHeard();
     if (answer === undefined) return;
     this.#options.onAnswer(answer);
     if (head.status < 300 && !answer.isGenuine) {
@@ -140,6 +148,7 @@
   }
 
   #takeBody(bytes: Buffer): void {
+    this.#options.onHeard();
     if (!this.#isRelayed) {
       this.#body.push(bytes);
       return;
--- a/packages/gateway/src/requests/decide_next.ts
+++ b/packages/gateway/src/requests/decide_next.ts
@@ -63,7 +63,8 @@
 /** Attempts at one request, whatever became of them. */
 const maxAttemptsInAll = 4;
 
-function canRunAgain(progress: RequestProgress): boolean {
+/** Whether a request may be sent to one more runner after it may have run. */
+export function canRunAgain(progress: RequestProgress): boolean {
   const { hasBegun, isResumable, kind, maxRuns, runs } = progress;
   if (runs >= maxRuns) return false;
   return isResumable || (kind === "idempotent" && !hasBegun);
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -4,12 +4,13 @@
 import { AppError } from "@jasminetide/core/results";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { TimerSubscription } from "@jasminetide/core/timers";
+import { SilenceWatch } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerHead, CallerRequest, RunnerAnswer } from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
-import { decideNext, type NextStep } from "./decide_next.ts";
+import { canRunAgain, decideNext, type NextStep } from "./decide_next.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { selectForwarded } from "./forwarded_headers.ts";
 
@@ -46,6 +47,7 @@
   readonly #tried = new Set<string>();
   readonly #splitter: EventSplitter;
   #attempt: Attempt | undefined;
+  #silence: SilenceWatch | undefined;
   #attempts = 0;
   #runs = 0;
   #isOver = false;
@@ -78,6 +80,7 @@
         return;
       }
       const end = await this.#try(placement);
+      this.#silence?.[Symbol.dispose]();
       if (this.#isOver) return;
       step = decideNext(end, this.#getProgress());
       this.#observe(placement.upstream, end);
@@ -174,8 +177,10 @@
       sink: this.#createSink(),
       onSent: () => {
         this.#runs += 1;
+        this.#watchSilence(upstream);
       },
       onAnswer: (answer) => this.#takeAnswer(upstream, answer),
+      onHeard: () => this.#recordHeard(upstream),
     });
     context.requestLog.record(admitted.caller.attemptId, "sent", {
       runner: upstream.id,
@@ -194,6 +199,30 @@
     upstream.load.observe(answer.load, this.#options.context.timers.nowMs());
   }
 
+  #recordHeard(upstream: Upstream): void {
+    upstream.heardAtMs = this.#options.context.timers.nowMs();
+    this.#silence?.record();
+  }
+
+  /** Watches a runner whose part another one could take over. */
+  #watchSilence(upstream: Upstream): void {
+    if (!canRunAgain(this.#getProgress())) return;
+    const { admitted: { route }, context: { timers } } = this.#options;
+    const startedAtMs = timers.nowMs();
+    const limitMs = getSilenceLimitMs(route);
+    this.#silence = SilenceWatch.create({
+      timers,
+      limitMs,
+      onSilence: () => {
+        // An engine that answers others may be slow, but it is alive.
+        const isHeard = upstream.heardAtMs > startedAtMs &&
+          timers.nowMs() - upstream.heardAtMs < limitMs;
+        if (route.kind === "stream" && isHeard) this.#watchSilence(upstream);
+        else this.#attempt?.giveUp(`silent for ${Math.round(limitMs)} ms`);
+      },
+    });
+  }
+
   /** Passes on successful streams event by event. */
   #createSink(): AnswerSink {
     const { admitted: { route }, answer } = this.#options;
@@ -297,6 +326,7 @@
     const { answer } = this.#options;
     const mayHaveRun = this.#runs > 0;
     this.#isOver = true;
+    this.#silence?.[Symbol.dispose]();
     this.#attempt?.cancel();
     this.#log("expired", { mayHaveRun, hasBegun: answer.hasBegun });
     if (answer.hasBegun) answer.breakOff();
@@ -311,6 +341,7 @@
   #abandon(): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#silence?.[Symbol.dispose]();
     this.#attempt?.cancel();
     this.#log("caller-left", { attempts: this.#attempts });
   }
@@ -340,6 +371,24 @@
   return { homeKey, sharedTokens };
 }
 
+/**
+ * Time without a byte after which a runner is given up, where another one may
+ * take over: a multiple of what callers hope for.
+ */
+function getSilenceLimitMs(route: DeclaredRoute): number {
+  const multiple = route.kind === "stream"
+    ? streamSilenceMultiple
+    : plainSilenceMultiple;
+  return Math.max(minSilenceMs, route.goalMs * multiple);
+}
+
+/** Callers leave a stream at four times the hoped-for time to its start. */
+const streamSilenceMultiple = 1.25;
+const plainSilenceMultiple = 2;
+
+/** A lost packet on the way costs some 200 ms, twice on the way and back. */
+const minSilenceMs = 250;
+
 /** Spreads returning callers over the time in which places come free. */
 function chooseRetryAfterMs(random: number): number {
   return minRetryAfterMs + random * retryAfterSpreadMs;
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -104,6 +104,18 @@
     When a caller sends "/summary/1"
     Then the caller gets events "1 2" and no regular end
 
+  Scenario: A lookup at a runner that fell silent is tried at another
+    Given a runner "second"
+    And the runner that is tried first says nothing, the other answers "12"
+    When a caller sends "/lookup/1"
+    Then the caller gets status 200 and "12" with the runner's mark
+
+  Scenario: A stream of a runner that fell silent goes on at another
+    Given a runner "second"
+    And the runner that is tried first stops after event 2, the other goes on
+    When a caller sends "/story/1"
+    Then the caller gets events "1 2 3 4" once each and a regular end
+
   Scenario: Prompts with a shared part share an engine
     Given a runner "second"
     And both runners answer "ok"
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -261,6 +261,30 @@
   },
 );
 
+const stopAfterSecond: Script = ({ attemptId, socket }) =>
+  socket.write(
+    `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n` +
+      formatChunk(formatEvents([1, 2])),
+  );
+
+Given(
+  "the runner that is tried first stops after event 2, the other goes on",
+  function (this: World) {
+    setScripts(this, stopAfterSecond, goOnAtThird);
+  },
+);
+
+Given(
+  "the runner that is tried first says nothing, the other answers {string}",
+  function (this: World, body: string) {
+    setScripts(
+      this,
+      () => {},
+      ({ attemptId, socket }) => socket.write(formatAnswer(attemptId, body)),
+    );
+  },
+);
+
 Given("the runner breaks off in event 3", function (this: World) {
   setScript(this, breakOffInThird);
 });
