Let gateways learn from each other while the store turns one away

Cause: the store may turn single machines away for longer than a version may take. Change: gateways announce themselves in the store; one that the store does not answer asks another for newer declarations and runners, by tRPC. Requests carry the rank of workspace or route as urgency.

--- a/packages/core/src/routes/routes_test.ts
+++ b/packages/core/src/routes/routes_test.ts
@@ -34,7 +34,6 @@
   return RouteTable.create({
     version: 1,
     routes,
-    services: [],
     workspaces,
     callerLimits: {
       maxBodyBytes: 1000,
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -33,23 +33,6 @@
   isResumable: boolean;
 };
 
-/** What is declared of a service. */
-export type DeclaredService = {
-  name: string;
-  /** Connections that one runner accepts from all callers together. */
-  maxConnections: number;
-  /** Present when the runners are model engines. */
-  engine: DeclaredEngine | undefined;
-};
-
-/** Size of the model engines of a service. */
-export type DeclaredEngine = {
-  /** Requests that one engine runs at a time. */
-  slots: number;
-  /** Tokens that fit in the KV cache of one engine. */
-  cacheTokens: number;
-};
-
 /** A workspace and the API keys that stand for it. */
 export type DeclaredWorkspace = {
   name: string;
@@ -71,7 +54,6 @@
 export type RoutingDeclaration = {
   version: number;
   routes: DeclaredRoute[];
-  services: DeclaredService[];
   /** Absent when no request needs a key. */
   workspaces: DeclaredWorkspace[] | undefined;
   callerLimits: CallerLimits;
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -58,6 +58,11 @@
     return this.#revision !== undefined && this.#failures === 0;
   }
 
+  /** Revision of the store up to which changes were taken in, 0 before. */
+  get revision(): number {
+    return this.#revision ?? 0;
+  }
+
   [Symbol.dispose](): void {
     this.#isStopped = true;
   }
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -15,15 +15,12 @@
   }
 
   /** Starts to listen at `ip:port`. */
-  static async create(
-    address: string,
-    handler: RequestListener,
-  ): Promise<CallerListener> {
+  static async create(address: string): Promise<CallerListener> {
     const server = createServer({
       maxHeaderSize: maxHeaderBytes,
       connectionsCheckingInterval: checkPeriodMs,
       noDelay: true,
-    }, handler);
+    });
     const { ip, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
@@ -38,6 +35,11 @@
     return `${address}:${port}`;
   }
 
+  /** Sets what answers requests. */
+  setHandler(handler: RequestListener): void {
+    this.#server.on("request", handler);
+  }
+
   /** Applies declared limits to connections from now on. */
   setLimits(limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs + limitMarginMs;
--- /dev/null
+++ b/packages/gateway/src/peers/peer_news.ts
@@ -0,0 +1,85 @@
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { initTRPC } from "@trpc/server";
+import type { RequestListener } from "node:http";
+import type { RoutingDeclaration } from "@jasminetide/core/routes";
+import * as z from "zod";
+import type { RunnerRecord } from "../upstreams/mod.ts";
+
+/** The newest state that a gateway has from the store itself. */
+export type GatewayState = {
+  declaration: RoutingDeclaration | undefined;
+  /** Revision of the store at which the runners were read. */
+  revision: number;
+  runners: RunnerRecord[];
+};
+
+const rpcPath = "/rpc";
+
+const knownSchema = z.object({
+  /** Version of the declaration that the asking gateway has. */
+  version: z.number(),
+  /** Revision of the runners that the asking gateway has. */
+  revision: z.number(),
+});
+
+/** What the asking gateway has already. */
+export type KnownState = z.output<typeof knownSchema>;
+
+function createPeerRouter(getState: () => GatewayState | undefined) {
+  const { procedure, router } = initTRPC.create();
+  return router({
+    /** Gives what is newer than what the asking gateway has. */
+    getNews: procedure.input(knownSchema).query(({ input }) =>
+      selectNews(getState(), input)
+    ),
+  });
+}
+
+type PeerRouter = ReturnType<typeof createPeerRouter>;
+
+/** Leaves out what the asking gateway has already. */
+export function selectNews(
+  state: GatewayState | undefined,
+  known: KnownState,
+): Partial<GatewayState> {
+  if (state === undefined) return {};
+  const { declaration, revision, runners } = state;
+  return {
+    ...(declaration !== undefined && declaration.version > known.version
+      ? { declaration }
+      : {}),
+    ...(revision > known.revision ? { revision, runners } : {}),
+  };
+}
+
+/**
+ * Creates the handler of other gateways' questions.
+ *
+ * @param getState gives nothing while the store does not answer.
+ */
+export function createPeerHandler(
+  getState: () => GatewayState | undefined,
+): RequestListener {
+  const handle = createHTTPHandler({
+    router: createPeerRouter(getState),
+    basePath: `${rpcPath}/`,
+  });
+  return (request, response) => void handle(request, response);
+}
+
+/** Asks another gateway for what is newer; rejects when it does not answer. */
+export function askPeer(
+  address: string,
+  known: KnownState,
+): Promise<Partial<GatewayState>> {
+  const client = createTRPCClient<PeerRouter>({
+    links: [httpLink({ url: `http://${address}${rpcPath}` })],
+  });
+  return client.getNews.query(known, {
+    signal: AbortSignal.timeout(answerLimitMs),
+  }) as Promise<Partial<GatewayState>>;
+}
+
+/** A peer that does not answer by then is asked again later. */
+const answerLimitMs = 400;
--- /dev/null
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createSeededRandom } from "@jasminetide/core/random";
+import { VirtualTimerService } from "@jasminetide/core/timers";
+import { createSilentLogger } from "@jasminetide/runtime/logging";
+import { createDeclaration, createRunnerRecord } from "../test_support/mod.ts";
+import {
+  askPeer,
+  createPeerHandler,
+  type GatewayState,
+  PeerFollower,
+} from "./mod.ts";
+
+type World = {
+  peerServer: Server;
+  peerState: GatewayState | undefined;
+  peerTimers: VirtualTimerService;
+  peerFollower: PeerFollower;
+  questions: Promise<unknown>[];
+  news: Partial<GatewayState>[];
+};
+
+Given(
+  "another gateway that has declaration {int} and the runners of revision {int}",
+  async function (this: World, version: number, revision: number) {
+    this.peerState = {
+      declaration: createDeclaration(version),
+      revision,
+      runners: [createRunnerRecord("r", "127.0.0.1:1")],
+    };
+    this.peerServer = createServer(createPeerHandler(() => this.peerState));
+    this.peerServer.listen(0, "127.0.0.1");
+    await once(this.peerServer, "listening");
+  },
+);
+
+After(async function (this: World) {
+  this.peerFollower?.[Symbol.dispose]();
+  if (this.peerServer === undefined) return;
+  const closed = once(this.peerServer, "close");
+  this.peerServer.close();
+  this.peerServer.closeAllConnections();
+  await closed;
+});
+
+Given("the other gateway has lost its store too", function (this: World) {
+  this.peerState = undefined;
+});
+
+Given(
+  /^this gateway has declaration (\d+), revision (\d+) and (no|a) store$/,
+  function (this: World, version: string, revision: string, store: string) {
+    const { port } = this.peerServer.address() as AddressInfo;
+    this.peerTimers = VirtualTimerService.create();
+    this.questions = [];
+    this.news = [];
+    this.peerFollower = PeerFollower.create({
+      timers: this.peerTimers,
+      random: createSeededRandom(3),
+      logger: createSilentLogger(),
+      isConnected: () => store === "a",
+      getKnown: () => ({
+        version: Number(version),
+        revision: Number(revision),
+      }),
+      listPeers: () => [`127.0.0.1:${port}`],
+      ask: (address, known) => {
+        const answer = askPeer(address, known);
+        this.questions.push(answer);
+        return answer;
+      },
+      onNews: (news) => this.news.push(news),
+    });
+  },
+);
+
+When("{int} ms go by", async function (this: World, durationMs: number) {
+  this.peerTimers.advance(durationMs);
+  await Promise.all(this.questions);
+  // The follower takes an answer in one turn after it has come.
+  await new Promise((resolve) => setImmediate(resolve));
+});
+
+Then(
+  "it has learnt declaration {int} and the runners of revision {int}",
+  function (this: World, version: number, revision: number) {
+    assert.equal(this.news.length, 1);
+    assert.equal(this.news[0].declaration?.version, version);
+    assert.equal(this.news[0].revision, revision);
+    assert.equal(this.news[0].runners?.length, 1);
+  },
+);
+
+Then("it has learnt nothing", function (this: World) {
+  assert.equal(this.news.length, 0);
+});
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -21,6 +21,8 @@
   /** Time that is left for the answer, in milliseconds. */
   timeoutMs: number;
   workspace: string | undefined;
+  /** Rank of the request; 0 goes first. */
+  priority: number;
   /** Last event that the caller has; set when a broken stream goes on. */
   lastEventId: string | undefined;
   /**
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -20,6 +20,8 @@
   route: DeclaredRoute;
   service: string;
   workspace: string | undefined;
+  /** Rank of the workspace or the route; 0 goes first. */
+  priority: number;
   body: Buffer;
   /** When it must be answered, by the timer service. */
   deadlineMs: number;
@@ -168,6 +170,7 @@
             runnerId: upstream.id,
             timeoutMs: Math.max(1, Math.floor(this.#getLeftMs())),
             workspace: admitted.workspace,
+            priority: admitted.priority,
             lastEventId,
             cacheSource,
           },
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -3,6 +3,7 @@
 import {
   chooseService,
   type DeclaredRoute,
+  type DeclaredWorkspace,
   type RouteTable,
 } from "@jasminetide/core/routes";
 import type { GatewayContext } from "../gateway_context.ts";
@@ -50,6 +51,8 @@
   route: DeclaredRoute;
   service: string;
   workspace: string | undefined;
+  /** Rank of the workspace or the route; 0 goes first. */
+  priority: number;
   maxBodyBytes: number;
   /** Longest time from its arrival to its answer. */
   limitMs: number;
@@ -85,20 +88,27 @@
   }
   const { maxBodyBytes } = routes.declaration.callerLimits;
   const limitMs = Math.min(route.timeoutMs, caller.timeoutMs ?? Infinity);
-  return { route, service, workspace, maxBodyBytes, limitMs };
+  return {
+    route,
+    service,
+    workspace: workspace?.name,
+    priority: workspace?.priority ?? route.priority,
+    maxBodyBytes,
+    limitMs,
+  };
 }
 
 /** Finds the workspace of a key; undefined where no keys are declared. */
 function authenticate(
   apiKey: string | undefined,
   routes: RouteTable,
-): string | undefined {
+): DeclaredWorkspace | undefined {
   if (routes.declaration.workspaces === undefined) return undefined;
   const workspace = routes.findWorkspace(apiKey ?? "");
   if (workspace === undefined) {
     throw AppError.create("unauthorized", "The API key is not known");
   }
-  return workspace.name;
+  return workspace;
 }
 
 /** Time in which a router that has just started learns what it needs. */
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -7,6 +7,7 @@
 import { createSilentLogger } from "@jasminetide/runtime/logging";
 import { Gateway } from "../gateway.ts";
 import { gatewaySettingsSchema } from "../settings.ts";
+import type { PeerRecord } from "../peers/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 import { testProtocol } from "./test_protocol.ts";
 import { TestSource } from "./test_source.ts";
@@ -63,9 +64,6 @@
   return {
     version,
     routes,
-    services: [
-      { name: "service", maxConnections: 100, engine: undefined },
-    ],
     workspaces: [
       { name: "kiosk", apiKeys: ["kiosk-key"], priority: undefined },
     ],
@@ -121,6 +119,11 @@
     protocol: testProtocol,
     declarations,
     runners,
+    registry: {
+      peers: TestSource.create<PeerRecord>(),
+      announce: () => Promise.resolve(),
+      withdraw: () => Promise.resolve(),
+    },
   });
   return { gateway, declarations, runners };
 }
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -30,6 +30,11 @@
     return this.#byService.size > 0;
   }
 
+  /** Records of all runners, draining ones too. */
+  listRecords(): RunnerRecord[] {
+    return [...this.#upstreams.values()].map(({ record }) => record);
+  }
+
   /** Finds a runner, a draining one too. */
   find(id: string): Upstream | undefined {
     return this.#upstreams.get(id);
