Take over streams and lookups whose answer does not come, by learnt limits

Ruled out: a dark runner; the connection stayed open and silent. Change: the limit on the first byte is a multiple of the route's goal, and longer where the median is; pauses have their own limit; whether the runner answers others no longer counts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import { PrefixHolders, RepeatBudget } from "@jasminetide/core/pools";
 import { createSystemRandom } from "@jasminetide/core/random";
+import { LatencyTracker } from "@jasminetide/core/retries";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
@@ -41,6 +42,7 @@
   readonly #resources = ResourceStack.create();
   readonly #metrics = Metrics.create();
   readonly #random = createSystemRandom();
+  readonly #firstByteTimes = new Map<string, LatencyTracker>();
   readonly #budgets = new Map<string, RepeatBudget>();
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
@@ -149,11 +151,22 @@
       requestLog: RequestLog.create({ logger, timers, ...settings.log }),
       getRoutes: () => this.#fleet.routes,
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
+      getFirstByteTimes: (service, kind) =>
+        this.#getFirstByteTimes(`${service} ${kind}`),
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
       isStopping: () => this.#isStopping,
     };
   }
 
+  #getFirstByteTimes(name: string): LatencyTracker {
+    let times = this.#firstByteTimes.get(name);
+    if (times === undefined) {
+      times = LatencyTracker.create({ windowMs: firstByteWindowMs });
+      this.#firstByteTimes.set(name, times);
+    }
+    return times;
+  }
+
   #getRepeatBudget(service: string): RepeatBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
@@ -166,6 +179,9 @@
   }
 }
 
+/** Overload shows in the times to the first byte within seconds. */
+const firstByteWindowMs = 5000;
+
 const stopCheckPeriodMs = 50;
 
 /** Time that is left for closing before the process is killed. */
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,6 +1,7 @@
 import type { PrefixHolders, RepeatBudget } from "@jasminetide/core/pools";
 import type { RandomSource } from "@jasminetide/core/random";
-import type { RouteTable } from "@jasminetide/core/routes";
+import type { LatencyTracker } from "@jasminetide/core/retries";
+import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { Metrics } from "@jasminetide/runtime/metrics";
 import type { RequestLog } from "./request_log.ts";
@@ -20,6 +21,8 @@
   /** Declared routes in force; undefined before the first version. */
   getRoutes: () => RouteTable | undefined;
   getRepeatBudget: (service: string) => RepeatBudget;
+  /** Times to the first byte of a service's answers to a kind of request. */
+  getFirstByteTimes: (service: string, kind: RequestKind) => LatencyTracker;
   /** Routers that share the budgets, this one included. */
   countRouters: () => number;
   /** Whether callers should use other connections from now on. */
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { chooseEngine, choosePlainRunner } from "@jasminetide/core/pools";
 import { AppError } from "@jasminetide/core/results";
+import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { TimerSubscription } from "@jasminetide/core/timers";
 import { SilenceWatch } from "@jasminetide/runtime/streams";
@@ -11,6 +12,7 @@
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import { canRunAgain, decideNext, type NextStep } from "./decide_next.ts";
+import { getPauseLimitMs, getStartLimitMs } from "./silence_limits.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { selectForwarded } from "./forwarded_headers.ts";
 
@@ -50,6 +52,8 @@
   readonly #splitter: EventSplitter;
   #attempt: Attempt | undefined;
   #silence: SilenceWatch | undefined;
+  #sentAtMs = 0;
+  #isFirstByte = true;
   #attempts = 0;
   #runs = 0;
   #isOver = false;
@@ -180,10 +184,10 @@
       sink: this.#createSink(),
       onSent: () => {
         this.#runs += 1;
-        this.#watchSilence(upstream);
+        this.#watchSilence();
       },
       onAnswer: (answer) => this.#takeAnswer(upstream, answer),
-      onHeard: () => this.#recordHeard(upstream),
+      onHeard: () => this.#recordHeard(),
     });
     context.requestLog.record(admitted.caller.attemptId, "sent", {
       runner: upstream.id,
@@ -202,27 +206,38 @@
     upstream.load.observe(answer.load, this.#options.context.timers.nowMs());
   }
 
-  #recordHeard(upstream: Upstream): void {
-    upstream.heardAtMs = this.#options.context.timers.nowMs();
+  /** Takes in that bytes of the answer have come. */
+  #recordHeard(): void {
+    const { admitted: { route }, context } = this.#options;
+    if (this.#isFirstByte) {
+      this.#isFirstByte = false;
+      const nowMs = context.timers.nowMs();
+      this.#getFirstByteTimes().record(nowMs - this.#sentAtMs, nowMs);
+      this.#silence?.setLimit(getPauseLimitMs(route));
+    }
     this.#silence?.record();
   }
 
+  #getFirstByteTimes(): LatencyTracker {
+    const { admitted: { route, service }, context } = this.#options;
+    return context.getFirstByteTimes(service, route.kind);
+  }
+
   /** Watches a runner whose part another one could take over. */
-  #watchSilence(upstream: Upstream): void {
-    if (!canRunAgain(this.#getProgress())) return;
+  #watchSilence(): void {
     const { admitted: { route }, context: { timers } } = this.#options;
-    const startedAtMs = timers.nowMs();
-    const limitMs = getSilenceLimitMs(route);
+    this.#sentAtMs = timers.nowMs();
+    this.#isFirstByte = true;
+    if (!canRunAgain(this.#getProgress())) return;
+    const limitMs = getStartLimitMs(this.#getFirstByteTimes(), {
+      goalMs: route.goalMs,
+      kind: route.kind,
+      nowMs: this.#sentAtMs,
+    });
     this.#silence = SilenceWatch.create({
       timers,
       limitMs,
-      onSilence: () => {
-        // An engine that answers others may be slow, but it is alive.
-        const isHeard = upstream.heardAtMs > startedAtMs &&
-          timers.nowMs() - upstream.heardAtMs < limitMs;
-        if (route.kind === "stream" && isHeard) this.#watchSilence(upstream);
-        else this.#attempt?.giveUp(`silent for ${Math.round(limitMs)} ms`);
-      },
+      onSilence: () => this.#attempt?.giveUp("silent for too long"),
     });
   }
 
@@ -374,24 +389,6 @@
   return { homeKey, sharedTokens };
 }
 
-/**
- * Time without a byte after which a runner is given up, where another one may
- * take over: a multiple of what callers hope for.
- */
-function getSilenceLimitMs(route: DeclaredRoute): number {
-  const multiple = route.kind === "stream"
-    ? streamSilenceMultiple
-    : plainSilenceMultiple;
-  return Math.max(minSilenceMs, route.goalMs * multiple);
-}
-
-/** Callers leave a stream at four times the hoped-for time to its start. */
-const streamSilenceMultiple = 1.25;
-const plainSilenceMultiple = 2;
-
-/** A lost packet on the way costs some 200 ms, twice on the way and back. */
-const minSilenceMs = 250;
-
 /** Spreads returning callers over the time in which places come free. */
 function chooseRetryAfterMs(random: number): number {
   return minRetryAfterMs + random * retryAfterSpreadMs;
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -23,8 +23,6 @@
   readonly health = RunnerHealth.create();
   readonly connections: ConnectionPool;
   record: RunnerRecord;
-  /** When bytes last came from the runner, on any connection. */
-  heardAtMs = Number.NEGATIVE_INFINITY;
 
   private constructor(record: RunnerRecord, timers: TimerService) {
     this.record = record;
