Log the whole story of each failed request, trace it from logs

Cause: of requests outside the sample only the last line of a failure was written. Change: a request's decisions are kept until its end and written if it failed or is sampled, up to a rate; jasminetide trace ID reads them with the beliefs behind them. A request that the last runner refused is not sent there again.

--- a/packages/gateway/src/request_log.ts
+++ b/packages/gateway/src/request_log.ts
@@ -6,24 +6,23 @@
 export type RequestLogOptions = {
   logger: Logger;
   timers: TimerService;
-  /** Share of requests of which every line is written. */
+  /** Share of requests whose lines are written although nothing failed. */
   sampleShare: number;
-  /** Most lines a second, sampled ones and failures together. */
+  /** Most lines a second; requests beyond it are counted. */
   linesPerSecond: number;
 };
 
-/** Events that tell of a failure and are written of every request. */
-const failureEvents = new Set(["refused", "gave-up", "expired"]);
+type Line = { event: string; fields: LogFields };
 
 /**
- * Writes the decisions on single requests. Of a sample of requests, chosen by
- * id, all lines are written; of the others only the failures.
+ * Writes the decisions on single requests: all lines of each request that
+ * failed and of a sample of the others, chosen by id, up to a rate.
  */
 export class RequestLog {
   readonly #options: RequestLogOptions;
   #secondStartedAtMs = 0;
   #lines = 0;
-  #omitted = 0;
+  #omittedRequests = 0;
 
   private constructor(options: RequestLogOptions) {
     this.#options = options;
@@ -34,16 +33,29 @@
     return new RequestLog(options);
   }
 
-  /** Records a decision on the request with an attempt id. */
-  record(attemptId: string, event: string, fields: LogFields): void {
-    if (!failureEvents.has(event) && !this.#isSampled(attemptId)) return;
+  /** Opens the trace of a request that has arrived. */
+  openTrace(attemptId: string): RequestTrace {
+    const { timers } = this.#options;
+    return RequestTrace.create({
+      timers,
+      write: (lines, isFailed) => {
+        if (isFailed || this.#isSampled(attemptId)) {
+          this.#write(attemptId, lines);
+        }
+      },
+    });
+  }
+
+  #write(attemptId: string, lines: readonly Line[]): void {
     this.#startSecond();
-    if (this.#lines >= this.#options.linesPerSecond) {
-      this.#omitted += 1;
+    if (this.#lines + lines.length > this.#options.linesPerSecond) {
+      this.#omittedRequests += 1;
       return;
     }
-    this.#lines += 1;
-    this.#options.logger.info(event, { attemptId, ...fields });
+    this.#lines += lines.length;
+    for (const { event, fields } of lines) {
+      this.#options.logger.info(event, { attemptId, ...fields });
+    }
   }
 
   #isSampled(attemptId: string): boolean {
@@ -54,11 +66,51 @@
   #startSecond(): void {
     const nowMs = this.#options.timers.nowMs();
     if (nowMs - this.#secondStartedAtMs < 1000) return;
-    if (this.#omitted > 0) {
-      this.#options.logger.warn("lines-omitted", { count: this.#omitted });
+    if (this.#omittedRequests > 0) {
+      this.#options.logger.warn("requests-not-logged", {
+        count: this.#omittedRequests,
+      });
     }
     this.#secondStartedAtMs = nowMs;
     this.#lines = 0;
-    this.#omitted = 0;
+    this.#omittedRequests = 0;
+  }
+}
+
+/** What a trace needs. */
+type RequestTraceOptions = {
+  timers: TimerService;
+  write: (lines: readonly Line[], isFailed: boolean) => void;
+};
+
+/** The decisions on one request, kept until its end is known. */
+export class RequestTrace {
+  readonly #options: RequestTraceOptions;
+  readonly #openedAtMs: number;
+  readonly #lines: Line[] = [];
+
+  private constructor(options: RequestTraceOptions) {
+    this.#options = options;
+    this.#openedAtMs = options.timers.nowMs();
+  }
+
+  /** Opens a trace. */
+  static create(options: RequestTraceOptions): RequestTrace {
+    return new RequestTrace(options);
+  }
+
+  /** Records a decision; `atMs` counts from the arrival of the request. */
+  record(event: string, fields: LogFields): void {
+    if (this.#lines.length >= maxLines) return;
+    const atMs = Math.round(this.#options.timers.nowMs() - this.#openedAtMs);
+    this.#lines.push({ event, fields: { atMs, ...fields } });
+  }
+
+  /** Ends the trace; the lines of a failed request are written. */
+  close({ isFailed }: { isFailed: boolean }): void {
+    this.#options.write(this.#lines, isFailed);
   }
 }
+
+/** Lines of one request; attempts are bounded, so this is seldom reached. */
+const maxLines = 20;
--- a/packages/gateway/src/requests/caller_answer.ts
+++ b/packages/gateway/src/requests/caller_answer.ts
@@ -7,7 +7,8 @@
 /** The answer to one caller: a runner's, unchanged, or a refusal of ours. */
 export class CallerAnswer {
   readonly #response: ServerResponse;
-  #isStopping: () => boolean;
+  readonly #isStopping: () => boolean;
+  #isBrokenOff = false;
 
   private constructor(response: ServerResponse, isStopping: () => boolean) {
     this.#response = response;
@@ -36,6 +37,11 @@
     return this.#response.statusCode;
   }
 
+  /** Whether an answer that had begun was cut off. */
+  get isBrokenOff(): boolean {
+    return this.#isBrokenOff;
+  }
+
   /** Sends a runner's whole answer. */
   sendWhole(head: AnswerHead, body: Buffer): void {
     this.#writeHead(head, head.isFramed ? body.length : undefined);
@@ -65,6 +71,7 @@
 
   /** Ends an answer that has begun so that it cannot look complete. */
   breakOff(): void {
+    this.#isBrokenOff = true;
     this.#response.destroy();
   }
 
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -5,9 +5,11 @@
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { TimerSubscription } from "@jasminetide/core/timers";
+import type { LogFields } from "@jasminetide/runtime/logging";
 import { SilenceWatch } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { AnswerHead, CallerRequest, RunnerAnswer } from "../protocol.ts";
+import type { RequestTrace } from "../request_log.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
@@ -43,6 +45,7 @@
   request: IncomingMessage;
   response: ServerResponse;
   answer: CallerAnswer;
+  trace: RequestTrace;
 };
 
 /** Brings one admitted request to runners until its caller is answered. */
@@ -55,6 +58,7 @@
   #sentAtMs = 0;
   #isFirstByte = true;
   #attempts = 0;
+  #wasRefused = false;
   #runs = 0;
   #isOver = false;
   #lastAnswer: Extract<AttemptEnd, { type: "answered" }> | undefined;
@@ -110,6 +114,8 @@
     const { context, admitted } = this.#options;
     const all = context.directory.listReady(admitted.service);
     const untried = all.filter(({ id }) => !this.#tried.has(id));
+    // A runner that has just refused has no room a moment later.
+    if (untried.length === 0 && this.#wasRefused) return undefined;
     const runners = untried.length > 0 ? untried : all;
     const nowMs = context.timers.nowMs();
     const { failureDomain, random } = context;
@@ -189,11 +195,13 @@
       onAnswer: (answer) => this.#takeAnswer(upstream, answer),
       onHeard: () => this.#recordHeard(),
     });
-    context.requestLog.record(admitted.caller.attemptId, "sent", {
+    const nowMs = context.timers.nowMs();
+    this.#log("sent", {
       runner: upstream.id,
-      service: admitted.service,
       attempt: this.#attempts,
-      load: upstream.load.getEstimate(context.timers.nowMs()),
+      load: upstream.load.getEstimate(nowMs),
+      failureShare: Number(upstream.health.getFailureShare(nowMs).toFixed(2)),
+      leftMs: Math.round(this.#getLeftMs()),
       afterEvent: lastEventId,
       cacheSource,
     });
@@ -292,6 +300,7 @@
     const { answer } = this.#options;
     this.#log("attempt-ended", { end: end.type, step, ...describeEnd(end) });
     if (end.type === "answered") this.#lastAnswer = end;
+    this.#wasRefused = end.type === "notRun";
     switch (step) {
       case "answer":
         if (end.type === "answered") answer.sendWhole(end.head, end.body);
@@ -369,9 +378,8 @@
     return admitted.deadlineMs - context.timers.nowMs();
   }
 
-  #log(event: string, fields: Record<string, string | number | boolean>): void {
-    const { admitted, context } = this.#options;
-    context.requestLog.record(admitted.caller.attemptId, event, fields);
+  #log(event: string, fields: LogFields): void {
+    this.#options.trace.record(event, fields);
   }
 }
 
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -21,14 +21,29 @@
   const answer = CallerAnswer.create(response, context.isStopping);
   const arrivedAtMs = context.timers.nowMs();
   const caller = context.protocol.readCallerRequest(request.headers);
+  const trace = context.requestLog.openTrace(caller.attemptId);
   context.metrics.count("requests");
   try {
     const admission = admitRequest(request, caller, context);
+    trace.record("admitted", {
+      route: admission.route.name,
+      service: admission.service,
+      workspace: admission.workspace,
+      version: context.getRoutes()?.declaration.version,
+      limitMs: admission.limitMs,
+    });
     const body = await readWholeBody(request, admission.maxBodyBytes);
     if (body === undefined) return;
     const deadlineMs = arrivedAtMs + admission.limitMs;
     const admitted = { ...admission, deadlineMs, body, caller };
-    await Exchange.serve({ context, admitted, request, response, answer });
+    await Exchange.serve({
+      context,
+      admitted,
+      request,
+      response,
+      answer,
+      trace,
+    });
     context.metrics.record(
       `answer-ms-${admitted.route.kind}`,
       context.timers.nowMs() - arrivedAtMs,
@@ -37,7 +52,7 @@
   } catch (thrown) {
     const error = normalizeError(thrown);
     context.metrics.count(`refused-${error.result}`);
-    context.requestLog.record(caller.attemptId, "refused", {
+    trace.record("refused", {
       code: error.code,
       detail: error.message,
       version: context.getRoutes()?.declaration.version,
@@ -45,6 +60,7 @@
     if (answer.hasBegun) answer.breakOff();
     else answer.sendError(error);
   }
+  trace.close({ isFailed: answer.status >= 400 || answer.isBrokenOff });
 }
 
 type Admission = {
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -2,9 +2,8 @@
   DeclaredRoute,
   RoutingDeclaration,
 } from "@jasminetide/core/routes";
-import type { TimerService } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
-import { createSilentLogger } from "@jasminetide/runtime/logging";
+import { createSilentLogger, type Logger } from "@jasminetide/runtime/logging";
 import { Gateway } from "../gateway.ts";
 import { gatewaySettingsSchema } from "../settings.ts";
 import type { PeerRecord } from "../peers/mod.ts";
@@ -97,7 +96,7 @@
 
 /** Starts a gateway on free ports of the loopback address. */
 export async function startTestGateway(
-  timers: TimerService = RealTimerService.create(),
+  options: { logger?: Logger } = {},
 ): Promise<TestGateway> {
   const declarations = TestSource.create<RoutingDeclaration>();
   const runners = TestSource.create<RunnerRecord>();
@@ -114,8 +113,8 @@
       repeats: { ratio: 1, slack: 100 },
       log: {},
     }),
-    timers,
-    logger: createSilentLogger(),
+    timers: RealTimerService.create(),
+    logger: options.logger ?? createSilentLogger(),
     protocol: testProtocol,
     declarations,
     runners,
--- a/packages/operator/src/commands/program.ts
+++ b/packages/operator/src/commands/program.ts
@@ -15,6 +15,7 @@
   createStatusCommand,
 } from "./fleet_commands.ts";
 import { createLedgerCommand } from "./ledger_commands.ts";
+import { createTraceCommand } from "./log_commands.ts";
 
 const exitCodeHelp = [
   "Exit codes: 0 done; 1 faults, drift or failure; 2 wrong usage;",
@@ -36,6 +37,7 @@
       dump: createDumpCommand(output),
       drain: createDrainCommand(output),
       ledger: createLedgerCommand(output),
+      trace: createTraceCommand(output),
     },
   });
 }
--- /dev/null
+++ b/packages/operator/src/trace/trace_test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { wait } from "@jasminetide/core/timers";
+import {
+  createDeclaration,
+  createRunnerRecord,
+  formatHead,
+  RawCaller,
+  ScriptedRunner,
+  startTestGateway,
+  type TestGateway,
+  testHeaders,
+} from "@jasminetide/gateway/test_support";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import type { LogFields } from "@jasminetide/runtime/logging";
+import { type RequestStory, traceRequest } from "./mod.ts";
+
+type World = {
+  tracedGateway: TestGateway;
+  tracedRunner: ScriptedRunner;
+  logLines: string[];
+  story: RequestStory;
+};
+
+const timers = RealTimerService.create();
+
+async function startTraced(world: World, script: ScriptedRunner["script"]) {
+  world.logLines = [];
+  let count = 0;
+  const write = (event: string, fields: LogFields = {}) => {
+    count += 1;
+    const timestamp = `t${String(count).padStart(6, "0")}`;
+    world.logLines.push(
+      JSON.stringify({ timestamp, process: "gateway-1", event, ...fields }),
+    );
+  };
+  world.tracedRunner = await ScriptedRunner.create(script);
+  world.tracedGateway = await startTestGateway({
+    logger: { error: write, warn: write, info: write, debug: write },
+  });
+  const { declarations, gateway, runners } = world.tracedGateway;
+  declarations.put("main", createDeclaration(1));
+  runners.put("r", createRunnerRecord("r", world.tracedRunner.address));
+  while (!gateway.isReady) await wait(timers, 1);
+}
+
+After(async function (this: World) {
+  await this.tracedRunner?.[Symbol.asyncDispose]();
+  await this.tracedGateway?.gateway[Symbol.asyncDispose]();
+});
+
+Given(
+  "a gateway whose runner breaks every stream off",
+  async function (this: World) {
+    await startTraced(this, ({ attemptId, socket }) =>
+      socket.write(
+        `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n` +
+          "d\r\nid: 1\ndata:\n\n\r\n",
+        () => socket.destroy(),
+      ));
+  },
+);
+
+Given(
+  "a gateway whose runner refuses every request unrun",
+  async function (this: World) {
+    await startTraced(this, ({ attemptId, socket }) =>
+      socket.write(
+        `HTTP/1.1 503 Busy\r\n${testHeaders.attempt}: ${attemptId}\r\n` +
+          `${testHeaders.notRun}: 1\r\nContent-Length: 0\r\n\r\n`,
+      ));
+  },
+);
+
+async function failRequest(
+  world: World,
+  attemptId: string,
+  request: { path: string; headers?: Record<string, string> },
+): Promise<void> {
+  const { callerAddress } = world.tracedGateway.gateway;
+  using caller = await RawCaller.create(callerAddress);
+  caller.send({ attemptId, ...request });
+  const isLogged = () =>
+    world.logLines.some((line) => line.includes(attemptId));
+  while (!isLogged()) await wait(timers, 1);
+  world.story = traceRequest(world.logLines, attemptId);
+}
+
+When("a caller's request {string} fails", async function (
+  this: World,
+  attemptId: string,
+) {
+  await failRequest(this, attemptId, { path: "/summary/1" });
+});
+
+When(
+  "key {string} is taken away by version {int}",
+  async function (this: World, _key: string, version: number) {
+    const declaration = createDeclaration(version);
+    const { declarations, gateway } = this.tracedGateway;
+    declarations.put("main", { ...declaration, workspaces: [] });
+    while (gateway.declarationVersion < version) await wait(timers, 1);
+  },
+);
+
+When(
+  "a caller's request {string} with that key fails",
+  async function (this: World, attemptId: string) {
+    const headers = { [testHeaders.key]: "kiosk-key" };
+    await failRequest(this, attemptId, { path: "/private/1", headers });
+  },
+);
+
+function listOwnLines(world: World) {
+  return world.story.lines.filter(({ fields }) => "attemptId" in fields);
+}
+
+Then(
+  "its story has the events {string}",
+  function (this: World, events: string) {
+    const names = listOwnLines(this).map(({ event }) => event).join(" ");
+    assert.ok(names.startsWith(events), names);
+  },
+);
+
+Then(
+  "its story tells that the runner was added before",
+  function (this: World) {
+    const [first] = this.story.lines.filter(({ event }) =>
+      event === "runner-added"
+    );
+    assert.equal(first?.fields.runner, "r");
+  },
+);
+
+Then(
+  "its story tells the end {string} and the step {string}",
+  function (this: World, end: string, step: string) {
+    const line = listOwnLines(this).find(({ event }) =>
+      event === "attempt-ended"
+    );
+    assert.equal(line?.fields.end, end);
+    assert.equal(line?.fields.step, step);
+  },
+);
+
+Then("its story tells version {int}", function (this: World, version: number) {
+  const versions = this.story.lines.map(({ fields }) => fields.version);
+  assert.ok(versions.includes(version), versions.join(" "));
+});
+
+Then("the story of {string} is empty", function (this: World, id: string) {
+  assert.deepEqual(traceRequest(this.logLines, id).lines, []);
+});
