Do not take the end of a stream for its caller's leaving

Cause: a response closes before the exchange hears of the attempt's end, so whole streams were logged as abandoned and did not count as successes of their runner. Change: an answer that was sent whole is no abandonment. Measured: the new scenario of trace.feature shows relayed and none.

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -366,7 +366,8 @@
 
   /** Withdraws the request of a caller that has left. */
   #abandon(): void {
-    if (this.#isOver) return;
+    // A connection also closes for the exchange once all of it was sent.
+    if (this.#isOver || this.#options.response.writableFinished) return;
     this.#isOver = true;
     this.#silence?.[Symbol.dispose]();
     this.#attempt?.cancel();
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -96,7 +96,7 @@
 
 /** Starts a gateway on free ports of the loopback address. */
 export async function startTestGateway(
-  options: { logger?: Logger } = {},
+  options: { logger?: Logger; sampleShare?: number } = {},
 ): Promise<TestGateway> {
   const declarations = TestSource.create<RoutingDeclaration>();
   const runners = TestSource.create<RunnerRecord>();
@@ -111,7 +111,7 @@
       platform: { address: "127.0.0.1:1" },
       stop: { noticeMs: 1, graceSeconds: 5 },
       repeats: { ratio: 1, slack: 100 },
-      log: {},
+      log: { sampleShare: options.sampleShare ?? 0 },
     }),
     timers: RealTimerService.create(),
     logger: options.logger ?? createSilentLogger(),
--- a/packages/operator/src/trace/trace.feature
+++ b/packages/operator/src/trace/trace.feature
@@ -20,6 +20,12 @@
     Then its story has the events "admitted sent attempt-ended gave-up"
     And its story tells the end "notRun" and the step "repeat"
 
+  Scenario: A stream that went well is not said to be abandoned
+    Given a gateway whose runner ends every stream, with all requests logged
+    When a caller's request "a-4" is answered
+    Then its story has the events "admitted sent attempt-ended"
+    And its story tells the end "relayed" and the step "none"
+
   Scenario: An id that is in no log is said to be unknown
     Given a gateway whose runner refuses every request unrun
     Then the story of "a-9" is empty
--- a/packages/operator/src/trace/trace_test.ts
+++ b/packages/operator/src/trace/trace_test.ts
@@ -24,7 +24,11 @@
 
 const timers = RealTimerService.create();
 
-async function startTraced(world: World, script: ScriptedRunner["script"]) {
+async function startTraced(
+  world: World,
+  script: ScriptedRunner["script"],
+  sampleShare = 0,
+) {
   world.logLines = [];
   let count = 0;
   const write = (event: string, fields: LogFields = {}) => {
@@ -36,6 +40,7 @@
   };
   world.tracedRunner = await ScriptedRunner.create(script);
   world.tracedGateway = await startTestGateway({
+    sampleShare,
     logger: { error: write, warn: write, info: write, debug: write },
   });
   const { declarations, gateway, runners } = world.tracedGateway;
@@ -72,7 +77,18 @@
   },
 );
 
-async function failRequest(
+Given(
+  "a gateway whose runner ends every stream, with all requests logged",
+  async function (this: World) {
+    await startTraced(this, ({ attemptId, socket }) =>
+      socket.write(
+        `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n` +
+          "d\r\nid: 1\ndata:\n\n\r\n0\r\n\r\n",
+      ), 1);
+  },
+);
+
+async function traceLogged(
   world: World,
   attemptId: string,
   request: { path: string; headers?: Record<string, string> },
@@ -86,11 +102,11 @@
   world.story = traceRequest(world.logLines, attemptId);
 }
 
-When("a caller's request {string} fails", async function (
+When(/^a caller's request "(.*)" (?:fails|is answered)$/, async function (
   this: World,
   attemptId: string,
 ) {
-  await failRequest(this, attemptId, { path: "/summary/1" });
+  await traceLogged(this, attemptId, { path: "/summary/1" });
 });
 
 When(
@@ -107,7 +123,7 @@
   "a caller's request {string} with that key fails",
   async function (this: World, attemptId: string) {
     const headers = { [testHeaders.key]: "kiosk-key" };
-    await failRequest(this, attemptId, { path: "/private/1", headers });
+    await traceLogged(this, attemptId, { path: "/private/1", headers });
   },
 );
 
