--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -102,7 +102,10 @@
     }
     for (const { name, value } of result.changes) this.#change(name, value);
     this.#revision = result.revision;
-    if (result.changes.length > 0) this.#publish();
+    if (result.changes.length === 0) return;
+    this.#publish();
+    // Changes come in bursts; the next call brings what follows at once.
+    await wait(this.#options.timers, burstMs);
   }
 
   #replace(objects: Map<string, Value>): void {
@@ -170,6 +173,9 @@
   }
 }
 
+/** Pause after a change, well below the time in which changes must be known. */
+const burstMs = 150;
+
 /** Wait of a watch while the store does not answer. */
 const probeWaitMs = 50;
 
