Read the settings file again on SIGHUP and from time to time

Cause: SIGHUP ended a gateway, and a changed settings file was not noticed. Change: a follower reads and checks the file; the budget of repeats and the times of a stop apply at once, a file that cannot be read changes nothing. Seen once: a request test failed beside the pause after changes, since it did not wait until the gateway knew its second runner; it waits for that now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,11 +47,13 @@
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
   readonly #context: GatewayContext;
+  #settings: GatewaySettings;
   #isStopping = false;
   #openRequests = 0;
 
   private constructor(options: GatewayOptions, listener: CallerListener) {
     this.#options = options;
+    this.#settings = options.settings;
     this.#listener = this.#resources.use(listener);
     this.#fleet = this.#resources.use(FleetView.create({
       ...options,
@@ -86,16 +88,32 @@
     return this.#listener.address;
   }
 
+  /** Runners that are known, draining ones too. */
+  get runnerCount(): number {
+    return this.#fleet.directory.listRecords().length;
+  }
+
   /** Version of the declaration in force, 0 before the first. */
   get declarationVersion(): number {
     return this.#fleet.declarationVersion;
   }
 
+  /**
+   * Applies settings that may change while the process runs: the budget of
+   * repeats and the times of a planned stop. Others need a restart.
+   */
+  applySettings(settings: GatewaySettings): void {
+    const { repeats, stop } = settings;
+    this.#settings = { ...this.#settings, repeats, stop };
+    this.#budgets.clear();
+  }
+
   /** Tells the balancer, finishes the requests in flight, and closes. */
   async [Symbol.asyncDispose](): Promise<void> {
     if (this.#isStopping) return;
     this.#isStopping = true;
-    const { logger, settings: { stop }, timers } = this.#options;
+    const { logger, timers } = this.#options;
+    const { stop } = this.#settings;
     const limitMs = stop.graceSeconds * 1000 - stopMarginMs;
     const endMs = timers.nowMs() + limitMs;
     logger.info("leaving", { openRequests: this.#openRequests });
@@ -170,7 +188,7 @@
   #getRepeatBudget(service: string): RepeatBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      const { ratio, slack, windowSeconds } = this.#options.settings.repeats;
+      const { ratio, slack, windowSeconds } = this.#settings.repeats;
       const windowMs = windowSeconds * 1000;
       budget = RepeatBudget.create({ ratio, slack, windowMs });
       this.#budgets.set(service, budget);
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -2,3 +2,4 @@
 export * from "./gateway.ts";
 export * from "./protocol.ts";
 export * from "./settings.ts";
+export * from "./settings_follower.ts";
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -104,7 +104,8 @@
 
 Given("a runner {string}", async function (this: World, id: string) {
   await addRunner(this, id);
-  await wait(timers, 1);
+  const { gateway } = this.gatewayUnderTest;
+  while (gateway.runnerCount < this.scriptedRunners.size) await wait(timers, 1);
 });
 
 Given(
