Place attempts in a module of their own, never call a spliced stream complete

Change: place_attempt.ts and observe_end.ts; a part whose end cannot be told breaks the stream off; a runner's answer goes before a failure of ours; one inner server; bodies are read by runtime/http.

--- a/packages/gateway/src/listening/control_listener.ts
+++ b/packages/gateway/src/listening/control_listener.ts
@@ -1,5 +1,5 @@
-import { createServer, type RequestListener } from "node:http";
-import { parseAddress } from "@jasminetide/runtime/settings";
+import type { RequestListener } from "node:http";
+import { startInnerServer } from "./start_inner_server.ts";
 
 /** What the listener for peers and operators serves, by path. */
 export type ControlHandlers = {
@@ -11,11 +11,11 @@
 };
 
 /** Starts the listener for other gateways and for operators' tools. */
-export async function startControlListener(
+export function startControlListener(
   address: string,
   handlers: ControlHandlers,
 ): Promise<AsyncDisposable> {
-  const server = createServer((request, response) => {
+  return startInnerServer(address, (request, response) => {
     switch (request.url) {
       case "/metrics":
         response.setHeader("Content-Type", "text/plain; version=0.0.4");
@@ -29,16 +29,4 @@
         handlers.handlePeer(request, response);
     }
   });
-  const { ip, port } = parseAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, ip, resolve);
-  });
-  return {
-    [Symbol.asyncDispose]: async () => {
-      const closed = new Promise((resolve) => server.close(resolve));
-      server.closeAllConnections();
-      await closed;
-    },
-  };
 }
--- a/packages/gateway/src/requests/decide_next.ts
+++ b/packages/gateway/src/requests/decide_next.ts
@@ -49,9 +49,10 @@
     case "notRun":
       return hasTries ? "repeat" : giveUpUnrun(progress);
     case "answered":
-      return end.head.status >= 500 && hasTries && canRunAgain(progress)
-        ? "repeat"
-        : "answer";
+      if (end.head.status >= 500 && hasTries && canRunAgain(progress)) {
+        return "repeat";
+      }
+      return progress.hasBegun ? "breakOff" : "answer";
     case "broken":
       if (!hasTries || !canRunAgain(progress)) {
         return progress.hasBegun ? "breakOff" : "fail";
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -1,7 +1,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { chooseEngine, choosePlainRunner } from "@jasminetide/core/pools";
-import { AppError } from "@jasminetide/core/results";
+import { AppError, type ResultName } from "@jasminetide/core/results";
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { TimerSubscription } from "@jasminetide/core/timers";
@@ -14,6 +13,8 @@
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import { canRunAgain, decideNext, type NextStep } from "./decide_next.ts";
+import { describeEnd, getRunnerOutcome } from "./observe_end.ts";
+import { placeAttempt, type Placement } from "./place_attempt.ts";
 import { getPauseLimitMs, getStartLimitMs } from "./silence_limits.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { selectForwarded } from "./forwarded_headers.ts";
@@ -31,13 +32,6 @@
   deadlineMs: number;
 };
 
-/** Where an attempt goes. */
-type Placement = {
-  upstream: Upstream;
-  /** `ip:port` of an engine that may hold the shared part of the prompt. */
-  cacheSource: string | undefined;
-};
-
 /** What an exchange needs. */
 export type ExchangeOptions = {
   context: GatewayContext;
@@ -61,6 +55,9 @@
   #wasRefused = false;
   #runs = 0;
   #isOver = false;
+  /** Whether the caller, and the runner now, see where the answer ends. */
+  #hasBegunFramed = false;
+  #isFramed = false;
   #lastAnswer: Extract<AttemptEnd, { type: "answered" }> | undefined;
 
   private constructor(options: ExchangeOptions) {
@@ -84,7 +81,7 @@
   async #run(): Promise<void> {
     let step: NextStep = "repeat";
     while (!this.#isOver && (step === "repeat" || step === "resume")) {
-      const placement = this.#choose();
+      const placement = this.#place();
       if (placement === undefined || !this.#takeRepeat()) {
         this.#giveUp(placement === undefined ? "no runner" : "no budget");
         return;
@@ -110,44 +107,11 @@
     };
   }
 
-  #choose(): Placement | undefined {
-    const { context, admitted } = this.#options;
-    const all = context.directory.listReady(admitted.service);
-    const untried = all.filter(({ id }) => !this.#tried.has(id));
-    // A runner that has just refused has no room a moment later.
-    if (untried.length === 0 && this.#wasRefused) return undefined;
-    const runners = untried.length > 0 ? untried : all;
-    const nowMs = context.timers.nowMs();
-    const { failureDomain, random } = context;
-    const home = getHome(admitted.caller);
-    if (home === undefined) {
-      const upstream = choosePlainRunner(runners, {
-        nowMs,
-        random,
-        failureDomain,
-      });
-      return upstream && { upstream, cacheSource: undefined };
-    }
-    const { homeKey } = home;
-    const holders = context.holders.getHolders(homeKey, nowMs);
-    const choice = chooseEngine(runners, { ...home, nowMs, random, holders });
-    if (choice === undefined) return undefined;
-    const { runner: upstream } = choice;
-    const source = choice.isHolder
-      ? undefined
-      : this.#findLiveHolder(holders) ?? choice.otherHome;
-    context.holders.record(homeKey, upstream.id, nowMs);
-    return { upstream, cacheSource: source?.record.address };
-  }
-
-  /** Finds an engine that holds the shared part of the prompt. */
-  #findLiveHolder(holders: ReadonlySet<string>): Upstream | undefined {
-    const { directory, timers } = this.#options.context;
-    for (const id of holders) {
-      const upstream = directory.find(id);
-      if (upstream?.health.isAvoided(timers.nowMs()) === false) return upstream;
-    }
-    return undefined;
+  #place(): Placement | undefined {
+    const { admitted: { caller, service }, context } = this.#options;
+    const tried = this.#tried;
+    const wasRefused = this.#wasRefused;
+    return placeAttempt({ caller, service, tried, wasRefused }, context);
   }
 
   /** Takes a repeat from the budget; the first send is no repeat. */
@@ -260,45 +224,39 @@
         return whole.length === 0 || answer.write(whole);
       },
       onceWritable: (handler) => answer.onceWritable(handler),
-      end: () => {
-        const rest = this.#splitter.takePartial();
-        if (rest.length > 0) answer.write(rest);
-        answer.end();
-        return undefined;
-      },
+      end: () => this.#endStream(),
     };
   }
 
   #beginStream(head: AnswerHead): void {
     const { answer } = this.#options;
-    if (!answer.hasBegun) answer.begin(head);
+    this.#isFramed = head.isFramed;
+    if (answer.hasBegun) return;
+    this.#hasBegunFramed = head.isFramed;
+    answer.begin(head);
   }
 
-  #observe(upstream: Upstream, end: AttemptEnd): void {
-    const nowMs = this.#options.context.timers.nowMs();
-    const { health } = upstream;
-    switch (end.type) {
-      case "relayed":
-        health.observe("succeeded", nowMs);
-        return;
-      case "answered":
-        health.observe(end.head.status < 500 ? "succeeded" : "failed", nowMs);
-        return;
-      case "notRun":
-        health.observe("failed", nowMs);
-        return;
-      case "unsent":
-      case "broken":
-        health.observe("lost", nowMs);
-        return;
-      case "cancelled":
-        return;
+  /** Ends a stream; returns what forbids to call it complete, if anything. */
+  #endStream(): string | undefined {
+    const { answer } = this.#options;
+    if (this.#hasBegunFramed && !this.#isFramed) {
+      return "the end of a part without length cannot be told";
     }
+    const rest = this.#splitter.takePartial();
+    if (rest.length > 0) answer.write(rest);
+    answer.end();
+    return undefined;
+  }
+
+  #observe(upstream: Upstream, end: AttemptEnd): void {
+    const outcome = getRunnerOutcome(end);
+    if (outcome === undefined) return;
+    upstream.health.observe(outcome, this.#options.context.timers.nowMs());
   }
 
   #finish(step: NextStep, end: AttemptEnd): void {
     const { answer } = this.#options;
-    this.#log("attempt-ended", { end: end.type, step, ...describeEnd(end) });
+    this.#log("attempt-ended", { step, ...describeEnd(end) });
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
     switch (step) {
@@ -331,9 +289,7 @@
     this.#isOver = true;
     const { answer } = this.#options;
     if (answer.hasBegun) answer.breakOff();
-    else if (this.#lastAnswer !== undefined) {
-      answer.sendWhole(this.#lastAnswer.head, this.#lastAnswer.body);
-    } else if (this.#runs > 0) this.#fail("No other runner could be tried");
+    else if (this.#runs > 0) this.#fail("No other runner could be tried");
     else this.#refuse("No runner is free");
   }
 
@@ -343,8 +299,12 @@
     answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
   }
 
-  #fail(message: string): void {
-    this.#options.answer.sendError(AppError.create("runnerFailed", message));
+  /** Tells of a failure: with a runner's own answer where there is one. */
+  #fail(message: string, result: ResultName = "runnerFailed"): void {
+    const { answer } = this.#options;
+    const last = this.#lastAnswer;
+    if (last !== undefined) answer.sendWhole(last.head, last.body);
+    else answer.sendError(AppError.create(result, message));
   }
 
   /** Gives the final answer when the time limit is reached. */
@@ -358,9 +318,7 @@
     this.#log("expired", { mayHaveRun, hasBegun: answer.hasBegun });
     if (answer.hasBegun) answer.breakOff();
     else if (mayHaveRun) {
-      answer.sendError(
-        AppError.create("deadlineExceeded", "No answer within the time limit"),
-      );
+      this.#fail("No answer within the time limit", "deadlineExceeded");
     } else this.#refuse("Not sent within the time limit");
   }
 
@@ -384,20 +342,6 @@
   }
 }
 
-/**
- * Finds the part of a prompt that decides which engine is its home: the last
- * that is shared with other requests. The very last belongs to the request.
- */
-function getHome(
-  { prompt }: CallerRequest,
-): { homeKey: string; sharedTokens: number } | undefined {
-  const shared = prompt.length > 1 ? prompt.slice(0, -1) : prompt;
-  const homeKey = shared.at(-1)?.id;
-  if (homeKey === undefined) return undefined;
-  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
-  return { homeKey, sharedTokens };
-}
-
 /** Spreads returning callers over the time in which places come free. */
 function chooseRetryAfterMs(random: number): number {
   return minRetryAfterMs + random * retryAfterSpreadMs;
@@ -405,8 +349,3 @@
 
 const minRetryAfterMs = 150;
 const retryAfterSpreadMs = 350;
-
-function describeEnd(end: AttemptEnd): Record<string, string | number> {
-  if ("reason" in end) return { reason: end.reason };
-  return "head" in end ? { status: end.head.status } : {};
-}
--- /dev/null
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -0,0 +1,28 @@
+import type { RunnerOutcome } from "@jasminetide/core/pools";
+import type { AttemptEnd } from "./attempt.ts";
+
+/** What the end of an attempt says of its runner's health, if anything. */
+export function getRunnerOutcome(end: AttemptEnd): RunnerOutcome | undefined {
+  switch (end.type) {
+    case "relayed":
+      return "succeeded";
+    case "answered":
+      return end.head.status < 500 ? "succeeded" : "failed";
+    case "notRun":
+      return "failed";
+    case "unsent":
+    case "broken":
+      return "lost";
+    case "cancelled":
+      return undefined;
+  }
+}
+
+/** Describes an end for a log line. */
+export function describeEnd(
+  end: AttemptEnd,
+): { end: string; reason?: string; status?: number } {
+  if ("reason" in end) return { end: end.type, reason: end.reason };
+  if ("head" in end) return { end: end.type, status: end.head.status };
+  return { end: end.type };
+}
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -116,6 +116,24 @@
     When a caller sends "/story/1"
     Then the caller gets events "1 2 3 4" once each and a regular end
 
+  Scenario: A stream that goes on without length never looks complete
+    Given a runner "second"
+    And the runner that is tried first breaks off in event 3, the other has no length
+    When a caller sends "/story/1"
+    Then the caller gets events "1 2 3 4" and no regular end
+
+  Scenario: A stream that another runner refuses to go on with is cut off
+    Given a runner "second"
+    And the runner that is tried first breaks off in event 3, the other answers 404
+    When a caller sends "/story/1"
+    Then the caller gets events "1 2" and no regular end
+
+  Scenario: A runner's failure goes before one of the gateway
+    Given a runner "second"
+    And the runner that is tried first answers 500, the other closes unanswered
+    When a caller sends "/lookup/1"
+    Then the caller gets status 500
+
   Scenario: Prompts with a shared part share an engine
     Given a runner "second"
     And both runners answer "ok"
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -286,6 +286,43 @@
   },
 );
 
+const goOnWithoutLength: Script = ({ attemptId, socket }) =>
+  socket.end(
+    `${formatHead(attemptId)}Connection: close\r\n\r\n` +
+      formatEvents([3, 4]),
+  );
+
+Given(
+  "the runner that is tried first breaks off in event 3, the other has no length",
+  function (this: World) {
+    setScripts(this, breakOffInThird, goOnWithoutLength);
+  },
+);
+
+Given(
+  "the runner that is tried first breaks off in event 3, the other answers {int}",
+  function (this: World, status: number) {
+    setScripts(
+      this,
+      breakOffInThird,
+      ({ attemptId, socket }) =>
+        socket.write(formatAnswer(attemptId, "no", `${status} No`)),
+    );
+  },
+);
+
+Given(
+  "the runner that is tried first answers {int}, the other closes unanswered",
+  function (this: World, status: number) {
+    setScripts(
+      this,
+      ({ attemptId, socket }) =>
+        socket.write(formatAnswer(attemptId, "no", `${status} No`)),
+      ({ socket }) => socket.destroy(),
+    );
+  },
+);
+
 Given("the runner breaks off in event 3", function (this: World) {
   setScript(this, breakOffInThird);
 });
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -6,11 +6,11 @@
   type DeclaredWorkspace,
   type RouteTable,
 } from "@jasminetide/core/routes";
+import { readBody } from "@jasminetide/runtime/http";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { Exchange } from "./exchange.ts";
-import { readWholeBody } from "./read_body.ts";
 
 /** Answers one request of a caller; never throws. */
 export async function serveRequest(
@@ -32,7 +32,8 @@
       version: context.getRoutes()?.declaration.version,
       limitMs: admission.limitMs,
     });
-    const body = await readWholeBody(request, admission.maxBodyBytes);
+    const body = await readBody(request, admission.maxBodyBytes)
+      .catch(ignoreLeaving);
     if (body === undefined) return;
     const deadlineMs = arrivedAtMs + admission.limitMs;
     const admitted = { ...admission, deadlineMs, body, caller };
@@ -63,6 +64,11 @@
   trace.close({ isFailed: answer.status >= 400 || answer.isBrokenOff });
 }
 
+/** A body that breaks off needs no answer: its caller has left. */
+function ignoreLeaving(thrown: unknown): undefined {
+  if (thrown instanceof AppError) throw thrown;
+}
+
 type Admission = {
   route: DeclaredRoute;
   service: string;
