Let a gateway that starts without a store learn from its seeds

Cause: a gateway that was restarted while the store turned it away knew nobody and stayed unready. Change: it answers peers on its control address and asks the seeds of its settings besides the gateways that the store names.

--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -145,7 +145,7 @@
   }
 
   #followPeers(): void {
-    const { registry, settings } = this.#options;
+    const { registry } = this.#options;
     this.#resources.use(ObjectFollower.create({
       ...this.#options,
       name: "gateways",
@@ -163,15 +163,21 @@
         version: this.declarationVersion,
         revision: this.#runnersRevision,
       }),
-      listPeers: () =>
-        [...this.#peers.values()]
-          .map(({ address }) => address)
-          .filter((address) => address !== settings.peerAddress),
+      listPeers: () => this.#listPeerAddresses(),
       ask: askPeer,
       onNews: (news) => this.#applyNews(news),
     }));
   }
 
+  /** Addresses of the other gateways, from the store and the settings. */
+  #listPeerAddresses(): string[] {
+    const { peerAddress, seedAddresses } = this.#options.settings;
+    const addresses = new Set(seedAddresses);
+    for (const { address } of this.#peers.values()) addresses.add(address);
+    addresses.delete(peerAddress);
+    return [...addresses];
+  }
+
   /** Tells the store where this gateway is, until it has answered. */
   async #announce(): Promise<void> {
     const { logger, registry, settings, timers } = this.#options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
   readonly #fleet: FleetView;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
+  #peerAddress = "";
   #isStopping = false;
   #openRequests = 0;
 
@@ -88,6 +89,11 @@
     return this.#listener.address;
   }
 
+  /** `ip:port` for other gateways and operators' tools. */
+  get peerAddress(): string {
+    return this.#peerAddress;
+  }
+
   /** Runners that are known, draining ones too. */
   get runnerCount(): number {
     return this.#fleet.directory.listRecords().length;
@@ -137,13 +143,12 @@
         () => this.isReady,
       ),
     );
-    this.#resources.use(
-      await startControlListener(settings.peerAddress, {
-        handlePeer: createPeerHandler(() => this.#fleet.getState()),
-        formatMetrics: () => formatMetrics(this.#metrics.getSnapshot()),
-        getDump: () => this.#getDump(),
-      }),
-    );
+    const control = await startControlListener(settings.peerAddress, {
+      handlePeer: createPeerHandler(() => this.#fleet.getState()),
+      formatMetrics: () => formatMetrics(this.#metrics.getSnapshot()),
+      getDump: () => this.#getDump(),
+    });
+    this.#peerAddress = this.#resources.use(control).address;
   }
 
   #getDump() {
--- a/packages/gateway/src/listening/control_listener.ts
+++ b/packages/gateway/src/listening/control_listener.ts
@@ -1,5 +1,5 @@
 import type { RequestListener } from "node:http";
-import { startInnerServer } from "./start_inner_server.ts";
+import { type InnerServer, startInnerServer } from "./start_inner_server.ts";
 
 /** What the listener for peers and operators serves, by path. */
 export type ControlHandlers = {
@@ -14,7 +14,7 @@
 export function startControlListener(
   address: string,
   handlers: ControlHandlers,
-): Promise<AsyncDisposable> {
+): Promise<InnerServer> {
   return startInnerServer(address, (request, response) => {
     switch (request.url) {
       case "/metrics":
--- a/packages/gateway/src/peers/peers.feature
+++ b/packages/gateway/src/peers/peers.feature
@@ -23,3 +23,8 @@
     And this gateway has declaration 7, revision 30 and no store
     When 1000 ms go by
     Then it has learnt nothing
+
+  Scenario: A gateway that starts while the store is away learns from a seed
+    Given a gateway that has declaration 5 and a runner
+    When another one starts with that one as seed and no store
+    Then it becomes ready with declaration 5
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -4,9 +4,15 @@
 import type { AddressInfo } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createSeededRandom } from "@jasminetide/core/random";
-import { VirtualTimerService } from "@jasminetide/core/timers";
+import { VirtualTimerService, wait } from "@jasminetide/core/timers";
+import { RealTimerService } from "@jasminetide/runtime/clock";
 import { createSilentLogger } from "@jasminetide/runtime/logging";
-import { createDeclaration, createRunnerRecord } from "../test_support/mod.ts";
+import {
+  createDeclaration,
+  createRunnerRecord,
+  startTestGateway,
+  type TestGateway,
+} from "../test_support/mod.ts";
 import {
   askPeer,
   createPeerHandler,
@@ -21,6 +27,8 @@
   peerFollower: PeerFollower;
   questions: Promise<unknown>[];
   news: Partial<GatewayState>[];
+  seed: TestGateway;
+  starting: TestGateway;
 };
 
 Given(
@@ -97,3 +105,42 @@
 Then("it has learnt nothing", function (this: World) {
   assert.equal(this.news.length, 0);
 });
+
+Given(
+  "a gateway that has declaration {int} and a runner",
+  async function (this: World, version: number) {
+    this.seed = await startTestGateway();
+    this.seed.declarations.put("main", createDeclaration(version));
+    this.seed.runners.put("r", createRunnerRecord("r", "127.0.0.1:1"));
+    await waitUntilReady(this.seed);
+  },
+);
+
+async function waitUntilReady({ gateway }: TestGateway): Promise<void> {
+  while (!gateway.isReady || gateway.runnerCount === 0) {
+    await wait(RealTimerService.create(), 1);
+  }
+}
+
+When(
+  "another one starts with that one as seed and no store",
+  async function (this: World) {
+    this.starting = await startTestGateway({
+      seedAddresses: [this.seed.gateway.peerAddress],
+      isStoreAway: true,
+    });
+  },
+);
+
+Then(
+  "it becomes ready with declaration {int}",
+  async function (this: World, version: number) {
+    await waitUntilReady(this.starting);
+    assert.equal(this.starting.gateway.declarationVersion, version);
+  },
+);
+
+After(async function (this: World) {
+  await this.seed?.gateway[Symbol.asyncDispose]();
+  await this.starting?.gateway[Symbol.asyncDispose]();
+});
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -15,6 +15,8 @@
   readinessAddress: addressSchema,
   /** Address for the other gateways. */
   peerAddress: addressSchema,
+  /** Gateways to ask before the store has named the others. */
+  seedAddresses: z.array(addressSchema).default([]),
   platform: z.strictObject({
     address: addressSchema,
     /** Time in which a connection that went silent must be noticed. */
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -94,12 +94,23 @@
   runners: TestSource<RunnerRecord>;
 };
 
+/** In what a gateway differs from the others of the tests. */
+export type TestGatewayOptions = {
+  logger?: Logger;
+  sampleShare?: number;
+  seedAddresses?: string[];
+  /** Whether its store is away from the beginning. */
+  isStoreAway?: boolean;
+};
+
 /** Starts a gateway on free ports of the loopback address. */
 export async function startTestGateway(
-  options: { logger?: Logger; sampleShare?: number } = {},
+  options: TestGatewayOptions = {},
 ): Promise<TestGateway> {
   const declarations = TestSource.create<RoutingDeclaration>();
   const runners = TestSource.create<RunnerRecord>();
+  declarations.setAway(options.isStoreAway === true);
+  runners.setAway(options.isStoreAway === true);
   const gateway = await Gateway.create({
     settings: gatewaySettingsSchema.parse({
       name: "gateway-1",
@@ -108,6 +119,7 @@
       callerAddress: "127.0.0.1:0",
       readinessAddress: "127.0.0.1:0",
       peerAddress: "127.0.0.1:0",
+      seedAddresses: options.seedAddresses ?? [],
       platform: { address: "127.0.0.1:1" },
       stop: { noticeMs: 1, graceSeconds: 5 },
       repeats: { ratio: 1, slack: 100 },
