Drop what nothing uses, name functions by the list of verbs

Cause: a read of the change as a newcomer: an unused setting, getters without readers, a parameter that was always undefined, verbs outside docs/verbs.md. Conclusion: behaviour stays.

--- a/packages/core/src/pools/choose_runner.ts
+++ b/packages/core/src/pools/choose_runner.ts
@@ -30,7 +30,7 @@
   runners: readonly Runner[],
   context: PlainChoiceContext,
 ): Runner | undefined {
-  return chooseLeast(preferHealthy(runners, context.nowMs), (runner) => {
+  return chooseLeast(selectHealthy(runners, context.nowMs), (runner) => {
     const load = runner.load.getEstimate(context.nowMs) / runner.slots;
     const failures = runner.health.getFailureShare(context.nowMs);
     const distance = runner.failureDomain === context.failureDomain
@@ -81,7 +81,7 @@
   context: EngineChoiceContext,
 ): EngineChoice<Runner> | undefined {
   const { holders, homeKey, nowMs, sharedTokens } = context;
-  const candidates = preferHealthy(runners, nowMs);
+  const candidates = selectHealthy(runners, nowMs);
   const bound = getLoadBound(candidates, { nowMs, sharedTokens });
   const key = hash32(homeKey);
   const ranked = candidates
@@ -147,7 +147,7 @@
 const boundSlack = 3;
 
 /** Leaves out runners that are being avoided, unless all are. */
-function preferHealthy<Runner extends PoolRunner>(
+function selectHealthy<Runner extends PoolRunner>(
   runners: readonly Runner[],
   nowMs: number,
 ): readonly Runner[] {
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -71,19 +71,19 @@
     while (!this.#isStopped) {
       this.#calledAtMs = this.#options.timers.nowMs();
       try {
-        await this.#step();
-        this.#regain();
+        await this.#runOnce();
+        this.#recordReturn();
       } catch (thrown) {
-        await this.#backOff(thrown);
+        await this.#waitBeforeRetry(thrown);
       }
     }
   }
 
-  async #step(): Promise<void> {
+  async #runOnce(): Promise<void> {
     const { source, watchMs } = this.#options;
     if (this.#revision === undefined) {
       const { objects, revision } = await source.list();
-      this.#regain();
+      this.#recordReturn();
       this.#replace(objects);
       this.#revision = revision;
       return;
@@ -91,7 +91,7 @@
     // While the store does not answer, short calls notice its return sooner.
     const waitMs = this.#failures > 0 ? probeWaitMs : watchMs;
     const result = await source.watch(this.#revision, waitMs);
-    this.#regain();
+    this.#recordReturn();
     if (result.type === "expired") {
       this.#options.logger.info("history-expired", {
         kind: this.#options.name,
@@ -100,7 +100,9 @@
       this.#revision = undefined;
       return;
     }
-    for (const { name, value } of result.changes) this.#change(name, value);
+    for (const { name, value } of result.changes) {
+      this.#applyChange(name, value);
+    }
     this.#revision = result.revision;
     if (result.changes.length === 0) return;
     this.#publish();
@@ -110,13 +112,13 @@
 
   #replace(objects: Map<string, Value>): void {
     for (const name of this.#objects.keys()) {
-      if (!objects.has(name)) this.#change(name, undefined);
+      if (!objects.has(name)) this.#applyChange(name, undefined);
     }
-    for (const [name, value] of objects) this.#change(name, value);
+    for (const [name, value] of objects) this.#applyChange(name, value);
     this.#publish();
   }
 
-  #change(name: string, value: Value | undefined): void {
+  #applyChange(name: string, value: Value | undefined): void {
     if (value !== undefined) {
       this.#missing.delete(name);
       this.#objects.set(name, value);
@@ -132,7 +134,7 @@
   }
 
   /** Takes in that the store answers, after an outage too. */
-  #regain(): void {
+  #recordReturn(): void {
     if (this.#failures === 0) return;
     const { keepMissingMs, logger, name, timers } = this.#options;
     logger.info("store-regained", { kind: name, failures: this.#failures });
@@ -152,7 +154,7 @@
     this.#publish();
   }
 
-  async #backOff(thrown: unknown): Promise<void> {
+  async #waitBeforeRetry(thrown: unknown): Promise<void> {
     const { logger, name, random, timers } = this.#options;
     const error = normalizeError(thrown);
     this.#failures += 1;
--- a/packages/gateway/src/requests/event_splitter.ts
+++ b/packages/gateway/src/requests/event_splitter.ts
@@ -10,13 +10,11 @@
   #partial: Buffer = Buffer.alloc(0);
   #lastId: string | undefined;
 
-  private constructor(lastId: string | undefined) {
-    this.#lastId = lastId;
-  }
+  private constructor() {}
 
-  /** Creates a splitter for a stream that goes on after an event, if any. */
-  static create(lastId: string | undefined): EventSplitter {
-    return new EventSplitter(lastId);
+  /** Creates a splitter at the start of a stream. */
+  static create(): EventSplitter {
+    return new EventSplitter();
   }
 
   /** Id of the last whole event. */
@@ -24,11 +22,6 @@
     return this.#lastId;
   }
 
-  /** Whether part of an event is held back. */
-  get hasPartial(): boolean {
-    return this.#partial.length > 0;
-  }
-
   /** Takes bytes in and returns those up to the end of the last whole event. */
   append(bytes: Buffer): Buffer {
     const all = this.#partial.length === 0
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -46,7 +46,7 @@
 export class Exchange {
   readonly #options: ExchangeOptions;
   readonly #tried = new Set<string>();
-  readonly #splitter: EventSplitter;
+  readonly #splitter = EventSplitter.create();
   #attempt: Attempt | undefined;
   #silence: SilenceWatch | undefined;
   #sentAtMs = 0;
@@ -62,7 +62,6 @@
 
   private constructor(options: ExchangeOptions) {
     this.#options = options;
-    this.#splitter = EventSplitter.create(undefined);
   }
 
   /** Serves a request; resolves when its caller was answered or has left. */
@@ -91,7 +90,7 @@
       if (this.#isOver) return;
       step = decideNext(end, this.#getProgress());
       this.#observe(placement.upstream, end);
-      this.#finish(step, end);
+      this.#applyStep(step, end);
     }
   }
 
@@ -254,7 +253,7 @@
     upstream.health.observe(outcome, this.#options.context.timers.nowMs());
   }
 
-  #finish(step: NextStep, end: AttemptEnd): void {
+  #applyStep(step: NextStep, end: AttemptEnd): void {
     const { answer } = this.#options;
     this.#log("attempt-ended", { step, ...describeEnd(end) });
     if (end.type === "answered") this.#lastAnswer = end;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -7,7 +7,6 @@
 export const gatewaySettingsSchema = z.strictObject({
   /** Name of the process, unique in the fleet. */
   name: z.string().min(1),
-  host: z.string().min(1),
   failureDomain: z.string().min(1),
   /** Address for callers. */
   callerAddress: addressSchema,
--- a/packages/gateway/src/settings_test.ts
+++ b/packages/gateway/src/settings_test.ts
@@ -22,7 +22,6 @@
 
 const exampleSettings = {
   name: "gateway-1",
-  host: "host-1",
   failureDomain: "a",
   callerAddress: "127.0.0.1:1",
   readinessAddress: "127.0.0.1:2",
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -114,7 +114,6 @@
   const gateway = await Gateway.create({
     settings: gatewaySettingsSchema.parse({
       name: "gateway-1",
-      host: "host-1",
       failureDomain: "a",
       callerAddress: "127.0.0.1:0",
       readinessAddress: "127.0.0.1:0",
--- a/packages/gateway/src/test_support/test_source.ts
+++ b/packages/gateway/src/test_support/test_source.ts
@@ -35,13 +35,13 @@
     if (value === undefined) this.#objects.delete(name);
     else this.#objects.set(name, value);
     this.#changes.push({ name, value });
-    this.#wake();
+    this.#notify();
   }
 
   /** Takes the store away or brings it back. */
   setAway(isAway: boolean): void {
     this.#isAway = isAway;
-    this.#wake();
+    this.#notify();
   }
 
   list(): Promise<{ objects: Map<string, Value>; revision: number }> {
@@ -69,7 +69,7 @@
     return { type: "changes", changes, revision: this.#changes.length };
   }
 
-  #wake(): void {
+  #notify(): void {
     for (const { notify } of this.#waiting.splice(0)) notify();
   }
 }
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -71,7 +71,7 @@
   }
 
   /** Takes in the regular end of the connection; an error if it came early. */
-  finish(): Error | undefined {
+  end(): Error | undefined {
     return this.#parser.finish() ?? undefined;
   }
 }
--- a/packages/gateway/src/upstreams/connection_pool.ts
+++ b/packages/gateway/src/upstreams/connection_pool.ts
@@ -8,7 +8,6 @@
 export class ConnectionPool {
   readonly #options: ConnectionPoolOptions;
   readonly #idle: RunnerConnection[] = [];
-  readonly #all = new Set<RunnerConnection>();
   #isClosing = false;
 
   private constructor(options: ConnectionPoolOptions) {
@@ -36,13 +35,11 @@
    *
    * @throws AppError `runnerUnreachable`.
    */
-  async open(): Promise<RunnerConnection> {
-    const connection = await RunnerConnection.open({
+  open(): Promise<RunnerConnection> {
+    return RunnerConnection.open({
       ...this.#options,
       onClosed: (closed) => this.#forget(closed),
     });
-    this.#all.add(connection);
-    return connection;
   }
 
   /** Gives back a connection whose answer is complete. */
@@ -58,13 +55,7 @@
     for (const connection of this.#idle.splice(0)) connection.destroy();
   }
 
-  /** Connections that are open. */
-  get size(): number {
-    return this.#all.size;
-  }
-
   #forget(connection: RunnerConnection): void {
-    this.#all.delete(connection);
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
   }
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -25,11 +25,6 @@
     return this.#byService.get(service) ?? [];
   }
 
-  /** Whether any runner takes new requests. */
-  get hasReady(): boolean {
-    return this.#byService.size > 0;
-  }
-
   /** Records of all runners, draining ones too. */
   listRecords(): RunnerRecord[] {
     return [...this.#upstreams.values()].map(({ record }) => record);
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -59,7 +59,7 @@
       onComplete: (hasMore) => this.#complete(hasMore),
     }, () => this.#isHeadRequest);
     socket.on("data", (bytes) => this.#read(bytes));
-    socket.on("end", () => this.#finish());
+    socket.on("end", () => this.#takeEnd());
     socket.on("error", (error) => this.#break(error.message));
     socket.on("close", () => this.#break("connection closed"));
   }
@@ -156,7 +156,7 @@
   }
 
   /** The other end closed, which ends an answer without length. */
-  #finish(): void {
+  #takeEnd(): void {
     this.#canStay = false;
     // The event loop reports a reset as a regular end where it comes right
     // after bytes, but a socket that was reset has no other end any more.
@@ -164,9 +164,7 @@
       this.#break("connection reset");
       return;
     }
-    const error = this.#listener === undefined
-      ? undefined
-      : this.#parser.finish();
+    const error = this.#listener === undefined ? undefined : this.#parser.end();
     this.#break(error?.message ?? "connection ended");
   }
 
