Check settings of gateways with the operator's program

Cause: jasminetide check knew no gateways. Change: their settings are a kind of document of its own; an example. Conclusion: dump works by ip:port; status and explain know no gateways yet.

--- a/packages/operator/src/check/check.feature
+++ b/packages/operator/src/check/check.feature
@@ -9,6 +9,13 @@
       | examples/local      | 10    |
       | examples/vozikovy   | 23    |
       | examples/lanternway | 21    |
+      | examples/gateway    | 1     |
+
+  Scenario: Every fault of a gateway's settings is named with its place
+    Given a gateway's settings with a text as slack and without a caller address
+    When the copy is checked
+    Then the report names "gateways/gateway_1.jsonc" at "repeats.slack" and says "number"
+    And the report names "gateways/gateway_1.jsonc" at "callerAddress" and says "string"
 
   Scenario Outline: Faults between the documents of a fleet are found
     Given a copy of the local fleet whose "<file>" has <found> in place of <old>
--- a/packages/operator/src/check/check_test.ts
+++ b/packages/operator/src/check/check_test.ts
@@ -38,6 +38,22 @@
   },
 );
 
+Given(
+  "a gateway's settings with a text as slack and without a caller address",
+  async function (this: World) {
+    this.checkFolder = await mkdtemp(join(tmpdir(), "jasminetide-"));
+    const source = join(root, "examples/gateway");
+    await cp(source, this.checkFolder, { recursive: true });
+    const path = join(this.checkFolder, "gateways/gateway_1.jsonc");
+    const text = await readFile(path, "utf8");
+    await writeFile(
+      path,
+      text.replace('"slack": 54', '"slack": "54"')
+        .replace(/ {2}"callerAddress".*\n/, ""),
+    );
+  },
+);
+
 After(async function (this: World) {
   if (this.checkFolder !== undefined) {
     await rm(this.checkFolder, { recursive: true });
