--- a/packages/gateway/src/peers/peer_news.ts
+++ b/packages/gateway/src/peers/peer_news.ts
@@ -3,6 +3,7 @@
 import { initTRPC } from "@trpc/server";
 import type { RequestListener } from "node:http";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
+import { SilenceLimit } from "@jasminetide/runtime/clock";
 import * as z from "zod";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 
@@ -69,17 +70,37 @@
 }
 
 /** Asks another gateway for what is newer; rejects when it does not answer. */
-export function askPeer(
+export async function askPeer(
   address: string,
   known: KnownState,
 ): Promise<Partial<GatewayState>> {
+  using limit = SilenceLimit.create(answerLimits);
   const client = createTRPCClient<PeerRouter>({
-    links: [httpLink({ url: `http://${address}${rpcPath}` })],
+    links: [httpLink({
+      url: `http://${address}${rpcPath}`,
+      fetch: (input, init) => fetchInParts(input as URL | string, init, limit),
+    })],
   });
-  return client.getNews.query(known, {
-    signal: AbortSignal.timeout(answerLimitMs),
-  }) as Promise<Partial<GatewayState>>;
+  const news = await client.getNews.query(known, { signal: limit.signal });
+  return news as Partial<GatewayState>;
 }
 
-/** A peer that does not answer by then is asked again later. */
-const answerLimitMs = 400;
+/** Tells the limit of each part of an answer as it comes. */
+async function fetchInParts(
+  input: URL | string,
+  init: RequestInit | undefined,
+  limit: SilenceLimit,
+): Promise<Response> {
+  const response = await fetch(input, init);
+  limit.recordPart();
+  const parts = new TransformStream<Uint8Array, Uint8Array>({
+    transform: (part, controller) => {
+      limit.recordPart();
+      controller.enqueue(part);
+    },
+  });
+  return new Response(response.body?.pipeThrough(parts), response);
+}
+
+/** A peer that falls silent is left; another is asked soon. */
+const answerLimits = { firstMs: 400, pauseMs: 400, totalMs: 5000 } as const;
--- a/packages/gateway/src/peers/peers.feature
+++ b/packages/gateway/src/peers/peers.feature
@@ -8,6 +8,12 @@
     When 1000 ms go by
     Then it has learnt declaration 9 and the runners of revision 40
 
+  Scenario: News that comes slowly over a small link is waited for
+    Given news that takes 1200 ms to pass
+    And this gateway has declaration 7, revision 30 and no store
+    When 1000 ms go by
+    Then it has learnt declaration 9 and the runners of revision 40
+
   Scenario: What is known already is not sent
     Given this gateway has declaration 9, revision 40 and no store
     When 1000 ms go by
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createSeededRandom } from "@jasminetide/core/random";
@@ -22,6 +23,8 @@
 
 type World = {
   peerServer: Server;
+  /** Time that news of the other gateway takes to pass. */
+  newsMs: number;
   peerState: GatewayState | undefined;
   peerTimers: VirtualTimerService;
   peerFollower: PeerFollower;
@@ -39,12 +42,47 @@
       revision,
       runners: [createRunnerRecord("r", "127.0.0.1:1")],
     };
-    this.peerServer = createServer(createPeerHandler(() => this.peerState));
+    const handle = createPeerHandler(() => this.peerState);
+    this.peerServer = createServer((request, response) => {
+      if (this.newsMs > 0) slowDown(response, this.newsMs);
+      handle(request, response);
+    });
+    this.newsMs = 0;
     this.peerServer.listen(0, "127.0.0.1");
     await once(this.peerServer, "listening");
   },
 );
 
+/** Lets a body pass in equal parts, as over a link that is nearly full. */
+function slowDown(response: ServerResponse, durationMs: number): void {
+  const parts = 4;
+  const timers = RealTimerService.create();
+  const write = response.write.bind(response) as (text: string) => boolean;
+  const end = response.end.bind(response);
+  let text = "";
+  response.write = (chunk: Uint8Array) => {
+    text += Buffer.from(chunk).toString();
+    return true;
+  };
+  response.end = () => {
+    void sendParts();
+    return response;
+  };
+  const sendParts = async () => {
+    const size = Math.ceil(text.length / parts);
+    response.flushHeaders();
+    for (let part = 0; part < parts; part++) {
+      await wait(timers, durationMs / parts);
+      write(text.slice(part * size, (part + 1) * size));
+    }
+    end();
+  };
+}
+
+Given("news that takes {int} ms to pass", function (this: World, ms: number) {
+  this.newsMs = ms;
+});
+
 After(async function (this: World) {
   this.peerFollower?.[Symbol.dispose]();
   if (this.peerServer === undefined) return;
