Show gateways side by side and explain a request as one sees it

Operators had check and dump for gateways. `gateways status` asks several at their peers' listeners and names what is behind, not ready or silent; `gateways explain` asks one over tRPC what it would do with a request: route, standing of the key, workspace, services and runners with load and health. The key goes in a body, not in a URL.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import { createPeerHandler, type PeerRegistry } from "./peers/mod.ts";
 import type { WireProtocol } from "./protocol.ts";
 import { RequestLog } from "./request_log.ts";
-import { serveRequest } from "./requests/mod.ts";
+import { explainRequest, serveRequest } from "./requests/mod.ts";
 import type { GatewaySettings } from "./settings.ts";
 import type { RunnerRecord } from "./upstreams/mod.ts";
 
@@ -144,7 +144,10 @@
       ),
     );
     const control = await startControlListener(settings.peerAddress, {
-      handlePeer: createPeerHandler(() => this.#fleet.getState()),
+      handlePeer: createPeerHandler({
+        getState: () => this.#fleet.getState(),
+        explainRequest: (question) => explainRequest(question, this.#context),
+      }),
       formatMetrics: () => formatMetrics(this.#metrics.getSnapshot()),
       getDump: () => this.#getDump(),
     });
--- a/packages/gateway/src/peers/peer_news.ts
+++ b/packages/gateway/src/peers/peer_news.ts
@@ -5,6 +5,11 @@
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import { SilenceLimit } from "@jasminetide/runtime/clock";
 import * as z from "zod";
+import {
+  type RequestExplanation,
+  type RequestQuestion,
+  requestQuestionSchema,
+} from "../requests/explain_request.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 
 /** The newest state that a gateway has from the store itself. */
@@ -27,13 +32,24 @@
 /** What the asking gateway has already. */
 export type KnownState = z.output<typeof knownSchema>;
 
-function createPeerRouter(getState: () => GatewayState | undefined) {
+/** Answers the questions of other gateways and of operators. */
+export type PeerHandlers = {
+  /** Gives nothing while the store does not answer. */
+  getState: () => GatewayState | undefined;
+  explainRequest: (question: RequestQuestion) => RequestExplanation;
+};
+
+function createPeerRouter(handlers: PeerHandlers) {
   const { procedure, router } = initTRPC.create();
   return router({
     /** Gives what is newer than what the asking gateway has. */
     getNews: procedure.input(knownSchema).query(({ input }) =>
-      selectNews(getState(), input)
+      selectNews(handlers.getState(), input)
     ),
+    /** A mutation, so that no API key stands in a URL. */
+    explainRequest: procedure.input(requestQuestionSchema).mutation((
+      { input },
+    ) => handlers.explainRequest(input)),
   });
 }
 
@@ -54,21 +70,33 @@
   };
 }
 
-/**
- * Creates the handler of other gateways' questions.
- *
- * @param getState gives nothing while the store does not answer.
- */
-export function createPeerHandler(
-  getState: () => GatewayState | undefined,
-): RequestListener {
+/** Creates the handler of other gateways' and operators' questions. */
+export function createPeerHandler(handlers: PeerHandlers): RequestListener {
   const handle = createHTTPHandler({
-    router: createPeerRouter(getState),
+    router: createPeerRouter(handlers),
     basePath: `${rpcPath}/`,
   });
   return (request, response) => void handle(request, response);
 }
 
+/**
+ * Asks a gateway what it would do with a request; rejects when it does not
+ * answer.
+ *
+ * @param address `ip:port` of its listener for peers and operators.
+ */
+export function askForExplanation(
+  address: string,
+  question: RequestQuestion,
+): Promise<RequestExplanation> {
+  const client = createTRPCClient<PeerRouter>({
+    links: [httpLink({ url: `http://${address}${rpcPath}` })],
+  });
+  return client.explainRequest.mutate(question, {
+    signal: AbortSignal.timeout(operatorAnswerLimitMs),
+  }) as Promise<RequestExplanation>;
+}
+
 /** Asks another gateway for what is newer; rejects when it does not answer. */
 export async function askPeer(
   address: string,
@@ -102,5 +130,8 @@
   return new Response(response.body?.pipeThrough(parts), response);
 }
 
+/** An operator asks seldom and may wait for a gateway under load. */
+const operatorAnswerLimitMs = 3000;
+
 /** A peer that falls silent is left; another is asked soon. */
 const answerLimits = { firstMs: 400, pauseMs: 400, totalMs: 5000 } as const;
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -42,7 +42,10 @@
       revision,
       runners: [createRunnerRecord("r", "127.0.0.1:1")],
     };
-    const handle = createPeerHandler(() => this.peerState);
+    const handle = createPeerHandler({
+      getState: () => this.peerState,
+      explainRequest: () => ({ version: 0, key: "notNeeded", services: [] }),
+    });
     this.peerServer = createServer((request, response) => {
       if (this.newsMs > 0) slowDown(response, this.newsMs);
       handle(request, response);
--- a/packages/gateway/src/requests/mod.ts
+++ b/packages/gateway/src/requests/mod.ts
@@ -4,5 +4,6 @@
 export * from "./decide_next.ts";
 export * from "./event_splitter.ts";
 export * from "./exchange.ts";
+export * from "./explain_request.ts";
 export * from "./forwarded_headers.ts";
 export * from "./serve_request.ts";
--- a/packages/operator/src/commands/program.ts
+++ b/packages/operator/src/commands/program.ts
@@ -14,6 +14,7 @@
   createDumpCommand,
   createStatusCommand,
 } from "./fleet_commands.ts";
+import { createGatewaysCommand } from "./gateway_commands.ts";
 import { createLedgerCommand } from "./ledger_commands.ts";
 import { createTraceCommand } from "./log_commands.ts";
 
@@ -36,6 +37,7 @@
       status: createStatusCommand(output),
       dump: createDumpCommand(output),
       drain: createDrainCommand(output),
+      gateways: createGatewaysCommand(output),
       ledger: createLedgerCommand(output),
       trace: createTraceCommand(output),
     },
--- /dev/null
+++ b/packages/operator/src/gateways/load_gateway_status.ts
@@ -0,0 +1,64 @@
+import { normalizeError } from "@jasminetide/core/results";
+import PQueue from "p-queue";
+import * as z from "zod";
+import { type DumpOptions, fetchDump } from "../connection/mod.ts";
+
+/** State of one gateway. */
+export type GatewayStatus = {
+  /** `ip:port` at which it was asked. */
+  address: string;
+  /** Absent when it does not answer. */
+  state?: GatewayDump;
+  /** Why it cannot be asked. */
+  detail?: string;
+};
+
+/** State of some gateways. */
+export type GatewaysStatus = {
+  /** Newest version that any of them has in force, 0 before the first. */
+  newestVersion: number;
+  gateways: GatewayStatus[];
+};
+
+const dumpSchema = z.object({
+  process: z.object({ name: z.string() }),
+  isReady: z.boolean(),
+  openRequests: z.number(),
+  fleet: z.object({
+    isConnected: z.boolean(),
+    declarationVersion: z.number(),
+    gateways: z.array(z.string()),
+    runners: z.array(z.object({ isDraining: z.boolean() })),
+  }),
+});
+
+type GatewayDump = z.output<typeof dumpSchema>;
+
+const maxConcurrentDumps = 16;
+
+/** Asks gateways for their state. */
+export async function loadGatewaysStatus(
+  addresses: readonly string[],
+  options: DumpOptions,
+): Promise<GatewaysStatus> {
+  const queue = new PQueue({ concurrency: maxConcurrentDumps });
+  const gateways = await Promise.all(
+    addresses.map((address) => queue.add(() => loadGateway(address, options))),
+  );
+  const versions = gateways.map(({ state }) =>
+    state?.fleet.declarationVersion ?? 0
+  );
+  return { newestVersion: Math.max(0, ...versions), gateways };
+}
+
+async function loadGateway(
+  address: string,
+  options: DumpOptions,
+): Promise<GatewayStatus> {
+  try {
+    const dump = await fetchDump(address, options);
+    return { address, state: dumpSchema.parse(dump) };
+  } catch (thrown) {
+    return { address, detail: normalizeError(thrown).message };
+  }
+}
--- /dev/null
+++ b/packages/operator/src/gateways/report_request.ts
@@ -0,0 +1,74 @@
+import type {
+  RequestExplanation,
+  RunnerExplanation,
+} from "@jasminetide/gateway/requests";
+import { exitCodes } from "@jasminetide/runtime/process";
+import { type CommandResult, formatTable, type Style } from "../output/mod.ts";
+
+/** Reports what a gateway would do with a request. */
+export function reportRequest(explanation: RequestExplanation): CommandResult {
+  const isServable = findRefusal(explanation) === undefined;
+  return {
+    exitCode: isServable ? exitCodes.ok : exitCodes.failed,
+    document: explanation,
+    formatText: (style) => formatRequest(explanation, style),
+  };
+}
+
+function formatRequest(explanation: RequestExplanation, style: Style): string {
+  const { priority, route, version, workspace } = explanation;
+  const refusal = findRefusal(explanation);
+  const verdict = refusal === undefined
+    ? style.green("It is served.")
+    : style.red(`It is refused: ${refusal}.`);
+  if (route === undefined) return `By version ${version}:\n${verdict}`;
+  const rows = explanation.services.flatMap(({ runners, service }) =>
+    runners.map((runner) => formatRunner(service, runner))
+  );
+  return [
+    `By version ${version}, route ${style.bold(route.name)}: ${route.kind}, ` +
+    `${route.timeoutMs} ms, ${route.maxAttempts} attempts, rank ${priority}`,
+    `Services: ${
+      route.services.map(({ service, weight }) => `${service} (${weight})`)
+        .join(", ")
+    }`,
+    `Workspace: ${workspace ?? "none"}`,
+    verdict,
+    "",
+    formatTable(rows, {
+      head: [
+        "service",
+        "runner",
+        "address",
+        "failure domain",
+        "load",
+        "slots",
+        "failed",
+        "avoided",
+      ],
+      style,
+    }),
+  ].join("\n");
+}
+
+/** Finds out why a request would be refused at once. */
+function findRefusal(explanation: RequestExplanation): string | undefined {
+  const { key, route, services } = explanation;
+  if (route === undefined) return "no route takes it";
+  if (key === "unknown") return "the key is not known";
+  const isEmpty = services.every(({ runners }) => runners.length === 0);
+  return isEmpty ? "no runner takes new requests" : undefined;
+}
+
+function formatRunner(service: string, runner: RunnerExplanation): string[] {
+  return [
+    service,
+    runner.id,
+    runner.address,
+    runner.failureDomain,
+    String(runner.load),
+    String(runner.slots),
+    `${Math.round(runner.failureShare * 100)} %`,
+    runner.isAvoided ? "yes" : "no",
+  ];
+}
