--- /dev/null
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -0,0 +1,239 @@
+import assert from "node:assert/strict";
+import { Given, Then } from "@cucumber/cucumber";
+import { createSeededRandom } from "@jasminetide/core/random";
+import {
+  type CallKind,
+  callKinds,
+  type CallOutcome,
+  type CallRecord,
+  checkHistory,
+  createHistory,
+  drawFaults,
+  type FaultKind,
+  faultKinds,
+  formatBody,
+  formatEvent,
+  formatStream,
+  type History,
+  type RunnerEvent,
+} from "./mod.ts";
+
+type World = { history: History };
+
+const limits = { ratio: 0.2, slack: 10, windowSeconds: 10 };
+
+/** Time of the first call; the others follow within seconds. */
+const startMs = 1_000_000;
+
+/** Time at which the planted faults happen. */
+const plantedMs = startMs + 60_000;
+
+let planted = 0;
+
+function createAnswer(kind: CallKind, attemptId: string): CallOutcome {
+  const isStream = kind === "story" || kind === "summary";
+  const body = isStream ? formatStream(attemptId) : formatBody(attemptId);
+  return { type: "answered", status: 200, body, isWhole: true };
+}
+
+/** Adds a call that is served by one run, but for what is named. */
+function addCall(
+  { history }: World,
+  kind: CallKind,
+  differences: Partial<CallRecord> = {},
+): CallRecord {
+  planted += 1;
+  const attemptId = differences.attemptId ?? `attempt-${planted}`;
+  const sentAtMs = differences.sentAtMs ?? plantedMs;
+  const call: CallRecord = {
+    attemptId,
+    kind,
+    gateway: 0,
+    gatewayLife: 0,
+    sentAtMs,
+    limitMs: 1500,
+    version: 1,
+    endedAtMs: sentAtMs + 50,
+    outcome: createAnswer(kind, attemptId),
+    ...differences,
+  };
+  history.calls.push(call);
+  return call;
+}
+
+function addRun(
+  { history }: World,
+  call: CallRecord,
+  run: Partial<RunnerEvent> & { endedAtMs?: number } = {},
+): void {
+  const { attemptId, kind, sentAtMs } = call;
+  const { endedAtMs = sentAtMs + 40, ...differences } = run;
+  const isStream = kind === "story" || kind === "summary";
+  const event = {
+    atMs: sentAtMs + 5,
+    attemptId,
+    runner: "runner-0-0",
+    service: isStream ? "engine" : "desk",
+    ...differences,
+  };
+  history.runnerEvents.push(
+    { ...event, type: "arrived" },
+    { ...event, type: "ran" },
+    { ...event, type: "finished", atMs: endedAtMs },
+  );
+}
+
+function getBody({ outcome }: CallRecord): string {
+  return outcome.type === "answered" ? outcome.body : "";
+}
+
+function addAnswered(world: World, kind: CallKind, body: string) {
+  const outcome = { type: "answered", status: 200, body, isWhole: true };
+  return addCall(world, kind, { outcome: outcome as CallOutcome });
+}
+
+function addUnknown(world: World, sentAtMs: number): void {
+  const outcome = { type: "answered", status: 404, body: "", isWhole: true };
+  addCall(world, "added", { sentAtMs, outcome: outcome as CallOutcome });
+}
+
+const failed: CallOutcome = { type: "failed", reason: "socket hang up" };
+
+/** What is planted in a clean history, by its words. */
+const plants: Record<string, (world: World) => void> = {
+  "a whole answer that belongs to another request": (world) => {
+    addAnswered(world, "payout", formatBody("another"));
+  },
+  "a stream that lacks its fifth event": (world) => {
+    const call = addCall(world, "story");
+    const fifth = formatEvent(call.attemptId, 5);
+    const body = getBody(call).replace(fifth, "");
+    call.outcome = { type: "answered", status: 200, body, isWhole: true };
+  },
+  "a stream that breaks off among another's events": (world) => {
+    const call = addCall(world, "story");
+    const body = formatEvent(call.attemptId, 1) + formatEvent("another", 2);
+    call.outcome = { type: "answered", status: 200, body, isWhole: false };
+  },
+  "a payout that runs at two runners": (world) => {
+    const call = addCall(world, "payout");
+    addRun(world, call);
+    addRun(world, call, { runner: "runner-1-0" });
+  },
+  "a payout that has run and is answered 503": (world) => {
+    const outcome = { type: "answered", status: 503, body: "", isWhole: true };
+    const call = addCall(world, "payout", { outcome: outcome as CallOutcome });
+    addRun(world, call);
+  },
+  "a summary that runs at two runners": (world) => {
+    const call = addCall(world, "summary");
+    addRun(world, call);
+    addRun(world, call, { runner: "runner-1-0" });
+  },
+  "twenty lookups that arrive three times within a second": (world) => {
+    for (let count = 0; count < 20; count++) {
+      const call = addCall(world, "lookup");
+      for (const runner of ["runner-0-0", "runner-1-0", "runner-2-0"]) {
+        addRun(world, call, { runner });
+      }
+    }
+  },
+  "a lookup whose answer comes 600 ms after its limit": (world) => {
+    addCall(world, "lookup", { endedAtMs: plantedMs + 2100 });
+  },
+  "an added route that is unknown 3100 ms after": (world) => {
+    world.history.declared.push({ version: 1, atMs: plantedMs - 3100 });
+    addUnknown(world, plantedMs);
+  },
+  "an added route that was known and is not any more": (world) => {
+    addCall(world, "added", { sentAtMs: plantedMs - 1000 });
+    addUnknown(world, plantedMs);
+  },
+  "a run at a runner that drains for 3100 ms": (world) => {
+    const drained = { runner: "runner-9-0", atMs: plantedMs - 3100 };
+    world.history.drained.push(drained);
+    const call = addCall(world, "lookup");
+    addRun(world, call, { runner: drained.runner });
+  },
+  "a stream that ends 600 ms after its caller left": (world) => {
+    const call = addCall(world, "story", { outcome: { type: "left" } });
+    addRun(world, call, { endedAtMs: call.endedAtMs + 600 });
+  },
+  "a stream that a planned stop of its gateway cuts": (world) => {
+    const call = addCall(world, "summary", { outcome: failed });
+    world.history.faults.push({
+      kind: "gateway-stopped",
+      target: 0,
+      startMs: call.sentAtMs + 10,
+      endMs: call.sentAtMs + 5000,
+    });
+  },
+  "a lookup that fails long after the last fault": (world) => {
+    world.history.settledAtMs = plantedMs;
+    addCall(world, "lookup", { outcome: failed });
+  },
+};
+
+Given(
+  "callers whose requests of every kind are served",
+  function (this: World) {
+    this.history = createHistory();
+    callKinds.forEach((kind, index) => {
+      const sentAtMs = startMs + 1000 * index;
+      const call = addCall(this, kind, { gateway: 1, sentAtMs });
+      addRun(this, call);
+    });
+  },
+);
+
+Given(
+  new RegExp(`^(${Object.keys(plants).join("|")})$`),
+  function (this: World, fault: string) {
+    plants[fault](this);
+  },
+);
+
+Given(
+  "a fault {string} around it",
+  function (this: World, kind: FaultKind) {
+    this.history.faults.push({
+      kind,
+      target: 0,
+      startMs: plantedMs - 200,
+      endMs: plantedMs + 3000,
+    });
+  },
+);
+
+function listBroken({ history }: World): string[] {
+  return checkHistory(history, limits).map(({ check }) => check);
+}
+
+Then("no promise was broken", function (this: World) {
+  assert.deepEqual(checkHistory(this.history, limits), []);
+});
+
+Then(
+  "{string} was broken and nothing else",
+  function (this: World, check: string) {
+    assert.deepEqual([...new Set(listBroken(this))], [check]);
+  },
+);
+
+function draw(seed: number) {
+  return drawFaults(createSeededRandom(seed), { gateways: 3, runners: 4 });
+}
+
+Then(
+  "seed {int} draws the same faults twice and seed {int} others",
+  function (seed: number, other: number) {
+    assert.deepEqual(draw(seed), draw(seed));
+    assert.notDeepEqual(draw(seed), draw(other));
+  },
+);
+
+Then("{int} seeds draw every kind of fault", function (seeds: number) {
+  const drawn = Array.from({ length: seeds }, (_, seed) => draw(seed)).flat();
+  const kinds = new Set(drawn.map(({ kind }) => kind));
+  assert.deepEqual(faultKinds.filter((kind) => !kinds.has(kind)), []);
+});
--- /dev/null
+++ b/packages/fault_soak/src/mod.ts
@@ -0,0 +1,8 @@
+/** Runs the real programs as processes under faults from outside. */
+export * from "./check_history.ts";
+export * from "./faults.ts";
+export * from "./history.ts";
+export * from "./run_episode.ts";
+export * from "./run_fault_soak.ts";
+export * from "./soak_runner.ts";
+export * from "./wire.ts";
--- /dev/null
+++ b/packages/fault_soak/src/run_episode.ts
@@ -0,0 +1,82 @@
+import { mkdirSync } from "node:fs";
+import { join } from "node:path";
+import { setTimeout } from "node:timers/promises";
+import { createSeededRandom } from "@jasminetide/core/random";
+import { Callers } from "./callers.ts";
+import { checkHistory, type Violation } from "./check_history.ts";
+import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
+import { createHistory, type History } from "./history.ts";
+import { injectFault } from "./inject_fault.ts";
+import { repeatBudget, SoakFleet } from "./soak_fleet.ts";
+import type { SoakPrograms } from "./wire.ts";
+
+/** One episode: a fleet of its own, faults, and a calm end. */
+export type EpisodeOptions = {
+  seed: number;
+  size: FleetSize;
+  programs: SoakPrograms;
+  /** Folder below which logs are kept. */
+  folder: string;
+};
+
+/** What an episode has shown. */
+export type EpisodeReport = {
+  seed: number;
+  faults: PlannedFault[];
+  calls: number;
+  /** Share of the calls that were served, those of leaving callers left out. */
+  servedShare: number;
+  violations: Violation[];
+  folder: string;
+};
+
+/** Time from the last fault's end until everything must work again. */
+const recoverMs = 6000;
+
+/** Rounds of calls of every kind after that. */
+const finalRounds = 3;
+
+/** Runs an episode; the same seed draws the same faults. */
+export async function runEpisode(
+  options: EpisodeOptions,
+): Promise<EpisodeReport> {
+  const { programs, seed, size } = options;
+  const folder = join(options.folder, `seed-${seed}`);
+  mkdirSync(folder, { recursive: true });
+  const random = createSeededRandom(seed);
+  const faults = drawFaults(random, size);
+  const history = createHistory();
+  const { calls } = history;
+  await using fleet = await SoakFleet.create({
+    programs,
+    size,
+    random,
+    history,
+    folder,
+  });
+  using callers = Callers.create({ fleet, wire: programs.wire, random, calls });
+  await Promise.all(faults.map(async (fault) => {
+    await setTimeout(fault.startMs);
+    await injectFault(fault, { fleet, history });
+  }));
+  await setTimeout(recoverMs);
+  await callers.stop();
+  history.settledAtMs = Date.now();
+  for (let round = 0; round < finalRounds; round++) await callers.callAll();
+  return {
+    seed,
+    faults,
+    calls: calls.length,
+    servedShare: getServedShare(history),
+    violations: checkHistory(history, repeatBudget),
+    folder,
+  };
+}
+
+function getServedShare({ calls }: History): number {
+  const owed = calls.filter(({ outcome }) => outcome.type !== "left");
+  const served = owed.filter(({ outcome }) =>
+    outcome.type === "answered" && outcome.status === 200 && outcome.isWhole
+  );
+  return served.length / Math.max(1, owed.length);
+}
--- /dev/null
+++ b/packages/fault_soak/src/soak_declaration.ts
@@ -0,0 +1,74 @@
+import type {
+  DeclaredRoute,
+  RoutingDeclaration,
+} from "@jasminetide/core/routes";
+import type { CallKind } from "./history.ts";
+
+/** Host name of all routes. */
+export const soakHost = "soak.example";
+
+/** Key that every version knows. */
+export const soakKey = "soak-key";
+
+/** Time limits by kind of request. */
+export const callLimitsMs: Record<CallKind, number> = {
+  lookup: 1500,
+  payout: 1500,
+  story: 3000,
+  summary: 3000,
+  added: 1500,
+};
+
+/** Creates a version; each adds a route to those of the version before. */
+export function createSoakDeclaration(version: number): RoutingDeclaration {
+  const added = Array.from(
+    { length: version },
+    (_, index) => createRoute("added", index + 1),
+  );
+  return {
+    version,
+    routes: [
+      createRoute("lookup"),
+      createRoute("payout"),
+      createRoute("story"),
+      createRoute("summary"),
+      ...added,
+    ],
+    workspaces: [
+      { name: "soak", apiKeys: [soakKey], priority: undefined },
+    ],
+    callerLimits: {
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** Formats the path of a request; only added routes have a version. */
+export function formatPath(kind: CallKind, version: number): string {
+  return kind === "added" ? `/added/${version}/` : `/${kind}/`;
+}
+
+function createRoute(kind: CallKind, version = 0): DeclaredRoute {
+  const isStream = kind === "story" || kind === "summary";
+  const isPlainRepeated = kind === "lookup" || kind === "added";
+  return {
+    name: kind === "added" ? `added-${version}` : kind,
+    host: soakHost,
+    pathPrefix: formatPath(kind, version),
+    kind: isStream
+      ? "stream"
+      : isPlainRepeated
+      ? "idempotent"
+      : "nonIdempotent",
+    timeoutMs: callLimitsMs[kind],
+    goalMs: 300,
+    pauseGoalMs: isStream ? 300 : undefined,
+    priority: 0,
+    services: [{ service: isStream ? "engine" : "desk", weight: 1 }],
+    maxAttempts: kind === "payout" || kind === "summary" ? 1 : 3,
+    isPublic: kind === "lookup",
+    isResumable: kind === "story",
+  };
+}
--- /dev/null
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -0,0 +1,125 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import process from "node:process";
+import { setTimeout } from "node:timers/promises";
+import { hash64 } from "@jasminetide/core/hashing";
+import type { RunnerEvent } from "./history.ts";
+import type { SoakWire } from "./wire.ts";
+
+/** How a runner is started. */
+export type SoakRunnerOptions = {
+  id: string;
+  service: string;
+  port: number;
+  wire: SoakWire;
+};
+
+/** Requests that a runner of the soak takes at a time. */
+export const runnerSlots = 40;
+
+/** Events of each stream. */
+export const streamEvents = 10;
+
+const eventPeriodMs = 100;
+const workMs = 25;
+
+/** One run in so many is broken off by the runner itself. */
+const breakOffOneIn = 60n;
+
+/** Runs a runner that tells what it sees as JSON lines. */
+export function runSoakRunner(options: SoakRunnerOptions): void {
+  const { id, port, service, wire } = options;
+  let running = 0;
+  const tell = (type: RunnerEvent["type"], attemptId: string) => {
+    const event = { type, atMs: Date.now(), attemptId, runner: id, service };
+    process.stdout.write(`${JSON.stringify(event)}\n`);
+  };
+  const server = createServer((request, response) => {
+    const { attemptId, lastEventId, runnerId } = wire.readSentHeaders(
+      request.headers,
+    );
+    tell("arrived", attemptId);
+    const isNotRun = runnerId !== id || running >= runnerSlots;
+    const headers = wire.formatRunnerHeaders({
+      attemptId,
+      runnerId: id,
+      isNotRun,
+      running,
+      slots: runnerSlots,
+    });
+    if (isNotRun) {
+      response.writeHead(runnerId === id ? 503 : 421, headers).end();
+      return;
+    }
+    running += 1;
+    tell("ran", attemptId);
+    const work = { attemptId, headers, lastEventId, runnerId: id };
+    void answer(request, response, work).then((end) => {
+      running -= 1;
+      tell(end, attemptId);
+    });
+  });
+  server.keepAliveTimeout = 20_000;
+  server.listen(port, "127.0.0.1");
+}
+
+type Work = {
+  attemptId: string;
+  headers: Record<string, string>;
+  lastEventId: number;
+  runnerId: string;
+};
+
+/** Answers a request; says how its run ended. */
+async function answer(
+  request: IncomingMessage,
+  response: ServerResponse,
+  work: Work,
+): Promise<"finished" | "cut" | "brokenOff"> {
+  const { attemptId, headers, lastEventId } = work;
+  const isStream = /^\/(story|summary)\//.test(request.url ?? "");
+  const breaksOff =
+    hash64(`${attemptId} ${work.runnerId}`) % breakOffOneIn === 0n;
+  if (!isStream) {
+    await setTimeout(workMs);
+    if (request.socket.destroyed) return "cut";
+    if (breaksOff) return breakOff(request);
+    response.writeHead(200, headers).end(formatBody(attemptId));
+    return "finished";
+  }
+  response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+  for (let event = lastEventId + 1; event <= streamEvents; event++) {
+    response.write(formatEvent(attemptId, event));
+    await setTimeout(eventPeriodMs);
+    if (request.socket.destroyed) return "cut";
+    if (breaksOff && event === streamEvents / 2) return breakOff(request);
+  }
+  response.end();
+  return "finished";
+}
+
+function breakOff(request: IncomingMessage): "brokenOff" {
+  request.socket.destroy();
+  return "brokenOff";
+}
+
+/** Formats the answer to a plain request. */
+export function formatBody(attemptId: string): string {
+  return `answer to ${attemptId}`;
+}
+
+/** Formats one event of a stream. */
+export function formatEvent(attemptId: string, event: number): string {
+  return `id: ${event}\ndata: ${attemptId} ${event}\n\n`;
+}
+
+/** Formats a whole stream. */
+export function formatStream(attemptId: string): string {
+  return Array.from(
+    { length: streamEvents },
+    (_, index) => formatEvent(attemptId, index + 1),
+  ).join("");
+}
--- a/packages/testing/src/fault_link/mod.ts
+++ b/packages/testing/src/fault_link/mod.ts
@@ -6,8 +6,21 @@
   type Server,
   type Socket,
 } from "node:net";
+import { setTimeout } from "node:timers/promises";
 
-type Pair = { near: Socket; far: Socket; isSilent: boolean };
+/** A way through a link: towards the far end, or back from it. */
+export type LinkSide = "requests" | "answers";
+
+/** One way of one connection. */
+type Way = {
+  isSilent: boolean;
+  /** Bytes that are being held; what follows waits for them. */
+  held: number;
+  /** Settles when they have passed. */
+  passed: Promise<void>;
+};
+
+type Pair = { near: Socket; far: Socket; ways: Record<LinkSide, Way> };
 
 /** Rewrites bytes on their way; none left means that they are lost. */
 export type ByteFilter = (bytes: Uint8Array) => Uint8Array;
@@ -23,6 +36,8 @@
   #filter: ByteFilter = (bytes) => bytes;
   #requestFilter: ByteFilter = (bytes) => bytes;
   #isRefusing = false;
+  #silentSides: readonly LinkSide[] = [];
+  #delayMs = 0;
 
   private constructor(options: FaultLinkOptions) {
     this.#options = options;
@@ -51,7 +66,29 @@
 
   /** Makes the open connections silent for good; new ones work. */
   silenceOpen(): void {
-    for (const pair of this.#pairs) pair.isSilent = true;
+    this.#addSilence(["requests", "answers"]);
+  }
+
+  /**
+   * Loses all bytes of some sides from now on. Connections that lost bytes stay
+   * silent for good; new ones work once no side is named any more.
+   */
+  setSilentSides(sides: readonly LinkSide[]): void {
+    this.#silentSides = sides;
+    this.#addSilence(sides);
+  }
+
+  /** Holds all bytes for a time on their way, from now on. */
+  setDelay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
+  /** Resets the open connections. */
+  resetOpen(): void {
+    for (const { near, far } of this.#pairs) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
   }
 
   /** Cuts the open connections. */
@@ -90,26 +127,71 @@
     }
     const [host, port] = this.#options.getTarget().split(":");
     const far = createConnection(Number(port), host);
-    const pair = { near, far, isSilent: false };
+    const pair = {
+      near,
+      far,
+      ways: { requests: createWay(), answers: createWay() },
+    };
     this.#pairs.add(pair);
-    near.on("data", (bytes) => {
-      if (!pair.isSilent) far.write(this.#requestFilter(bytes));
-    });
-    far.on("data", (bytes) => {
-      if (!pair.isSilent) near.write(this.#filter(bytes));
-    });
+    this.#addSilence(this.#silentSides);
+    near.on(
+      "data",
+      (bytes) =>
+        this.#passOn(
+          pair,
+          "requests",
+          () => far.write(this.#requestFilter(bytes)),
+        ),
+    );
+    far.on(
+      "data",
+      (bytes) =>
+        this.#passOn(pair, "answers", () => near.write(this.#filter(bytes))),
+    );
     this.#joinEnds(pair);
   }
 
+  #addSilence(sides: readonly LinkSide[]): void {
+    for (const { ways } of this.#pairs) {
+      for (const side of sides) ways[side].isSilent = true;
+    }
+  }
+
+  #passOn(pair: Pair, side: LinkSide, pass: () => void): void {
+    const way = pair.ways[side];
+    const tryPass = () => {
+      if (!way.isSilent) pass();
+    };
+    if (this.#delayMs === 0 && way.held === 0) {
+      tryPass();
+      return;
+    }
+    const dueMs = performance.now() + this.#delayMs;
+    way.held += 1;
+    way.passed = way.passed
+      .then(() => setTimeout(Math.max(0, dueMs - performance.now())))
+      .then(() => {
+        way.held -= 1;
+        tryPass();
+      });
+  }
+
   #joinEnds(pair: Pair): void {
     const { near, far } = pair;
-    const forget = () => this.#pairs.delete(pair);
-    for (const [socket, other] of [[near, far], [far, near]]) {
+    const ends = [
+      { socket: near, other: far, side: "requests" },
+      { socket: far, other: near, side: "answers" },
+    ] as const;
+    for (const { socket, other, side } of ends) {
       socket.on("error", () => socket.destroy());
       socket.on("close", () => {
-        forget();
-        if (!pair.isSilent) other.destroy();
+        this.#pairs.delete(pair);
+        this.#passOn(pair, side, () => other.destroy());
       });
     }
   }
 }
+
+function createWay(): Way {
+  return { isSilent: false, held: 0, passed: Promise.resolve() };
+}
