Bound the log lines that nobody reads

Cause: on Linux a pipe that is not read takes what is written into a buffer of the process without end; winston's console neither blocks nor stops. 4,000 refused requests left all their lines in memory. Ruled out: that a full pipe blocks the loop (a trial wrote 28,000 lines into an unread pipe in 1.4 s, with 13.8 MB buffered). Change: over 256 KiB waiting, lines are dropped and counted; the next line that is written says how many.

--- a/packages/fault_soak/src/mod.ts
+++ b/packages/fault_soak/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./check_history.ts";
 export * from "./faults.ts";
 export * from "./history.ts";
+export * from "./ports.ts";
 export * from "./run_episode.ts";
 export * from "./run_fault_soak.ts";
 export * from "./soak_runner.ts";
--- a/packages/runtime/src/logging/mod.ts
+++ b/packages/runtime/src/logging/mod.ts
@@ -1,4 +1,5 @@
 /** Structured logs, one JSON object a line. */
+import process from "node:process";
 import winston from "winston";
 
 /** Fields of a log line; never bodies, keys or secrets. */
@@ -20,7 +21,16 @@
 /** What a process says of itself on each line. */
 export type LoggerOptions = { process: string; level?: LogLevel };
 
-/** Creates a logger that writes JSON lines to standard output. */
+/**
+ * Lines that wait while nobody reads standard output; what comes beyond is
+ * counted, since it would fill the memory.
+ */
+const maxBufferedBytes = 262_144;
+
+/**
+ * Creates a logger that writes JSON lines to standard output. It never waits
+ * for a reader: it drops lines, and counts them in the next one that it writes.
+ */
 export function createLogger(options: LoggerOptions): Logger {
   const logger = winston.createLogger({
     level: options.level ?? "info",
@@ -30,14 +40,21 @@
     ),
     transports: [new winston.transports.Console()],
   });
+  let dropped = 0;
+  const log = (level: LogLevel, event: string, fields?: LogFields) => {
+    const { process } = options;
+    logger.log({ level, message: event, event, process, ...fields });
+  };
   const write = (level: LogLevel) => (event: string, fields?: LogFields) => {
-    logger.log({
-      level,
-      message: event,
-      event,
-      process: options.process,
-      ...fields,
-    });
+    if (process.stdout.writableLength > maxBufferedBytes) {
+      dropped += 1;
+      return;
+    }
+    if (dropped > 0) {
+      log("warn", "lines-dropped", { count: dropped });
+      dropped = 0;
+    }
+    log(level, event, fields);
   };
   return {
     error: write("error"),
