Count attempts, repeats, lost stores and callers that left

The gateway's metrics had three families and no word on runners, repeats or the store; a caller that left was counted as answered with 200.

--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -4,6 +4,7 @@
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { ObjectFollower, type ObjectSource } from "./following/mod.ts";
 import {
   askPeer,
@@ -21,6 +22,7 @@
   timers: TimerService;
   random: RandomSource;
   logger: Logger;
+  metrics: GatewayMetrics;
   declarations: ObjectSource<RoutingDeclaration>;
   runners: ObjectSource<RunnerRecord>;
   registry: PeerRegistry;
--- a/packages/gateway/src/following/following_test.ts
+++ b/packages/gateway/src/following/following_test.ts
@@ -46,6 +46,7 @@
       timers: this.followedTimers,
       random: createSeededRandom(1),
       logger: createSilentLogger(),
+      metrics: { countStoreLost: () => {} },
       onObjects: (objects) => {
         this.followedNames = [...objects.keys()].sort();
       },
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -6,6 +6,7 @@
   wait,
 } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { ObjectSource } from "./object_source.ts";
 
 /** What following the objects of one kind needs. */
@@ -18,6 +19,7 @@
   timers: TimerService;
   random: RandomSource;
   logger: Logger;
+  metrics: Pick<GatewayMetrics, "countStoreLost">;
   /** Called with all objects after each change. */
   onObjects: (objects: ReadonlyMap<string, Value>) => void;
   /**
@@ -155,11 +157,12 @@
   }
 
   async #waitBeforeRetry(thrown: unknown): Promise<void> {
-    const { logger, name, random, timers } = this.#options;
+    const { logger, metrics, name, random, timers } = this.#options;
     const error = normalizeError(thrown);
     this.#failures += 1;
     this.#failedCallAtMs = this.#calledAtMs;
     if (this.#failures === 1) {
+      metrics.countStoreLost(name);
       logger.warn("store-lost", {
         kind: name,
         code: error.code,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,10 +5,10 @@
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
-import { Metrics } from "@jasminetide/runtime/metrics";
 import { FleetView } from "./fleet_view.ts";
 import type { ObjectSource } from "./following/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   CallerListener,
   formatMetrics,
@@ -40,7 +40,7 @@
 export class Gateway {
   readonly #options: GatewayOptions;
   readonly #resources = ResourceStack.create();
-  readonly #metrics = Metrics.create();
+  readonly #metrics = GatewayMetrics.create();
   readonly #random = createSystemRandom();
   readonly #firstByteTimes = new Map<string, LatencyTracker>();
   readonly #budgets = new Map<string, RepeatBudget>();
@@ -59,6 +59,7 @@
     this.#fleet = this.#resources.use(FleetView.create({
       ...options,
       random: this.#random,
+      metrics: this.#metrics,
       onDeclaration: ({ callerLimits }) => listener.setLimits(callerLimits),
     }));
     this.#context = this.#createContext();
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -3,7 +3,7 @@
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
-import type { Metrics } from "@jasminetide/runtime/metrics";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { WireProtocol } from "./protocol.ts";
 import type { Directory } from "./upstreams/mod.ts";
@@ -16,7 +16,7 @@
   failureDomain: string;
   timers: TimerService;
   random: RandomSource;
-  metrics: Metrics;
+  metrics: GatewayMetrics;
   requestLog: RequestLog;
   /** Declared routes in force; undefined before the first version. */
   getRoutes: () => RouteTable | undefined;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -78,6 +78,7 @@
   }
 
   async #run(): Promise<void> {
+    const { context } = this.#options;
     let step: NextStep = "repeat";
     while (!this.#isOver && (step === "repeat" || step === "resume")) {
       const placement = this.#place();
@@ -85,7 +86,9 @@
         this.#giveUp(placement === undefined ? "no runner" : "no budget");
         return;
       }
+      if (this.#attempts > 0) context.metrics.countRepeat();
       const end = await this.#try(placement);
+      context.metrics.countAttempt(end.type);
       this.#silence?.[Symbol.dispose]();
       if (this.#isOver) return;
       step = decideNext(end, this.#getProgress());
@@ -122,7 +125,9 @@
       budget.recordRequest(nowMs);
       return true;
     }
-    return budget.tryTake(nowMs, context.countRouters());
+    const isTaken = budget.tryTake(nowMs, context.countRouters());
+    if (!isTaken) context.metrics.countRefusedRepeat();
+    return isTaken;
   }
 
   #try({ cacheSource, upstream }: Placement): Promise<AttemptEnd> {
@@ -183,7 +188,9 @@
     if (this.#isFirstByte) {
       this.#isFirstByte = false;
       const nowMs = context.timers.nowMs();
-      this.#getFirstByteTimes().record(nowMs - this.#sentAtMs, nowMs);
+      const durationMs = nowMs - this.#sentAtMs;
+      this.#getFirstByteTimes().record(durationMs, nowMs);
+      context.metrics.recordFirstByte(route.kind, durationMs);
       this.#silence?.setLimit(getPauseLimitMs(route));
     }
     this.#silence?.record();
@@ -328,6 +335,7 @@
     this.#isOver = true;
     this.#silence?.[Symbol.dispose]();
     this.#attempt?.cancel();
+    this.#options.context.metrics.countLeft();
     this.#log("caller-left", { attempts: this.#attempts });
   }
 
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -22,7 +22,7 @@
   const arrivedAtMs = context.timers.nowMs();
   const caller = context.protocol.readCallerRequest(request.headers);
   const trace = context.requestLog.openTrace(caller.attemptId);
-  context.metrics.count("requests");
+  context.metrics.countRequest();
   try {
     const admission = admitRequest(request, caller, context);
     trace.record("admitted", {
@@ -45,14 +45,14 @@
       answer,
       trace,
     });
-    context.metrics.record(
-      `answer-ms-${admitted.route.kind}`,
-      context.timers.nowMs() - arrivedAtMs,
-    );
-    context.metrics.count(`answered-${response.statusCode}`);
+    if (answer.hasBegun) {
+      const durationMs = context.timers.nowMs() - arrivedAtMs;
+      context.metrics.recordAnswer(admitted.route.kind, durationMs);
+      context.metrics.countAnswered(answer.status);
+    }
   } catch (thrown) {
     const error = normalizeError(thrown);
-    context.metrics.count(`refused-${error.result}`);
+    context.metrics.countRefused(error.result);
     trace.record("refused", {
       code: error.code,
       detail: error.message,
