--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -4,7 +4,12 @@
   isOutOfTouch,
   isUnplannedBetween,
 } from "./disturbances.ts";
-import type { CallRecord, History, RunnerEvent } from "./history.ts";
+import {
+  type CallRecord,
+  type History,
+  isServed,
+  type RunnerEvent,
+} from "./history.ts";
 import { createSoakDeclaration } from "./soak_declaration.ts";
 import { formatBody, formatStream } from "./soak_runner.ts";
 
@@ -122,11 +127,6 @@
     `${end} after ${endedAtMs - sentAtMs} ms`;
 }
 
-function isServed({ outcome }: CallRecord): boolean {
-  return outcome.type === "answered" && outcome.status === 200 &&
-    outcome.isWhole;
-}
-
 function isStream({ kind }: CallRecord): boolean {
   return kind === "story" || kind === "summary";
 }
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -76,3 +76,9 @@
     settledAtMs: Infinity,
   };
 }
+
+/** Whether a caller has the whole answer that it asked for. */
+export function isServed({ outcome }: CallRecord): boolean {
+  return outcome.type === "answered" && outcome.status === 200 &&
+    outcome.isWhole;
+}
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -5,7 +5,7 @@
 import { Callers } from "./callers.ts";
 import { checkHistory, type Violation } from "./check_history.ts";
 import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
-import { createHistory, type History } from "./history.ts";
+import { createHistory, type History, isServed } from "./history.ts";
 import { injectFault } from "./inject_fault.ts";
 import { repeatBudget, SoakFleet } from "./soak_fleet.ts";
 import type { SoakPrograms } from "./wire.ts";
@@ -26,6 +26,8 @@
   calls: number;
   /** Share of the calls that were served, those of leaving callers left out. */
   servedShare: number;
+  /** Kinds of calls of which some were served. */
+  servedKinds: number;
   violations: Violation[];
   folder: string;
 };
@@ -67,16 +69,17 @@
     seed,
     faults,
     calls: calls.length,
-    servedShare: getServedShare(history),
+    ...summarizeServed(history),
     violations: checkHistory(history, repeatBudget),
     folder,
   };
 }
 
-function getServedShare({ calls }: History): number {
+function summarizeServed({ calls }: History) {
   const owed = calls.filter(({ outcome }) => outcome.type !== "left");
-  const served = owed.filter(({ outcome }) =>
-    outcome.type === "answered" && outcome.status === 200 && outcome.isWhole
-  );
-  return served.length / Math.max(1, owed.length);
+  const served = owed.filter(isServed);
+  return {
+    servedShare: served.length / Math.max(1, owed.length),
+    servedKinds: new Set(served.map(({ kind }) => kind)).size,
+  };
 }
--- a/packages/runtime/src/process/run_program.ts
+++ b/packages/runtime/src/process/run_program.ts
@@ -22,6 +22,8 @@
   start: () => Promise<RunningProgram>,
   logger: Logger,
 ): Promise<void> {
+  // From the start on: a signal without a listener ends the process at once.
+  const stopped = waitForSignal(logger);
   let program: RunningProgram;
   try {
     program = await start();
@@ -31,15 +33,24 @@
     process.exitCode = exitCodes.failed;
     return;
   }
-  const signal = await waitForSignal();
-  logger.info("stopping", { signal });
+  logger.info("stopping", { signal: await stopped });
   await program[Symbol.asyncDispose]();
   logger.info("stopped");
 }
 
-function waitForSignal(): Promise<NodeJS.Signals> {
+/**
+ * Waits for the first signal to stop. Further ones change nothing: a program
+ * that is stopping finishes its requests. Parts that can be reloaded listen to
+ * SIGHUP themselves.
+ */
+function waitForSignal(logger: Logger): Promise<NodeJS.Signals> {
   return new Promise((resolve) => {
-    process.once("SIGTERM", resolve);
-    process.once("SIGINT", resolve);
+    const take = (signal: NodeJS.Signals) => {
+      logger.info("signal", { signal });
+      resolve(signal);
+    };
+    process.on("SIGTERM", take);
+    process.on("SIGINT", take);
+    process.on("SIGHUP", () => logger.info("signal", { signal: "SIGHUP" }));
   });
 }
