Tell refused callers when room is expected

Cause: Retry-After was a spread of 150 to 500 ms whatever the load, so callers of a surge came back before there was room. Change: RoomForecast sets it from the rates at which a router's requests of the service end and are refused, spread by half, at most a third of the caller's time left. A replay of recorded arrivals checks both.

--- a/packages/core/src/pools/mod.ts
+++ b/packages/core/src/pools/mod.ts
@@ -2,5 +2,6 @@
 export * from "./choose_runner.ts";
 export * from "./prefix_holders.ts";
 export * from "./repeat_budget.ts";
+export * from "./room_forecast.ts";
 export * from "./runner_health.ts";
 export * from "./runner_load.ts";
--- a/packages/core/src/pools/replay.feature
+++ b/packages/core/src/pools/replay.feature
@@ -16,6 +16,10 @@
     When "replaced_engines" is replayed with and without copies
     Then without them at least 1.5 times the shared tokens are read
 
+  Scenario: Callers that are told when room is expected are served more often
+    When "returning_callers" is replayed with the forecast and with a fixed spread
+    Then with it more of them are served in time and fewer are refused
+
   Scenario: A runner that fails fast attracts no calls
     When "plain_calls" is replayed with a runner that fails 7 of 10 calls
     Then with its health in view at most 0.08 of the calls fail
--- a/packages/core/src/pools/replay_test.ts
+++ b/packages/core/src/pools/replay_test.ts
@@ -9,11 +9,15 @@
   choosePlainRunner,
   type PoolRunner,
   PrefixHolders,
+  RoomForecast,
   RunnerHealth,
   RunnerLoad,
 } from "./mod.ts";
 
-type World = { replays: { on: Replay; off: Replay } };
+type World = {
+  replays: { on: Replay; off: Replay };
+  returns: { on: ReturnReplay; off: ReturnReplay };
+};
 
 /** What a replay has shown. */
 type Replay = {
@@ -258,6 +262,52 @@
     : 1 + Math.floor((point - 0.5) * 2 * (routerCount - 1));
 }
 
+type ReturnReplay = { served: number; refused: number };
+
+const returningPlaces = 24;
+const returningLimitMs = 1500;
+const maxReturns = 3;
+
+/** Replays callers that are refused without room, and come back when told. */
+function replayReturns(
+  chooseReturnMs: (
+    forecast: RoomForecast,
+    state: { nowMs: number; leftMs: number },
+  ) => number,
+): ReturnReplay {
+  const timers = VirtualTimerService.create();
+  const forecast = RoomForecast.create();
+  const replay: ReturnReplay = { served: 0, refused: 0 };
+  let running = 0;
+  const call = (workMs: number, endMs: number, returnsLeft: number) => {
+    if (running < returningPlaces) {
+      running += 1;
+      timers.schedule(workMs, () => {
+        running -= 1;
+        forecast.recordFreed(timers.nowMs());
+        if (timers.nowMs() <= endMs) replay.served += 1;
+      });
+      return;
+    }
+    replay.refused += 1;
+    const nowMs = timers.nowMs();
+    const leftMs = endMs - nowMs;
+    const returnMs = chooseReturnMs(forecast, { nowMs, leftMs });
+    if (returnsLeft === 0) return;
+    timers.schedule(returnMs, () => call(workMs, endMs, returnsLeft - 1));
+  };
+  for (
+    const [atMs, workMs] of loadRows<[number, number]>("returning_callers")
+  ) {
+    timers.schedule(
+      atMs,
+      () => call(workMs, atMs + returningLimitMs, maxReturns),
+    );
+  }
+  timers.advance(120_000);
+  return replay;
+}
+
 function getQuantile({ durationsMs }: Replay, share: number): number {
   const sorted = durationsMs.toSorted((left, right) => left - right);
   return sorted[Math.floor(sorted.length * share)];
@@ -326,6 +376,28 @@
   },
 );
 
+When(
+  "{string} is replayed with the forecast and with a fixed spread",
+  function (this: World, _name: string) {
+    const random = createSeededRandom(7);
+    this.returns = {
+      on: replayReturns((forecast, state) =>
+        forecast.refuse({ ...state, random: random.getFloat() })
+      ),
+      off: replayReturns(() => 150 + 350 * random.getFloat()),
+    };
+  },
+);
+
+Then(
+  "with it more of them are served in time and fewer are refused",
+  function (this: World) {
+    const { off, on } = this.returns;
+    const text = JSON.stringify(this.returns);
+    assert.ok(on.served > off.served && on.refused < off.refused, text);
+  },
+);
+
 Then(
   "with it 95 of 100 first events come within {int} ms",
   function (this: World, boundMs: number) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,8 @@
-import { PrefixHolders, RepeatBudget } from "@jasminetide/core/pools";
+import {
+  PrefixHolders,
+  RepeatBudget,
+  RoomForecast,
+} from "@jasminetide/core/pools";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { LatencyTracker } from "@jasminetide/core/retries";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
@@ -44,6 +48,7 @@
   readonly #random = createSystemRandom();
   readonly #firstByteTimes = new Map<string, LatencyTracker>();
   readonly #budgets = new Map<string, RepeatBudget>();
+  readonly #forecasts = new Map<string, RoomForecast>();
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
   readonly #context: GatewayContext;
@@ -178,6 +183,7 @@
       requestLog: RequestLog.create({ logger, timers, ...settings.log }),
       getRoutes: () => this.#fleet.routes,
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
+      getRoomForecast: (service) => this.#getRoomForecast(service),
       getFirstByteTimes: (service, kind) =>
         this.#getFirstByteTimes(`${service} ${kind}`),
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
@@ -194,6 +200,15 @@
     return times;
   }
 
+  #getRoomForecast(service: string): RoomForecast {
+    let forecast = this.#forecasts.get(service);
+    if (forecast === undefined) {
+      forecast = RoomForecast.create();
+      this.#forecasts.set(service, forecast);
+    }
+    return forecast;
+  }
+
   #getRepeatBudget(service: string): RepeatBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,4 +1,8 @@
-import type { PrefixHolders, RepeatBudget } from "@jasminetide/core/pools";
+import type {
+  PrefixHolders,
+  RepeatBudget,
+  RoomForecast,
+} from "@jasminetide/core/pools";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
@@ -21,6 +25,7 @@
   /** Declared routes in force; undefined before the first version. */
   getRoutes: () => RouteTable | undefined;
   getRepeatBudget: (service: string) => RepeatBudget;
+  getRoomForecast: (service: string) => RoomForecast;
   /** Times to the first byte of a service's answers to a kind of request. */
   getFirstByteTimes: (service: string, kind: RequestKind) => LatencyTracker;
   /** Routers that share the budgets, this one included. */
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -255,9 +255,14 @@
   }
 
   #observe(upstream: Upstream, end: AttemptEnd): void {
+    const { admitted: { service }, context } = this.#options;
+    const nowMs = context.timers.nowMs();
+    if (end.type === "relayed" || end.type === "answered") {
+      context.getRoomForecast(service).recordFreed(nowMs);
+    }
     const outcome = getRunnerOutcome(end);
     if (outcome === undefined) return;
-    upstream.health.observe(outcome, this.#options.context.timers.nowMs());
+    upstream.health.observe(outcome, nowMs);
   }
 
   #applyStep(step: NextStep, end: AttemptEnd): void {
@@ -300,8 +305,12 @@
   }
 
   #refuse(message: string): void {
-    const { answer, context } = this.#options;
-    const retryAfterMs = chooseRetryAfterMs(context.random.getFloat());
+    const { admitted: { service }, answer, context } = this.#options;
+    const retryAfterMs = context.getRoomForecast(service).refuse({
+      nowMs: context.timers.nowMs(),
+      leftMs: Math.max(0, this.#getLeftMs()),
+      random: context.random.getFloat(),
+    });
     answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
   }
 
@@ -348,11 +357,3 @@
     this.#options.trace.record(event, fields);
   }
 }
-
-/** Spreads returning callers over the time in which places come free. */
-function chooseRetryAfterMs(random: number): number {
-  return minRetryAfterMs + random * retryAfterSpreadMs;
-}
-
-const minRetryAfterMs = 150;
-const retryAfterSpreadMs = 350;
