Cut event streams in one place, and drop what nothing reads

EventSplitter and EventTracker cut bytes at events by the same code twice; both use EventCutter now. Attempt.isSent had no reader, the choice of an engine a random source that it did not use, and two cases of decideNext were one.

--- a/packages/core/src/pools/choose_runner.ts
+++ b/packages/core/src/pools/choose_runner.ts
@@ -13,11 +13,10 @@
   readonly health: RunnerHealth;
 };
 
-/** What a choice depends on. */
-export type ChoiceContext = { nowMs: number; random: RandomSource };
-
-/** A choice of a runner with room for plain requests. */
-export type PlainChoiceContext = ChoiceContext & {
+/** What the choice of a runner for a plain request depends on. */
+export type PlainChoiceContext = {
+  nowMs: number;
+  random: RandomSource;
   /** Failure domain of this router. */
   failureDomain: string;
 };
@@ -51,7 +50,8 @@
 const failureLoad = 3;
 
 /** What the choice of an engine depends on. */
-export type EngineChoiceContext = ChoiceContext & {
+export type EngineChoiceContext = {
+  nowMs: number;
   /** Identifier of the part of the prompt that decides the home. */
   homeKey: string;
   /** Size of the prompt up to and with that part, in tokens. */
--- a/packages/core/src/pools/pools_test.ts
+++ b/packages/core/src/pools/pools_test.ts
@@ -54,7 +54,6 @@
   const holders = world.holders.getHolders(homeKey, nowMs);
   const choice = chooseEngine(pool, {
     nowMs,
-    random,
     homeKey,
     sharedTokens,
     holders,
--- a/packages/core/src/pools/replay_test.ts
+++ b/packages/core/src/pools/replay_test.ts
@@ -146,7 +146,6 @@
         sharedTokens: prompt.sharedTokens,
         holders: held,
         nowMs,
-        random,
       })
       : chooseHome(beliefs, prompt.part);
     assert.ok(choice);
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -56,7 +56,6 @@
   #resolve: (end: AttemptEnd) => void = () => {};
   #connection: RunnerConnection | undefined;
   #isOver = false;
-  #isSent = false;
   #head: AnswerHead | undefined;
   #answer: RunnerAnswer | undefined;
   #isRelayed = false;
@@ -82,11 +81,6 @@
     return this.#ended;
   }
 
-  /** Whether bytes of the request may have reached the runner. */
-  get isSent(): boolean {
-    return this.#isSent;
-  }
-
   /** Withdraws it; the runner sees its connection close. */
   cancel(): void {
     if (this.#isOver) return;
@@ -115,7 +109,6 @@
       return;
     }
     this.#connection = connection;
-    this.#isSent = true;
     this.#options.onSent();
     connection.send(this.#options.request, {
       isOwnAnswer: (head) => this.#isOwn(head),
--- a/packages/gateway/src/requests/decide_next.ts
+++ b/packages/gateway/src/requests/decide_next.ts
@@ -45,7 +45,6 @@
     case "relayed":
       return "none";
     case "unsent":
-      return hasTries ? "repeat" : giveUpUnrun(progress);
     case "notRun":
       return hasTries ? "repeat" : giveUpUnrun(progress);
     case "answered":
--- a/packages/gateway/src/requests/event_splitter.ts
+++ b/packages/gateway/src/requests/event_splitter.ts
@@ -1,13 +1,12 @@
-import { Buffer } from "node:buffer";
-
-const separator = Buffer.from("\n\n");
+import type { Buffer } from "node:buffer";
+import { EventCutter } from "@jasminetide/runtime/streams";
 
 /**
- * Cuts the bytes of an event stream at the ends of its events, so that none is
- * passed on in part, and remembers the id of the last whole one.
+ * Lets only whole events of a stream pass, and remembers the id of the last
+ * one.
  */
 export class EventSplitter {
-  #partial: Buffer = Buffer.alloc(0);
+  readonly #cutter = EventCutter.create();
   #lastId: string | undefined;
 
   private constructor() {}
@@ -24,25 +23,14 @@
 
   /** Takes bytes in and returns those up to the end of the last whole event. */
   append(bytes: Buffer): Buffer {
-    const all = this.#partial.length === 0
-      ? bytes
-      : Buffer.concat([this.#partial, bytes]);
-    const end = all.lastIndexOf(separator);
-    if (end === -1) {
-      this.#partial = all;
-      return Buffer.alloc(0);
-    }
-    const whole = all.subarray(0, end + separator.length);
-    this.#partial = all.subarray(end + separator.length);
+    const whole = this.#cutter.append(bytes);
     this.#lastId = findLastId(whole) ?? this.#lastId;
     return whole;
   }
 
   /** Takes the bytes after the last whole event, when a stream has ended. */
   takePartial(): Buffer {
-    const partial = this.#partial;
-    this.#partial = Buffer.alloc(0);
-    return partial;
+    return this.#cutter.takePartial();
   }
 }
 
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -55,13 +55,12 @@
   context: GatewayContext,
   home: Home,
 ): Placement | undefined {
-  const { holders, random, timers } = context;
+  const { holders, timers } = context;
   const nowMs = timers.nowMs();
   const held = holders.getHolders(home.homeKey, nowMs);
   const choice = chooseEngine(runners, {
     ...home,
     nowMs,
-    random,
     holders: held,
   });
   if (choice === undefined) return undefined;
--- a/packages/load/src/measure/engine_choice_bench.ts
+++ b/packages/load/src/measure/engine_choice_bench.ts
@@ -36,14 +36,12 @@
 ): EngineChoiceFigures {
   const runners = createLoadedRunners(options);
   const holders = PrefixHolders.create({ maxParts: parts });
-  const random = createSeededRandom(options.seed);
   const choose = (part: string) => {
     const choice = chooseEngine(runners, {
       homeKey: part,
       sharedTokens,
       holders: holders.getHolders(part, 0),
       nowMs: 0,
-      random,
     });
     if (choice !== undefined) holders.record(part, choice.runner.id, 0);
   };
--- a/packages/runtime/src/streams/event_tracker.ts
+++ b/packages/runtime/src/streams/event_tracker.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { EventCutter, eventSeparator } from "./event_cutter.ts";
 
 /** Data of the event that ends a stream (OpenAI's protocol). */
 const endMarkData = "[DONE]";
@@ -6,8 +7,6 @@
 /** A quote inside a JSON string is escaped, so this matches fields only. */
 const tokenPattern = /"content":\s*"(?!")/;
 
-const separator = Buffer.from("\n\n");
-
 /** How far an event stream has come. */
 export type StreamProgress =
   /** Tokens are still to come. */
@@ -22,7 +21,7 @@
  * short can be gone on with at the token after the last whole one.
  */
 export class EventTracker {
-  #partial: Buffer = Buffer.alloc(0);
+  readonly #cutter = EventCutter.create();
   #last: Buffer = Buffer.alloc(0);
   #events = 0;
   #tokens = 0;
@@ -46,28 +45,19 @@
 
   /** Size of the last whole event with its separator. */
   get lastEventBytes(): number {
-    return this.#last.length + separator.length;
+    return this.#last.length + eventSeparator.length;
   }
 
   /** Takes bytes in and returns those up to the last whole event. */
   append(chunk: Buffer): Buffer {
-    const bytes = this.#partial.length === 0
-      ? chunk
-      : Buffer.concat([this.#partial, chunk]);
-    const end = bytes.lastIndexOf(separator);
-    if (end === -1) {
-      this.#partial = bytes;
-      return Buffer.alloc(0);
-    }
-    const whole = bytes.subarray(0, end + separator.length);
-    this.#partial = bytes.subarray(end + separator.length);
+    const whole = this.#cutter.append(chunk);
     this.#count(whole);
     return whole;
   }
 
   /** Drops the bytes of an event that was cut short. */
   cut(): void {
-    this.#partial = Buffer.alloc(0);
+    this.#cutter.takePartial();
   }
 
   /** Says how far the stream has come, by its last whole event. */
@@ -81,13 +71,13 @@
 
   #count(whole: Buffer): void {
     let begin = 0;
-    let end = whole.indexOf(separator);
+    let end = whole.indexOf(eventSeparator);
     while (end !== -1) {
       this.#events += 1;
       this.#last = whole.subarray(begin, end);
       if (hasToken(this.#last)) this.#tokens += 1;
-      begin = end + separator.length;
-      end = whole.indexOf(separator, begin);
+      begin = end + eventSeparator.length;
+      end = whole.indexOf(eventSeparator, begin);
     }
   }
 }
--- a/packages/runtime/src/streams/mod.ts
+++ b/packages/runtime/src/streams/mod.ts
@@ -1,4 +1,5 @@
 /** Event streams and silence on their connections. */
+export * from "./event_cutter.ts";
 export * from "./event_tracker.ts";
 export * from "./silence_watch.ts";
 export * from "./subscribe_abort.ts";
