--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -1,7 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import {
   createMembershipTables,
-  createRecord,
   createRotatingScheme,
   createSpreader,
   decodeAnswerRecord,
@@ -13,7 +12,6 @@
   getCandidates,
   getOwnRecord,
   getPoolMean,
-  getWireId,
   isLeaving,
   type MemberIdentity,
   type MemberRow,
@@ -39,7 +37,7 @@
   tickPeriodMs,
 } from "@jasminetide/core/membership";
 import type { RandomSource } from "@jasminetide/core/random";
-import { assertInvariant, normalizeError } from "@jasminetide/core/results";
+import { normalizeError } from "@jasminetide/core/results";
 import type { RunnerRow, Table } from "@jasminetide/core/tables";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { KnownMember, PeerClient } from "../control/mod.ts";
@@ -48,8 +46,17 @@
 import type { Logger } from "../logging/mod.ts";
 import type { PlatformClient } from "../platform/mod.ts";
 import { DatagramSocket } from "./datagrams.ts";
+import { createDeferred } from "./deferred.ts";
 import { HostListReader } from "./host_list_reader.ts";
 import { isPromptReader } from "./host_list.ts";
+import { LeavingRunners } from "./leaving_runners.ts";
+import {
+  listKnownMembers,
+  listLiveRouters,
+  listOtherRouters,
+  type LiveRouter,
+} from "./list_members.ts";
+import { WireIdIndex } from "./wire_id_index.ts";
 
 /** Called when a member holds a configuration version. */
 export type VersionObserver = (version: number, controlAddress: string) => void;
@@ -73,9 +80,6 @@
   peerAddresses: readonly string[];
 };
 
-/** Time after which a runner that is known to leave gets no new work. */
-const maximumLeavingDispatchMs = 3000;
-
 /** Peers that are tried for the members at the start. */
 const peersAtStart = 3;
 
@@ -88,9 +92,8 @@
   readonly #tables: MembershipTables;
   readonly #spreader: Spreader;
   readonly #resources = ResourceStack.create();
-  /** Runners that are leaving, with the time at which this was noticed. */
-  readonly #leavingSinceMs = new Map<string, number>();
-  readonly #wireIds = new Map<string, number>();
+  readonly #leaving = LeavingRunners.create();
+  readonly #wireIds: WireIdIndex;
   #socket: DatagramSocket | undefined;
   readonly #hostList: HostListReader;
   #observeVersion: VersionObserver = () => {};
@@ -102,6 +105,7 @@
     const nowMs = options.timers.nowMs();
     this.#options = options;
     this.#tables = createMembershipTables({ ...options, nowMs });
+    this.#wireIds = WireIdIndex.create(this.#tables);
     this.#hostList = HostListReader.create({
       tables: this.#tables,
       platform: options.platform,
@@ -209,41 +213,18 @@
   /** Lists the control addresses of routers in random order, then seeds. */
   listRouterAddresses(): string[] {
     const { peerAddresses, random } = this.#options;
-    const addresses = [...this.members.rows()]
-      .filter((row) =>
-        row !== this.#tables.self && row.identity.type === "router" &&
-        !isLeaving(row)
-      )
-      .map((row) => ({
-        order: random.getFloat(),
-        address: row.identity.controlAddress,
-      }))
-      .sort((left, right) => left.order - right.order)
-      .map(({ address }) => address);
-    return [...new Set([...addresses, ...peerAddresses])];
+    const others = listOtherRouters(this.#tables, random);
+    return [...new Set([...others, ...peerAddresses])];
   }
 
   /** Lists the routers that live and do not leave, this one among them. */
-  listRouters(): { name: string; epoch: number; controlAddress: string }[] {
-    return [...this.members.rows()]
-      .filter((row) => row.identity.type === "router" && !isLeaving(row))
-      .map(({ identity, record }) => ({
-        name: identity.name,
-        controlAddress: identity.controlAddress,
-        epoch: record.epoch,
-      }));
+  listRouters(): LiveRouter[] {
+    return listLiveRouters(this.#tables);
   }
 
   /** Lists the members with their records, for a process that starts. */
   listMembers(): KnownMember[] {
-    const nowMs = this.#options.timers.nowMs();
-    return [...this.members.rows()].map((member) => ({
-      identity: member.identity,
-      record: {
-        ...createRecord(member, nowMs),
-        identitySequence: member.identitySequence,
-      },
-    }));
+    return listKnownMembers(this.#tables, this.#options.timers.nowMs());
   }
 
   /** Sets what this process says of its runner. */
@@ -274,7 +255,7 @@
   /** Takes in the record that an answer of a runner's sidecar carries. */
   recordAnswer(runner: string, headers: IncomingHttpHeaders): void {
     const text = headers[headerNames.digest];
-    const wireId = this.#findWireId(runner);
+    const wireId = this.#wireIds.find(runner);
     this.#observeAnswer(runner, headers);
     if (typeof text !== "string" || wireId === undefined) return;
     try {
@@ -289,19 +270,12 @@
 
   /** Records that new work is about to be sent to a runner. */
   recordDispatch(runner: string): void {
-    const sinceMs = this.#leavingSinceMs.get(runner);
-    if (sinceMs === undefined) return;
-    const knownMs = this.#options.timers.nowMs() - sinceMs;
-    assertInvariant(
-      knownMs <= maximumLeavingDispatchMs,
-      "no-dispatch-to-leaving-runner",
-      () => `${runner} is known to leave for ${Math.round(knownMs)} ms`,
-    );
+    this.#leaving.assertDispatch(runner, this.#options.timers.nowMs());
   }
 
   /** Records that a runner did not answer; it is held back for a while. */
   recordFailure(runner: string): void {
-    const wireId = this.#findWireId(runner);
+    const wireId = this.#wireIds.find(runner);
     const member = wireId === undefined ? undefined : this.members.get(wireId);
     if (member === undefined) return;
     recordFailure(this.#tables, member, this.#options.timers.nowMs());
@@ -348,21 +322,12 @@
     if (this.#hostList.isDue(nowMs) && !this.#isAsking) {
       void this.#readHosts(nowMs);
     }
-    this.#noteLeaving(nowMs);
+    this.#leaving.observe(this.runners.rows(), nowMs);
     expireMembers(this.#tables, nowMs);
     expireFlaps(this.#tables, nowMs);
     this.#send(spreadDigests(this.#spreader, nowMs));
   }
 
-  #noteLeaving(nowMs: number): void {
-    for (const runner of this.runners.rows()) {
-      if (runner.state !== "leaving") this.#leavingSinceMs.delete(runner.id);
-      else if (!this.#leavingSinceMs.has(runner.id)) {
-        this.#leavingSinceMs.set(runner.id, nowMs);
-      }
-    }
-  }
-
   #receive(bytes: Uint8Array): void {
     const digest = decodeDigest(bytes);
     const nowMs = this.#options.timers.nowMs();
@@ -430,18 +395,6 @@
     getOwnRecord(this.#spreader, timers.nowMs());
   }
 
-  #findWireId(runner: string): number | undefined {
-    const known = this.#wireIds.get(runner);
-    if (known !== undefined && this.members.has(known)) return known;
-    for (const { identity } of this.members.rows()) {
-      if (identity.runner?.id !== runner) continue;
-      const wireId = getWireId(identity);
-      this.#wireIds.set(runner, wireId);
-      return wireId;
-    }
-    return undefined;
-  }
-
   #warn(event: string, thrown: unknown): void {
     const error = normalizeError(thrown);
     this.#options.logger.warn(event, {
@@ -450,22 +403,3 @@
     });
   }
 }
-
-type Deferred = {
-  promise: Promise<void>;
-  isSettled: boolean;
-  settle: () => void;
-};
-
-function createDeferred(): Deferred {
-  let resolve = () => {};
-  const deferred: Deferred = {
-    promise: new Promise((done) => resolve = done),
-    isSettled: false,
-    settle: () => {
-      deferred.isSettled = true;
-      resolve();
-    },
-  };
-  return deferred;
-}
