--- a/packages/core/src/pools/room_forecast.ts
+++ b/packages/core/src/pools/room_forecast.ts
@@ -36,7 +36,7 @@
     this.#refusedAtMs = selectRecent(this.#refusedAtMs, nowMs);
     const freed = selectRecent(this.#freedAtMs, nowMs).length;
     const waiting = this.#refusedAtMs.length;
-    const expectedMs = windowMs * waiting / Math.max(1, freed);
+    const expectedMs = windowMs * waiting / Math.max(leastFreed, freed);
     const spreadMs = expectedMs * (leastSpread + random);
     const returnMs = Math.min(longestMs, spreadMs, leftMs * usableShare);
     return Math.max(shortestMs, returnMs);
@@ -46,6 +46,9 @@
 /** Rates are those of the last second, in which places come free often. */
 const windowMs = 1000;
 
+/** Requests that end in the window where few were seen, as after a start. */
+const leastFreed = 4;
+
 /** Callers return between half of the expected time and half more than it. */
 const leastSpread = 0.5;
 
