Take a runner that stays silent to the end of a request for lost

Cause: at the time limit the attempt was cancelled, which said nothing of its runner; a runner that leaves payouts and other requests without any byte was given as many as before, since only requests that may run again watch silence. Ruled out: load alone (between attempts the silent runner looks idle). Change: a request that expires without a byte from its runner counts as lost. The scenario failed first (two of eight later payouts expired) and fails again with the line taken out. Passing streams on is a module of its own now.

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -7,7 +7,7 @@
 import type { LogFields } from "@jasminetide/runtime/logging";
 import { SilenceWatch } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { AnswerHead, CallerRequest, RunnerAnswer } from "../protocol.ts";
+import type { CallerRequest, RunnerAnswer } from "../protocol.ts";
 import type { RequestTrace } from "../request_log.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
@@ -16,7 +16,7 @@
 import { describeEnd, getRunnerOutcome } from "./observe_end.ts";
 import { placeAttempt, type Placement } from "./place_attempt.ts";
 import { getPauseLimitMs, getStartLimitMs } from "./silence_limits.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { StreamRelay } from "./stream_relay.ts";
 import { selectForwarded } from "./forwarded_headers.ts";
 
 /** A request that was found to be allowed. */
@@ -46,8 +46,10 @@
 export class Exchange {
   readonly #options: ExchangeOptions;
   readonly #tried = new Set<string>();
-  readonly #splitter = EventSplitter.create();
+  readonly #relay: StreamRelay;
   #attempt: Attempt | undefined;
+  /** Runner of the present attempt. */
+  #upstream: Upstream | undefined;
   #silence: SilenceWatch | undefined;
   #sentAtMs = 0;
   #isFirstByte = true;
@@ -55,13 +57,11 @@
   #wasRefused = false;
   #runs = 0;
   #isOver = false;
-  /** Whether the caller, and the runner now, see where the answer ends. */
-  #hasBegunFramed = false;
-  #isFramed = false;
   #lastAnswer: Extract<AttemptEnd, { type: "answered" }> | undefined;
 
   private constructor(options: ExchangeOptions) {
     this.#options = options;
+    this.#relay = StreamRelay.create(options.answer);
   }
 
   /** Serves a request; resolves when its caller was answered or has left. */
@@ -133,8 +133,9 @@
   #try({ cacheSource, upstream }: Placement): Promise<AttemptEnd> {
     const { admitted, context, request } = this.#options;
     this.#attempts += 1;
+    this.#upstream = upstream;
     this.#tried.add(upstream.id);
-    const lastEventId = this.#splitter.lastId;
+    const { lastEventId } = this.#relay;
     this.#attempt = Attempt.create({
       upstream,
       attemptId: admitted.caller.attemptId,
@@ -221,37 +222,10 @@
 
   /** Passes on successful streams event by event. */
   #createSink(): AnswerSink {
-    const { admitted: { route }, answer } = this.#options;
-    return {
-      accepts: (head) => route.kind === "stream" && head.status < 300,
-      begin: (head) => this.#beginStream(head),
-      write: (bytes) => {
-        const whole = this.#splitter.append(bytes);
-        return whole.length === 0 || answer.write(whole);
-      },
-      onceWritable: (handler) => answer.onceWritable(handler),
-      end: () => this.#endStream(),
-    };
-  }
-
-  #beginStream(head: AnswerHead): void {
-    const { answer } = this.#options;
-    this.#isFramed = head.isFramed;
-    if (answer.hasBegun) return;
-    this.#hasBegunFramed = head.isFramed;
-    answer.begin(head);
-  }
-
-  /** Ends a stream; returns what forbids to call it complete, if anything. */
-  #endStream(): string | undefined {
-    const { answer } = this.#options;
-    if (this.#hasBegunFramed && !this.#isFramed) {
-      return "the end of a part without length cannot be told";
-    }
-    const rest = this.#splitter.takePartial();
-    if (rest.length > 0) answer.write(rest);
-    answer.end();
-    return undefined;
+    const { admitted: { route } } = this.#options;
+    return this.#relay.createSink((head) =>
+      route.kind === "stream" && head.status < 300
+    );
   }
 
   #observe(upstream: Upstream, end: AttemptEnd): void {
@@ -284,7 +258,7 @@
         answer.breakOff();
         break;
       case "resume":
-        this.#splitter.takePartial();
+        this.#relay.dropPartial();
         return;
       case "repeat":
         return;
@@ -330,13 +304,24 @@
     this.#isOver = true;
     this.#silence?.[Symbol.dispose]();
     this.#attempt?.cancel();
-    this.#log("expired", { mayHaveRun, hasBegun: answer.hasBegun });
+    this.#log("expired", {
+      mayHaveRun,
+      hasBegun: answer.hasBegun,
+      wasSilent: this.#isFirstByte,
+    });
+    if (this.#isFirstByte) this.#recordSilence();
     if (answer.hasBegun) answer.breakOff();
     else if (mayHaveRun) {
       this.#fail("No answer within the time limit", "deadlineExceeded");
     } else this.#refuse("Not sent within the time limit");
   }
 
+  /** Takes in that a runner let a whole request pass without a byte. */
+  #recordSilence(): void {
+    const nowMs = this.#options.context.timers.nowMs();
+    this.#upstream?.health.observe("lost", nowMs);
+  }
+
   /** Withdraws the request of a caller that has left. */
   #abandon(): void {
     // A connection also closes for the exchange once all of it was sent.
--- a/packages/gateway/src/requests/mod.ts
+++ b/packages/gateway/src/requests/mod.ts
@@ -7,3 +7,4 @@
 export * from "./explain_request.ts";
 export * from "./forwarded_headers.ts";
 export * from "./serve_request.ts";
+export * from "./stream_relay.ts";
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -139,3 +139,10 @@
     And both runners answer "ok"
     When 4 callers send prompts that share a part, one after the other
     Then one runner got them all
+
+  Scenario: A runner that leaves requests without any answer is avoided
+    Given a gateway and a runner "silent"
+    And a runner "second"
+    And runner "second" answers "200 OK" with "done"
+    When payouts with 100 ms each are sent until one has expired
+    Then 8 further payouts are all answered
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -506,3 +506,30 @@
   );
   assert.ok(counts.includes(0), counts.join(" "));
 });
+
+/** Sends a payout that may take 100 ms; gets the status of its answer. */
+async function sendShortPayout(world: World): Promise<number> {
+  const headers = { [testHeaders.timeout]: "100" };
+  const caller = await sendRequest(world, "/payout/short", headers);
+  await caller.waitUntil(hasWholeAnswer);
+  return getStatus(caller);
+}
+
+When(
+  "payouts with 100 ms each are sent until one has expired",
+  async function (this: World) {
+    let status = 0;
+    while (status !== 504) status = await sendShortPayout(this);
+  },
+);
+
+Then(
+  "{int} further payouts are all answered",
+  async function (this: World, count: number) {
+    const statuses: number[] = [];
+    for (let index = 0; index < count; index++) {
+      statuses.push(await sendShortPayout(this));
+    }
+    assert.deepEqual(statuses, new Array(count).fill(200));
+  },
+);
