--- a/packages/fault_soak/src/managed_process.ts
+++ b/packages/fault_soak/src/managed_process.ts
@@ -16,6 +16,14 @@
   onLine?: (line: string) => void;
 };
 
+/** Processes that run now. */
+const running = new Set<ChildProcess>();
+
+/** None outlives the process that started it, however that ends. */
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+
 /** A process that the soak started, and ends by its own id. */
 export class ManagedProcess {
   readonly name: string;
@@ -43,7 +51,9 @@
       log.write(`${line}\n`);
       options.onLine?.(line);
     });
+    running.add(child);
     child.on("exit", (code, signal) => {
+      running.delete(child);
       log.end(`exit ${code} ${signal}\n`);
     });
     return new ManagedProcess(name, child);
--- a/packages/fault_soak/src/mod.ts
+++ b/packages/fault_soak/src/mod.ts
@@ -1,5 +1,6 @@
 /** Runs the real programs as processes under faults from outside. */
 export * from "./check_history.ts";
+export * from "./fleet_checks.ts";
 export * from "./faults.ts";
 export * from "./history.ts";
 export * from "./ports.ts";
@@ -7,3 +8,4 @@
 export * from "./run_fault_soak.ts";
 export * from "./soak_runner.ts";
 export * from "./wire.ts";
+export * from "./violation.ts";
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -3,11 +3,12 @@
 import { setTimeout } from "node:timers/promises";
 import { createSeededRandom } from "@jasminetide/core/random";
 import { Callers } from "./callers.ts";
-import { checkHistory, type Violation } from "./check_history.ts";
+import { checkHistory } from "./check_history.ts";
 import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
 import { createHistory, type History, isServed } from "./history.ts";
 import { injectFault } from "./inject_fault.ts";
 import { repeatBudget, SoakFleet } from "./soak_fleet.ts";
+import type { Violation } from "./violation.ts";
 import type { SoakPrograms } from "./wire.ts";
 
 /** One episode: a fleet of its own, faults, and a calm end. */
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -75,15 +75,13 @@
   static async create(options: SoakFleetOptions): Promise<SoakFleet> {
     const store = await StoreServer.create(options.programs.createObjects());
     const fleet = new SoakFleet(options, store);
-    fleet.declareNext();
-    for (let index = 0; index < options.size.runners; index++) {
-      await fleet.#addRunner(index);
+    try {
+      await fleet.#start();
+      return fleet;
+    } catch (thrown) {
+      await fleet[Symbol.asyncDispose]();
+      throw thrown;
     }
-    for (let index = 0; index < options.size.gateways; index++) {
-      await fleet.#addGateway(index);
-    }
-    await fleet.waitUntilReady();
-    return fleet;
   }
 
   /** Newest version of the declaration. */
@@ -161,6 +159,18 @@
     await this.store[Symbol.asyncDispose]();
   }
 
+  async #start(): Promise<void> {
+    const { size } = this.#options;
+    this.declareNext();
+    for (let index = 0; index < size.runners; index++) {
+      await this.#addRunner(index);
+    }
+    for (let index = 0; index < size.gateways; index++) {
+      await this.#addGateway(index);
+    }
+    await this.waitUntilReady();
+  }
+
   async #addGateway(index: number): Promise<void> {
     const { folder, random } = this.#options;
     const reserveAddress = async () => `127.0.0.1:${await reservePort(random)}`;
--- /dev/null
+++ b/packages/fault_soak/src/violation.ts
@@ -0,0 +1,33 @@
+import type { CallRecord } from "./history.ts";
+
+/** Names of the promises that are checked. */
+export const checkNames = [
+  "whole-answers",
+  "at-most-once",
+  "true-refusals",
+  "attempts",
+  "repeats",
+  "time-limits",
+  "versions",
+  "never-back",
+  "drained-runners",
+  "cancellation",
+  "planned-stops",
+  "recovery",
+] as const;
+
+/** Name of a promise that is checked. */
+export type CheckName = (typeof checkNames)[number];
+
+/** A promise that was broken, with what shows it. */
+export type Violation = { check: CheckName; detail: string };
+
+/** Formats a call for the detail of a violation. */
+export function formatCall(call: CallRecord): string {
+  const { attemptId, gateway, kind, outcome, sentAtMs, endedAtMs } = call;
+  const end = outcome.type === "answered"
+    ? `${outcome.status}${outcome.isWhole ? "" : " broken off"}`
+    : outcome.type;
+  return `${kind} ${attemptId} at gateway ${gateway}, sent ${sentAtMs}, ` +
+    `${end} after ${endedAtMs - sentAtMs} ms`;
+}
