Log readiness, avoided runners and known gateways with their inputs

A gateway's beliefs in its runners' health, its own readiness and its peers changed without a line. Traces show them before a request's own lines.

--- a/packages/core/src/pools/runner_health.ts
+++ b/packages/core/src/pools/runner_health.ts
@@ -6,6 +6,13 @@
   /** The connection broke or nothing was heard in time. */
   | "lost";
 
+/** A change of what is believed of a runner. */
+export type HealthChange =
+  /** New work goes elsewhere if it can, for a while. */
+  | { type: "avoided"; lostInARow: number; durationMs: number }
+  /** It has answered again before that was over. */
+  | { type: "trusted" };
+
 /**
  * Judges a runner by the requests that this router sent to it. Health checks
  * play no part, since a runner may pass them and fail its requests.
@@ -23,21 +30,26 @@
     return new RunnerHealth();
   }
 
-  /** Takes in how a request ended. */
-  observe(outcome: RunnerOutcome, nowMs: number): void {
+  /** Takes in how a request ended; says whether that changes the belief. */
+  observe(outcome: RunnerOutcome, nowMs: number): HealthChange | undefined {
+    const wasAvoided = this.isAvoided(nowMs);
     const share = this.getFailureShare(nowMs);
     const failure = outcome === "succeeded" ? 0 : 1;
     this.#failureShare = share + outcomeWeight * (failure - share);
     this.#observedAtMs = nowMs;
     if (outcome !== "lost") {
       this.#lostInARow = 0;
-      if (outcome === "succeeded") this.#avoidedUntilMs = 0;
-      return;
+      if (outcome === "failed") return undefined;
+      this.#avoidedUntilMs = 0;
+      return wasAvoided ? { type: "trusted" } : undefined;
     }
     this.#lostInARow += 1;
-    if (this.#lostInARow < lostBeforeAvoiding) return;
+    if (this.#lostInARow < lostBeforeAvoiding) return undefined;
     const doublings = Math.min(this.#lostInARow - lostBeforeAvoiding, 3);
-    this.#avoidedUntilMs = nowMs + firstAvoidanceMs * 2 ** doublings;
+    const durationMs = firstAvoidanceMs * 2 ** doublings;
+    this.#avoidedUntilMs = nowMs + durationMs;
+    if (wasAvoided) return undefined;
+    return { type: "avoided", lostInARow: this.#lostInARow, durationMs };
   }
 
   /** Whether new work should go elsewhere if it can. */
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -45,6 +45,7 @@
   #peers: ReadonlyMap<string, PeerRecord> = new Map();
   #newsRevision = 0;
   #hasRunners = false;
+  #wasReady = false;
   #isLeaving = false;
 
   private constructor(options: FleetViewOptions) {
@@ -154,9 +155,7 @@
       source: registry.peers,
       watchMs: peerWatchMs,
       keepMissingMs: 0,
-      onObjects: (objects) => {
-        this.#peers = new Map(objects);
-      },
+      onObjects: (objects) => this.#applyPeers(objects),
     }));
     this.#resources.use(PeerFollower.create({
       ...this.#options,
@@ -210,11 +209,31 @@
       this.#routes = RouteTable.create(declaration);
       this.#options.onDeclaration(declaration);
     }
+    this.#recordReady();
+  }
+
+  /** Logs once that enough is known to serve requests. */
+  #recordReady(): void {
+    if (this.#wasReady || !this.isComplete) return;
+    this.#wasReady = true;
+    this.#options.logger.info("ready", {
+      version: this.declarationVersion,
+      runners: this.directory.listRecords().length,
+      isFromStore: this.isConnected,
+    });
+  }
+
+  #applyPeers(peers: ReadonlyMap<string, PeerRecord>): void {
+    const before = this.#peers.size;
+    this.#peers = new Map(peers);
+    if (before === peers.size) return;
+    this.#options.logger.info("gateways-known", { before, now: peers.size });
   }
 
   #applyRunners(records: ReadonlyMap<string, RunnerRecord>): void {
     this.directory.apply(records);
     this.#hasRunners = true;
+    this.#recordReady();
   }
 
   #applyNews(news: Partial<GatewayState>): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -180,6 +180,7 @@
       timers,
       random: this.#random,
       metrics: this.#metrics,
+      logger,
       requestLog: RequestLog.create({ logger, timers, ...settings.log }),
       getRoutes: () => this.#fleet.routes,
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -8,6 +8,7 @@
 import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Logger } from "@jasminetide/runtime/logging";
 import type { RequestLog } from "./request_log.ts";
 import type { WireProtocol } from "./protocol.ts";
 import type { Directory } from "./upstreams/mod.ts";
@@ -22,6 +23,8 @@
   random: RandomSource;
   metrics: GatewayMetrics;
   requestLog: RequestLog;
+  /** For what the process believes; requests have a log of their own. */
+  logger: Logger;
   /** Declared routes in force; undefined before the first version. */
   getRoutes: () => RouteTable | undefined;
   getRepeatBudget: (service: string) => RepeatBudget;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -13,7 +13,7 @@
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import { canRunAgain, decideNext, type NextStep } from "./decide_next.ts";
-import { describeEnd, getRunnerOutcome } from "./observe_end.ts";
+import { describeEnd, getRunnerOutcome, observeRunner } from "./observe_end.ts";
 import { placeAttempt, type Placement } from "./place_attempt.ts";
 import { getPauseLimitMs, getStartLimitMs } from "./silence_limits.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -230,13 +230,12 @@
 
   #observe(upstream: Upstream, end: AttemptEnd): void {
     const { admitted: { service }, context } = this.#options;
-    const nowMs = context.timers.nowMs();
     if (end.type === "relayed" || end.type === "answered") {
-      context.getRoomForecast(service).recordFreed(nowMs);
+      const forecast = context.getRoomForecast(service);
+      forecast.recordFreed(context.timers.nowMs());
     }
     const outcome = getRunnerOutcome(end);
-    if (outcome === undefined) return;
-    upstream.health.observe(outcome, nowMs);
+    if (outcome !== undefined) observeRunner(upstream, outcome, context);
   }
 
   #applyStep(step: NextStep, end: AttemptEnd): void {
@@ -318,8 +317,8 @@
 
   /** Takes in that a runner let a whole request pass without a byte. */
   #recordSilence(): void {
-    const nowMs = this.#options.context.timers.nowMs();
-    this.#upstream?.health.observe("lost", nowMs);
+    if (this.#upstream === undefined) return;
+    observeRunner(this.#upstream, "lost", this.#options.context);
   }
 
   /** Withdraws the request of a caller that has left. */
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -1,4 +1,6 @@
 import type { RunnerOutcome } from "@jasminetide/core/pools";
+import type { GatewayContext } from "../gateway_context.ts";
+import type { Upstream } from "../upstreams/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 
 /** What the end of an attempt says of its runner's health, if anything. */
@@ -18,6 +20,18 @@
   }
 }
 
+/** Takes in how a request ended at a runner; logs a change of belief. */
+export function observeRunner(
+  upstream: Upstream,
+  outcome: RunnerOutcome,
+  { logger, timers }: Pick<GatewayContext, "logger" | "timers">,
+): void {
+  const change = upstream.health.observe(outcome, timers.nowMs());
+  if (change === undefined) return;
+  const { type, ...inputs } = change;
+  logger.info(`runner-${type}`, { runner: upstream.id, outcome, ...inputs });
+}
+
 /** Describes an end for a log line. */
 export function describeEnd(
   end: AttemptEnd,
--- a/packages/operator/src/trace/trace_request.ts
+++ b/packages/operator/src/trace/trace_request.ts
@@ -19,6 +19,8 @@
   "store-lost",
   "store-regained",
   "news-from-peer",
+  "gateways-known",
+  "ready",
   "leaving",
   "gateway-started",
 ]);
