--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -1,7 +1,8 @@
 import { setTimeout } from "node:timers/promises";
 import type { FaultLink, LinkSide } from "@jasminetide/testing/fault_link";
-import type { FaultSpan, PlannedFault } from "./faults.ts";
+import type { FaultKind, FaultSpan, PlannedFault } from "./faults.ts";
 import type { History } from "./history.ts";
+import type { ManagedProcess } from "./managed_process.ts";
 import type { SoakFleet, SoakGateway, SoakRunner } from "./soak_fleet.ts";
 import type { StoreTrouble } from "./store_server.ts";
 
@@ -16,86 +17,77 @@
   fault: PlannedFault,
   options: InjectOptions,
 ): Promise<void> {
-  const { history } = options;
-  const startMs = Date.now();
-  const span: FaultSpan = { ...fault, startMs, endMs: Infinity };
+  const { fleet, history } = options;
+  const { durationMs, kind, target } = fault;
+  const span: FaultSpan = { ...fault, startMs: Date.now(), endMs: Infinity };
   history.faults.push(span);
-  await applyFault(fault, options);
+  await injectors[kind]({
+    ...options,
+    durationMs,
+    gateway: fleet.gateways[target % fleet.gateways.length],
+    runner: fleet.runners[target % fleet.runners.length],
+  });
   span.endMs = Date.now();
 }
 
-async function applyFault(
-  fault: PlannedFault,
-  options: InjectOptions,
-): Promise<void> {
-  const { fleet } = options;
-  const { durationMs, kind, target } = fault;
-  const gateway = fleet.gateways[target % fleet.gateways.length];
-  const runner = fleet.runners[target % fleet.runners.length];
-  switch (kind) {
-    case "gateway-paused":
-      return await pauseProcess(gateway.process, durationMs);
-    case "gateway-killed":
-      return await killGateway(gateway, options);
-    case "gateway-stopped":
-      gateway.process.sendSignal("SIGTERM");
-      return await fleet.restartGateway(gateway);
-    case "gateway-reloaded":
-      return gateway.process.sendSignal("SIGHUP");
-    case "all-killed":
-      await Promise.all(
-        fleet.gateways.map((each) => killGateway(each, options)),
-      );
-      return;
-    case "caller-link-delayed":
-      return await delayLink(gateway.callerLink, linkDelayMs, durationMs);
-    case "caller-link-reset":
-      return gateway.callerLink.resetOpen();
-    case "caller-link-silent":
-      return await silenceLink(gateway.callerLink, bothSides, durationMs);
-    case "caller-link-one-way":
-      return await silenceLink(gateway.callerLink, ["answers"], durationMs);
-    case "store-link-delayed":
-      return await delayLink(gateway.storeLink, storeLinkDelayMs, durationMs);
-    case "store-link-reset":
-      return gateway.storeLink.resetOpen();
-    case "store-link-silent":
-      return await silenceLink(gateway.storeLink, bothSides, durationMs);
-    case "runner-paused":
-      return await pauseProcess(runner.process, durationMs);
-    case "runner-killed":
-      runner.process.sendSignal("SIGKILL");
-      return await fleet.restartRunner(runner);
-    case "runner-leaving":
-      return await drainRunner(runner, options);
-    case "runner-link-delayed":
-      return await delayLink(runner.link, linkDelayMs, durationMs);
-    case "runner-link-reset":
-      return runner.link.resetOpen();
-    case "runner-link-silent":
-      return await silenceLink(runner.link, bothSides, durationMs);
-    case "runner-link-one-way":
-      return await silenceLink(runner.link, ["requests"], durationMs);
-    case "store-down":
-      return await troubleStore("down", fault, options);
-    case "store-slow":
-      return await troubleStore("slow", fault, options);
-    case "store-limited":
-      return await troubleStore("limited", fault, options);
-    case "store-loses-answers":
-      return await troubleStore("losesAnswers", fault, options);
-    case "store-forgets":
-      return fleet.store.objects.forgetHistory();
-    case "declaration-changed":
-      return fleet.declareNext();
-  }
-}
+/** What a fault strikes, and for how long. */
+type Strike = InjectOptions & {
+  gateway: SoakGateway;
+  runner: SoakRunner;
+  durationMs: number;
+};
 
 const bothSides: readonly LinkSide[] = ["requests", "answers"];
 
+/** Each settles when the effects of its fault are undone. */
+const injectors: Record<FaultKind, (strike: Strike) => Promise<void> | void> = {
+  "gateway-paused": (strike) => pauseProcess(strike.gateway.process, strike),
+  "gateway-killed": (strike) => killGateway(strike.gateway, strike),
+  "gateway-stopped": ({ fleet, gateway }) => {
+    gateway.process.sendSignal("SIGTERM");
+    return fleet.restartGateway(gateway);
+  },
+  "gateway-reloaded": ({ gateway }) => gateway.process.sendSignal("SIGHUP"),
+  "all-killed": async (strike) => {
+    const { gateways } = strike.fleet;
+    await Promise.all(gateways.map((each) => killGateway(each, strike)));
+  },
+  "caller-link-delayed": (strike) =>
+    delayLink(strike.gateway.callerLink, linkDelayMs, strike),
+  "caller-link-reset": ({ gateway }) => gateway.callerLink.resetOpen(),
+  "caller-link-silent": (strike) =>
+    silenceLink(strike.gateway.callerLink, bothSides, strike),
+  "caller-link-one-way": (strike) =>
+    silenceLink(strike.gateway.callerLink, ["answers"], strike),
+  "store-link-delayed": (strike) =>
+    delayLink(strike.gateway.storeLink, storeLinkDelayMs, strike),
+  "store-link-reset": ({ gateway }) => gateway.storeLink.resetOpen(),
+  "store-link-silent": (strike) =>
+    silenceLink(strike.gateway.storeLink, bothSides, strike),
+  "runner-paused": (strike) => pauseProcess(strike.runner.process, strike),
+  "runner-killed": ({ fleet, runner }) => {
+    runner.process.sendSignal("SIGKILL");
+    return fleet.restartRunner(runner);
+  },
+  "runner-leaving": drainRunner,
+  "runner-link-delayed": (strike) =>
+    delayLink(strike.runner.link, linkDelayMs, strike),
+  "runner-link-reset": ({ runner }) => runner.link.resetOpen(),
+  "runner-link-silent": (strike) =>
+    silenceLink(strike.runner.link, bothSides, strike),
+  "runner-link-one-way": (strike) =>
+    silenceLink(strike.runner.link, ["requests"], strike),
+  "store-down": (strike) => troubleStore("down", strike),
+  "store-slow": (strike) => troubleStore("slow", strike),
+  "store-limited": (strike) => troubleStore("limited", strike),
+  "store-loses-answers": (strike) => troubleStore("losesAnswers", strike),
+  "store-forgets": ({ fleet }) => fleet.store.objects.forgetHistory(),
+  "declaration-changed": ({ fleet }) => fleet.declareNext(),
+};
+
 async function pauseProcess(
-  process: SoakGateway["process"],
-  durationMs: number,
+  process: ManagedProcess,
+  { durationMs }: Strike,
 ): Promise<void> {
   process.sendSignal("SIGSTOP");
   await setTimeout(durationMs);
@@ -104,7 +96,7 @@
 
 async function killGateway(
   gateway: SoakGateway,
-  { fleet }: InjectOptions,
+  { fleet }: Strike,
 ): Promise<void> {
   gateway.process.sendSignal("SIGKILL");
   await fleet.restartGateway(gateway);
@@ -113,7 +105,7 @@
 async function delayLink(
   link: FaultLink,
   delayMs: number,
-  durationMs: number,
+  { durationMs }: Strike,
 ): Promise<void> {
   link.setDelay(delayMs);
   await setTimeout(durationMs);
@@ -123,7 +115,7 @@
 async function silenceLink(
   link: FaultLink,
   sides: readonly LinkSide[],
-  durationMs: number,
+  { durationMs }: Strike,
 ): Promise<void> {
   link.setSilentSides(sides);
   await setTimeout(durationMs);
@@ -134,8 +126,7 @@
 const drainMs = 4500;
 
 async function drainRunner(
-  runner: SoakRunner,
-  { fleet, history }: InjectOptions,
+  { fleet, history, runner }: Strike,
 ): Promise<void> {
   const { id, process } = runner;
   fleet.putRunner(runner, { isDraining: true });
@@ -147,8 +138,7 @@
 
 async function troubleStore(
   trouble: StoreTrouble,
-  { durationMs }: PlannedFault,
-  { fleet }: InjectOptions,
+  { durationMs, fleet }: Strike,
 ): Promise<void> {
   using _trouble = fleet.store.begin(trouble);
   await setTimeout(durationMs);
