--- a/packages/runtime/src/membership/membership.ts
+++ b/packages/runtime/src/membership/membership.ts
@@ -3,7 +3,6 @@
   createMembershipTables,
   createRotatingScheme,
   createSpreader,
-  decodeAnswerRecord,
   decodeDigest,
   encodeAnswerRecord,
   type EngineState,
@@ -17,10 +16,6 @@
   type MemberRow,
   type MembershipLimits,
   type MembershipTables,
-  mergeDescribed,
-  mergeIdentity,
-  mergeRecord,
-  passOn,
   type PoolMean,
   publishRatio,
   publishTokens,
@@ -56,6 +51,11 @@
   listOtherRouters,
   type LiveRouter,
 } from "./list_members.ts";
+import { loadMembers, mergeKnownMembers } from "./load_members.ts";
+import {
+  mergeAnswerRecord,
+  readAnsweredVersion,
+} from "./merge_answer_record.ts";
 import { WireIdIndex } from "./wire_id_index.ts";
 
 /** Called when a member holds a configuration version. */
@@ -80,9 +80,6 @@
   peerAddresses: readonly string[];
 };
 
-/** Peers that are tried for the members at the start. */
-const peersAtStart = 3;
-
 /** What this process tells of itself. */
 export type OwnState = { loadTokens?: number; isLeaving?: boolean };
 
@@ -254,15 +251,16 @@
 
   /** Takes in the record that an answer of a runner's sidecar carries. */
   recordAnswer(runner: string, headers: IncomingHttpHeaders): void {
-    const text = headers[headerNames.digest];
     const wireId = this.#wireIds.find(runner);
     this.#observeAnswer(runner, headers);
-    if (typeof text !== "string" || wireId === undefined) return;
+    if (wireId === undefined) return;
     try {
-      const record = decodeAnswerRecord(text, wireId);
-      const nowMs = this.#options.timers.nowMs();
-      const result = mergeRecord(this.#tables, record, nowMs);
-      if (result === "state") passOn(this.#spreader, wireId, result);
+      mergeAnswerRecord(headers, {
+        tables: this.#tables,
+        spreader: this.#spreader,
+        wireId,
+        nowMs: this.#options.timers.nowMs(),
+      });
     } catch (thrown) {
       this.#warn("answer-record-refused", thrown);
     }
@@ -355,36 +353,20 @@
     this.#send(spreadDigests(this.#spreader, this.#options.timers.nowMs()));
     if (this.#ready.isSettled) return;
     this.#isAsking = true;
-    await this.#loadFromPeers();
+    const known = await loadMembers({
+      addresses: this.listRouterAddresses(),
+      getPeer: this.#options.getPeer,
+      warn: (event, thrown) => this.#warn(event, thrown),
+    });
+    mergeKnownMembers(this.#tables, known, this.#options.timers.nowMs());
     this.#isAsking = false;
     this.#ready.settle();
   }
 
-  /** At the start, asks one peer for what it knows; more if none answers. */
-  async #loadFromPeers(): Promise<void> {
-    for (const address of this.listRouterAddresses().slice(0, peersAtStart)) {
-      try {
-        const known = await this.#options.getPeer(address).getMembers.query();
-        this.#applyKnown(known);
-        return;
-      } catch (thrown) {
-        this.#warn("members-failed", thrown);
-      }
-    }
-  }
-
-  #applyKnown(known: KnownMember[]): void {
-    const nowMs = this.#options.timers.nowMs();
-    for (const { identity, record } of known) {
-      if (record.epoch === 0) mergeIdentity(this.#tables, identity);
-      else mergeDescribed(this.#tables, { identity, record }, nowMs);
-    }
-  }
-
   #observeAnswer(runner: string, headers: IncomingHttpHeaders): void {
-    const version = Number(headers[headerNames.configurationVersion]);
+    const version = readAnsweredVersion(headers);
     const address = this.runners.get(runner)?.controlAddress;
-    if (!Number.isSafeInteger(version) || address === undefined) return;
+    if (version === undefined || address === undefined) return;
     this.#observeVersion(version, address);
   }
 
