Use no connection again that lay idle through a silence

Cause: a link to a runner was cut without a word for 1.6 s; a connection that lay idle meanwhile stayed dead in the pool, and a payout that came upon it 8 s later waited for its time limit. The runner never saw it. Ruled out: the runner (it answered all others at that time) and the load. Change: when a runner is silent for too long, or a request expires without a byte from it, its connections that were idle before the attempt are closed. Ones that were used since are known to work and stay.

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -50,6 +50,7 @@
   #attempt: Attempt | undefined;
   /** Runner of the present attempt. */
   #upstream: Upstream | undefined;
+  #attemptStartedAtMs = 0;
   #silence: SilenceWatch | undefined;
   #sentAtMs = 0;
   #isFirstByte = true;
@@ -134,6 +135,7 @@
     const { admitted, context, request } = this.#options;
     this.#attempts += 1;
     this.#upstream = upstream;
+    this.#attemptStartedAtMs = context.timers.nowMs();
     this.#tried.add(upstream.id);
     const { lastEventId } = this.#relay;
     this.#attempt = Attempt.create({
@@ -216,7 +218,10 @@
     this.#silence = SilenceWatch.create({
       timers,
       limitMs,
-      onSilence: () => this.#attempt?.giveUp("silent for too long"),
+      onSilence: () => {
+        this.#closeOldConnections();
+        this.#attempt?.giveUp("silent for too long");
+      },
     });
   }
 
@@ -318,9 +323,15 @@
   /** Takes in that a runner let a whole request pass without a byte. */
   #recordSilence(): void {
     if (this.#upstream === undefined) return;
+    this.#closeOldConnections();
     observeRunner(this.#upstream, "lost", this.#options.context);
   }
 
+  /** Closes the runner's connections that were idle before this attempt. */
+  #closeOldConnections(): void {
+    this.#upstream?.connections.closeIdleSince(this.#attemptStartedAtMs);
+  }
+
   /** Withdraws the request of a caller that has left. */
   #abandon(): void {
     // A connection also closes for the exchange once all of it was sent.
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -146,3 +146,9 @@
     And runner "second" answers "200 OK" with "done"
     When payouts with 100 ms each are sent until one has expired
     Then 8 further payouts are all answered
+
+  Scenario: Connections that lay idle through a silence are not used again
+    Given a gateway and a runner "first"
+    And two connections to the runner that are idle
+    When the runner is silent on the connections that it has
+    Then a payout with 100 ms gets status 504 and the next one 200
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -533,3 +533,38 @@
     assert.deepEqual(statuses, new Array(count).fill(200));
   },
 );
+
+Given(
+  "two connections to the runner that are idle",
+  async function (this: World) {
+    const held: SeenRequest[] = [];
+    setScript(this, (request) => void held.push(request));
+    const callers = [
+      await sendRequest(this, "/lookup/1"),
+      await sendRequest(this, "/lookup/2"),
+    ];
+    while (held.length < callers.length) await wait(timers, 1);
+    for (const { attemptId, socket } of held) {
+      socket.write(formatAnswer(attemptId, "done"));
+    }
+    for (const caller of callers) await caller.waitUntil(hasWholeAnswer);
+  },
+);
+
+When(
+  "the runner is silent on the connections that it has",
+  function (this: World) {
+    const silent = new Set(listSeen(this).map(({ socket }) => socket));
+    setScript(this, ({ attemptId, socket }) => {
+      if (!silent.has(socket)) socket.write(formatAnswer(attemptId, "done"));
+    });
+  },
+);
+
+Then(
+  "a payout with 100 ms gets status {int} and the next one {int}",
+  async function (this: World, first: number, second: number) {
+    assert.equal(await sendShortPayout(this), first);
+    assert.equal(await sendShortPayout(this), second);
+  },
+);
--- a/packages/gateway/src/upstreams/connection_pool.ts
+++ b/packages/gateway/src/upstreams/connection_pool.ts
@@ -49,6 +49,18 @@
     else this.#idle.push(connection);
   }
 
+  /**
+   * Closes connections that lie idle since a time, as when a silence says that
+   * the way to the runner was cut: what was cut stays silent for ever.
+   */
+  closeIdleSince(timeMs: number): void {
+    for (const connection of [...this.#idle]) {
+      if (!connection.isIdleSince(timeMs)) continue;
+      this.#forget(connection);
+      connection.destroy();
+    }
+  }
+
   /** Closes idle connections now and the others as they are given back. */
   close(): void {
     this.#isClosing = true;
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -101,6 +101,11 @@
       nowMs - this.#idleSinceMs < this.#idleLimitMs;
   }
 
+  /** Whether it carries no request, and carried none since a time. */
+  isIdleSince(timeMs: number): boolean {
+    return this.#listener === undefined && this.#idleSinceMs <= timeMs;
+  }
+
   /** Sends a request. The connection must be usable. */
   send(request: RunnerRequest, listener: AnswerListener): void {
     this.#listener = listener;
