Restart a runner of the soak once at a time

The product was not concerned. Change: restarts of a runner join one that is under way; a leaving ends only the process that it announced.

--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -132,6 +132,8 @@
   fleet.putRunner(runner, { isDraining: true });
   history.drained.push({ runner: id, atMs: Date.now() });
   await setTimeout(drainMs);
+  // Another fault may have ended it before.
+  if (runner.id !== id) return;
   process.sendSignal("SIGKILL");
   await fleet.restartRunner(runner);
 }
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -44,6 +44,8 @@
   id: string;
   process: ManagedProcess;
   life: number;
+  /** Settles when a restart that is under way is over. */
+  restart: Promise<void> | undefined;
 };
 
 /** Budget of repeats of each gateway's settings. */
@@ -106,11 +108,16 @@
     gateway.process = this.#startGateway(gateway);
   }
 
-  /** Starts a runner's process again under another id. */
+  /** Starts a runner's process again under another id once it has ended. */
   async restartRunner(runner: SoakRunner): Promise<void> {
-    const { id, life } = runner;
+    runner.restart ??= this.#replaceRunner(runner);
+    await runner.restart;
+    runner.restart = undefined;
+  }
+
+  async #replaceRunner(runner: SoakRunner): Promise<void> {
+    const { id } = runner;
     await runner.process.waitForEnd();
-    if (runner.life !== life) return;
     runner.life += 1;
     await setTimeout(leaseMs);
     this.store.objects.removeRunner(id);
@@ -229,7 +236,7 @@
       getTarget: () => `127.0.0.1:${port}`,
     });
     const service = index % 2 === 0 ? "engine" : "desk";
-    const parts = { index, link, port, service, life: 0 };
+    const parts = { index, link, port, service, life: 0, restart: undefined };
     const id = formatRunnerId(parts);
     const process = this.#startRunner({ ...parts, id });
     const runner = { ...parts, id, process };
