--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -37,13 +37,20 @@
   "all-killed",
 ] as const;
 
+/** Faults of all runners that serve what one of them serves. */
+export const serviceFaultKinds = ["service-failing"] as const;
+
 /** Every kind of fault. */
 export const faultKinds = [
   ...gatewayFaultKinds,
   ...runnerFaultKinds,
   ...fleetFaultKinds,
+  ...serviceFaultKinds,
 ] as const;
 
+/** Kinds of which an episode draws some; the others come on top. */
+const commonFaultKinds = faultKinds.filter((kind) => !isServiceFault(kind));
+
 /** Kind of a fault. */
 export type FaultKind = (typeof faultKinds)[number];
 
@@ -76,6 +83,8 @@
 /** Chance that a fault comes once more, overlapping or soon after. */
 const seriesChance = 0.35;
 const seriesGapMs = 4000;
+/** Chance that the runners of one service fail for a while. */
+const serviceFaultChance = 0.35;
 
 /** Draws the faults of an episode, in order of time. */
 export function drawFaults(
@@ -85,18 +94,27 @@
   const count = counts.smallest + random.getInteger(counts.range);
   const faults: PlannedFault[] = [];
   for (let index = 0; index < count; index++) {
-    const fault = drawFault(random, size);
+    const fault = drawFault(random, { ...size, kinds: commonFaultKinds });
     faults.push(fault);
     if (random.getFloat() >= seriesChance) continue;
     const startMs = fault.startMs + random.getInteger(seriesGapMs);
     faults.push({ ...fault, startMs });
   }
+  // Drawn last, so that seeds from before this fault keep their schedules.
+  if (random.getFloat() < serviceFaultChance) {
+    faults.push(drawFault(random, { ...size, kinds: serviceFaultKinds }));
+  }
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
-function drawFault(random: RandomSource, size: FleetSize): PlannedFault {
-  const kind = faultKinds[random.getInteger(faultKinds.length)];
-  const targets = isRunnerFault(kind) ? size.runners : size.gateways;
+function drawFault(
+  random: RandomSource,
+  options: FleetSize & { kinds: readonly FaultKind[] },
+): PlannedFault {
+  const { gateways, kinds, runners } = options;
+  const kind = kinds[random.getInteger(kinds.length)];
+  const isOfRunner = isRunnerFault(kind) || isServiceFault(kind);
+  const targets = isOfRunner ? runners : gateways;
   return {
     kind,
     target: random.getInteger(targets),
@@ -110,6 +128,11 @@
   return runnerFaultKinds.some((known) => known === kind);
 }
 
+/** Whether a fault strikes all runners of a service. */
+export function isServiceFault(kind: FaultKind): boolean {
+  return serviceFaultKinds.some((known) => known === kind);
+}
+
 /** Whether a fault strikes all gateways alike. */
 export function isFleetFault(kind: FaultKind): boolean {
   return fleetFaultKinds.some((known) => known === kind);
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -4,6 +4,7 @@
 import type { History } from "./history.ts";
 import type { ManagedProcess } from "./managed_process.ts";
 import type { SoakFleet, SoakGateway, SoakRunner } from "./soak_fleet.ts";
+import { failureMs } from "./soak_runner.ts";
 import type { StoreTrouble } from "./store_server.ts";
 
 /** What a fault strikes. */
@@ -83,6 +84,7 @@
   "store-loses-answers": (strike) => troubleStore("losesAnswers", strike),
   "store-forgets": ({ fleet }) => fleet.store.objects.forgetHistory(),
   "declaration-changed": ({ fleet }) => fleet.declareNext(),
+  "service-failing": failService,
 };
 
 async function pauseProcess(
@@ -138,6 +140,13 @@
   await fleet.restartRunner(runner);
 }
 
+async function failService({ fleet, runner }: Strike): Promise<void> {
+  for (const { process, service } of fleet.runners) {
+    if (service === runner.service) process.sendSignal("SIGUSR2");
+  }
+  await setTimeout(failureMs);
+}
+
 async function troubleStore(
   trouble: StoreTrouble,
   { durationMs, fleet }: Strike,
--- a/packages/fault_soak/src/managed_process.ts
+++ b/packages/fault_soak/src/managed_process.ts
@@ -16,6 +16,15 @@
   onLine?: (line: string) => void;
 };
 
+/** Signals that the soak sends; SIGUSR2 lets a runner fail for a while. */
+export type SoakSignal =
+  | "SIGTERM"
+  | "SIGKILL"
+  | "SIGSTOP"
+  | "SIGCONT"
+  | "SIGHUP"
+  | "SIGUSR2";
+
 /** Processes that run now. */
 const running = new Set<ChildProcess>();
 
@@ -70,7 +79,7 @@
   }
 
   /** Sends a signal; nothing happens once it has ended. */
-  sendSignal(signal: "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGHUP") {
+  sendSignal(signal: SoakSignal): void {
     if (this.isRunning) this.#child.kill(signal);
   }
 
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -26,6 +26,9 @@
 const eventPeriodMs = 100;
 const workMs = 25;
 
+/** Time for which a runner fails every run once it is told to. */
+export const failureMs = 2500;
+
 /** One run in so many is broken off by the runner itself. */
 const breakOffOneIn = 60n;
 
@@ -33,6 +36,8 @@
 export function runSoakRunner(options: SoakRunnerOptions): void {
   const { id, port, service, wire } = options;
   let running = 0;
+  let failsUntilMs = 0;
+  process.on("SIGUSR2", () => failsUntilMs = Date.now() + failureMs);
   const tell = (type: RunnerEvent["type"], attemptId: string) => {
     const event = { type, atMs: Date.now(), attemptId, runner: id, service };
     process.stdout.write(`${JSON.stringify(event)}\n`);
@@ -57,7 +62,10 @@
     running += 1;
     tell("ran", attemptId);
     const work = { attemptId, headers, lastEventId, runnerId: id };
-    void answer(request, response, work).then((end) => {
+    const ended = Date.now() < failsUntilMs
+      ? answerFailure(response, headers)
+      : answer(request, response, work);
+    void ended.then((end) => {
       running -= 1;
       tell(end, attemptId);
     });
@@ -101,6 +109,16 @@
   return "finished";
 }
 
+/** Answers that a run has failed, as soon as it would have ended. */
+async function answerFailure(
+  response: ServerResponse,
+  headers: Record<string, string>,
+): Promise<"finished"> {
+  await setTimeout(workMs);
+  response.writeHead(500, headers).end("failed");
+  return "finished";
+}
+
 function breakOff(request: IncomingMessage): "brokenOff" {
   request.socket.destroy();
   return "brokenOff";
