Take no request late in a planned stop

A stream that had begun before SIGTERM ended 7.1 s later; its connection stayed open until the next look, up to 50 ms, and the caller's next request came in between. It was passed on and cut off 0.46 s later by the end of the grace time. Ruled out: the notice of 2.5 s (idle connections were closed then) and the caller's side (answers from after the signal say that the connection closes). Change: once idle connections are being closed, one closes as soon as its answer is sent; a request that is read all the same is refused at once as not run. The scenario failed first.

--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -45,6 +45,7 @@
   attemptTombstoned: row(3009, 409, "no", "Attempt was withdrawn"),
   runnerUnreachable: row(3010, 503, "no", "Runner cannot be reached"),
   chatHeldElsewhere: row(3011, 503, "no", "Another runner holds the chat"),
+  routerLeaving: row(3012, 503, "no", "Router is leaving"),
   keyReused: row(4001, 422, "no", "Key was used with another body"),
   keyRunning: row(4002, 409, "unknown", "Request with this key is running"),
   outcomeUnknown: row(4003, 502, "unknown", "Outcome is unknown"),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,7 @@
   #settings: GatewaySettings;
   #peerAddress = "";
   #isStopping = false;
+  #isClosing = false;
   #openRequests = 0;
 
   private constructor(options: GatewayOptions, listener: CallerListener) {
@@ -131,6 +132,7 @@
     logger.info("leaving", { openRequests: this.#openRequests });
     void this.#fleet.withdraw();
     await wait(timers, stop.noticeMs);
+    this.#isClosing = true;
     this.#listener.closeIdle();
     while (this.#openRequests > 0 && timers.nowMs() < endMs) {
       await wait(timers, stopCheckPeriodMs);
@@ -189,6 +191,7 @@
         this.#getFirstByteTimes(`${service} ${kind}`),
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
       isStopping: () => this.#isStopping,
+      isClosing: () => this.#isClosing,
     };
   }
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -35,4 +35,6 @@
   countRouters: () => number;
   /** Whether callers should use other connections from now on. */
   isStopping: () => boolean;
+  /** Whether a request that comes now could not be finished any more. */
+  isClosing: () => boolean;
 };
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -8,6 +8,7 @@
 export class CallerListener {
   readonly #server: Server;
   readonly #closed: Promise<unknown>;
+  #isClosingIdle = false;
 
   private constructor(server: Server) {
     this.#server = server;
@@ -37,7 +38,13 @@
 
   /** Sets what answers requests. */
   setHandler(handler: RequestListener): void {
-    this.#server.on("request", handler);
+    this.#server.on("request", (request, response) => {
+      response.once("finish", () => {
+        // Before the caller can send another request, that would be cut off.
+        if (this.#isClosingIdle) request.socket.destroySoon();
+      });
+      handler(request, response);
+    });
   }
 
   /** Applies declared limits to connections from now on. */
@@ -47,10 +54,11 @@
   }
 
   /**
-   * Stops listening and closes the connections without a request, so that no
-   * request is taken that could not be finished.
+   * Stops listening and closes the connections without a request, now and as
+   * they fall idle, so that no request is taken that could not be finished.
    */
   closeIdle(): void {
+    this.#isClosingIdle = true;
     if (this.#server.listening) this.#server.close();
     this.#server.closeIdleConnections();
   }
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -84,13 +84,20 @@
  * Finds the route, workspace and service of a request by the declaration in
  * force.
  *
- * @throws AppError `notFound`, `unauthorized` or `noDeclaration`.
+ * @throws AppError `notFound`, `unauthorized`, `noDeclaration` or
+ * `routerLeaving`.
  */
 function admitRequest(
   request: IncomingMessage,
   caller: CallerRequest,
   context: GatewayContext,
 ): Admission {
+  // It came on a connection that was being closed.
+  if (context.isClosing()) {
+    throw AppError.create("routerLeaving", "The router is about to end", {
+      retryAfterMs: leavingRetryAfterMs,
+    });
+  }
   const routes = context.getRoutes();
   if (routes === undefined) {
     throw AppError.create("noDeclaration", "No declaration is known yet", {
@@ -133,5 +140,8 @@
   return workspace;
 }
 
+/** Other routers take it at once. */
+const leavingRetryAfterMs = 50;
+
 /** Time in which a router that has just started learns what it needs. */
 const startRetryAfterMs = 300;
--- a/packages/gateway/src/stopping_test.ts
+++ b/packages/gateway/src/stopping_test.ts
@@ -104,3 +104,29 @@
 Then("the gateway has stopped", async function (this: World) {
   await this.stopped;
 });
+
+When(
+  "the runner ends the first stream and its caller sends another request",
+  async function (this: World) {
+    const [first] = this.streamCallers;
+    endStream(this, 0);
+    await waitForWhole(first);
+    first.text = "";
+    first.send({ path: "/summary/2", attemptId: "late" });
+  },
+);
+
+Then(
+  "it is refused as not run or not read, and the connection is closed",
+  async function (this: World) {
+    const [first] = this.streamCallers;
+    await first.waitUntil(({ hasEnded }) => hasEnded);
+    if (first.text !== "") {
+      assert.match(first.text, /^HTTP\/1.1 503 .*"executed":"no"/s);
+    }
+  },
+);
+
+Then("the runner has seen no third request", function (this: World) {
+  assert.equal(this.streamRunner.seen.length, 2);
+});
