Let the notice of a stop pass before a late request is sent

Cause: the test took the closing of another caller's connection for the end of the notice, but a refused request closes its connection at any time; so the request could come within the notice, in which requests are taken by design. Change: the test waits 20 ms, the notice is 1 ms on the same timers; what it asserts is the same.

--- a/packages/gateway/src/stopping_test.ts
+++ b/packages/gateway/src/stopping_test.ts
@@ -109,6 +109,8 @@
   "the runner ends the first stream and its caller sends another request",
   async function (this: World) {
     const [first] = this.streamCallers;
+    // Longer than the notice of the stop, in which requests are still taken.
+    await wait(RealTimerService.create(), 20);
     endStream(this, 0);
     await waitForWhole(first);
     first.text = "";
