--- a/packages/gateway/src/requests/answer_silence.ts
+++ b/packages/gateway/src/requests/answer_silence.ts
@@ -1,6 +1,6 @@
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
-import { SilenceWatch } from "@jasminetide/runtime/streams";
+import { type Silence, SilenceWatch } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import { getFirstByteLimitMs, getPauseLimitMs } from "./silence_limits.ts";
 
@@ -10,7 +10,7 @@
   service: string;
   context: Pick<GatewayContext, "getFirstByteTimes" | "metrics" | "timers">;
   /** Called when an answer is silent for longer than its limit. */
-  onSilence: () => void;
+  onSilence: (silence: Silence) => void;
 };
 
 /** Measures how long the answers to one request are silent. */
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -4,6 +4,7 @@
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { TimerSubscription } from "@jasminetide/core/timers";
 import type { LogFields } from "@jasminetide/runtime/logging";
+import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest, RunnerAnswer } from "../protocol.ts";
 import type { RequestTrace } from "../request_log.ts";
@@ -75,7 +76,8 @@
       route,
       service,
       context,
-      onSilence: () => {
+      onSilence: (silence) => {
+        this.#logSilence(silence);
         this.#closeOldConnections();
         this.#attempt?.fail("no bytes within the silence limit");
       },
@@ -340,6 +342,17 @@
     this.#log("caller-left", { attempts: this.#attempts });
   }
 
+  #logSilence({ silentMs, timerDelayMs }: Silence): void {
+    this.#log("silent", {
+      runner: this.#upstream?.id,
+      attempt: this.#attempts,
+      silentMs: Math.round(silentMs),
+      timerDelayMs: Math.round(timerDelayMs),
+      isAwaitingFirstByte: this.#silence.isAwaitingFirstByte,
+      afterEvent: this.#relay.lastEventId,
+    });
+  }
+
   #getLeftMs(): number {
     const { admitted, context } = this.#options;
     return admitted.deadlineMs - context.timers.nowMs();
--- a/packages/runtime/src/streams/silence_watch.ts
+++ b/packages/runtime/src/streams/silence_watch.ts
@@ -1,11 +1,19 @@
 import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
 
+/** A silence that exceeded its limit. */
+export type Silence = {
+  /** Time since something was received. */
+  silentMs: number;
+  /** Time by which the timer that noticed it was late. */
+  timerDelayMs: number;
+};
+
 /** Time limit of a silence watch and what it calls. */
 export type SilenceWatchOptions = {
   timers: TimerService;
   limitMs: number;
   /** Called once when nothing was received for `limitMs`. */
-  onSilence: () => void;
+  onSilence: (silence: Silence) => void;
 };
 
 /**
@@ -16,6 +24,8 @@
   readonly #options: SilenceWatchOptions;
   #limitMs: number;
   #lastActivityAtMs: number;
+  /** Time at which the timer is due. */
+  #dueAtMs = 0;
   #timer: TimerSubscription;
 
   private constructor(options: SilenceWatchOptions) {
@@ -48,6 +58,7 @@
   }
 
   #schedule(delayMs: number): TimerSubscription {
+    this.#dueAtMs = this.#options.timers.nowMs() + delayMs;
     return this.#options.timers.schedule(
       delayMs,
       (nowMs) => this.#check(nowMs),
@@ -55,8 +66,13 @@
   }
 
   #check(nowMs: number): void {
-    const leftMs = this.#lastActivityAtMs + this.#limitMs - nowMs;
-    if (leftMs > 0) this.#timer = this.#schedule(leftMs);
-    else this.#options.onSilence();
+    const silentMs = nowMs - this.#lastActivityAtMs;
+    const leftMs = this.#limitMs - silentMs;
+    if (leftMs > 0) {
+      this.#timer = this.#schedule(leftMs);
+      return;
+    }
+    const timerDelayMs = Math.max(0, nowMs - this.#dueAtMs);
+    this.#options.onSilence({ silentMs, timerDelayMs });
   }
 }
