Show that requests are lost at a runner that pauses for a second

Beside a change of the declaration, a runner pauses for 1.5 s after event 2 and the runner tried next refuses, closes, answers 500 or says nothing: the caller gets events 1 and 2 and its connection is closed; nothing more is said. With no retry budget the same.

--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -6,14 +6,20 @@
   createDeclaration,
   createRunnerRecord,
   formatAnswer,
+  formatChunk,
+  formatEvents,
   formatHead,
   RawCaller,
   type ReceivedRequest,
+  refuseAsNotRun,
   resetSocket,
+  resumeAtThird,
   type Script,
   ScriptedRunner,
+  setScripts,
   startTestGateway,
   type TestGateway,
+  type TestGatewayOptions,
   testHeaders,
 } from "../test_support/mod.ts";
 
@@ -83,15 +89,30 @@
   return Number(/^HTTP\/1\.1 (\d+)/.exec(caller.text)?.[1]);
 }
 
+async function startFleet(
+  world: World,
+  runnerId: string,
+  options: TestGatewayOptions = {},
+): Promise<void> {
+  world.rawCallers = [];
+  world.scriptedRunners = new Map();
+  world.gatewayUnderTest = await startTestGateway(options);
+  world.gatewayUnderTest.declarations.put("main", createDeclaration(1));
+  await addRunner(world, runnerId);
+  await waitUntilReady(world);
+}
+
 Given(
   "a gateway and a runner {string}",
   async function (this: World, id: string) {
-    this.rawCallers = [];
-    this.scriptedRunners = new Map();
-    this.gatewayUnderTest = await startTestGateway();
-    this.gatewayUnderTest.declarations.put("main", createDeclaration(1));
-    await addRunner(this, id);
-    await waitUntilReady(this);
+    await startFleet(this, id);
+  },
+);
+
+Given(
+  "a gateway without a retry budget and a runner {string}",
+  async function (this: World, id: string) {
+    await startFleet(this, id, { repeats: { ratio: 0, slack: 0 } });
   },
 );
 
@@ -200,27 +221,11 @@
   },
 );
 
-/** Handles the first request with one script and the others with another. */
-function setScripts(world: World, first: Script, others: Script): void {
-  let count = 0;
-  setScript(world, (request) => {
-    count += 1;
-    if (count === 1) first(request);
-    else others(request);
-  });
-}
-
-const refuseAsNotRun: Script = ({ attemptId, socket }) =>
-  socket.write(
-    `HTTP/1.1 503 Busy\r\n${testHeaders.attempt}: ${attemptId}\r\n` +
-      `${testHeaders.notRun}: 1\r\nContent-Length: 0\r\n\r\n`,
-  );
-
 Given(
   "the first runner tried refuses it as not run, the other answers {string}",
   function (this: World, body: string) {
     setScripts(
-      this,
+      this.scriptedRunners.values(),
       refuseAsNotRun,
       ({ attemptId, socket }) => socket.write(formatAnswer(attemptId, body)),
     );
@@ -240,30 +245,16 @@
   setScript(this, () => {});
 });
 
-function formatEvents(ids: number[]): string {
-  return ids.map((id) => `id: ${id}\ndata: event ${id}\n\n`).join("");
-}
-
-function formatChunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
 const breakOffInThird: Script = ({ attemptId, socket }) => {
   const begin = `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n`;
   const part = formatChunk(formatEvents([1, 2])) + formatChunk("id: 3\ndata");
   socket.write(begin + part, () => socket.destroy());
 };
 
-const resumeAtThird: Script = ({ attemptId, socket }) =>
-  socket.write(
-    `${formatHead(attemptId)}Transfer-Encoding: chunked\r\n\r\n` +
-      formatChunk(formatEvents([3, 4])) + "0\r\n\r\n",
-  );
-
 Given(
   "the first runner tried breaks off in event 3, the other resumes",
   function (this: World) {
-    setScripts(this, breakOffInThird, resumeAtThird);
+    setScripts(this.scriptedRunners.values(), breakOffInThird, resumeAtThird);
   },
 );
 
@@ -276,7 +267,7 @@
 Given(
   "the first runner tried stops after event 2, the other resumes",
   function (this: World) {
-    setScripts(this, stopAfterSecond, resumeAtThird);
+    setScripts(this.scriptedRunners.values(), stopAfterSecond, resumeAtThird);
   },
 );
 
@@ -284,7 +275,7 @@
   "the first runner tried stays silent, the other answers {string}",
   function (this: World, body: string) {
     setScripts(
-      this,
+      this.scriptedRunners.values(),
       () => {},
       ({ attemptId, socket }) => socket.write(formatAnswer(attemptId, body)),
     );
@@ -300,7 +291,11 @@
 Given(
   "the first runner tried breaks off in event 3, the other resumes without length",
   function (this: World) {
-    setScripts(this, breakOffInThird, resumeWithoutLength);
+    setScripts(
+      this.scriptedRunners.values(),
+      breakOffInThird,
+      resumeWithoutLength,
+    );
   },
 );
 
@@ -308,7 +303,7 @@
   "the first runner tried breaks off in event 3, the other answers {int}",
   function (this: World, status: number) {
     setScripts(
-      this,
+      this.scriptedRunners.values(),
       breakOffInThird,
       ({ attemptId, socket }) =>
         socket.write(formatAnswer(attemptId, "no", `${status} No`)),
@@ -320,7 +315,7 @@
   "the first runner tried answers {int}, the other closes without an answer",
   function (this: World, status: number) {
     setScripts(
-      this,
+      this.scriptedRunners.values(),
       ({ attemptId, socket }) =>
         socket.write(formatAnswer(attemptId, "no", `${status} No`)),
       ({ socket }) => socket.destroy(),
@@ -754,7 +749,7 @@
       );
       socket.on("close", () => subscription[Symbol.dispose]());
     };
-    setScripts(this, trickle, resumeAtThird);
+    setScripts(this.scriptedRunners.values(), trickle, resumeAtThird);
   },
 );
 
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -102,6 +102,8 @@
   seedAddresses?: string[];
   /** Whether its store is unavailable from the start. */
   isStoreUnavailable?: boolean;
+  /** Retry budget; allows nearly every retry if absent. */
+  repeats?: { ratio: number; slack: number };
 };
 
 /** Starts a gateway on free ports of the loopback address. */
@@ -122,7 +124,7 @@
       seedAddresses: options.seedAddresses ?? [],
       platform: { address: "127.0.0.1:1" },
       stop: { noticeMs: 1, graceSeconds: 5 },
-      repeats: { ratio: 1, slack: 100 },
+      repeats: options.repeats ?? { ratio: 1, slack: 100 },
       log: { sampleShare: options.sampleShare ?? 0 },
     }),
     timers: RealTimerService.create(),
