Handle timeouts after the bytes that arrived before them

Cause: the event loop handles timers before it reads from sockets, so a limit that fell due in the stall was exceeded although the bytes had arrived in time. Class of fault: a delay of this process is taken for a failure of its peer.

--- a/packages/runtime/src/clock/real_timer_service.ts
+++ b/packages/runtime/src/clock/real_timer_service.ts
@@ -3,6 +3,7 @@
   TimerService,
   TimerSubscription,
 } from "@jasminetide/core/timers";
+import { startTimeout } from "./start_timeout.ts";
 
 /** Timer service on the clock and the event loop of this process. */
 export class RealTimerService implements TimerService {
@@ -30,7 +31,6 @@
   }
 
   schedule(delayMs: number, handler: TimerHandler): TimerSubscription {
-    const timer = setTimeout(() => handler(this.nowMs()), delayMs);
-    return { [Symbol.dispose]: () => clearTimeout(timer) };
+    return startTimeout(delayMs, () => handler(this.nowMs()));
   }
 }
--- a/packages/runtime/src/clock/silence_limit.ts
+++ b/packages/runtime/src/clock/silence_limit.ts
@@ -1,3 +1,5 @@
+import { startTimeout } from "./start_timeout.ts";
+
 /** Time limits of an answer. */
 export type SilenceLimitOptions = {
   /** Maximum time until the answer begins. */
@@ -15,8 +17,8 @@
 export class SilenceLimit implements Disposable {
   readonly #abort = new AbortController();
   readonly #options: SilenceLimitOptions;
-  readonly #totalTimer: NodeJS.Timeout;
-  #pauseTimer: NodeJS.Timeout;
+  readonly #totalTimer: Disposable;
+  #pauseTimer: Disposable;
 
   private constructor(options: SilenceLimitOptions) {
     this.#options = options;
@@ -36,25 +38,19 @@
 
   /** Records that the answer has begun or that a chunk of it has arrived. */
   recordProgress(): void {
-    clearTimeout(this.#pauseTimer);
+    this.#pauseTimer[Symbol.dispose]();
     this.#pauseTimer = this.#schedule(this.#options.pauseMs);
   }
 
   [Symbol.dispose](): void {
-    clearTimeout(this.#pauseTimer);
-    clearTimeout(this.#totalTimer);
+    this.#pauseTimer[Symbol.dispose]();
+    this.#totalTimer[Symbol.dispose]();
   }
 
-  #schedule(delayMs: number): NodeJS.Timeout {
-    return setTimeout(
-      () =>
-        this.#abort.abort(
-          new DOMException(
-            `Answer timed out after ${delayMs} ms`,
-            "TimeoutError",
-          ),
-        ),
-      delayMs,
-    );
+  #schedule(delayMs: number): Disposable {
+    return startTimeout(delayMs, () => {
+      const message = `Answer timed out after ${delayMs} ms`;
+      this.#abort.abort(new DOMException(message, "TimeoutError"));
+    });
   }
 }
