Tell a complete stream without framing from one that broke off

What was seen: a runner's stream without length or chunks that ended inside an event was passed on to its end and could not be resumed; one that resumed so was always cut off. A stream without framing that this gateway cut off after a whole event looked complete, since it ended like a complete one.

Cause: the end of such a stream was taken for unknown. The end of its connection after a whole event is its regular end.

Change: a stream without framing that ends inside an event is broken off and is resumed where that is allowed; after a whole event it is complete. Callers get every stream in chunks, so one that is cut off never has a last chunk. Plain answers without framing stay without.

Tests: the scenario "A stream that resumes without length never looks complete" asserted the old reading and is replaced by five that tell the cases apart, each broken-off one as strict as before.

--- a/packages/gateway/src/requests/caller_answer.ts
+++ b/packages/gateway/src/requests/caller_answer.ts
@@ -45,11 +45,17 @@
 
   /** Sends a runner's buffered answer. */
   sendBuffered(head: AnswerHead, body: Buffer): void {
+    // A body without framing may be incomplete. Framing would mark it as
+    // complete, so it is sent without and ends with the connection.
+    if (!head.isFramed) this.#response.useChunkedEncodingByDefault = false;
     this.#writeHead(head, head.isFramed ? body.length : undefined);
     this.#response.end(body);
   }
 
-  /** Starts to relay a runner's answer. */
+  /**
+   * Starts to relay a runner's stream. It is framed even if the runner's is not,
+   * so that one that is cut off after a whole event does not look complete.
+   */
   begin(head: AnswerHead): void {
     this.#writeHead(head, undefined);
     this.#response.flushHeaders();
@@ -107,10 +113,6 @@
       headers.push("Content-Length", String(length));
     }
     if (this.#isStopping()) headers.push("Connection", "close");
-    // A body without framing may be incomplete. Chunked encoding would mark it
-    // as complete, so it is relayed without framing and ends with the
-    // connection.
-    if (!head.isFramed) this.#response.useChunkedEncodingByDefault = false;
     this.#response.writeHead(head.status, headers);
   }
 }
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -116,11 +116,43 @@
     When a caller sends "/story/1"
     Then the caller gets events "1 2 3 4" once each and a proper end
 
-  Scenario: A stream that resumes without length never looks complete
+  Scenario: A stream that resumes without length is complete after a whole event
     Given a runner "second"
-    And the first runner tried breaks off in event 3, the other resumes without length
+    And the first runner tried breaks off in event 3, the other resumes without length and closes after event 4
     When a caller sends "/story/1"
-    Then the caller gets events "1 2 3 4" and no proper end
+    Then the caller gets events "1 2 3 4" once each and a proper end
+
+  Scenario Outline: A stream that resumes without length and breaks off never looks complete
+    Given a runner "second"
+    And the first runner tried breaks off in event 3, the other resumes without length and <end>
+    When a caller sends "/story/1"
+    Then the caller gets events "<events>" and no proper end
+
+    Examples:
+      | end                   | events  |
+      | closes in event 4     | 1 2 3   |
+      | resets after event 4  | 1 2 3 4 |
+
+  Scenario: A stream without length is complete after a whole event
+    Given the runner streams without length and closes after event 4
+    When a caller sends "/summary/1"
+    Then the caller gets events "3 4" once each and a proper end
+
+  Scenario Outline: A stream without length that breaks off never looks complete
+    Given the runner streams without length and <end>
+    When a caller sends "/summary/1"
+    Then the caller gets events "<events>" and no proper end
+
+    Examples:
+      | end                  | events |
+      | closes in event 4    | 3      |
+      | resets after event 4 | 3 4    |
+
+  Scenario: A stream without length that breaks off resumes at another runner
+    Given a runner "second"
+    And the first runner tried streams without length and closes in event 3, the other resumes
+    When a caller sends "/story/1"
+    Then the caller gets events "1 2 3 4" once each and a proper end
 
   Scenario: A stream that another runner refuses to resume is cut off
     Given a runner "second"
--- a/packages/gateway/src/requests/stream_relay.ts
+++ b/packages/gateway/src/requests/stream_relay.ts
@@ -11,8 +11,6 @@
 export class StreamRelay {
   readonly #answer: CallerAnswer;
   readonly #splitter = EventSplitter.create();
-  /** Whether the headers sent to the caller frame the body. */
-  #hasBegunFramed = false;
   /** Whether the current runner's answer has a framed body. */
   #isFramed = false;
   /** Bytes received since the last progress of the stream. */
@@ -60,7 +58,6 @@
     // Another runner may have left an incomplete event behind.
     this.#splitter.takePartial();
     if (this.#answer.hasBegun) return;
-    this.#hasBegunFramed = head.isFramed;
     this.#answer.begin(head);
   }
 
@@ -76,13 +73,16 @@
     return this.#answer.write(whole) ? "continue" : "pause";
   }
 
-  /** Ends a stream; returns why it cannot count as complete, if so. */
+  /**
+   * Ends a stream; returns why it cannot count as complete, if so. A stream
+   * without framing is complete if its connection ended after a whole event.
+   */
   #end(): string | undefined {
-    if (this.#hasBegunFramed && !this.#isFramed) {
-      return "the resumed answer has no length, so its end is unknown";
-    }
     const rest = this.#splitter.takePartial();
-    if (rest.length > 0) this.#answer.write(rest);
+    if (rest.length > 0) {
+      if (!this.#isFramed) return "the stream ended inside an event";
+      this.#answer.write(rest);
+    }
     this.#answer.end();
     return undefined;
   }
