--- a/packages/runtime/src/streams/silence_watch.ts
+++ b/packages/runtime/src/streams/silence_watch.ts
@@ -1,11 +1,19 @@
 import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
 
+/** A silence that exceeded its limit. */
+export type Silence = {
+  /** Time since something was received. */
+  silentMs: number;
+  /** Time by which the timer that noticed it was late. */
+  timerDelayMs: number;
+};
+
 /** Time limit of a silence watch and what it calls. */
 export type SilenceWatchOptions = {
   timers: TimerService;
   limitMs: number;
   /** Called once when nothing was received for `limitMs`. */
-  onSilence: () => void;
+  onSilence: (silence: Silence) => void;
 };
 
 /**
@@ -16,7 +24,10 @@
   readonly #options: SilenceWatchOptions;
   #limitMs: number;
   #lastActivityAtMs: number;
+  /** Time at which the timer is due. */
+  #dueAtMs = 0;
   #timer: TimerSubscription;
+  #isPaused = false;
 
   private constructor(options: SilenceWatchOptions) {
     this.#options = options;
@@ -35,6 +46,15 @@
     this.#lastActivityAtMs = this.#options.timers.nowMs();
   }
 
+  /**
+   * Pauses or resumes the watch. It is paused while this process does not read;
+   * the limit is then measured from the end of the pause.
+   */
+  setPaused(isPaused: boolean): void {
+    this.#isPaused = isPaused;
+    if (!isPaused) this.recordActivity();
+  }
+
   /** Sets a new limit, measured from now. */
   setLimit(limitMs: number): void {
     this.#limitMs = limitMs;
@@ -48,6 +68,7 @@
   }
 
   #schedule(delayMs: number): TimerSubscription {
+    this.#dueAtMs = this.#options.timers.nowMs() + delayMs;
     return this.#options.timers.schedule(
       delayMs,
       (nowMs) => this.#check(nowMs),
@@ -55,8 +76,13 @@
   }
 
   #check(nowMs: number): void {
-    const leftMs = this.#lastActivityAtMs + this.#limitMs - nowMs;
-    if (leftMs > 0) this.#timer = this.#schedule(leftMs);
-    else this.#options.onSilence();
+    const silentMs = this.#isPaused ? 0 : nowMs - this.#lastActivityAtMs;
+    const leftMs = this.#limitMs - silentMs;
+    if (leftMs > 0) {
+      this.#timer = this.#schedule(leftMs);
+      return;
+    }
+    const timerDelayMs = Math.max(0, nowMs - this.#dueAtMs);
+    this.#options.onSilence({ silentMs, timerDelayMs });
   }
 }
