Prefer another runner once it has sent an event, not a head

What callers saw: a stream whose runner paused was cut when the runner tried beside it sent its head and then closed.

Change: each attempt has a stream of its own (AttemptStream); the head is held back and the other attempts are cancelled with its first whole event, or 250 ms after the head, so that a request does not run at two runners for long. Cancelled attempts are counted and logged however the request ends, `silent` states the whole silence, and only the oldest attempt counts as lost at the deadline.

Evidence: silence.feature, the example "begins and closes" failed before. Remains: a successor that sends its head and then nothing is preferred after 250 ms; two runners that are both silent both keep the request.

--- a/packages/gateway/src/requests/answer_silence.ts
+++ b/packages/gateway/src/requests/answer_silence.ts
@@ -18,6 +18,7 @@
   readonly #options: AnswerSilenceOptions;
   #watch: SilenceWatch | undefined;
   #sentAtMs = 0;
+  #progressedAtMs = 0;
   #limitMs = Infinity;
   #isAwaitingFirstByte = true;
 
@@ -43,6 +44,7 @@
   recordSent(isLimited: boolean): void {
     const { route, context: { timers } } = this.#options;
     this.#sentAtMs = timers.nowMs();
+    this.#progressedAtMs = this.#sentAtMs;
     if (!isLimited) return;
     this.#limitMs = getFirstByteLimitMs(this.#getFirstByteTimes(), {
       goalMs: route.goalMs,
@@ -63,7 +65,9 @@
    */
   recordBytes(hasProgressed: boolean): void {
     if (this.#isAwaitingFirstByte) this.#recordFirstByte();
-    if (hasProgressed) this.#watch?.recordActivity();
+    if (!hasProgressed) return;
+    this.#progressedAtMs = this.#options.context.timers.nowMs();
+    this.#watch?.recordActivity();
   }
 
   /** Pauses or resumes the limit, as the caller must read first. */
@@ -90,7 +94,8 @@
   /** Reports a silence and begins to measure the next one. */
   #handleSilence(silence: Silence): void {
     this.#watch?.setLimit(this.#limitMs);
-    this.#options.onSilence(silence);
+    const { context: { timers }, onSilence } = this.#options;
+    onSilence({ ...silence, silentMs: timers.nowMs() - this.#progressedAtMs });
   }
 
   #getFirstByteTimes(): LatencyTracker {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -33,17 +33,17 @@
 /** Receives an answer that is relayed while it arrives. */
 export type AnswerSink = {
   /** Whether the answer is relayed; otherwise it is buffered. */
-  accepts: (head: AnswerHead) => boolean;
-  begin: (head: AnswerHead) => void;
-  write: (bytes: Buffer) => WriteResult;
+  accepts(head: AnswerHead): boolean;
+  begin(head: AnswerHead): void;
+  write(bytes: Buffer): WriteResult;
   /** Calls the handler when reading may continue. */
-  onceWritable: (handler: () => void) => void;
+  onceWritable(handler: () => void): void;
   /**
    * Ends the answer.
    *
    * @returns the reason why it cannot count as complete, if there is one.
    */
-  end: () => string | undefined;
+  end(): string | undefined;
 };
 
 /** Options of an attempt. */
@@ -64,6 +64,8 @@
   onAnswer: (answer: RunnerAnswer) => void;
   /** Called whenever bytes of the answer arrive. */
   onBytes: () => void;
+  /** Called when reading pauses, since the caller must read first. */
+  onPause: (isPaused: boolean) => void;
 };
 
 /** Sends a request once to one runner and reads the answer. */
@@ -157,7 +159,7 @@
   #handleBody(bytes: Buffer): void {
     if (this.#isRelayed) this.#relay(bytes);
     else this.#buffer(bytes);
-    this.#options.onBytes();
+    if (!this.#hasEnded) this.#options.onBytes();
   }
 
   #relay(bytes: Buffer): void {
@@ -165,16 +167,19 @@
       case "continue":
         return;
       case "pause":
-        this.#connection?.setPaused(true);
-        this.#options.sink.onceWritable(() =>
-          this.#connection?.setPaused(false)
-        );
+        this.#setPaused(true);
+        this.#options.sink.onceWritable(() => this.#setPaused(false));
         return;
       case "tooLong":
         this.#breakOff("an event of the answer has no end");
     }
   }
 
+  #setPaused(isPaused: boolean): void {
+    this.#connection?.setPaused(isPaused);
+    this.#options.onPause(isPaused);
+  }
+
   #buffer(bytes: Buffer): void {
     this.#bodyBytes += bytes.length;
     if (this.#bodyBytes <= maxBufferedBytes) this.#body.push(bytes);
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -2,14 +2,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AppError, type ResultName } from "@jasminetide/core/results";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
-import type { TimerSubscription } from "@jasminetide/core/timers";
 import type { LogFields } from "@jasminetide/runtime/logging";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
 import type { RequestTrace } from "../request_log.ts";
 import type { RunnerRequest } from "../upstreams/mod.ts";
-import type { AnswerSink, AttemptEnd } from "./attempt.ts";
+import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import {
   canTakeOver,
@@ -26,7 +25,7 @@
   type Placement,
 } from "./place_attempt.ts";
 import { RunningAttempt } from "./running_attempt.ts";
-import { StreamRelay } from "./stream_relay.ts";
+import { AttemptStream, StreamRelay } from "./stream_relay.ts";
 
 /** A request that was admitted, with its route and limits. */
 export type AdmittedRequest = {
@@ -85,13 +84,12 @@
     const exchange = new Exchange(options);
     const { admitted, context, response } = options;
     response.once("close", () => exchange.#cancel());
-    const deadline: TimerSubscription = context.timers.schedule(
+    using _deadline = context.timers.schedule(
       admitted.deadlineMs - context.timers.nowMs(),
       () => exchange.#expire(),
     );
     exchange.#tryNext();
     await exchange.#finished;
-    deadline[Symbol.dispose]();
   }
 
   #getProgress() {
@@ -165,12 +163,11 @@
       request: this.#formatRequest(placement),
       route: admitted.route,
       service: admitted.service,
-      sink: this.#createSink(() => running),
+      stream: this.#createStream(() => running),
       context,
       isReplaceable: isRepeatable(admitted.route),
       onSent: () => this.#runs += 1,
       onNotRun: () => this.#runs -= 1,
-      onBytes: () => this.#recordBytes(running),
       onSilence: (silence) => this.#handleSilence(running, silence),
     });
     this.#logSent(placement);
@@ -197,50 +194,36 @@
     };
   }
 
-  /** Creates a sink that relays successful streams event by event. */
-  #createSink(getRunning: () => RunningAttempt): AnswerSink {
-    const { admitted: { route } } = this.#options;
-    const sink = this.#relay.createSink((head) =>
-      route.kind === "stream" && head.status < 300
-    );
-    return {
-      ...sink,
-      begin: (head) => {
-        this.#preferAttempt(getRunning());
-        sink.begin(head);
+  /** Creates a stream that relays successful answers event by event. */
+  #createStream(getRunning: () => RunningAttempt): AttemptStream {
+    const { admitted: { route }, context: { timers } } = this.#options;
+    return AttemptStream.create({
+      relay: this.#relay,
+      accepts: (head) => route.kind === "stream" && head.status < 300,
+      onBegin: () => {
+        if (this.#running.size === 1) return true;
+        timers.schedule(maxOverlapMs, () => this.#preferAttempt(getRunning()));
+        return false;
       },
-      write: (bytes) => {
-        const result = sink.write(bytes);
-        if (result === "pause") getRunning().setPaused(true);
-        return result;
-      },
-      onceWritable: (handler) =>
-        sink.onceWritable(() => {
-          getRunning().setPaused(false);
-          handler();
-        }),
-    };
-  }
-
-  /** Records that bytes have arrived; returns whether the answer progressed. */
-  #recordBytes(running: RunningAttempt): boolean {
-    if (this.#options.admitted.route.kind !== "stream") return true;
-    const hasProgressed = this.#relay.takeProgress();
-    if (hasProgressed) this.#preferAttempt(running);
-    return hasProgressed;
+      onEvents: () => this.#preferAttempt(getRunning()),
+    });
   }
 
   /** Cancels the other attempts once the answer of one progresses. */
   #preferAttempt(preferred: RunningAttempt): void {
+    if (this.#running.has(preferred)) this.#cancelExcept(preferred);
+  }
+
+  #cancelExcept(preferred: RunningAttempt | undefined): void {
     for (const running of [...this.#running]) {
       if (running === preferred) continue;
       this.#running.delete(running);
       running.cancel();
       this.#options.context.metrics.countAttempt("cancelled");
-      this.#log("superseded", {
+      this.#log("attempt-cancelled", {
         runner: running.upstream.id,
         attempt: running.number,
-        by: preferred.upstream.id,
+        preferred: preferred?.upstream.id,
       });
     }
   }
@@ -310,8 +293,7 @@
   /** Ends the request and cancels the attempts that are still under way. */
   #end(): void {
     this.#hasEnded = true;
-    for (const running of this.#running) running.cancel();
-    this.#running.clear();
+    this.#cancelExcept(undefined);
     this.#finish();
   }
 
@@ -350,17 +332,11 @@
     if (this.#hasEnded) return;
     const { answer } = this.#options;
     const mayHaveRun = this.#runs > 0;
-    const silent = [...this.#running].filter(({ isAwaitingFirstByte }) =>
-      isAwaitingFirstByte
-    );
-    this.#log("expired", {
-      mayHaveRun,
-      hasBegun: answer.hasBegun,
-      wasSilent: silent.length > 0,
-    });
-    for (const running of silent) {
-      if (!running.isSilent) running.recordLoss();
-    }
+    // Later attempts had less time, so their silence says little.
+    const [first] = this.#running;
+    const wasSilent = first?.isAwaitingFirstByte ?? false;
+    this.#log("expired", { mayHaveRun, hasBegun: answer.hasBegun, wasSilent });
+    if (wasSilent && !first.isSilent) first.recordLoss();
     if (answer.hasBegun) answer.breakOff();
     else if (mayHaveRun) {
       this.#fail("No answer within the time limit", "deadlineExceeded");
@@ -414,3 +390,9 @@
     this.#options.trace.record(event, fields);
   }
 }
+
+/**
+ * Time from the head of a stream until the other attempts are cancelled, if no
+ * event follows, so that a request does not run at two runners for long.
+ */
+const maxOverlapMs = 250;
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -4,8 +4,9 @@
 import type { RunnerAnswer } from "../protocol.ts";
 import type { RunnerRequest, Upstream } from "../upstreams/mod.ts";
 import { AnswerSilence } from "./answer_silence.ts";
-import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
+import { Attempt, type AttemptEnd } from "./attempt.ts";
 import { observeAvailability, observeRunner } from "./observe_end.ts";
+import type { AttemptStream } from "./stream_relay.ts";
 
 /** Options of a running attempt. */
 export type RunningAttemptOptions = {
@@ -16,7 +17,7 @@
   request: RunnerRequest;
   route: DeclaredRoute;
   service: string;
-  sink: AnswerSink;
+  stream: AttemptStream;
   context: GatewayContext;
   /** Whether another runner could take over if this one is silent. */
   isReplaceable: boolean;
@@ -24,8 +25,6 @@
   onSent: () => void;
   /** Called when the runner states that it has not run the request. */
   onNotRun: () => void;
-  /** Called whenever bytes arrive; returns whether the answer progressed. */
-  onBytes: () => boolean;
   /** Called each time the runner was silent for its limit. */
   onSilence: (silence: Silence) => void;
 };
@@ -51,6 +50,7 @@
     });
     this.#attempt = Attempt.create({
       ...options,
+      sink: options.stream,
       protocol: options.context.protocol,
       onSent: () => {
         options.onSent();
@@ -60,6 +60,7 @@
         observeAvailability(options.upstream, answer, options.context),
       onAnswer: (answer) => this.#handleAnswer(answer),
       onBytes: () => this.#recordBytes(),
+      onPause: (isPaused) => this.#silence.setPaused(isPaused),
     });
   }
 
@@ -89,11 +90,6 @@
     this.#attempt.cancel();
   }
 
-  /** Pauses or resumes the limit on silence while nothing is read. */
-  setPaused(isPaused: boolean): void {
-    this.#silence.setPaused(isPaused);
-  }
-
   /** Ends the limit on silence of an attempt that is over. */
   stop(): void {
     this.#silence.stop();
@@ -117,7 +113,8 @@
   }
 
   #recordBytes(): void {
-    const hasProgressed = this.#options.onBytes();
+    const { route, stream } = this.#options;
+    const hasProgressed = route.kind !== "stream" || stream.takeProgress();
     if (hasProgressed) this.#isSilent = false;
     this.#silence.recordBytes(hasProgressed);
   }
--- a/packages/gateway/src/requests/silence.feature
+++ b/packages/gateway/src/requests/silence.feature
@@ -14,6 +14,7 @@
       | closes without an answer    |
       | answers with status 500     |
       | accepts and sends no answer |
+      | begins and closes           |
 
   Scenario: A stream is not lost when a runner pauses and cannot be replaced
     Given a gateway without a retry budget and a runner "first"
--- a/packages/gateway/src/requests/silence_test.ts
+++ b/packages/gateway/src/requests/silence_test.ts
@@ -41,6 +41,8 @@
   "answers with status 500": ({ attemptId, socket }) =>
     socket.write(formatAnswer(attemptId, "no", "500 Failed")),
   "accepts and sends no answer": () => {},
+  "begins and closes": ({ attemptId, socket }) =>
+    socket.end(formatStreamStart(attemptId)),
   "resumes": resumeAtThird,
 };
 
@@ -94,6 +96,22 @@
   },
 );
 
+Given(
+  "the first runner tried sends no answer, the other refuses once and then answers {string}",
+  function (this: World, body: string) {
+    let refusals = 0;
+    setScripts(
+      this.scriptedRunners.values(),
+      () => {},
+      (request) => {
+        refusals += 1;
+        if (refusals === 1) refuseAsNotRun(request);
+        else request.socket.write(formatAnswer(request.attemptId, body));
+      },
+    );
+  },
+);
+
 When(
   "the declaration changes while the runner pauses",
   async function (this: World) {
