End a request whose handling throws, and take no header that cannot be sent on

What callers saw: neither an answer nor a refusal, until the caller gave up, when a runner's answer had a control character in a header; a planned stop then took the whole grace time.

Cause: the steps of a request run in handlers of events, and what one threw was only logged.

Change: a step that throws ends its request: attempts are cancelled and the caller gets the failure. Headers that cannot be sent on make an answer malformed, so the request may go to another runner.

Evidence: requests.feature, the example "a header that cannot be sent on" failed before.

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -63,6 +63,7 @@
   readonly #running = new Set<RunningAttempt>();
   readonly #finished: Promise<void>;
   #finish: () => void = () => {};
+  #reject: (thrown: unknown) => void = () => {};
   #attempts = 0;
   /** Whether the runner refused the last attempt as not run. */
   #wasRefused = false;
@@ -74,24 +75,39 @@
   private constructor(options: ExchangeOptions) {
     this.#options = options;
     this.#relay = StreamRelay.create(options.answer);
-    this.#finished = new Promise((resolve) => {
+    this.#finished = new Promise((resolve, reject) => {
       this.#finish = resolve;
+      this.#reject = reject;
     });
   }
 
-  /** Serves a request; resolves when its caller is answered or disconnects. */
+  /**
+   * Serves a request; resolves when its caller is answered or disconnects.
+   *
+   * @throws what was thrown while it was handled; its attempts are cancelled.
+   */
   static async serve(options: ExchangeOptions): Promise<void> {
     const exchange = new Exchange(options);
     const { admitted, context, response } = options;
     response.once("close", () => exchange.#cancel());
     using _deadline = context.timers.schedule(
       admitted.deadlineMs - context.timers.nowMs(),
-      () => exchange.#expire(),
+      () => exchange.#run(() => exchange.#expire()),
     );
-    exchange.#tryNext();
+    exchange.#run(() => exchange.#tryNext());
     await exchange.#finished;
   }
 
+  /** Runs a step; if it throws, the request ends with what was thrown. */
+  #run(step: () => void): void {
+    try {
+      step();
+    } catch (thrown) {
+      this.#reject(thrown);
+      this.#end();
+    }
+  }
+
   #getProgress() {
     const { answer, admitted: { route } } = this.#options;
     return {
@@ -133,7 +149,9 @@
     if (this.#attempts > 0) context.metrics.countRetry();
     const running = this.#createAttempt(placement);
     this.#running.add(running);
-    void running.ended.then((end) => this.#handleEnd(running, end));
+    void running.ended.then((end) =>
+      this.#run(() => this.#handleEnd(running, end))
+    );
     return undefined;
   }
 
@@ -168,7 +186,8 @@
       isReplaceable: isRepeatable(admitted.route),
       onSent: () => this.#runs += 1,
       onNotRun: () => this.#runs -= 1,
-      onSilence: (silence) => this.#handleSilence(running, silence),
+      onSilence: (silence) =>
+        this.#run(() => this.#handleSilence(running, silence)),
     });
     this.#logSent(placement);
     return running;
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -49,6 +49,7 @@
       | a chunk size that is not a number | closes |
       | bytes that are not HTTP           | closes |
       | a success without the mark        | closes |
+      | a header that cannot be sent on   | closes |
 
   Scenario: A repeated answer is not mistaken for the next one
     Given the runner repeats its previous answer before each new one
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -181,6 +181,8 @@
   "a chunk size that is not a number": (id) =>
     `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n`,
   "bytes that are not HTTP": () => "SSH-2.0-something\r\n\r\n",
+  "a header that cannot be sent on": (id) =>
+    `${formatHead(id)}x-more: \x01\r\nContent-Length: 2\r\n\r\nok`,
   "a success without the mark": (id) =>
     `HTTP/1.1 200 OK\r\n${testHeaders.attempt}: ${id}\r\n` +
     "Content-Length: 2\r\n\r\nok",
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import { validateHeaderName, validateHeaderValue } from "node:http";
 import { AppError } from "@jasminetide/core/results";
 import { HTTPParser } from "http-parser-js";
 import type { AnswerHead } from "../protocol.ts";
@@ -40,6 +41,7 @@
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const isFramed = checkFraming(info.headers) ||
         statusesWithoutBody.has(info.statusCode) || isHeadRequest();
+      checkForwardable(info.headers);
       this.#isInterim = info.statusCode < 200;
       if (this.#isInterim) return 0;
       events.onHead(
@@ -119,6 +121,14 @@
   state.state = state.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
 }
 
+/** Rejects headers that cannot be sent on, such as control characters. */
+function checkForwardable(rawHeaders: readonly string[]): void {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    validateHeaderName(rawHeaders[index]);
+    validateHeaderValue(rawHeaders[index], rawHeaders[index + 1]);
+  }
+}
+
 const statusesWithoutBody = new Set([204, 304]);
 
 /**
