Let a request at a silent runner return to one that had no capacity

What callers saw: a lookup at a dead runner waited for its deadline although the other runner, which had refused it once as not run, had capacity again.

Cause: runners that were tried were never tried again beside a silent one.

Change: at its next silence a request may return to runners that refused it as not run.

Evidence: silence.feature, "A lookup at a silent runner returns to one that had no capacity" failed before.

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -58,6 +58,8 @@
 export class Exchange {
   readonly #options: ExchangeOptions;
   readonly #triedIds = new Set<string>();
+  /** Those of them that refused the request as not run. */
+  readonly #refusedIds = new Set<string>();
   readonly #relay: StreamRelay;
   /** Attempts that are under way; several only while a runner is silent. */
   readonly #running = new Set<RunningAttempt>();
@@ -249,6 +251,9 @@
 
   #handleSilence(running: RunningAttempt, silence: Silence): void {
     this.#logSilence(running, silence);
+    // Runners that refused the request may have capacity by now.
+    for (const id of this.#refusedIds) this.#triedIds.delete(id);
+    this.#refusedIds.clear();
     this.#tryTakeover();
   }
 
@@ -259,6 +264,7 @@
     this.#options.context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
+    if (this.#wasRefused) this.#refusedIds.add(running.upstream.id);
     this.#observe(running, end);
     const step = decideNext(end, this.#getProgress());
     this.#log("attempt-ended", {
--- a/packages/gateway/src/requests/silence.feature
+++ b/packages/gateway/src/requests/silence.feature
@@ -45,6 +45,13 @@
     When a caller sends "/lookup/1"
     Then the caller gets status 200 and "12" with the runner's mark
 
+  Scenario: A lookup at a silent runner returns to one that had no capacity
+    Given a gateway and a runner "first"
+    And a runner "second"
+    And the first runner tried sends no answer, the other refuses once and then answers "12"
+    When a caller sends "/lookup/1"
+    Then the caller gets status 200 and "12" with the runner's mark
+
   Scenario: The attempt that a runner goes on with is not run elsewhere
     Given a gateway and a runner "first"
     And a runner "second"
