Keep the counts of the retry budget when settings are reloaded

What callers saw: a stream whose runner broke off or paused just after a reload was cut, and in the same window a service could get twice its retries.

Cause: a reload dropped the budgets with what they had counted. Without requests the budget allows next to no retry, and without retries it allows all once more.

Change: a reload sets the limits; the counts stay.

--- a/packages/core/src/pools/windowed_retry_budget.ts
+++ b/packages/core/src/pools/windowed_retry_budget.ts
@@ -17,7 +17,7 @@
  * the budget. (`RetryBudget` of `core/retries` is a token budget instead.)
  */
 export class WindowedRetryBudget {
-  readonly #options: WindowedRetryBudgetOptions;
+  #options: WindowedRetryBudgetOptions;
   #slices: Slice[] = [];
 
   private constructor(options: WindowedRetryBudgetOptions) {
@@ -29,6 +29,11 @@
     return new WindowedRetryBudget(options);
   }
 
+  /** Sets new limits; what was counted within the window still counts. */
+  setLimits(options: WindowedRetryBudgetOptions): void {
+    this.#options = options;
+  }
+
   /** Records the first attempt of a request. */
   recordRequest(nowMs: number): void {
     this.#getSlice(nowMs).requests += 1;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
   CapacityForecast,
   PrefixHolders,
   WindowedRetryBudget,
+  type WindowedRetryBudgetOptions,
 } from "@jasminetide/core/pools";
 import { createSystemRandom } from "@jasminetide/core/random";
 import { LatencyTracker } from "@jasminetide/core/retries";
@@ -127,7 +128,8 @@
   applySettings(settings: GatewaySettings): void {
     const { repeats, stop } = settings;
     this.#settings = { ...this.#settings, repeats, stop };
-    this.#retryBudgets.clear();
+    const limits = this.#getRetryLimits();
+    for (const budget of this.#retryBudgets.values()) budget.setLimits(limits);
   }
 
   /**
@@ -228,12 +230,15 @@
     return forecast;
   }
 
+  #getRetryLimits(): WindowedRetryBudgetOptions {
+    const { ratio, slack, windowSeconds } = this.#settings.repeats;
+    return { ratio, slack, windowMs: windowSeconds * 1000 };
+  }
+
   #getRetryBudget(service: string): WindowedRetryBudget {
     let budget = this.#retryBudgets.get(service);
     if (budget === undefined) {
-      const { ratio, slack, windowSeconds } = this.#settings.repeats;
-      const windowMs = windowSeconds * 1000;
-      budget = WindowedRetryBudget.create({ ratio, slack, windowMs });
+      budget = WindowedRetryBudget.create(this.#getRetryLimits());
       this.#retryBudgets.set(service, budget);
     }
     return budget;
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -23,13 +23,16 @@
   testHeaders,
 } from "../test_support/mod.ts";
 
-type World = {
+/** State that the steps on requests share. */
+export type RequestWorld = {
   gatewayUnderTest: TestGateway;
   scriptedRunners: Map<string, ScriptedRunner>;
   rawCallers: RawCaller[];
   answers: string[];
 };
 
+type World = RequestWorld;
+
 const timers = RealTimerService.create();
 
 async function addRunner(world: World, id: string): Promise<void> {
@@ -57,7 +60,8 @@
 
 let attempts = 0;
 
-async function sendRequest(
+/** Sends a request on a connection of its own. */
+export async function sendRequest(
   world: World,
   path: string,
   headers: Record<string, string> = {},
@@ -77,7 +81,8 @@
   return caller;
 }
 
-function hasCompleteAnswer({ hasEnded, text }: RawCaller): boolean {
+/** Whether the caller has received all that it will get. */
+export function hasCompleteAnswer({ hasEnded, text }: RawCaller): boolean {
   const end = text.indexOf("\r\n\r\n");
   if (end < 0) return hasEnded;
   const length = /content-length: (\d+)/i.exec(text.slice(0, end))?.[1];
@@ -89,7 +94,8 @@
   return Number(/^HTTP\/1\.1 (\d+)/.exec(caller.text)?.[1]);
 }
 
-async function startFleet(
+/** Starts a gateway and a runner. */
+export async function startFleet(
   world: World,
   runnerId: string,
   options: TestGatewayOptions = {},
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -5,7 +5,7 @@
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import { createSilentLogger, type Logger } from "@jasminetide/runtime/logging";
 import { Gateway } from "../gateway.ts";
-import { gatewaySettingsSchema } from "../settings.ts";
+import { type GatewaySettings, gatewaySettingsSchema } from "../settings.ts";
 import type { PeerRecord } from "../peers/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 import { testProtocol } from "./test_protocol.ts";
@@ -106,6 +106,24 @@
   repeats?: { ratio: number; slack: number };
 };
 
+/** Creates the settings of a test gateway. */
+export function createTestSettings(
+  options: TestGatewayOptions,
+): GatewaySettings {
+  return gatewaySettingsSchema.parse({
+    name: "gateway-1",
+    failureDomain: "a",
+    callerAddress: "127.0.0.1:0",
+    readinessAddress: "127.0.0.1:0",
+    peerAddress: "127.0.0.1:0",
+    seedAddresses: options.seedAddresses ?? [],
+    platform: { address: "127.0.0.1:1" },
+    stop: { noticeMs: 1, graceSeconds: 5 },
+    repeats: options.repeats ?? { ratio: 1, slack: 100 },
+    log: { sampleShare: options.sampleShare ?? 0 },
+  });
+}
+
 /** Starts a gateway on free ports of the loopback address. */
 export async function startTestGateway(
   options: TestGatewayOptions = {},
@@ -115,18 +133,7 @@
   declarations.setUnavailable(options.isStoreUnavailable === true);
   runners.setUnavailable(options.isStoreUnavailable === true);
   const gateway = await Gateway.create({
-    settings: gatewaySettingsSchema.parse({
-      name: "gateway-1",
-      failureDomain: "a",
-      callerAddress: "127.0.0.1:0",
-      readinessAddress: "127.0.0.1:0",
-      peerAddress: "127.0.0.1:0",
-      seedAddresses: options.seedAddresses ?? [],
-      platform: { address: "127.0.0.1:1" },
-      stop: { noticeMs: 1, graceSeconds: 5 },
-      repeats: options.repeats ?? { ratio: 1, slack: 100 },
-      log: { sampleShare: options.sampleShare ?? 0 },
-    }),
+    settings: createTestSettings(options),
     timers: RealTimerService.create(),
     logger: options.logger ?? createSilentLogger(),
     protocol: testProtocol,
