Do not end a stream at the sidecar that cannot resume while its engine pauses

What callers would see: a stream that may not run twice, or whose resumes are used up, ended with an error when its engine paused for 1.5 s.

Change: the limit on pauses holds only while the stream can resume; its deadline ends it otherwise. Connections to sound engines that were lost without a reset and carry such a stream are noticed at the deadline only.

--- a/packages/sidecar/src/requests/run_attempt.ts
+++ b/packages/sidecar/src/requests/run_attempt.ts
@@ -80,14 +80,15 @@
     tracker: EventTracker.create(),
     isStream: false,
     tail: "",
+    resumes: 0,
   };
-  for (let resumes = 0;; resumes++) {
+  for (;; run.resumes++) {
     try {
       await pumpAnswer(run);
       attempt.answer.complete();
       return findComputedTokens(run.tail);
     } catch (error) {
-      if (canResume(run, resumes)) {
+      if (canResume(run)) {
         options.metrics.count("engine-streams-resumed");
         continue;
       }
@@ -106,6 +107,8 @@
   tracker: EventTracker;
   isStream: boolean;
   tail: string;
+  /** Number of times that it was resumed. */
+  resumes: number;
 };
 
 async function pumpAnswer(run: AttemptRun): Promise<void> {
@@ -116,9 +119,7 @@
   );
   using watch = SilenceWatch.create({
     timers: run.options.timers,
-    limitMs: run.isStream
-      ? run.options.stream.betweenChunksMs
-      : run.request.deadlineMs,
+    limitMs: getSilenceLimitMs(run),
     onSilence: () => connection.abort(createSilenceError()),
   });
   const response = await sendToRunner(run, connection.signal);
@@ -134,7 +135,7 @@
     throw AppError.create("streamInterrupted", "Runner did not resume");
   }
   if (isStream) {
-    watch.setLimit(run.options.stream.betweenChunksMs);
+    watch.setLimit(getSilenceLimitMs(run));
     await pumpEvents(run, response, watch);
   } else await pumpBytes(run, response);
 }
@@ -215,9 +216,19 @@
 }
 
 /** Checks whether the answer is a stream that may be resumed. */
-function canResume(run: AttemptRun, resumes: number): boolean {
+function canResume(run: AttemptRun): boolean {
   return run.isStream && run.attempt.isIdempotent && !run.signal.aborted &&
-    resumes < run.options.stream.maximumResumes;
+    run.resumes < run.options.stream.maximumResumes;
+}
+
+/**
+ * Gets how long the runner may be silent. A stream that cannot resume is given
+ * up only at its deadline, since its runner may go on.
+ */
+function getSilenceLimitMs(run: AttemptRun): number {
+  return canResume(run)
+    ? run.options.stream.betweenChunksMs
+    : run.request.deadlineMs;
 }
 
 function createSilenceError(): AppError {
