--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -7,7 +7,6 @@
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
 import type { RequestTrace } from "../request_log.ts";
-import type { RunnerRequest } from "../upstreams/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import {
@@ -17,7 +16,12 @@
   isSettled,
   type NextStep,
 } from "./decide_next.ts";
-import { selectForwardedHeaders } from "./forwarded_headers.ts";
+import {
+  describeAttempt,
+  describePlacement,
+  describeSilence,
+} from "./describe_attempt.ts";
+import { formatRunnerRequest } from "./format_runner_request.ts";
 import { describeEnd, getRunnerOutcome, observeRunner } from "./observe_end.ts";
 import {
   getPauseLeftMs,
@@ -180,7 +184,12 @@
       upstream,
       number: this.#attempts,
       attemptId: admitted.caller.attemptId,
-      request: this.#formatRequest(placement),
+      request: formatRunnerRequest({
+        ...this.#options,
+        placement,
+        leftMs: this.#getLeftMs(),
+        lastEventId: this.#relay.lastEventId,
+      }, context),
       route: admitted.route,
       service: admitted.service,
       stream: this.#createStream(() => running),
@@ -191,28 +200,13 @@
       onSilence: (silence) =>
         this.#run(() => this.#handleSilence(running, silence)),
     });
-    this.#logSent(placement);
-    return running;
-  }
-
-  #formatRequest({ cacheSource, upstream }: Placement): RunnerRequest {
-    const { admitted, context, request } = this.#options;
-    const headers = selectForwardedHeaders(request.rawHeaders, {
-      without: ["content-length"],
+    this.#log("sent", {
+      ...describePlacement(placement, context.timers.nowMs()),
+      attempt: this.#attempts,
+      leftMs: Math.round(this.#getLeftMs()),
+      afterEvent: this.#relay.lastEventId,
     });
-    return {
-      method: request.method ?? "GET",
-      target: request.url ?? "/",
-      headers: context.protocol.formatRunnerHeaders(headers, {
-        runnerId: upstream.id,
-        timeoutMs: Math.max(1, Math.floor(this.#getLeftMs())),
-        workspace: admitted.workspace,
-        priority: admitted.priority,
-        lastEventId: this.#relay.lastEventId,
-        cacheSource,
-      }),
-      body: admitted.body,
-    };
+    return running;
   }
 
   /** Creates a stream that relays successful answers event by event. */
@@ -242,15 +236,17 @@
       running.cancel();
       this.#options.context.metrics.countAttempt("cancelled");
       this.#log("attempt-cancelled", {
-        runner: running.upstream.id,
-        attempt: running.number,
+        ...describeAttempt(running),
         preferred: preferred?.upstream.id,
       });
     }
   }
 
   #handleSilence(running: RunningAttempt, silence: Silence): void {
-    this.#logSilence(running, silence);
+    this.#log("silent", {
+      ...describeSilence(running, silence),
+      afterEvent: this.#relay.lastEventId,
+    });
     // Runners that refused the request may have capacity by now.
     for (const id of this.#refusedIds) this.#triedIds.delete(id);
     this.#refusedIds.clear();
@@ -268,8 +264,7 @@
     this.#observe(running, end);
     const step = decideNext(end, this.#getProgress());
     this.#log("attempt-ended", {
-      runner: running.upstream.id,
-      attempt: running.number,
+      ...describeAttempt(running),
       step,
       ...describeEnd(end),
     });
@@ -383,34 +378,6 @@
     return admitted.deadlineMs - context.timers.nowMs();
   }
 
-  #logSent({ cacheSource, prefixId, upstream }: Placement): void {
-    const nowMs = this.#options.context.timers.nowMs();
-    this.#log("sent", {
-      runner: upstream.id,
-      attempt: this.#attempts,
-      load: upstream.load.getEstimate(nowMs),
-      failureShare: Number(upstream.health.getFailureShare(nowMs).toFixed(2)),
-      leftMs: Math.round(this.#getLeftMs()),
-      afterEvent: this.#relay.lastEventId,
-      prefix: prefixId,
-      cacheSource,
-    });
-  }
-
-  #logSilence(
-    running: RunningAttempt,
-    { silentMs, timerDelayMs }: Silence,
-  ): void {
-    this.#log("silent", {
-      runner: running.upstream.id,
-      attempt: running.number,
-      silentMs: Math.round(silentMs),
-      timerDelayMs: Math.round(timerDelayMs),
-      isAwaitingFirstByte: running.isAwaitingFirstByte,
-      afterEvent: this.#relay.lastEventId,
-    });
-  }
-
   #log(event: string, fields: LogFields): void {
     this.#options.trace.record(event, fields);
   }
