Log the shared prompt parts of an answer that broke off

Change: attempt-ended of an answer that broke off after a genuine head names the shared parts and the time since that head. The shared parts of a prompt are computed in one place.

--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -4,6 +4,16 @@
 /** Part of a prompt. Engines read the parts in the order of their list. */
 export type PromptPart = { id: string; tokens: number };
 
+/**
+ * Lists the parts of a prompt that other prompts may have in common with it:
+ * all but the last, which belongs to this request alone.
+ */
+export function listSharedParts(
+  prompt: readonly PromptPart[],
+): readonly PromptPart[] {
+  return prompt.slice(0, -1);
+}
+
 /** Data read from the headers of a caller's request. */
 export type CallerRequest = {
   /** Identifier of the caller's attempt; empty when the caller sent none. */
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -61,7 +61,7 @@
    */
   onAnswerHead: (answer: RunnerAnswer) => void;
   /** Called with the data read from the headers of the request's answer. */
-  onAnswer: (answer: RunnerAnswer) => void;
+  onAnswer: (answer: RunnerAnswer, head: AnswerHead) => void;
   /** Called whenever bytes of the answer arrive. */
   onBytes: () => void;
 };
@@ -144,7 +144,7 @@
     this.#head = head;
     this.#options.onBytes();
     if (answer === undefined) return;
-    this.#options.onAnswer(answer);
+    this.#options.onAnswer(answer, head);
     if (head.status < 300 && !answer.isGenuine) {
       this.#breakOff("the answer lacks the runner's mark");
       return;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -19,7 +19,12 @@
   type NextStep,
 } from "./decide_next.ts";
 import { selectForwardedHeaders } from "./forwarded_headers.ts";
-import { describeEnd, getRunnerOutcome, observeRunner } from "./observe_end.ts";
+import {
+  describeBreak,
+  describeEnd,
+  getRunnerOutcome,
+  observeRunner,
+} from "./observe_end.ts";
 import {
   getPauseLeftMs,
   placeAttempt,
@@ -244,7 +249,8 @@
     // Attempts that were cancelled are no longer under way.
     if (!this.#running.delete(running)) return;
     running.stop();
-    this.#options.context.metrics.countAttempt(end.type);
+    const { admitted: { caller }, context } = this.#options;
+    context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
     this.#observe(running, end);
@@ -254,6 +260,10 @@
       attempt: running.number,
       step,
       ...describeEnd(end),
+      ...describeBreak(end, running, {
+        prompt: caller.prompt,
+        nowMs: context.timers.nowMs(),
+      }),
     });
     if (this.#running.size > 0 && !isSettled(step, end)) this.#tryTakeover();
     else this.#applyStep(step, end);
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -1,6 +1,11 @@
 import type { RunnerOutcome } from "@jasminetide/core/pools";
+import type { LogFields } from "@jasminetide/runtime/logging";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { RunnerAnswer } from "../protocol.ts";
+import {
+  listSharedParts,
+  type PromptPart,
+  type RunnerAnswer,
+} from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 
@@ -63,3 +68,20 @@
   if ("head" in end) return { end: end.type, status: end.head.status };
   return { end: end.type };
 }
+
+/**
+ * Describes a request whose answer broke off after it had begun, for a log
+ * line: the time since then, and the shared parts of the prompt, by which
+ * several such requests can be related.
+ */
+export function describeBreak(
+  end: AttemptEnd,
+  { begunAtMs }: { begunAtMs: number | undefined },
+  { nowMs, prompt }: { nowMs: number; prompt: readonly PromptPart[] },
+): LogFields {
+  if (end.type !== "broken" || begunAtMs === undefined) return {};
+  return {
+    begunForMs: Math.round(nowMs - begunAtMs),
+    sharedParts: listSharedParts(prompt).map(({ id }) => id).join(" "),
+  };
+}
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -4,7 +4,7 @@
   choosePlainRunner,
 } from "@jasminetide/core/pools";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { CallerRequest } from "../protocol.ts";
+import { type CallerRequest, listSharedParts } from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 
 /** Runner chosen for an attempt. */
@@ -122,7 +122,7 @@
  * as shared.
  */
 function getHome({ prompt }: CallerRequest): Home | undefined {
-  const shared = prompt.length > 1 ? prompt.slice(0, -1) : prompt;
+  const shared = prompt.length > 1 ? listSharedParts(prompt) : prompt;
   const prefixId = shared.at(-1)?.id;
   if (prefixId === undefined) return undefined;
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -1,7 +1,7 @@
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { RunnerAnswer } from "../protocol.ts";
+import type { AnswerHead, RunnerAnswer } from "../protocol.ts";
 import type { RunnerRequest, Upstream } from "../upstreams/mod.ts";
 import { AnswerSilence } from "./answer_silence.ts";
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
@@ -39,6 +39,7 @@
   readonly #silence: AnswerSilence;
   readonly #startedAtMs: number;
   #isSilent = false;
+  #begunAtMs: number | undefined;
 
   private constructor(options: RunningAttemptOptions) {
     this.#options = options;
@@ -58,7 +59,7 @@
       },
       onAnswerHead: (answer) =>
         observeAvailability(options.upstream, answer, options.context),
-      onAnswer: (answer) => this.#handleAnswer(answer),
+      onAnswer: (answer, head) => this.#handleAnswer(answer, head),
       onBytes: () => this.#recordBytes(),
     });
   }
@@ -83,6 +84,11 @@
     return this.#silence.isAwaitingFirstByte;
   }
 
+  /** Time at which the runner began its answer to the request, if it did. */
+  get begunAtMs(): number | undefined {
+    return this.#begunAtMs;
+  }
+
   /** Cancels the attempt by closing its connection to the runner. */
   cancel(): void {
     this.stop();
@@ -104,8 +110,11 @@
     observeRunner(upstream, "lost", context);
   }
 
-  #handleAnswer(answer: RunnerAnswer): void {
+  #handleAnswer(answer: RunnerAnswer, head: AnswerHead): void {
     const { context, onNotRun, upstream } = this.#options;
+    if (head.status < 300 && answer.isGenuine) {
+      this.#begunAtMs = context.timers.nowMs();
+    }
     if (answer.isNotRun) onNotRun();
     if (answer.load === undefined) return;
     upstream.load.observe(answer.load, context.timers.nowMs());
--- a/packages/gateway/src/state_logging_test.ts
+++ b/packages/gateway/src/state_logging_test.ts
@@ -7,10 +7,12 @@
   createDeclaration,
   createRunnerRecord,
   formatAnswer,
+  formatStreamStart,
   RawCaller,
   ScriptedRunner,
   startTestGateway,
   type TestGateway,
+  testHeaders,
 } from "./test_support/mod.ts";
 
 type LogLine = { event: string; fields: LogFields };
@@ -46,11 +48,16 @@
   await this.loggedGateway?.gateway[Symbol.asyncDispose]();
 });
 
-async function callOnce(world: World, path: string): Promise<void> {
+async function callOnce(
+  world: World,
+  path: string,
+  headers: Record<string, string> = {},
+): Promise<void> {
   using caller = await RawCaller.create(
     world.loggedGateway.gateway.callerAddress,
   );
-  caller.send({ path, attemptId: `logged-${world.loggedLines.length}` });
+  const attemptId = `logged-${world.loggedLines.length}`;
+  caller.send({ path, attemptId, headers });
   await caller.waitUntil(({ text }) => text.includes("\r\n\r\n"));
 }
 
@@ -71,6 +78,27 @@
   await callOnce(this, "/lookup/1");
 });
 
+When(
+  "the runner breaks off its answer to a prompt of parts {string}",
+  async function (this: World, prompt: string) {
+    this.loggedRunner.script = ({ attemptId, socket }) =>
+      socket.end(formatStreamStart(attemptId, [1]));
+    await callOnce(this, "/summary/1", { [testHeaders.prompt]: prompt });
+  },
+);
+
+Then(
+  "it logs that the answer broke off, with shared parts {string}",
+  async function (this: World, sharedParts: string) {
+    const isEnd = ({ event }: LogLine) => event === "attempt-ended";
+    while (!this.loggedLines.some(isEnd)) await wait(timers, 1);
+    const fields = getLogFields(this, "attempt-ended");
+    assert.equal(fields.end, "broken");
+    assert.equal(fields.sharedParts, sharedParts);
+    assert.equal(typeof fields.begunForMs, "number");
+  },
+);
+
 function getLogFields(world: World, event: string): LogFields {
   const line = world.loggedLines.find((each) => each.event === event);
   assert.ok(line, world.loggedLines.map((each) => each.event).join(" "));
