--- /dev/null
+++ b/packages/gateway/src/test_support/crashing_fleet.ts
@@ -0,0 +1,215 @@
+import { wait } from "@jasminetide/core/timers";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import { createSilentLogger, type Logger } from "@jasminetide/runtime/logging";
+import { formatStreamEnd, formatStreamStart } from "./answer_scripts.ts";
+import { RawCaller } from "./raw_caller.ts";
+import {
+  type ReceivedRequest,
+  type Script,
+  ScriptedRunner,
+} from "./scripted_runner.ts";
+import {
+  createDeclaration,
+  createRunnerRecord,
+  startTestGateway,
+  type TestGateway,
+} from "./test_gateway.ts";
+import { testHeaders } from "./test_protocol.ts";
+
+/** Part of a prompt that crashes each runner that begins to answer it. */
+export const crashingPart = "bad";
+
+/** Answer that a caller got, up to its end. */
+export type FleetAnswer = {
+  status: number;
+  text: string;
+  /** Whether it has its proper end. */
+  isWhole: boolean;
+};
+
+/** Request to a fleet. */
+export type FleetCall = {
+  /** Parts of its prompt but the last, which is added, such as "base,tool". */
+  prompt: string;
+  /** Whether it may be sent to a second runner; true if absent. */
+  isRepeatable?: boolean;
+};
+
+/** Size of a fleet. */
+export type CrashingFleetOptions = {
+  gatewayCount: number;
+  runnerCount: number;
+  logger?: Logger;
+};
+
+const timers = RealTimerService.create();
+
+/**
+ * Several gateways that know each other, and runners that crash when they begin
+ * to answer a prompt with a certain part. A new runner replaces each of those.
+ */
+export class CrashingFleet {
+  readonly gateways: TestGateway[] = [];
+  /** All runners so far, including those that have crashed. */
+  readonly runners: ScriptedRunner[] = [];
+  /** Answers prompts without the part; answers whole streams if not set. */
+  soundScript: Script = ({ attemptId, socket }) =>
+    socket.write(formatStreamStart(attemptId, [1]) + formatStreamEnd([2]));
+  /** Called when a runner begins to answer the part; crashes it if not set. */
+  beginCrash: (runner: ScriptedRunner, request: ReceivedRequest) => void = (
+    runner,
+  ) => void this.crash(runner);
+  readonly #logger: Logger;
+  readonly #listed = new Map<string, ScriptedRunner>();
+  /** Resolves when the runners that have crashed are replaced. */
+  #replaced: Promise<void> = Promise.resolve();
+  #isStoreAvailable = true;
+  #sent = 0;
+
+  private constructor(logger: Logger) {
+    this.#logger = logger;
+  }
+
+  /** Starts a fleet whose gateways are ready. */
+  static async create(options: CrashingFleetOptions): Promise<CrashingFleet> {
+    const { gatewayCount, logger, runnerCount } = options;
+    const fleet = new CrashingFleet(logger ?? createSilentLogger());
+    for (let index = 0; index < runnerCount; index++) await fleet.#addRunner();
+    for (let index = 0; index < gatewayCount; index++) await fleet.addGateway();
+    return fleet;
+  }
+
+  /** Number of runners that have crashed. */
+  get crashes(): number {
+    return this.runners.filter(({ hasCrashed }) => hasCrashed).length;
+  }
+
+  /** Starts another gateway and waits until it is ready. */
+  async addGateway(): Promise<TestGateway> {
+    const name = `gateway-${this.gateways.length}`;
+    const added = await startTestGateway({ name, logger: this.#logger });
+    this.gateways.push(added);
+    this.#listGateways();
+    added.declarations.put("main", createDeclaration(1));
+    for (const [id, { address }] of this.#listed) {
+      added.runners.put(id, createRunnerRecord(id, address));
+    }
+    while (
+      !added.gateway.isReady || added.gateway.runnerCount < this.#listed.size
+    ) await wait(timers, 1);
+    return added;
+  }
+
+  /** Makes the store unavailable to all gateways. */
+  setStoreUnavailable(): void {
+    this.#isStoreAvailable = false;
+    for (const { declarations, peers, runners } of this.gateways) {
+      for (const source of [declarations, peers, runners]) {
+        source.setUnavailable(true);
+      }
+    }
+  }
+
+  /**
+   * Sends a stream request and waits for the end of its answer.
+   *
+   * @param gatewayIndex number of a gateway, from 0; starts anew at the end.
+   */
+  async call(gatewayIndex: number, call: FleetCall): Promise<FleetAnswer> {
+    const { gateway } = this.gateways[gatewayIndex % this.gateways.length];
+    const { isRepeatable = true, prompt } = call;
+    await this.#settle();
+    using caller = await RawCaller.create(gateway.callerAddress);
+    this.#sent += 1;
+    caller.send({
+      path: isRepeatable ? "/story/1" : "/summary/1",
+      attemptId: `fleet-${this.#sent}`,
+      headers: { [testHeaders.prompt]: `${prompt},own-${this.#sent}` },
+    });
+    await caller.waitUntil((each) => each.hasEnded || isWhole(each.text));
+    const { text } = caller;
+    const status = Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
+    return { status, text, isWhole: isWhole(text) };
+  }
+
+  /** Counts the requests with a part that runners have received. */
+  countReceived(part: string): number {
+    return this.runners.flatMap(({ requests }) => requests)
+      .filter(({ head }) => hasPart(head, part)).length;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const runner of this.runners) await runner[Symbol.asyncDispose]();
+    await Promise.all(
+      this.gateways.map(({ gateway }) => gateway[Symbol.asyncDispose]()),
+    );
+  }
+
+  /** Crashes a runner; another process replaces it. */
+  async crash(runner: ScriptedRunner): Promise<void> {
+    if (runner.hasCrashed) return;
+    runner.crash();
+    for (const [id, listed] of this.#listed) {
+      if (listed === runner) this.#unlist(id);
+    }
+    this.#replaced = this.#replaced.then(() => this.#addRunner());
+    await this.#replaced;
+  }
+
+  /** Waits until all gateways know the current runners. */
+  async #settle(): Promise<void> {
+    await this.#replaced;
+    const ids = [...this.#listed.keys()];
+    const isKnown = ({ gateway }: TestGateway) => {
+      const known = new Set(gateway.listRunners().map(({ id }) => id));
+      return known.size === ids.length && ids.every((id) => known.has(id));
+    };
+    while (this.#isStoreAvailable && !this.gateways.every(isKnown)) {
+      await wait(timers, 1);
+    }
+  }
+
+  #unlist(id: string): void {
+    this.#listed.delete(id);
+    for (const { runners } of this.gateways) runners.put(id, undefined);
+  }
+
+  async #addRunner(): Promise<void> {
+    const runner = await ScriptedRunner.create((request) => {
+      if (!hasPart(request.head, crashingPart)) this.soundScript(request);
+      else {
+        const start = formatStreamStart(request.attemptId, [1]);
+        request.socket.write(start, () => this.beginCrash(runner, request));
+      }
+    });
+    const id = `r${this.runners.length}`;
+    this.runners.push(runner);
+    this.#listed.set(id, runner);
+    for (const { runners } of this.gateways) {
+      runners.put(id, createRunnerRecord(id, runner.address));
+    }
+  }
+
+  #listGateways(): void {
+    for (const { gateway: self, peers } of this.gateways) {
+      for (const { gateway } of this.gateways) {
+        const address = gateway.peerAddress;
+        if (gateway !== self) peers.put(address, { address, capacity: 1 });
+      }
+    }
+  }
+}
+
+function hasPart(head: string, part: string): boolean {
+  const prompt = new RegExp(`^${testHeaders.prompt}: (.*)$`, "im").exec(head);
+  return prompt?.[1].trim().split(",").includes(part) === true;
+}
+
+/** Whether the text is an answer with its length or its last chunk. */
+function isWhole(text: string): boolean {
+  const end = text.indexOf("\r\n\r\n");
+  if (end < 0) return false;
+  const length = /content-length: (\d+)/i.exec(text.slice(0, end))?.[1];
+  if (length !== undefined) return text.length >= end + 4 + Number(length);
+  return text.endsWith("0\r\n\r\n");
+}
--- a/packages/gateway/src/test_support/scripted_runner.ts
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -24,28 +24,50 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #resolvers: ((request: ReceivedRequest) => void)[] = [];
+  readonly #address: string;
+  #hasCrashed = false;
   /** Requests received so far. */
   readonly requests: ReceivedRequest[] = [];
   /** Answers the requests; may be replaced at any time. */
   script: Script;
 
-  private constructor(script: Script) {
+  private constructor(server: Server, script: Script) {
     this.script = script;
-    this.#server = createServer((socket) => this.#accept(socket));
+    this.#server = server;
+    const { address, port } = server.address() as AddressInfo;
+    this.#address = `${address}:${port}`;
+    server.on("connection", (socket) => this.#accept(socket));
   }
 
   /** Starts a runner on a free port of the loopback address. */
   static async create(script: Script): Promise<ScriptedRunner> {
-    const runner = new ScriptedRunner(script);
-    runner.#server.listen(0, "127.0.0.1");
-    await once(runner.#server, "listening");
-    return runner;
+    const server = createServer();
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return new ScriptedRunner(server, script);
   }
 
   /** `ip:port` that the runner listens at. */
   get address(): string {
-    const { address, port } = this.#server.address() as AddressInfo;
-    return `${address}:${port}`;
+    return this.#address;
+  }
+
+  /** Whether the runner has crashed. */
+  get hasCrashed(): boolean {
+    return this.#hasCrashed;
+  }
+
+  /** Ends the runner like a process that crashes: port and connections close. */
+  crash(): void {
+    this.#hasCrashed = true;
+    this.#server.close();
+    this.closeConnections();
+  }
+
+  /** Closes all connections while the runner goes on. */
+  closeConnections(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.#sockets.clear();
   }
 
   /** Waits for the next request. */
@@ -54,9 +76,9 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#hasCrashed) return;
     const closed = once(this.#server, "close");
-    this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
+    this.crash();
     await closed;
   }
 
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -93,10 +93,13 @@
   gateway: Gateway;
   declarations: TestSource<RoutingDeclaration>;
   runners: TestSource<RunnerRecord>;
+  /** Gateways in the store's list. */
+  peers: TestSource<PeerRecord>;
 };
 
 /** Options of a test gateway. */
 export type TestGatewayOptions = {
+  name?: string;
   logger?: Logger;
   sampleShare?: number;
   seedAddresses?: string[];
@@ -112,11 +115,12 @@
 ): Promise<TestGateway> {
   const declarations = TestSource.create<RoutingDeclaration>();
   const runners = TestSource.create<RunnerRecord>();
+  const peers = TestSource.create<PeerRecord>();
   declarations.setUnavailable(options.isStoreUnavailable === true);
   runners.setUnavailable(options.isStoreUnavailable === true);
   const gateway = await Gateway.create({
     settings: gatewaySettingsSchema.parse({
-      name: "gateway-1",
+      name: options.name ?? "gateway-1",
       failureDomain: "a",
       callerAddress: "127.0.0.1:0",
       readinessAddress: "127.0.0.1:0",
@@ -133,10 +137,10 @@
     declarations,
     runners,
     registry: {
-      peers: TestSource.create<PeerRecord>(),
+      peers,
       announce: () => Promise.resolve(),
       withdraw: () => Promise.resolve(),
     },
   });
-  return { gateway, declarations, runners };
+  return { gateway, declarations, runners, peers };
 }
