--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -6,6 +6,7 @@
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
+import { createQuarantineError } from "../quarantine/mod.ts";
 import type { RequestTrace } from "../request_log.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
@@ -22,7 +23,13 @@
   describeSilence,
 } from "./describe_attempt.ts";
 import { formatRunnerRequest } from "./format_runner_request.ts";
-import { describeEnd, getRunnerOutcome, observeRunner } from "./observe_end.ts";
+import {
+  describeBreak,
+  describeEnd,
+  getRunnerOutcome,
+  observePrompt,
+  observeRunner,
+} from "./observe_end.ts";
 import {
   getPauseLeftMs,
   placeAttempt,
@@ -145,6 +152,11 @@
   /** Starts an attempt; returns the reason if none can be started. */
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
+    const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+    if (quarantined !== undefined) {
+      context.metrics.countQuarantineRefusal();
+      return `quarantined prompt part ${quarantined.partId}`;
+    }
     const triedIds = this.#triedIds;
     const placement = placeAttempt(
       { caller, service, triedIds, mayReturn },
@@ -257,16 +269,22 @@
     // Attempts that were cancelled are no longer under way.
     if (!this.#running.delete(running)) return;
     running.stop();
-    this.#options.context.metrics.countAttempt(end.type);
+    const { admitted: { caller }, context } = this.#options;
+    context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
     if (this.#wasRefused) this.#refusedIds.add(running.upstream.id);
     this.#observe(running, end);
+    observePrompt(running, { caller, end }, context);
     const step = decideNext(end, this.#getProgress());
     this.#log("attempt-ended", {
       ...describeAttempt(running),
       step,
       ...describeEnd(end),
+      ...describeBreak(end, running, {
+        prompt: caller.prompt,
+        nowMs: context.timers.nowMs(),
+      }),
     });
     if (this.#running.size > 0 && !isSettled(step, end)) this.#tryTakeover();
     else this.#applyStep(step, end);
@@ -329,7 +347,12 @@
   }
 
   #refuse(message: string): void {
-    const { admitted: { service }, answer, context } = this.#options;
+    const { admitted: { caller, service }, answer, context } = this.#options;
+    const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+    if (quarantined !== undefined) {
+      answer.sendError(createQuarantineError(quarantined));
+      return;
+    }
     const forecastMs = context.getCapacityForecast(service).recordRefusal({
       nowMs: context.timers.nowMs(),
       leftMs: Math.max(0, this.#getLeftMs()),
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -1,6 +1,13 @@
 import type { RunnerOutcome } from "@jasminetide/core/pools";
+import type { LogFields } from "@jasminetide/runtime/logging";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { RunnerAnswer } from "../protocol.ts";
+import {
+  type BegunAnswer,
+  type CallerRequest,
+  listSharedParts,
+  type PromptPart,
+  type RunnerAnswer,
+} from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 
@@ -55,6 +62,17 @@
   });
 }
 
+/** Learns from an answer that had begun whether its prompt crashes runners. */
+export function observePrompt(
+  { begun, upstream }: { begun: BegunAnswer | undefined; upstream: Upstream },
+  { caller, end }: { caller: CallerRequest; end: AttemptEnd },
+  { promptGuard }: Pick<GatewayContext, "promptGuard">,
+): void {
+  const isWhole = end.type === "relayed" || end.type === "answered";
+  if (begun === undefined || (!isWhole && end.type !== "broken")) return;
+  promptGuard.observeEnd({ upstream, begun, caller, isWhole });
+}
+
 /** Describes the end of an attempt for a log line. */
 export function describeEnd(
   end: AttemptEnd,
@@ -63,3 +81,20 @@
   if ("head" in end) return { end: end.type, status: end.head.status };
   return { end: end.type };
 }
+
+/**
+ * Describes a request whose answer broke off after it had begun, for a log
+ * line: the time since then, and the shared parts of the prompt, by which
+ * several such requests can be related.
+ */
+export function describeBreak(
+  end: AttemptEnd,
+  { begun }: { begun: BegunAnswer | undefined },
+  { nowMs, prompt }: { nowMs: number; prompt: readonly PromptPart[] },
+): LogFields {
+  if (end.type !== "broken" || begun === undefined) return {};
+  return {
+    begunForMs: Math.round(nowMs - begun.atMs),
+    sharedParts: listSharedParts(prompt).map(({ id }) => id).join(" "),
+  };
+}
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -1,7 +1,7 @@
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { RunnerAnswer } from "../protocol.ts";
+import type { AnswerHead, BegunAnswer, RunnerAnswer } from "../protocol.ts";
 import type { RunnerRequest, Upstream } from "../upstreams/mod.ts";
 import { AnswerSilence } from "./answer_silence.ts";
 import { Attempt, type AttemptEnd } from "./attempt.ts";
@@ -38,6 +38,7 @@
   readonly #silence: AnswerSilence;
   readonly #startedAtMs: number;
   #isSilent = false;
+  #begun: BegunAnswer | undefined;
 
   private constructor(options: RunningAttemptOptions) {
     this.#options = options;
@@ -58,7 +59,7 @@
       },
       onAnswerHead: (answer) =>
         observeAvailability(options.upstream, answer, options.context),
-      onAnswer: (answer) => this.#handleAnswer(answer),
+      onAnswer: (answer, head) => this.#handleAnswer(answer, head),
       onBytes: () => this.#recordBytes(),
       onPause: (isPaused) => this.#silence.setPaused(isPaused),
     });
@@ -84,6 +85,11 @@
     return this.#silence.isAwaitingFirstByte;
   }
 
+  /** Set once the runner has begun to answer the request. */
+  get begun(): BegunAnswer | undefined {
+    return this.#begun;
+  }
+
   /** Cancels the attempt by closing its connection to the runner. */
   cancel(): void {
     this.stop();
@@ -105,8 +111,12 @@
     observeRunner(upstream, "lost", context);
   }
 
-  #handleAnswer(answer: RunnerAnswer): void {
+  #handleAnswer(answer: RunnerAnswer, head: AnswerHead): void {
     const { context, onNotRun, upstream } = this.#options;
+    if (head.status < 300 && answer.isGenuine) {
+      const atMs = context.timers.nowMs();
+      this.#begun = { atMs, isFramed: head.isFramed };
+    }
     if (answer.isNotRun) onNotRun();
     if (answer.load === undefined) return;
     upstream.load.observe(answer.load, context.timers.nowMs());
