Drop a late answer of the store that begins before newer changes

What callers would see: a request sent to a runner that had left seconds before.

Cause: while a watch is under way, another gateway may send later changes. The answer to the watch then repeats the changes before them. After an outage, objects that go missing are kept for a while, so a runner that was known to be gone was put back by its earlier entry and kept.

Change: an answer that begins before what is known is dropped, and the next watch begins where the follower is.

--- a/packages/gateway/src/following/following.feature
+++ b/packages/gateway/src/following/following.feature
@@ -112,3 +112,13 @@
     Given a follower with runners "a"
     When the store reports every watch as expired for 10000 ms
     Then it receives between 8 and 60 calls in that time
+
+  Scenario: A late answer of the store does not undo what others sent
+    Given a follower with runners "a b"
+    When the store is unavailable for 500 ms
+    And the store leaves the next watch unanswered
+    And another process sends that "c" was added and "a" was removed
+    And another process sends that "d" was added and "c" was removed
+    And runner "e" registers again
+    And the store answers the watch
+    Then the follower has runners "b d e"
--- a/packages/gateway/src/following/following_test.ts
+++ b/packages/gateway/src/following/following_test.ts
@@ -345,3 +345,17 @@
     await advance(this, durationMs);
   },
 );
+
+When(
+  "the store leaves the next watch unanswered",
+  async function (this: World) {
+    this.followedSource.setUnavailable(false);
+    this.followedSource.setSilent(true);
+    await advance(this, 900);
+  },
+);
+
+When("the store answers the watch", async function (this: World) {
+  this.followedSource.setSilent(false);
+  await advance(this, 200);
+});
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -172,8 +172,11 @@
     }
     // During an outage, short calls detect the store's return sooner.
     const waitMs = this.#failures > 0 ? probeWaitMs : getWatchMs();
-    const result = await source.watch(this.#position, waitMs);
+    const since = this.#position;
+    const result = await source.watch(since, waitMs);
     this.#recordSuccess();
+    // Another process sent changes meanwhile, which older ones must not undo.
+    if (isLaterPosition(this.position, since)) return;
     if (result.type === "expired") {
       this.#options.logger.info("history-expired", {
         kind: this.#options.name,
--- a/packages/gateway/src/test_support/test_source.ts
+++ b/packages/gateway/src/test_support/test_source.ts
@@ -23,6 +23,7 @@
   #epoch = 1;
   #isUnavailable = false;
   #isHistoryLost = false;
+  #isSilent = false;
   #calls = 0;
 
   private constructor() {}
@@ -64,6 +65,12 @@
     this.#notify();
   }
 
+  /** Makes the store leave watches unanswered, or answer them. */
+  setSilent(isSilent: boolean): void {
+    this.#isSilent = isSilent;
+    this.#notify();
+  }
+
   /** Copies what the store holds. */
   copy(): TestSourceCopy<Value> {
     return { objects: new Map(this.#objects), changes: [...this.#changes] };
@@ -91,7 +98,7 @@
     this.#calls += 1;
     const canWait = epoch === this.#epoch && !this.#isHistoryLost &&
       !this.#isUnavailable;
-    if (canWait && revision >= this.#changes.length) {
+    if (canWait && (this.#isSilent || revision >= this.#changes.length)) {
       await new Promise<void>((notify) =>
         this.#pendingWatches.push({ revision, notify })
       );
@@ -109,6 +116,7 @@
   }
 
   #notify(): void {
+    if (this.#isSilent) return;
     for (const { notify } of this.#pendingWatches.splice(0)) notify();
   }
 }
