Do not use a runner that left in an outage again when the store returns

Cause: runners that another gateway lists went to the directory alone. The follower kept its own older objects, and once the store answered it kept the one that had gone missing for keepMissingMs, as after any outage.

Change: the follower takes the lists of other gateways, as it takes their changes. A list names the runners that are in the store, with the time for which the sender still keeps others; before, it named those too. A follower that has only such a list does not count as connected to the store.

--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -3,13 +3,7 @@
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
-import {
-  initialPosition,
-  isLaterPosition,
-  ObjectFollower,
-  type ObjectSource,
-  type StorePosition,
-} from "./following/mod.ts";
+import { ObjectFollower, type ObjectSource } from "./following/mod.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   fetchNewerState,
@@ -52,8 +46,6 @@
   readonly #registration: GatewayRegistration;
   #routes: RouteTable | undefined;
   #peers: ReadonlyMap<string, PeerRecord> = new Map();
-  /** Position of the runners that another gateway sent last. */
-  #peerPosition = initialPosition;
   #hasRunners = false;
   #wasReady = false;
   #complete: () => void = () => {};
@@ -126,8 +118,7 @@
     if (!this.#sync.isCurrent) return undefined;
     return {
       declaration: this.#routes?.declaration,
-      position: this.#runnersPosition,
-      runners: this.directory.listRecords(),
+      ...this.#sync.listRunners(),
     };
   }
 
@@ -136,7 +127,7 @@
     return {
       ...this.#sync.getSnapshot(),
       declarationVersion: this.declarationVersion,
-      runnersPosition: this.#runnersPosition,
+      runnersPosition: this.#sync.runnersPosition,
       gateways: [...this.#peers.keys()],
       runners: this.directory.listRecords(),
     };
@@ -151,14 +142,6 @@
     return this.#resources[Symbol.asyncDispose]();
   }
 
-  /** Position of the runners, from the store or from another gateway. */
-  get #runnersPosition(): StorePosition {
-    const position = this.#sync.runnersPosition;
-    return isLaterPosition(this.#peerPosition, position)
-      ? this.#peerPosition
-      : position;
-  }
-
   #followPeers(): void {
     const { registry } = this.#options;
     this.#resources.use(ObjectFollower.create({
@@ -175,7 +158,7 @@
       isConnected: () => !this.#sync.isCutOff,
       getVersions: () => ({
         version: this.declarationVersion,
-        position: this.#runnersPosition,
+        position: this.#sync.runnersPosition,
       }),
       listPeers: () => this.#listPeerAddresses(),
       fetchState: fetchNewerState,
@@ -234,15 +217,10 @@
   }
 
   #applyPeerState(state: Partial<GatewayState>): void {
-    const { declaration, position = initialPosition, runners } = state;
+    const { declaration, keepMissingMs = 0, position, runners } = state;
     if (declaration !== undefined) this.#applyDeclarations([declaration]);
-    const known = this.#runnersPosition;
-    if (runners === undefined || !isLaterPosition(position, known)) return;
-    const current = position.epoch === known.epoch
-      ? runners
-      : runners.flatMap((each) => this.directory.resolveRestored(each) ?? []);
-    this.#peerPosition = position;
-    this.#applyRunners(new Map(current.map((each) => [each.id, each])));
+    if (runners === undefined || position === undefined) return;
+    this.#sync.applyRunners({ position, runners, keepMissingMs });
   }
 }
 
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -56,6 +56,7 @@
   #position: StorePosition | undefined;
   /** Epoch of the store that was read last. */
   #epoch: number | undefined;
+  #hasAnswered = false;
   #failures = 0;
   /** Watches in a row that have expired. */
   #expiries = 0;
@@ -85,7 +86,8 @@
 
   /** Whether the store answered the last call. */
   get isConnected(): boolean {
-    return this.#position !== undefined && this.#failures === 0;
+    return this.#hasAnswered && this.#position !== undefined &&
+      this.#failures === 0;
   }
 
   /** Position of the store up to which changes are applied. */
@@ -108,15 +110,23 @@
   selectNews(since: StorePosition): ObjectNews<Value> | undefined {
     const position = this.#position;
     if (position === undefined) return undefined;
-    const keepMissingMs = Math.round(this.#table.keepLeftMs);
     const changes = this.#log.select(since);
     if (changes !== undefined) {
       if (changes.length === 0) return undefined;
+      const keepMissingMs = Math.round(this.#table.keepLeftMs);
       return { position, isWhole: false, changes, keepMissingMs };
     }
-    if (!isLaterPosition(position, since)) return undefined;
-    const objects = this.#table.listPresent();
-    return { position, isWhole: true, changes: objects, keepMissingMs };
+    return isLaterPosition(position, since) ? this.listAll() : undefined;
+  }
+
+  /** Lists all objects, for a process that may have others. */
+  listAll(): ObjectNews<Value> {
+    return {
+      position: this.position,
+      isWhole: true,
+      changes: this.#table.listPresent(),
+      keepMissingMs: Math.round(this.#table.keepLeftMs),
+    };
   }
 
   /** Applies what another process has sent. */
@@ -252,6 +262,7 @@
 
   /** Records that the store answered; ends an outage if there was one. */
   #recordSuccess(): void {
+    this.#hasAnswered = true;
     if (this.#failures === 0) return;
     const { keepMissingMs, logger, name, timers } = this.#options;
     logger.info("store-regained", { kind: name, failures: this.#failures });
--- a/packages/gateway/src/peers/gateway_state.ts
+++ b/packages/gateway/src/peers/gateway_state.ts
@@ -9,6 +9,8 @@
   /** Position of the store at which the runners were read. */
   position: StorePosition;
   runners: RunnerRecord[];
+  /** Time for which runners that are gone are still kept, after an outage. */
+  keepMissingMs: number;
 };
 
 /** Schema of the versions of the state that the calling gateway has. */
@@ -28,13 +30,13 @@
   versions: StateVersions,
 ): Partial<GatewayState> {
   if (state === undefined) return {};
-  const { declaration, position, runners } = state;
+  const { declaration, keepMissingMs, position, runners } = state;
   return {
     ...(declaration !== undefined && declaration.version > versions.version
       ? { declaration }
       : {}),
     ...(isLaterPosition(position, versions.position)
-      ? { position, runners }
+      ? { position, runners, keepMissingMs }
       : {}),
   };
 }
--- a/packages/gateway/src/peers/peers.feature
+++ b/packages/gateway/src/peers/peers.feature
@@ -34,3 +34,17 @@
     Given a gateway that has declaration 5 and a runner
     When another one starts with it as a seed and no working store
     Then it becomes ready with declaration 5
+
+  Scenario: A runner that left in an outage does not return with the store
+    Given a gateway that has declaration 5 and a runner
+    And another one with it as a seed that has the same
+    When the runner leaves while the store answers only the first one
+    Then the other one learns that the runner left
+    When the store answers both
+    Then the other one still knows no runner
+
+  Scenario: A runner that is only kept after an outage is not sent to others
+    Given a gateway that has declaration 5 and a runner
+    When the runner leaves while its store is away
+    And another one starts with it as a seed and no working store
+    Then the other one is ready and knows no runner
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -41,6 +41,7 @@
       declaration: createDeclaration(version),
       position: { epoch: 1, revision },
       runners: [createRunnerRecord("r", "127.0.0.1:1")],
+      keepMissingMs: 0,
     };
     const handle = createPeerHandler({
       getState: () => this.peerState,
@@ -190,6 +191,76 @@
   },
 );
 
+Given(
+  "another one with it as a seed that has the same",
+  async function (this: World) {
+    const { gateway } = this.seed;
+    this.starting = await startTestGateway({
+      seedAddresses: [gateway.peerAddress],
+    });
+    const { declarations, runners } = this.starting;
+    declarations.put("main", createDeclaration(gateway.declarationVersion));
+    runners.put("r", createRunnerRecord("r", "127.0.0.1:1"));
+    await waitUntilReady(this.starting);
+  },
+);
+
+When(
+  "the runner leaves while the store answers only the first one",
+  function (this: World) {
+    this.starting.runners.setUnavailable(true);
+    this.starting.runners.put("r", undefined);
+    this.seed.runners.put("r", undefined);
+  },
+);
+
+Then(
+  "the other one learns that the runner left",
+  async function (this: World) {
+    const { gateway } = this.starting;
+    const timers = RealTimerService.create();
+    while (gateway.runnerCount > 0) await wait(timers, 1);
+  },
+);
+
+When("the store answers both", async function (this: World) {
+  this.starting.runners.setUnavailable(false);
+  await waitUntilCaughtUp(this.starting);
+});
+
+Then("the other one still knows no runner", function (this: World) {
+  assert.equal(this.starting.gateway.runnerCount, 0);
+});
+
+When(
+  "the runner leaves while its store is away",
+  async function (this: World) {
+    const { runners } = this.seed;
+    await waitUntilCaughtUp(this.seed);
+    runners.setUnavailable(true);
+    await wait(RealTimerService.create(), 1);
+    runners.put("r", undefined);
+    runners.setUnavailable(false);
+    await waitUntilCaughtUp(this.seed);
+    assert.equal(this.seed.gateway.runnerCount, 1);
+  },
+);
+
+Then(
+  "the other one is ready and knows no runner",
+  async function (this: World) {
+    const { gateway } = this.starting;
+    const timers = RealTimerService.create();
+    while (!gateway.isReady) await wait(timers, 1);
+    assert.equal(gateway.runnerCount, 0);
+  },
+);
+
+async function waitUntilCaughtUp({ runners }: TestGateway): Promise<void> {
+  const timers = RealTimerService.create();
+  while (!runners.isCaughtUp) await wait(timers, 1);
+}
+
 After(async function (this: World) {
   await this.seed?.gateway[Symbol.asyncDispose]();
   await this.starting?.gateway[Symbol.asyncDispose]();
--- a/packages/gateway/src/state_sync.ts
+++ b/packages/gateway/src/state_sync.ts
@@ -10,6 +10,7 @@
 } from "./following/mod.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
+  type GatewayState,
   getHostCapacity,
   getNewsLimits,
   type News,
@@ -42,6 +43,9 @@
   onRunners: (records: ReadonlyMap<string, RunnerRecord>) => void;
 };
 
+/** Runners that one gateway lists for another. */
+export type RunnerList = Omit<GatewayState, "declaration">;
+
 /**
  * Keeps the declarations and runners of a gateway up to date: from the store, or
  * from another gateway that reads the store for several.
@@ -115,6 +119,25 @@
     return this.#runners.position;
   }
 
+  /** Lists the runners for another gateway. */
+  listRunners(): RunnerList {
+    const { changes, keepMissingMs, position } = this.#runners.listAll();
+    const runners = changes.flatMap(({ value }) => value ?? []);
+    return { position, runners, keepMissingMs };
+  }
+
+  /** Applies the runners that another gateway has listed. */
+  applyRunners(list: RunnerList): void {
+    const { keepMissingMs, position, runners } = list;
+    const changes = runners.map((value) => ({ name: value.id, value }));
+    this.#runners.applyNews({
+      position,
+      isWhole: true,
+      changes,
+      keepMissingMs,
+    });
+  }
+
   /** State as written to a dump. */
   getSnapshot() {
     return {
