Split gateways and runners of the fault soak from its fleet

Gateways and runners, with their links, settings and processes, now have a module each; the fleet keeps the store, restarts and the order of the start.

--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -4,6 +4,7 @@
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
 import { parseAddress } from "@jasminetide/runtime/settings";
+import type { SoakGateway } from "./fleet_gateway.ts";
 import type { CallKind, CallOutcome, CallRecord } from "./history.ts";
 import { callKinds } from "./history.ts";
 import {
@@ -12,7 +13,7 @@
   soakHost,
   soakKey,
 } from "./soak_declaration.ts";
-import type { SoakFleet, SoakGateway } from "./soak_fleet.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakWire } from "./wire.ts";
 
 /** Options of the callers. */
--- /dev/null
+++ b/packages/fault_soak/src/fleet_runner.ts
@@ -0,0 +1,78 @@
+/** Runners of a fleet under test: their links and processes. */
+import { join } from "node:path";
+import type { RandomSource } from "@jasminetide/core/random";
+import { FaultLink } from "@jasminetide/testing/fault_link";
+import type { History, RunnerEvent } from "./history.ts";
+import { ManagedProcess } from "./managed_process.ts";
+import { reservePort } from "./ports.ts";
+import type { SoakPrograms } from "./wire.ts";
+
+/** A runner with the link between gateways and its process. */
+export type SoakRunner = {
+  index: number;
+  link: FaultLink;
+  port: number;
+  service: string;
+  /** Id of the current process; every restart gives a new one. */
+  id: string;
+  process: ManagedProcess;
+  /** Number of times that its process was restarted. */
+  incarnation: number;
+  /** Whether its entry in the store states that it drains. */
+  isDraining: boolean;
+  /** Settles when the restart in progress is complete. */
+  restart: Promise<void> | undefined;
+};
+
+/** Options of a runner. */
+export type FleetRunnerOptions = {
+  programs: SoakPrograms;
+  random: RandomSource;
+  history: History;
+  /** Folder for logs. */
+  folder: string;
+};
+
+/** Starts the link and the process of a runner. */
+export async function createRunner(
+  index: number,
+  options: FleetRunnerOptions,
+): Promise<SoakRunner> {
+  const port = await reservePort(options.random);
+  const link = await FaultLink.create({
+    getTarget: () => `127.0.0.1:${port}`,
+  });
+  const base = {
+    index,
+    link,
+    port,
+    service: index % 2 === 0 ? "engine" : "desk",
+    incarnation: 0,
+    isDraining: false,
+    restart: undefined,
+  };
+  const id = formatRunnerId(base);
+  return { ...base, id, process: startRunner({ ...base, id }, options) };
+}
+
+/** Starts a process of a runner. */
+export function startRunner(
+  runner: Pick<SoakRunner, "id" | "index" | "port" | "service">,
+  { folder, history, programs }: FleetRunnerOptions,
+): ManagedProcess {
+  return ManagedProcess.create({
+    name: runner.id,
+    script: programs.runnerScript,
+    args: [runner.id, runner.service, String(runner.port)],
+    logFile: join(folder, `runner-${runner.index}.log`),
+    onLine: (line) =>
+      history.runnerEvents.push(JSON.parse(line) as RunnerEvent),
+  });
+}
+
+/** Formats the id of a runner's current process. */
+export function formatRunnerId(
+  { incarnation, index }: Pick<SoakRunner, "incarnation" | "index">,
+): string {
+  return `runner-${index}-${incarnation}`;
+}
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -2,9 +2,11 @@
 import { setTimeout } from "node:timers/promises";
 import type { FaultLink, LinkDirection } from "@jasminetide/testing/fault_link";
 import type { FaultKind, FaultSpan, PlannedFault } from "./faults.ts";
+import type { SoakGateway } from "./fleet_gateway.ts";
+import type { SoakRunner } from "./fleet_runner.ts";
 import type { History } from "./history.ts";
 import type { ManagedProcess } from "./managed_process.ts";
-import type { SoakFleet, SoakGateway, SoakRunner } from "./soak_fleet.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
 import { failureMs, restMs } from "./soak_runner.ts";
 import type { StoreFault } from "./store_server.ts";
 
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -6,9 +6,10 @@
 import { Callers } from "./callers.ts";
 import { checkHistory } from "./check_history.ts";
 import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
+import { retryBudget } from "./fleet_gateway.ts";
 import { createHistory, type History, isServed } from "./history.ts";
 import { injectFault } from "./inject_fault.ts";
-import { retryBudget, SoakFleet } from "./soak_fleet.ts";
+import { SoakFleet } from "./soak_fleet.ts";
 import type { Violation } from "./violation.ts";
 import type { SoakPrograms } from "./wire.ts";
 
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -1,13 +1,20 @@
 /** Gateways, runners, links and store of one episode. */
-import { writeFileSync } from "node:fs";
-import { join } from "node:path";
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
-import { FaultLink } from "@jasminetide/testing/fault_link";
 import type { FleetSize } from "./faults.ts";
-import type { History, RunnerEvent } from "./history.ts";
-import { ManagedProcess } from "./managed_process.ts";
-import { reservePort } from "./ports.ts";
+import {
+  createGateway,
+  type SoakGateway,
+  startGateway,
+  waitUntilReady,
+} from "./fleet_gateway.ts";
+import {
+  createRunner,
+  formatRunnerId,
+  type SoakRunner,
+  startRunner,
+} from "./fleet_runner.ts";
+import type { History } from "./history.ts";
 import { createSoakDeclaration } from "./soak_declaration.ts";
 import { runnerSlots } from "./soak_runner.ts";
 import { StoreServer } from "./store_server.ts";
@@ -23,46 +30,9 @@
   folder: string;
 };
 
-/** A gateway with its links to callers and to the store. */
-export type SoakGateway = {
-  index: number;
-  callerLink: FaultLink;
-  storeLink: FaultLink;
-  readinessAddress: string;
-  settingsFile: string;
-  process: ManagedProcess;
-  /** Number of times that its process was restarted. */
-  incarnation: number;
-};
-
-/** A runner with the link between gateways and its process. */
-export type SoakRunner = {
-  index: number;
-  link: FaultLink;
-  port: number;
-  service: string;
-  /** Id of the current process; every restart gives a new one. */
-  id: string;
-  process: ManagedProcess;
-  /** Number of times that its process was restarted. */
-  incarnation: number;
-  /** Whether its entry in the store states that it drains. */
-  isDraining: boolean;
-  /** Settles when the restart in progress is complete. */
-  restart: Promise<void> | undefined;
-};
-
-/** Retry budget in the settings of every gateway. */
-export const retryBudget = { ratio: 0.2, slack: 10, windowSeconds: 10 };
-
-const graceSeconds = 5;
-
 /** Time after which the store removes the entry of a stopped runner. */
 const leaseMs = 2000;
 
-const startLimitMs = 15_000;
-const pollMs = 25;
-
 /** The processes, links and store of one episode. */
 export class SoakFleet {
   readonly gateways: SoakGateway[] = [];
@@ -110,7 +80,7 @@
     await gateway.process.waitForExit();
     if (this.#isDisposing || gateway.incarnation !== incarnation) return;
     gateway.incarnation += 1;
-    gateway.process = this.#startGateway(gateway);
+    gateway.process = startGateway(gateway, this.#options);
   }
 
   /** Starts a new process of a runner, with a new id, once the old one exited. */
@@ -128,7 +98,7 @@
     this.store.objects.removeRunner(id);
     if (this.#isDisposing) return;
     runner.id = formatRunnerId(runner);
-    runner.process = this.#startRunner(runner);
+    runner.process = startRunner(runner, this.#options);
     this.putRunner(runner, { isDraining: false });
   }
 
@@ -165,21 +135,6 @@
     }
   }
 
-  /** Waits until every gateway reports at its address that it is ready. */
-  async waitUntilReady(): Promise<void> {
-    const endMs = Date.now() + startLimitMs;
-    for (const gateway of this.gateways) {
-      while (!await isReady(gateway.readinessAddress)) {
-        if (Date.now() > endMs) {
-          throw new Error(
-            `gateway ${gateway.index} was not ready within ${startLimitMs} ms`,
-          );
-        }
-        await setTimeout(pollMs);
-      }
-    }
-  }
-
   async [Symbol.asyncDispose](): Promise<void> {
     this.#isDisposing = true;
     for (const { process } of [...this.gateways, ...this.runners]) {
@@ -195,120 +150,16 @@
 
   async #start(): Promise<void> {
     const { size } = this.#options;
+    const options = { ...this.#options, storeAddress: this.store.address };
     this.putNextDeclaration();
     for (let index = 0; index < size.runners; index++) {
-      await this.#addRunner(index);
+      const runner = await createRunner(index, options);
+      this.runners.push(runner);
+      this.putRunner(runner, runner);
     }
     for (let index = 0; index < size.gateways; index++) {
-      await this.#addGateway(index);
+      this.gateways.push(await createGateway(index, options));
     }
-    await this.waitUntilReady();
-  }
-
-  async #addGateway(index: number): Promise<void> {
-    const { folder, random } = this.#options;
-    const reserveAddress = async () => `127.0.0.1:${await reservePort(random)}`;
-    const callerAddress = await reserveAddress();
-    const readinessAddress = await reserveAddress();
-    const peerAddress = await reserveAddress();
-    const callerLink = await FaultLink.create({
-      getTarget: () => callerAddress,
-    });
-    const storeLink = await FaultLink.create({
-      getTarget: () => this.store.address,
-    });
-    const settingsFile = join(folder, `gateway-${index}.jsonc`);
-    writeFileSync(
-      settingsFile,
-      JSON.stringify({
-        name: `gateway-${index}`,
-        failureDomain: `domain-${index % 2}`,
-        callerAddress,
-        readinessAddress,
-        peerAddress,
-        platform: { address: storeLink.address },
-        stop: { noticeMs: 800, graceSeconds },
-        repeats: retryBudget,
-        log: { sampleShare: 1, linesPerSecond: 2000 },
-      }),
-    );
-    const gateway = {
-      index,
-      callerLink,
-      storeLink,
-      readinessAddress,
-      settingsFile,
-      incarnation: 0,
-    };
-    this.gateways.push({ ...gateway, process: this.#startGateway(gateway) });
-  }
-
-  #startGateway(
-    gateway: Pick<SoakGateway, "index" | "settingsFile">,
-  ): ManagedProcess {
-    const { folder, programs } = this.#options;
-    const { script, settingsVariable } = programs.gateway;
-    const name = `gateway-${gateway.index}`;
-    return ManagedProcess.create({
-      name,
-      script,
-      environment: { [settingsVariable]: gateway.settingsFile },
-      logFile: join(folder, `${name}.log`),
-    });
-  }
-
-  async #addRunner(index: number): Promise<void> {
-    const port = await reservePort(this.#options.random);
-    const link = await FaultLink.create({
-      getTarget: () => `127.0.0.1:${port}`,
-    });
-    const service = index % 2 === 0 ? "engine" : "desk";
-    const base = {
-      index,
-      link,
-      port,
-      service,
-      incarnation: 0,
-      isDraining: false,
-      restart: undefined,
-    };
-    const id = formatRunnerId(base);
-    const process = this.#startRunner({ ...base, id });
-    const runner = { ...base, id, process };
-    this.runners.push(runner);
-    this.putRunner(runner, { isDraining: false });
-  }
-
-  #startRunner(
-    runner: Pick<SoakRunner, "id" | "index" | "port" | "service">,
-  ): ManagedProcess {
-    const { folder, history, programs } = this.#options;
-    return ManagedProcess.create({
-      name: runner.id,
-      script: programs.runnerScript,
-      args: [runner.id, runner.service, String(runner.port)],
-      logFile: join(folder, `runner-${runner.index}.log`),
-      onLine: (line) =>
-        history.runnerEvents.push(JSON.parse(line) as RunnerEvent),
-    });
-  }
-}
-
-function formatRunnerId(
-  runner: { index: number; incarnation: number },
-): string {
-  return `runner-${runner.index}-${runner.incarnation}`;
-}
-
-async function isReady(address: string): Promise<boolean> {
-  try {
-    const answer = await fetch(`http://${address}/`, {
-      signal: AbortSignal.timeout(1000),
-    });
-    await answer.text();
-    return answer.status === 200;
-  } catch {
-    // Not listening yet: the caller polls until the start limit.
-    return false;
+    await Promise.all(this.gateways.map(waitUntilReady));
   }
 }
