--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -2,10 +2,8 @@
 import { Given, Then } from "@cucumber/cucumber";
 import { createSeededRandom } from "@jasminetide/core/random";
 import {
-  type CallKind,
   callKinds,
   type CallOutcome,
-  type CallRecord,
   checkHistory,
   createHistory,
   drawFaults,
@@ -13,91 +11,19 @@
   faultKinds,
   formatBody,
   formatEvent,
-  formatStream,
-  type History,
-  type RunnerEvent,
 } from "./mod.ts";
-
-type World = { history: History };
-
-const limits = { ratio: 0.2, slack: 10, windowSeconds: 10 };
-
-/** Time of the first call; the others follow within seconds. */
-const startMs = 1_000_000;
-
-/** Time of the calls that violate a guarantee. */
-const violationMs = startMs + 60_000;
-
-let callCount = 0;
-
-function createAnswer(kind: CallKind, attemptId: string): CallOutcome {
-  const isStream = kind === "story" || kind === "summary";
-  const body = isStream ? formatStream(attemptId) : formatBody(attemptId);
-  return { type: "answered", status: 200, body, isComplete: true };
-}
-
-/** Adds a served call; `overrides` replaces its default values. */
-function addCall(
-  { history }: World,
-  kind: CallKind,
-  overrides: Partial<CallRecord> = {},
-): CallRecord {
-  callCount += 1;
-  const attemptId = overrides.attemptId ?? `attempt-${callCount}`;
-  const sentAtMs = overrides.sentAtMs ?? violationMs;
-  const call: CallRecord = {
-    attemptId,
-    kind,
-    gateway: 0,
-    gatewayIncarnation: 0,
-    sentAtMs,
-    limitMs: 1500,
-    version: 1,
-    endedAtMs: sentAtMs + 50,
-    outcome: createAnswer(kind, attemptId),
-    ...overrides,
-  };
-  history.calls.push(call);
-  return call;
-}
-
-function addRun(
-  { history }: World,
-  call: CallRecord,
-  run: Partial<RunnerEvent> & { endedAtMs?: number } = {},
-): void {
-  const { attemptId, kind, sentAtMs } = call;
-  const { endedAtMs = sentAtMs + 40, ...overrides } = run;
-  const isStream = kind === "story" || kind === "summary";
-  const event = {
-    atMs: sentAtMs + 5,
-    attemptId,
-    runner: "runner-0-0",
-    service: isStream ? "engine" : "desk",
-    ...overrides,
-  };
-  history.runnerEvents.push(
-    { ...event, type: "arrived" },
-    { ...event, type: "ran" },
-    { ...event, type: "finished", atMs: endedAtMs },
-  );
-}
-
-function getBody({ outcome }: CallRecord): string {
-  return outcome.type === "answered" ? outcome.body : "";
-}
-
-function addAnswered(world: World, kind: CallKind, body: string) {
-  const outcome = { type: "answered", status: 200, body, isComplete: true };
-  return addCall(world, kind, { outcome: outcome as CallOutcome });
-}
-
-function addUnknown(world: World, sentAtMs: number): void {
-  const outcome = { type: "answered", status: 404, body: "", isComplete: true };
-  addCall(world, "added", { sentAtMs, outcome: outcome as CallOutcome });
-}
-
-const failed: CallOutcome = { type: "failed", reason: "socket hang up" };
+import {
+  addAnswered,
+  addCall,
+  addRun,
+  addUnknown,
+  failed,
+  getBody,
+  limits,
+  startMs,
+  violationMs,
+  type World,
+} from "./planted_history.ts";
 
 /** Adds each violation to a history without one, by step text. */
 const violations: Record<string, (world: World) => void> = {
