Let sound runners fall silent in the fault soak and find lost answers

SIGSTOP was drawn alone and at any time, and no check said that an accepted answer may not be lost outside a planned stop, so the loss beside a changed declaration was not found.

Change: fault "runner-silent": a runner sends nothing for 0.7 to 1.6 s on all its answers, reads on, keeps its connections and goes on. Seven episodes in ten draw two or three rounds of a changed declaration with one to four silent runners within a second of it. Check "lost-answers": a call that ran at runners which neither broke off nor exited, at an undisturbed gateway and with no link to runners cut, may not end before its time limit with a closed connection, a truncated answer or the gateway's 502. A silence, a refusal of another runner, a SIGSTOP or a changed declaration excuses nothing.

--- a/packages/fault_soak/src/call_checks.ts
+++ b/packages/fault_soak/src/call_checks.ts
@@ -12,7 +12,7 @@
   type RunnerEvent,
 } from "./history.ts";
 import { createSoakDeclaration } from "./soak_declaration.ts";
-import { formatBody, formatStream } from "./soak_runner.ts";
+import { formatBody, formatStream } from "./scripted_answers.ts";
 
 /** Description of a violation by a call, if any. */
 export type Finding = string | undefined;
--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -12,6 +12,7 @@
   findUncancelledRun,
   findUnrecoveredCall,
 } from "./call_checks.ts";
+import { findLostAnswer } from "./lost_answers.ts";
 import {
   findLateArrivals,
   findRequestsAtRest,
@@ -63,6 +64,10 @@
       "planned-stops",
       (call, events) => findPlannedStopLoss(call, events, history),
     ),
+    ...checkCalls(
+      "lost-answers",
+      (call, events) => findLostAnswer(call, events, history),
+    ),
     ...checkCalls(
       "recovery",
       (call, events) => findUnrecoveredCall(call, events, history),
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -3,13 +3,20 @@
 /** A time interval at one gateway. */
 export type GatewayInterval = { gateway: number; fromMs: number; toMs: number };
 
-/** Kinds of planned operations, during which no request may be lost. */
-const plannedKinds: readonly FaultKind[] = [
+/** Planned operations and pauses, during which no request may be lost. */
+const harmlessKinds: readonly FaultKind[] = [
   "gateway-stopped",
   "gateway-reloaded",
   "runner-leaving",
   "runner-announcing",
   "declaration-changed",
+  "runner-silent",
+];
+
+/** Faults during which a runner still notices that a connection is closed. */
+const respondingKinds: readonly FaultKind[] = [
+  "runner-resting",
+  "runner-silent",
 ];
 
 /** Whether any unplanned fault overlaps a time interval. */
@@ -19,7 +26,7 @@
   toMs: number,
 ): boolean {
   return faults.some((fault) =>
-    !plannedKinds.includes(fault.kind) && isOverlapping(fault, fromMs, toMs)
+    !harmlessKinds.includes(fault.kind) && isOverlapping(fault, fromMs, toMs)
   );
 }
 
@@ -59,11 +66,23 @@
   toMs: number,
 ): boolean {
   return faults.some((fault) =>
-    fault.kind.startsWith("runner-") && fault.kind !== "runner-resting" &&
+    fault.kind.startsWith("runner-") && !respondingKinds.includes(fault.kind) &&
     isOverlapping(fault, fromMs, toMs)
   );
 }
 
+/** Whether connections of any runner were cut or made silent by their link. */
+export function areRunnerLinksCut(
+  faults: readonly FaultSpan[],
+  fromMs: number,
+  toMs: number,
+): boolean {
+  return faults.some((fault) =>
+    fault.kind.startsWith("runner-link-") &&
+    fault.kind !== "runner-link-delayed" && isOverlapping(fault, fromMs, toMs)
+  );
+}
+
 function isOverlapping(
   { endMs, startMs }: FaultSpan,
   fromMs: number,
--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -50,6 +50,9 @@
 /** Faults of all runners of the same service as the target. */
 export const serviceFaultKinds = ["service-failing"] as const;
 
+/** Pauses of sound runners, drawn in rounds beside changed declarations. */
+export const silenceFaultKinds = ["runner-silent"] as const;
+
 /** Every kind of fault. */
 export const faultKinds = [
   ...gatewayFaultKinds,
@@ -58,6 +61,7 @@
   ...serviceFaultKinds,
   ...separateFleetFaultKinds,
   ...separateRunnerFaultKinds,
+  ...silenceFaultKinds,
 ] as const;
 
 const separateFaultKinds: readonly FaultKind[] = [
@@ -65,10 +69,12 @@
   ...separateRunnerFaultKinds,
 ];
 
-/** Kinds that every episode draws from; service faults are drawn separately. */
-const commonFaultKinds = faultKinds.filter((kind) =>
-  !isServiceFault(kind) && !separateFaultKinds.includes(kind)
-);
+/** Kinds that every episode draws from; the others are drawn separately. */
+const commonFaultKinds: readonly FaultKind[] = [
+  ...gatewayFaultKinds,
+  ...runnerFaultKinds,
+  ...fleetFaultKinds,
+];
 
 /** Kind of a fault. */
 export type FaultKind = (typeof faultKinds)[number];
@@ -106,6 +112,8 @@
 const serviceFaultChance = 0.35;
 /** Chance of a fault of the kinds that are drawn separately. */
 const separateFaultChance = 0.6;
+/** Chance of rounds in which runners fall silent. */
+const silenceChance = 0.7;
 
 /** Draws the faults of an episode, sorted by start time. */
 export function drawFaults(
@@ -129,6 +137,9 @@
   if (random.getFloat() < separateFaultChance) {
     faults.push(drawFault(random, { ...size, kinds: separateFaultKinds }));
   }
+  if (random.getFloat() < silenceChance) {
+    faults.push(...drawSilences(random, size));
+  }
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
@@ -148,10 +159,63 @@
   };
 }
 
+const silenceRounds = { smallest: 2, range: 2 };
+/** Keeps two pauses of one runner apart, so that no stream meets both. */
+const silencePeriodMs = 5000;
+const silenceDurations = { smallestMs: 700, rangeMs: 900 };
+/** Runners that fall silent in one round. */
+const maxSilentRunners = 4;
+const maxSilenceGapMs = 400;
+const maxChangeGapMs = 800;
+
+/**
+ * Draws rounds in which a declaration changes and some runners fall silent one
+ * soon after the other, before or after the change.
+ */
+function drawSilences(random: RandomSource, size: FleetSize): PlannedFault[] {
+  const rounds = silenceRounds.smallest +
+    random.getInteger(silenceRounds.range);
+  const faults: PlannedFault[] = [];
+  for (let round = 0; round < rounds; round++) {
+    const changeMs = firstFaultMs + round * silencePeriodMs + maxChangeGapMs;
+    faults.push({
+      kind: "declaration-changed",
+      target: 0,
+      startMs: changeMs,
+      durationMs: durations.smallestMs,
+    });
+    faults.push(...drawSilenceRound(random, { changeMs, size }));
+  }
+  return faults;
+}
+
+function drawSilenceRound(
+  random: RandomSource,
+  { changeMs, size }: { changeMs: number; size: FleetSize },
+): PlannedFault[] {
+  const count = 1 + random.getInteger(Math.min(size.runners, maxSilentRunners));
+  const first = random.getInteger(size.runners);
+  let startMs = changeMs - maxChangeGapMs +
+    random.getInteger(2 * maxChangeGapMs);
+  return Array.from({ length: count }, (_, index) => {
+    startMs += random.getInteger(maxSilenceGapMs);
+    return {
+      kind: "runner-silent" as const,
+      target: (first + index) % size.runners,
+      startMs,
+      durationMs: silenceDurations.smallestMs +
+        random.getInteger(silenceDurations.rangeMs),
+    };
+  });
+}
+
 /** Whether a fault affects one runner. */
 export function isRunnerFault(kind: FaultKind): boolean {
-  return [...runnerFaultKinds, ...separateRunnerFaultKinds]
-    .some((known) => known === kind);
+  return [
+    ...runnerFaultKinds,
+    ...separateRunnerFaultKinds,
+    ...silenceFaultKinds,
+  ].some((known) => known === kind);
 }
 
 /** Whether a fault affects all runners of a service. */
--- a/packages/fault_soak/src/fleet_runner.ts
+++ b/packages/fault_soak/src/fleet_runner.ts
@@ -67,6 +67,7 @@
     logFile: join(folder, `runner-${runner.index}.log`),
     onLine: (line) =>
       history.runnerEvents.push(JSON.parse(line) as RunnerEvent),
+    onExit: () => history.exits.push({ runner: runner.id, atMs: Date.now() }),
   });
 }
 
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -60,6 +60,9 @@
 /** A runner and when the store listed it as draining. */
 export type DrainedRunner = { runner: string; atMs: number };
 
+/** A runner and when its process was seen to have exited. */
+export type RunnerExit = { runner: string; atMs: number };
+
 /** Everything that callers and runners observed in one episode. */
 export type History = {
   calls: CallRecord[];
@@ -67,6 +70,7 @@
   faults: FaultSpan[];
   declared: DeclaredVersion[];
   drained: DrainedRunner[];
+  exits: RunnerExit[];
   /** Time from which all faults are over and every call must be served. */
   settledAtMs: number;
 };
@@ -79,6 +83,7 @@
     faults: [],
     declared: [],
     drained: [],
+    exits: [],
     settledAtMs: Infinity,
   };
 }
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -97,8 +97,18 @@
     runner.process.sendSignal("SIGWINCH");
     await setTimeout(restMs);
   },
+  "runner-silent": silenceRunner,
 };
 
+/** Lets a runner send nothing for a time; its connections stay open. */
+async function silenceRunner(
+  { durationMs, runner: { process } }: FaultContext,
+): Promise<void> {
+  process.sendSignal("SIGURG");
+  await setTimeout(durationMs);
+  process.sendSignal("SIGCONT");
+}
+
 async function pauseProcess(
   process: ManagedProcess,
   { durationMs }: FaultContext,
--- a/packages/fault_soak/src/managed_process.ts
+++ b/packages/fault_soak/src/managed_process.ts
@@ -15,9 +15,11 @@
   logFile: string;
   /** Called with each line of its standard output. */
   onLine?: (line: string) => void;
+  /** Called when it has exited. */
+  onExit?: () => void;
 };
 
-/** Signals that the soak sends; SIGUSR2 makes a runner fail for a time. */
+/** Signals that the soak sends; a runner falls silent from SIGURG to SIGCONT. */
 export type SoakSignal =
   | "SIGTERM"
   | "SIGKILL"
@@ -25,6 +27,7 @@
   | "SIGCONT"
   | "SIGHUP"
   | "SIGUSR2"
+  | "SIGURG"
   | "SIGWINCH";
 
 /** Processes that have not exited. */
@@ -66,6 +69,7 @@
     child.on("exit", (code, signal) => {
       running.delete(child);
       log.end(`exit ${code} ${signal}\n`);
+      options.onExit?.();
     });
     return new ManagedProcess(name, child);
   }
--- a/packages/fault_soak/src/mod.ts
+++ b/packages/fault_soak/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./ports.ts";
 export * from "./run_episode.ts";
 export * from "./run_fault_soak.ts";
+export * from "./scripted_answers.ts";
 export * from "./soak_runner.ts";
 export * from "./wire.ts";
 export * from "./violation.ts";
--- a/packages/fault_soak/src/planted_history.ts
+++ b/packages/fault_soak/src/planted_history.ts
@@ -4,8 +4,10 @@
   type CallOutcome,
   type CallRecord,
   formatBody,
+  formatEvent,
   formatStream,
   type History,
+  type RunEnd,
   type RunnerEvent,
 } from "./mod.ts";
 
@@ -54,14 +56,14 @@
   return call;
 }
 
-/** Adds a run that finishes; `run` replaces its default values. */
+/** Adds a run that finishes by default; `run` replaces its default values. */
 export function addRun(
   { history }: World,
   call: CallRecord,
-  run: Partial<RunnerEvent> & { endedAtMs?: number } = {},
+  run: Partial<RunnerEvent> & { endedAtMs?: number; end?: RunEnd } = {},
 ): void {
   const { attemptId, kind, sentAtMs } = call;
-  const { endedAtMs = sentAtMs + 40, ...overrides } = run;
+  const { end = "finished", endedAtMs = sentAtMs + 40, ...overrides } = run;
   const isStream = kind === "story" || kind === "summary";
   const event = {
     atMs: sentAtMs + 5,
@@ -73,7 +75,7 @@
   history.runnerEvents.push(
     { ...event, type: "arrived" },
     { ...event, type: "ran" },
-    { ...event, type: "finished", atMs: endedAtMs },
+    { ...event, type: end, atMs: endedAtMs },
   );
 }
 
@@ -99,3 +101,9 @@
   type: "failed",
   reason: "socket hang up",
 };
+
+/** Outcome of a call whose stream ends after its second event. */
+export function createTruncated(attemptId: string): CallOutcome {
+  const body = formatEvent(attemptId, 1) + formatEvent(attemptId, 2);
+  return { type: "answered", status: 200, body, isComplete: false };
+}
--- /dev/null
+++ b/packages/fault_soak/src/scripted_answers.ts
@@ -0,0 +1,104 @@
+/** Answers of the scripted runner to plain requests and streams. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout } from "node:timers/promises";
+import { hash64 } from "@jasminetide/core/hashing";
+import type { SilentPeriod } from "./silent_period.ts";
+
+/** Number of events in each stream. */
+export const streamEvents = 10;
+
+const eventPeriodMs = 100;
+const serviceTimeMs = 25;
+
+/** The runner itself breaks off one run in this many. */
+const breakOffOneIn = 60n;
+
+/** A request that runs at a runner, and how it is answered. */
+export type ScriptedRun = {
+  request: IncomingMessage;
+  response: ServerResponse;
+  attemptId: string;
+  runnerId: string;
+  headers: Record<string, string>;
+  /** Last event that the caller has received; 0 if none. */
+  lastEventId: number;
+  /** Nothing is sent while it lasts. */
+  silence: SilentPeriod;
+};
+
+/** How a run ended. */
+export type RunEnd = "finished" | "cut" | "brokenOff";
+
+/** Answers a request and returns how its run ended. */
+export async function answerRun(run: ScriptedRun): Promise<RunEnd> {
+  const isStream = /^\/(story|summary)\//.test(run.request.url ?? "");
+  return isStream ? await answerStream(run) : await answerPlain(run);
+}
+
+/** Answers 500 after the usual service time. */
+export async function answerFailure(run: ScriptedRun): Promise<RunEnd> {
+  const { headers, response } = run;
+  await setTimeout(serviceTimeMs);
+  if (!await isOpenAfterSilence(run)) return "cut";
+  response.writeHead(500, headers).end("failed");
+  return "finished";
+}
+
+async function answerPlain(run: ScriptedRun): Promise<RunEnd> {
+  const { attemptId, headers, response } = run;
+  await setTimeout(serviceTimeMs);
+  if (!await isOpenAfterSilence(run)) return "cut";
+  if (isBreakingOff(run)) return breakOff(run);
+  response.writeHead(200, headers).end(formatBody(attemptId));
+  return "finished";
+}
+
+async function answerStream(run: ScriptedRun): Promise<RunEnd> {
+  const { attemptId, headers, lastEventId, request, response } = run;
+  response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+  for (let event = lastEventId + 1; event <= streamEvents; event++) {
+    if (!await isOpenAfterSilence(run)) return "cut";
+    response.write(formatEvent(attemptId, event));
+    await setTimeout(eventPeriodMs);
+    if (request.socket.destroyed) return "cut";
+    if (isBreakingOff(run) && event === streamEvents / 2) return breakOff(run);
+  }
+  if (!await isOpenAfterSilence(run)) return "cut";
+  response.end();
+  return "finished";
+}
+
+/** Waits while the runner is silent; whether the connection is open then. */
+async function isOpenAfterSilence(
+  { request, silence }: ScriptedRun,
+): Promise<boolean> {
+  await silence.ended;
+  return !request.socket.destroyed;
+}
+
+function isBreakingOff({ attemptId, runnerId }: ScriptedRun): boolean {
+  return hash64(`${attemptId} ${runnerId}`) % breakOffOneIn === 0n;
+}
+
+function breakOff({ request }: ScriptedRun): "brokenOff" {
+  request.socket.destroy();
+  return "brokenOff";
+}
+
+/** Formats the answer to a plain request. */
+export function formatBody(attemptId: string): string {
+  return `answer to ${attemptId}`;
+}
+
+/** Formats one event of a stream. */
+export function formatEvent(attemptId: string, event: number): string {
+  return `id: ${event}\ndata: ${attemptId} ${event}\n\n`;
+}
+
+/** Formats a complete stream. */
+export function formatStream(attemptId: string): string {
+  return Array.from(
+    { length: streamEvents },
+    (_, index) => formatEvent(attemptId, index + 1),
+  ).join("");
+}
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -16,6 +16,7 @@
   "resting-runners",
   "cancellation",
   "planned-stops",
+  "lost-answers",
   "recovery",
 ] as const;
 
