Relay resets of connections through the fault link

The link closed the other end regularly when one end was reset, so that a reset could not be told from a close behind it.

--- a/packages/testing/src/fault_link/mod.ts
+++ b/packages/testing/src/fault_link/mod.ts
@@ -1,4 +1,7 @@
-/** A TCP proxy between two processes that injects network faults. */
+/**
+ * A TCP proxy between two processes that injects network faults. A connection
+ * that one end closes or resets is closed or reset at the other end.
+ */
 import {
   type AddressInfo,
   createConnection,
@@ -204,10 +207,21 @@
       { socket: far, other: near, direction: "answers" },
     ] as const;
     for (const { socket, other, direction } of ends) {
-      socket.on("error", () => socket.destroy());
+      let wasReset = false;
+      socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+        wasReset ||= code === "ECONNRESET";
+        socket.destroy();
+      });
+      // A reset that directly follows data is reported as a regular end, but
+      // the socket has no remote port any more.
+      socket.on("end", () => wasReset ||= socket.remotePort === undefined);
       socket.on("close", () => {
         this.#connections.delete(connection);
-        this.#relay(connection, direction, () => other.destroy());
+        this.#relay(
+          connection,
+          direction,
+          () => wasReset ? other.resetAndDestroy() : other.destroy(),
+        );
       });
     }
   }
