Add unframed answers and break-offs inside events to the fault soak

A caller's unframed stream counts as complete only if it ends regularly and not inside an event. A killed gateway closes an unframed answer like a complete one; this alone excuses an unframed stream without its end.

--- a/packages/fault_soak/src/call_checks.ts
+++ b/packages/fault_soak/src/call_checks.ts
@@ -2,6 +2,7 @@
 import {
   areRunnersDisturbed,
   isGatewayDisturbed,
+  isGatewayKilled,
   isStoreAccessDisturbed,
   isUnplannedBetween,
 } from "./disturbances.ts";
@@ -45,15 +46,22 @@
 
 /**
  * Finds a complete answer that differs from the expected one, or a truncated
- * answer that is not a prefix of it.
+ * answer that is not a prefix of it. An unframed answer that a killed gateway
+ * truncated ends like a complete one.
  */
-export function findForeignAnswer(call: CallRecord): Finding {
-  const { attemptId, outcome } = call;
+export function findForeignAnswer(
+  call: CallRecord,
+  { faults }: History,
+): Finding {
+  const { attemptId, endedAtMs, gateway, outcome, sentAtMs } = call;
   if (outcome.type !== "answered" || outcome.status !== 200) return undefined;
   const expected = isStream(call)
     ? formatStream(attemptId)
     : formatBody(attemptId);
-  if (outcome.isComplete) {
+  const interval = { gateway, fromMs: sentAtMs, toMs: endedAtMs };
+  const mayLookComplete = outcome.isUnframed === true &&
+    isGatewayKilled(faults, interval);
+  if (outcome.isComplete && !mayLookComplete) {
     return outcome.body === expected ? undefined : "wrong or incomplete answer";
   }
   return expected.startsWith(outcome.body)
--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -4,6 +4,7 @@
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
 import { parseAddress } from "@jasminetide/runtime/settings";
+import { isUnframed, isWhole } from "./answer_framing.ts";
 import type { SoakGateway } from "./fleet_gateway.ts";
 import type { CallKind, CallOutcome, CallRecord } from "./history.ts";
 import { callKinds } from "./history.ts";
@@ -185,12 +186,13 @@
   end: (outcome: CallOutcome) => void,
 ): void {
   let body = "";
-  const finish = (isComplete: boolean) => () =>
+  const finish = (hasEnded: boolean) => () =>
     end({
       type: "answered",
       status: response.statusCode ?? 0,
       body,
-      isComplete,
+      isComplete: hasEnded && isWhole(body, response.headers),
+      isUnframed: isUnframed(response.headers),
     });
   response.on("data", (bytes) => body += String(bytes));
   response.on("end", finish(true));
--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -46,7 +46,10 @@
       return [{ check, detail: `${finding}: ${formatCall(call)}` }];
     });
   return [
-    ...checkCalls("whole-answers", findForeignAnswer),
+    ...checkCalls(
+      "whole-answers",
+      (call) => findForeignAnswer(call, history),
+    ),
     ...checkCalls("at-most-once", findDuplicateRun),
     ...checkCalls("true-refusals", findFalseRefusal),
     ...checkCalls("attempts", findExtraAttempt),
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -44,6 +44,18 @@
   );
 }
 
+/** Whether a gateway's process was killed. */
+export function isGatewayKilled(
+  faults: readonly FaultSpan[],
+  { fromMs, gateway, toMs }: GatewayInterval,
+): boolean {
+  return faults.some((fault) =>
+    (fault.kind === "all-killed" ||
+      (fault.kind === "gateway-killed" && fault.target === gateway)) &&
+    isOverlapping(fault, fromMs, toMs)
+  );
+}
+
 /** Whether a gateway or its access to the store was disturbed. */
 export function isStoreAccessDisturbed(
   faults: readonly FaultSpan[],
--- a/packages/fault_soak/src/fault_soak.feature
+++ b/packages/fault_soak/src/fault_soak.feature
@@ -14,6 +14,7 @@
       | a whole answer that belongs to another request           | whole-answers   |
       | a stream that lacks its fifth event                      | whole-answers   |
       | a stream that breaks off after another request's event   | whole-answers   |
+      | an unframed stream that ends after its fifth event       | whole-answers   |
       | a payout that runs at two runners                        | at-most-once    |
       | a payout that ran and is answered 503                    | true-refusals   |
       | a summary that runs at two runners                       | attempts        |
@@ -43,6 +44,19 @@
       | a call 3100 ms after its runner stated that it leaves    | gateway-paused    |
       | three lookups at a runner that asked for a pause         | runner-link-silent |
       | a stream that a planned stop of its gateway cuts         | runner-killed     |
+      | an unframed stream that ends after its fifth event       | gateway-killed    |
+
+  Scenario Outline: A <kind> does not excuse an unframed stream without its end
+    Given callers whose requests of every kind are served
+    And an unframed stream that ends after its fifth event
+    And a fault "<kind>" at that time
+    Then "whole-answers" is the only violated check
+
+    Examples:
+      | kind              |
+      | gateway-stopped   |
+      | caller-link-reset |
+      | runner-killed     |
 
   Scenario Outline: No fault excuses a wrong answer, a second run or a rollback
     Given callers whose requests of every kind are served
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -36,6 +36,18 @@
     const body = getBody(call).replace(fifth, "");
     call.outcome = { type: "answered", status: 200, body, isComplete: true };
   },
+  "an unframed stream that ends after its fifth event": (world) => {
+    const call = addCall(world, "story");
+    const sixth = getBody(call).indexOf("id: 6");
+    const body = getBody(call).slice(0, sixth);
+    call.outcome = {
+      type: "answered",
+      status: 200,
+      body,
+      isComplete: true,
+      isUnframed: true,
+    };
+  },
   "a stream that breaks off after another request's event": (world) => {
     const call = addCall(world, "story");
     const body = formatEvent(call.attemptId, 1) + formatEvent("another", 2);
--- a/packages/fault_soak/src/fleet_runner.ts
+++ b/packages/fault_soak/src/fleet_runner.ts
@@ -5,6 +5,7 @@
 import type { History, RunnerEvent } from "./history.ts";
 import { ManagedProcess } from "./managed_process.ts";
 import { reservePort } from "./ports.ts";
+import type { EpisodeSwitches } from "./episode_switches.ts";
 import type { SoakPrograms } from "./wire.ts";
 
 /** A runner with the link between gateways and its process. */
@@ -29,6 +30,7 @@
   programs: SoakPrograms;
   random: RandomSource;
   history: History;
+  switches: EpisodeSwitches;
   /** Folder for logs. */
   folder: string;
 };
@@ -58,12 +60,17 @@
 /** Starts a process of a runner. */
 export function startRunner(
   runner: Pick<SoakRunner, "id" | "index" | "port" | "service">,
-  { folder, history, programs }: FleetRunnerOptions,
+  { folder, history, programs, switches }: FleetRunnerOptions,
 ): ManagedProcess {
   return ManagedProcess.create({
     name: runner.id,
     script: programs.runnerScript,
-    args: [runner.id, runner.service, String(runner.port)],
+    args: [
+      runner.id,
+      runner.service,
+      String(runner.port),
+      String(switches.hasUnframedAnswers),
+    ],
     logFile: join(folder, `runner-${runner.index}.log`),
     onLine: (line) =>
       history.runnerEvents.push(JSON.parse(line) as RunnerEvent),
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -16,7 +16,14 @@
 /** How a caller's request ended. */
 export type CallOutcome =
   /** The caller received an answer, which may be truncated. */
-  | { type: "answered"; status: number; body: string; isComplete: boolean }
+  | {
+    type: "answered";
+    status: number;
+    body: string;
+    isComplete: boolean;
+    /** Whether it had neither a length nor chunks. */
+    isUnframed?: boolean;
+  }
   /** The connection ended without an answer. */
   | { type: "failed"; reason: string }
   /** The caller stopped waiting before its answer was complete. */
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -8,6 +8,7 @@
 import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
 import { retryBudget } from "./fleet_gateway.ts";
 import { createHistory, type History, isServed } from "./history.ts";
+import { defaultSwitches, type EpisodeSwitches } from "./episode_switches.ts";
 import { injectFault } from "./inject_fault.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { Violation } from "./violation.ts";
@@ -18,6 +19,8 @@
   seed: number;
   size: FleetSize;
   programs: SoakPrograms;
+  /** Replaces default switches. */
+  switches?: Partial<EpisodeSwitches>;
   /** Folder below which logs are kept. */
   folder: string;
 };
@@ -46,6 +49,7 @@
   options: EpisodeOptions,
 ): Promise<EpisodeReport> {
   const { programs, seed, size } = options;
+  const switches = { ...defaultSwitches, ...options.switches };
   const folder = join(options.folder, `seed-${seed}`);
   mkdirSync(folder, { recursive: true });
   const random = createSeededRandom(seed);
@@ -57,6 +61,7 @@
     size,
     random,
     history,
+    switches,
     folder,
   });
   using callers = Callers.create({ fleet, wire: programs.wire, random, calls });
--- a/packages/fault_soak/src/scripted_answers.ts
+++ b/packages/fault_soak/src/scripted_answers.ts
@@ -13,6 +13,23 @@
 /** The runner itself breaks off one run in this many. */
 const breakOffOneIn = 60n;
 
+/** One answer in this many has neither a length nor chunks. */
+const unframedOneIn = 6n;
+
+/** One unframed answer in this many is broken off. */
+const unframedBreakOffOneIn = 10n;
+
+/** Time in which bytes before a break-off are sent. */
+const flushMs = 10;
+
+/** How a stream is broken off after some of its events. */
+const breakOffs = [
+  { isInsideEvent: false, isReset: false },
+  { isInsideEvent: true, isReset: false },
+  { isInsideEvent: false, isReset: true },
+  { isInsideEvent: true, isReset: true },
+] as const;
+
 /** A request that runs at a runner, and how it is answered. */
 export type ScriptedRun = {
   request: IncomingMessage;
@@ -24,6 +41,8 @@
   lastEventId: number;
   /** Nothing is sent while it lasts. */
   silence: SilentPeriod;
+  /** Whether some answers have neither a length nor chunks. */
+  hasUnframedAnswers: boolean;
 };
 
 /** How a run ended. */
@@ -49,19 +68,23 @@
   await setTimeout(serviceTimeMs);
   if (!await isOpenAfterSilence(run)) return "cut";
   if (isBreakingOff(run)) return breakOff(run);
+  beginAnswer(run);
   response.writeHead(200, headers).end(formatBody(attemptId));
   return "finished";
 }
 
 async function answerStream(run: ScriptedRun): Promise<RunEnd> {
   const { attemptId, headers, lastEventId, request, response } = run;
+  beginAnswer(run);
   response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
   for (let event = lastEventId + 1; event <= streamEvents; event++) {
     if (!await isOpenAfterSilence(run)) return "cut";
     response.write(formatEvent(attemptId, event));
     await setTimeout(eventPeriodMs);
     if (request.socket.destroyed) return "cut";
-    if (isBreakingOff(run) && event === streamEvents / 2) return breakOff(run);
+    if (isBreakingOff(run) && event === streamEvents / 2) {
+      return await breakOffStream(run);
+    }
   }
   if (!await isOpenAfterSilence(run)) return "cut";
   response.end();
@@ -76,8 +99,28 @@
   return !request.socket.destroyed;
 }
 
-function isBreakingOff({ attemptId, runnerId }: ScriptedRun): boolean {
-  return hash64(`${attemptId} ${runnerId}`) % breakOffOneIn === 0n;
+/** Lets an answer without framing end with its connection. */
+function beginAnswer(run: ScriptedRun): void {
+  if (!isUnframed(run)) return;
+  run.response.useChunkedEncodingByDefault = false;
+  run.response.shouldKeepAlive = false;
+}
+
+function isUnframed(run: ScriptedRun): boolean {
+  return run.hasUnframedAnswers &&
+    draw(run, "framing") % unframedOneIn === 0n;
+}
+
+function isBreakingOff(run: ScriptedRun): boolean {
+  const { attemptId, runnerId } = run;
+  const isDrawn = hash64(`${attemptId} ${runnerId}`) % breakOffOneIn === 0n;
+  return isDrawn || (isUnframed(run) &&
+    draw(run, "unframed break-off") % unframedBreakOffOneIn === 0n);
+}
+
+/** Draws a property of a run, the same each time. */
+function draw({ attemptId, runnerId }: ScriptedRun, property: string): bigint {
+  return hash64(`${property} ${attemptId} ${runnerId}`);
 }
 
 function breakOff({ request }: ScriptedRun): "brokenOff" {
@@ -85,6 +128,24 @@
   return "brokenOff";
 }
 
+/**
+ * Breaks off between events or inside one, by a close or a reset. An unframed
+ * stream that is closed between events would look complete.
+ */
+async function breakOffStream(run: ScriptedRun): Promise<RunEnd> {
+  const { attemptId, request, response } = run;
+  const recognizable = isUnframed(run) ? breakOffs.slice(1) : breakOffs;
+  const index = draw(run, "break-off") % BigInt(recognizable.length);
+  const { isInsideEvent, isReset } = recognizable[Number(index)];
+  if (isInsideEvent) {
+    const event = formatEvent(attemptId, streamEvents / 2 + 1);
+    response.write(event.slice(0, event.length / 2));
+    await setTimeout(flushMs);
+  }
+  if (isReset) request.socket.resetAndDestroy();
+  return breakOff(run);
+}
+
 /** Formats the answer to a plain request. */
 export function formatBody(attemptId: string): string {
   return `answer to ${attemptId}`;
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -17,6 +17,7 @@
 import type { History } from "./history.ts";
 import { createSoakDeclaration } from "./soak_declaration.ts";
 import { runnerSlots } from "./soak_runner.ts";
+import type { EpisodeSwitches } from "./episode_switches.ts";
 import { StoreServer } from "./store_server.ts";
 import type { SoakPrograms } from "./wire.ts";
 
@@ -26,6 +27,7 @@
   size: FleetSize;
   random: RandomSource;
   history: History;
+  switches: EpisodeSwitches;
   /** Folder for settings and logs. */
   folder: string;
 };
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -12,6 +12,8 @@
   service: string;
   port: number;
   wire: SoakWire;
+  /** Whether some answers have neither a length nor chunks. */
+  hasUnframedAnswers: boolean;
 };
 
 /** Number of requests that a runner runs concurrently. */
@@ -25,7 +27,7 @@
 
 /** Runs a runner that reports its events as JSON lines on standard output. */
 export function runSoakRunner(options: SoakRunnerOptions): void {
-  const { id, port, service, wire } = options;
+  const { hasUnframedAnswers, id, port, service, wire } = options;
   let running = 0;
   let failsUntilMs = 0;
   let restsUntilMs = 0;
@@ -80,6 +82,7 @@
       headers,
       lastEventId,
       silence,
+      hasUnframedAnswers,
     };
     const ended = Date.now() < failsUntilMs
       ? answerFailure(run)
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -57,6 +57,9 @@
   createObjects: () => SoakObjects;
   /** Script of a gateway; the variable names its settings file. */
   gateway: { script: string; settingsVariable: string };
-  /** Script of a runner; its arguments are id, service and port. */
+  /**
+   * Script of a runner; its arguments are id, service, port and whether some
+   * answers are unframed.
+   */
   runnerScript: string;
 };
