Allow for a gateway's timer that fires a little early in lost-answers

Its trace says "expired" at 2999 ms: the time limit was reached, and Node's timers may fire a millisecond early. The check ends 20 ms before the limit; a loss before that is found as before (scenarios at 1100 of 1500 ms).

--- a/packages/fault_soak/src/lost_answers.ts
+++ b/packages/fault_soak/src/lost_answers.ts
@@ -11,6 +11,9 @@
 /** Time by which the exit of a runner may be seen after its effects. */
 const exitSlackMs = 500;
 
+/** Time by which a timer of a gateway may end a request early. */
+const timerPrecisionMs = 20;
+
 /** Status of a gateway that got no answer from the runners it tried. */
 const runnerFailedStatus = 502;
 
@@ -26,7 +29,7 @@
 ): Finding {
   const { endedAtMs, gateway, limitMs, outcome, sentAtMs } = call;
   const hasRun = events.some(({ type }) => type === "ran");
-  const isInTime = endedAtMs - sentAtMs < limitMs;
+  const isInTime = endedAtMs - sentAtMs < limitMs - timerPrecisionMs;
   if (!isLost(outcome) || !hasRun || !isInTime) return undefined;
   const hasBrokenOff = events.some(({ type }) => type === "brokenOff");
   const hasExited = exits.some(({ atMs, runner }) =>
