Report a runner's refusal when it is sent, and split the scripted runner

A runner that was silent reported a refusal on arrival, but sent it when its silence was over. The refusal is now reported, with the time left, when it is sent; the check is unchanged. The runner is a class with short methods in place of one function of 70 lines.

--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -1,10 +1,14 @@
 /** Runner that answers simulated requests and reports its events. */
-import { createServer } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
 import process from "node:process";
 import type { RunnerEvent } from "./history.ts";
 import { answerFailure, answerRun } from "./scripted_answers.ts";
 import { SilentPeriod } from "./silent_period.ts";
-import type { SoakWire } from "./wire.ts";
+import type { AttemptHeaders, SoakWire } from "./wire.ts";
 
 /** Options of a runner. */
 export type SoakRunnerOptions = {
@@ -25,73 +29,119 @@
 /** Time for which a runner refuses all requests after SIGWINCH. */
 export const restMs = 2500;
 
+const keepAliveMs = 20_000;
+
 /** Runs a runner that reports its events as JSON lines on standard output. */
 export function runSoakRunner(options: SoakRunnerOptions): void {
-  const { hasUnframedAnswers, id, port, service, wire } = options;
-  let running = 0;
-  let failsUntilMs = 0;
-  let restsUntilMs = 0;
-  let isLeaving = false;
-  process.on("SIGUSR2", () => failsUntilMs = Date.now() + failureMs);
-  process.on("SIGWINCH", () => restsUntilMs = Date.now() + restMs);
-  process.on("SIGHUP", () => isLeaving = true);
-  const silence = SilentPeriod.create();
-  process.on("SIGURG", () => silence.begin());
-  process.on("SIGCONT", () => silence.end());
-  const report = (type: RunnerEvent["type"], attemptId: string) => {
-    const event: RunnerEvent = {
-      type,
-      atMs: Date.now(),
-      attemptId,
-      runner: id,
-      service,
-      ...(isLeaving ? { isLeaving } : {}),
-      ...(type === "refused" ? { restsUntilMs } : {}),
-    };
-    process.stdout.write(`${JSON.stringify(event)}\n`);
-  };
-  const server = createServer((request, response) => {
-    const { attemptId, lastEventId, runnerId } = wire.readAttemptHeaders(
-      request.headers,
-    );
-    report("arrived", attemptId);
-    const pauseMs = Math.max(0, restsUntilMs - Date.now());
-    const isNotRun = runnerId !== id || running >= runnerSlots || pauseMs > 0;
-    const headers = wire.formatAnswerHeaders({
-      attemptId,
-      runnerId: id,
-      isNotRun,
-      running,
-      slots: runnerSlots,
-      isLeaving,
-      pauseMs,
-    });
-    if (pauseMs > 0) report("refused", attemptId);
-    if (isNotRun) {
-      const status = runnerId === id ? 503 : 421;
-      void silence.ended.then(() => response.writeHead(status, headers).end());
-      return;
-    }
-    running += 1;
-    report("ran", attemptId);
+  const runner = SoakRunnerProgram.create(options);
+  const server = createServer((request, response) =>
+    runner.handle(request, response)
+  );
+  server.keepAliveTimeout = keepAliveMs;
+  server.listen(options.port, "127.0.0.1");
+}
+
+/** State of a runner, which signals change. */
+class SoakRunnerProgram {
+  readonly #options: SoakRunnerOptions;
+  readonly #silence = SilentPeriod.create();
+  #running = 0;
+  #failsUntilMs = 0;
+  #restsUntilMs = 0;
+  #isLeaving = false;
+
+  private constructor(options: SoakRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a runner that reacts to the signals of the soak. */
+  static create(options: SoakRunnerOptions): SoakRunnerProgram {
+    const runner = new SoakRunnerProgram(options);
+    process.on("SIGUSR2", () => runner.#failsUntilMs = Date.now() + failureMs);
+    process.on("SIGWINCH", () => runner.#restsUntilMs = Date.now() + restMs);
+    process.on("SIGHUP", () => runner.#isLeaving = true);
+    process.on("SIGURG", () => runner.#silence.begin());
+    process.on("SIGCONT", () => runner.#silence.end());
+    return runner;
+  }
+
+  /** Answers a request. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    const { id, wire } = this.#options;
+    const attempt = wire.readAttemptHeaders(request.headers);
+    this.#report("arrived", attempt.attemptId);
+    if (attempt.runnerId !== id) void this.#refuse(421, attempt, response);
+    else if (this.#running >= runnerSlots || this.#getRestLeftMs() > 0) {
+      void this.#refuse(503, attempt, response);
+    } else void this.#run(attempt, request, response);
+  }
+
+  async #refuse(
+    status: 421 | 503,
+    { attemptId }: AttemptHeaders,
+    response: ServerResponse,
+  ): Promise<void> {
+    await this.#silence.ended;
+    const pauseMs = this.#getRestLeftMs();
+    if (pauseMs > 0) this.#report("refused", attemptId);
+    const headers = this.#formatHeaders(attemptId, { isNotRun: true, pauseMs });
+    response.writeHead(status, headers).end();
+  }
+
+  async #run(
+    { attemptId, lastEventId }: AttemptHeaders,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { hasUnframedAnswers, id } = this.#options;
+    this.#running += 1;
+    this.#report("ran", attemptId);
     const run = {
       request,
       response,
       attemptId,
       runnerId: id,
-      headers,
+      headers: this.#formatHeaders(attemptId, { isNotRun: false, pauseMs: 0 }),
       lastEventId,
-      silence,
+      silence: this.#silence,
       hasUnframedAnswers,
     };
-    const ended = Date.now() < failsUntilMs
-      ? answerFailure(run)
-      : answerRun(run);
-    void ended.then((end) => {
-      running -= 1;
-      report(end, attemptId);
+    const isFailing = Date.now() < this.#failsUntilMs;
+    const end = await (isFailing ? answerFailure(run) : answerRun(run));
+    this.#running -= 1;
+    this.#report(end, attemptId);
+  }
+
+  #formatHeaders(
+    attemptId: string,
+    answer: { isNotRun: boolean; pauseMs: number },
+  ): Record<string, string> {
+    const { id, wire } = this.#options;
+    return wire.formatAnswerHeaders({
+      ...answer,
+      attemptId,
+      runnerId: id,
+      running: this.#running,
+      slots: runnerSlots,
+      isLeaving: this.#isLeaving,
     });
-  });
-  server.keepAliveTimeout = 20_000;
-  server.listen(port, "127.0.0.1");
+  }
+
+  #getRestLeftMs(): number {
+    return Math.max(0, this.#restsUntilMs - Date.now());
+  }
+
+  #report(type: RunnerEvent["type"], attemptId: string): void {
+    const { id, service } = this.#options;
+    const event: RunnerEvent = {
+      type,
+      atMs: Date.now(),
+      attemptId,
+      runner: id,
+      service,
+      ...(this.#isLeaving ? { isLeaving: true } : {}),
+      ...(type === "refused" ? { restsUntilMs: this.#restsUntilMs } : {}),
+    };
+    process.stdout.write(`${JSON.stringify(event)}\n`);
+  }
 }
