Add a part of prompts that crashes runners to the fault soak

Change: stream calls carry prompts of two shared parts and one of their own. The fault "prompt-crashing", drawn last and only with the switch hasCrashingPart (--crashing), sends for 16 s every 400 ms, at any gateway, a request that no other is like, with one more part that is never the last. A runner that begins an answer on it exits 50 to 150 ms later and comes back some 2 s after under another id. Checks: "crashing-parts", at most three requests with the part reach runners in total later than 3 s after the fifth crash; crashes whose gateway was disturbed, and crashes before all gateways were killed, do not count, nor do arrivals from a gateway that was disturbed in the last 4 s. "sound-requests", from 6 s after the fifth crash (the last, if fewer) sound stream calls, which all share the key, are served at their first attempt at least half as often as before, outside other faults. Kinds of faults moved to fault_kinds.ts. The rest of the schedules is unchanged.

--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -3,11 +3,13 @@
 import { Agent, type IncomingMessage, request } from "node:http";
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
+import type { PromptPart } from "@jasminetide/gateway";
 import { parseAddress } from "@jasminetide/runtime/settings";
 import { isUnframed, isWhole } from "./answer_framing.ts";
 import type { SoakGateway } from "./fleet_gateway.ts";
 import type { CallKind, CallOutcome, CallRecord } from "./history.ts";
 import { callKinds } from "./history.ts";
+import { drawCrashingPrompt, drawPrompt } from "./prompts.ts";
 import {
   callLimitsMs,
   formatPath,
@@ -31,6 +33,18 @@
 const disconnectOneIn = 12;
 const disconnectDelaysMs = { smallest: 5, range: 250 };
 
+/** Time between two requests that crash runners. */
+const crashingPeriodMs = 400;
+
+/** Kinds of requests that have prompts. */
+const streamKinds = ["story", "summary"] as const;
+
+/** How a call differs from the usual one. */
+type CallVariation = {
+  disconnectAfterMs?: number;
+  prompt?: readonly PromptPart[];
+};
+
 /** Time that a caller waits beyond the limit of its request. */
 const extraWaitMs = 3000;
 
@@ -65,6 +79,21 @@
     );
   }
 
+  /** Sends requests that crash runners, and waits until all have ended. */
+  async sendCrashing(durationMs: number): Promise<void> {
+    const { fleet, random } = this.#options;
+    const endMs = Date.now() + durationMs;
+    const sent: Promise<CallRecord>[] = [];
+    while (Date.now() < endMs) {
+      const gateway = fleet.gateways[random.getInteger(fleet.gateways.length)];
+      const kind = streamKinds[random.getInteger(streamKinds.length)];
+      const prompt = drawCrashingPrompt(random);
+      sent.push(this.#call(gateway, kind, { prompt }));
+      await setTimeout(crashingPeriodMs);
+    }
+    await Promise.all(sent);
+  }
+
   /** Stops calling and waits for the open calls. */
   async stop(): Promise<void> {
     this.#isStopped = true;
@@ -87,17 +116,24 @@
         ? disconnectDelaysMs.smallest +
           random.getInteger(disconnectDelaysMs.range)
         : undefined;
-      const call: Promise<void> = this.#call(gateway, kind, disconnectAfterMs)
+      const call: Promise<void> = this.#call(gateway, kind, {
+        disconnectAfterMs,
+      })
         .then(() => void this.#open.delete(call));
       this.#open.add(call);
       await setTimeout(callPeriodMs);
     }
   }
 
+  #drawPrompt(kind: CallKind): PromptPart[] {
+    const isStream = streamKinds.some((known) => known === kind);
+    return isStream ? drawPrompt(this.#options.random) : [];
+  }
+
   async #call(
     gateway: SoakGateway,
     kind: CallKind,
-    disconnectAfterMs?: number,
+    { disconnectAfterMs, prompt = this.#drawPrompt(kind) }: CallVariation = {},
   ): Promise<CallRecord> {
     const { calls, fleet, wire } = this.#options;
     const attemptId = randomBytes(8).toString("hex");
@@ -113,6 +149,7 @@
         attemptId,
         timeoutMs: limitMs,
         apiKey: soakKey,
+        prompt,
       }),
       waitMs: limitMs + extraWaitMs,
       disconnectAfterMs,
@@ -126,6 +163,7 @@
       limitMs,
       version,
       endedAtMs: Date.now(),
+      partIds: prompt.map(({ id }) => id),
       outcome,
     };
     calls.push(record);
--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -13,6 +13,7 @@
   findUnrecoveredCall,
 } from "./call_checks.ts";
 import { findLostAnswer } from "./lost_answers.ts";
+import { findRepeatedCrashes, findStarvedRequests } from "./crash_checks.ts";
 import {
   findLateArrivals,
   findRequestsAtRest,
@@ -78,6 +79,8 @@
     ...findLateArrivals(history),
     ...findRequestsAtRest(history),
     ...findVersionRollbacks(history),
+    ...findRepeatedCrashes(history),
+    ...findStarvedRequests(history),
     ...findExcessRetries(history, limits),
   ];
 }
--- /dev/null
+++ b/packages/fault_soak/src/crash_checks_test.ts
@@ -0,0 +1,109 @@
+import { Given } from "@cucumber/cucumber";
+import { type CallRecord, crashingPart, type FaultKind } from "./mod.ts";
+import {
+  addCall,
+  addRun,
+  createTruncated,
+  violationMs,
+  type World,
+} from "./planted_history.ts";
+
+/** Time of the fifth crash. */
+const fifthCrashMs = violationMs;
+
+const crashPeriodMs = 500;
+
+/** Number of sound requests before and after the crashes. */
+const sampleSize = 20;
+
+const crashingStartMs = fifthCrashMs - 5 * crashPeriodMs;
+const crashingEndMs = fifthCrashMs + 12_000;
+
+let partCount = 0;
+
+/** Ids of a prompt that contains the crashing part, unlike any other. */
+function createPartIds(): string[] {
+  partCount += 1;
+  return [`first-${partCount}`, crashingPart.id, `own-${partCount}`];
+}
+
+function addCrashingCall(world: World, sentAtMs: number): CallRecord {
+  const attemptId = `crashing-${partCount}`;
+  return addCall(world, "story", {
+    attemptId,
+    sentAtMs,
+    partIds: createPartIds(),
+    outcome: createTruncated(attemptId),
+  });
+}
+
+Given(
+  "five runners that crashed under one part of a prompt",
+  function (this: World) {
+    for (let index = 0; index < 5; index++) {
+      const atMs = fifthCrashMs - (4 - index) * crashPeriodMs;
+      const call = addCrashingCall(this, atMs - 100);
+      const runner = `runner-5-${index}`;
+      addRun(this, call, { runner, end: "crashed", endedAtMs: atMs });
+      this.history.exits.push({ runner, atMs });
+    }
+    this.history.faults.push({
+      kind: "prompt-crashing",
+      target: 0,
+      startMs: crashingStartMs,
+      endMs: crashingEndMs,
+    });
+    // Such requests go on, and are refused.
+    addCall(this, "story", {
+      sentAtMs: crashingEndMs - 100,
+      partIds: createPartIds(),
+      outcome: { type: "answered", status: 503, body: "", isComplete: true },
+    });
+  },
+);
+
+Given(
+  /^(\d+) requests with that part that reach (two )?runners (?:each, )?(\d+) ms after the fifth crash$/,
+  function (this: World, requests: string, two: string | null, ms: string) {
+    const runners = two === null
+      ? ["runner-3-0"]
+      : ["runner-3-0", "runner-3-1"];
+    for (let count = 0; count < Number(requests); count++) {
+      const call = addCrashingCall(this, fifthCrashMs + Number(ms) - 5);
+      for (const runner of runners) addRun(this, call, { runner, end: "cut" });
+      this.history.exits.push({ runner: runners[0], atMs: call.endedAtMs });
+    }
+  },
+);
+
+Given(
+  "the fault {string} {int} ms after the fifth crash",
+  function (this: World, kind: FaultKind, delayMs: number) {
+    const startMs = fifthCrashMs + delayMs;
+    const endMs = startMs + 100;
+    this.history.faults.push({ kind, target: 0, startMs, endMs });
+  },
+);
+
+/** Adds sound calls of which a share is served at the first attempt. */
+function addSoundCalls(
+  world: World,
+  { percent, sentAtMs }: { percent: number; sentAtMs: number },
+): void {
+  for (let index = 0; index < sampleSize; index++) {
+    const partIds = ["first-1", "second", `own-${partCount++}`];
+    const call = addCall(world, "story", { sentAtMs, partIds });
+    addRun(world, call);
+    const isFirst = index < sampleSize * percent / 100;
+    if (!isFirst) addRun(world, call, { runner: "runner-2-0" });
+  }
+}
+
+Given(
+  "sound requests of which {int} % begin at first attempt before and {int} % after {int} ms",
+  function (this: World, before: number, after: number, delayMs: number) {
+    addSoundCalls(this, { percent: before, sentAtMs: crashingStartMs - 3000 });
+    const sentAtMs = fifthCrashMs + delayMs;
+    addSoundCalls(this, { percent: after, sentAtMs });
+  },
+);
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -1,4 +1,4 @@
-import { type FaultKind, type FaultSpan, isFleetFault } from "./faults.ts";
+import { type FaultKind, type FaultSpan, isFleetFault } from "./fault_kinds.ts";
 
 /** A time interval at one gateway. */
 export type GatewayInterval = { gateway: number; fromMs: number; toMs: number };
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -189,7 +189,11 @@
 );
 
 function draw(seed: number) {
-  return drawFaults(createSeededRandom(seed), { gateways: 3, runners: 4 });
+  return drawFaults(createSeededRandom(seed), {
+    gateways: 3,
+    runners: 4,
+    hasCrashingPart: true,
+  });
 }
 
 Then(
--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -1,68 +1,19 @@
-/** Kinds of faults and the seeded schedule of an episode. */
+/** The seeded schedule of an episode's faults. */
 import type { RandomSource } from "@jasminetide/core/random";
-
-/** Faults of one gateway or of its links to callers and to the store. */
-export const gatewayFaultKinds = [
-  "gateway-paused",
-  "gateway-killed",
-  "gateway-stopped",
-  "gateway-reloaded",
-  "caller-link-delayed",
-  "caller-link-reset",
-  "caller-link-silent",
-  "caller-link-one-way",
-  "store-link-delayed",
-  "store-link-reset",
-  "store-link-silent",
-] as const;
-
-/** Faults of one runner or of the link to it. */
-export const runnerFaultKinds = [
-  "runner-paused",
-  "runner-killed",
-  "runner-leaving",
-  "runner-link-delayed",
-  "runner-link-reset",
-  "runner-link-silent",
-  "runner-link-one-way",
-] as const;
-
-/** Faults that affect all gateways. */
-export const fleetFaultKinds = [
-  "store-down",
-  "store-slow",
-  "store-limited",
-  "store-loses-answers",
-  "store-forgets",
-  "declaration-changed",
-  "all-killed",
-] as const;
-
-/** Faults of the fleet that later episodes draw separately. */
-export const separateFleetFaultKinds = ["store-restored"] as const;
-
-/** Faults of one runner that later episodes draw separately. */
-export const separateRunnerFaultKinds = [
-  "runner-announcing",
-  "runner-resting",
-] as const;
-
-/** Faults of all runners of the same service as the target. */
-export const serviceFaultKinds = ["service-failing"] as const;
-
-/** Pauses of sound runners, drawn in rounds beside changed declarations. */
-export const silenceFaultKinds = ["runner-silent"] as const;
-
-/** Every kind of fault. */
-export const faultKinds = [
-  ...gatewayFaultKinds,
-  ...runnerFaultKinds,
-  ...fleetFaultKinds,
-  ...serviceFaultKinds,
-  ...separateFleetFaultKinds,
-  ...separateRunnerFaultKinds,
-  ...silenceFaultKinds,
-] as const;
+import type { EpisodeSwitches } from "./episode_switches.ts";
+import {
+  type FaultKind,
+  fleetFaultKinds,
+  type FleetSize,
+  gatewayFaultKinds,
+  isRunnerFault,
+  isServiceFault,
+  type PlannedFault,
+  runnerFaultKinds,
+  separateFleetFaultKinds,
+  separateRunnerFaultKinds,
+  serviceFaultKinds,
+} from "./fault_kinds.ts";
 
 const separateFaultKinds: readonly FaultKind[] = [
   ...separateFleetFaultKinds,
@@ -76,29 +27,6 @@
   ...fleetFaultKinds,
 ];
 
-/** Kind of a fault. */
-export type FaultKind = (typeof faultKinds)[number];
-
-/** A planned fault; its times are relative to the start of the episode. */
-export type PlannedFault = {
-  kind: FaultKind;
-  /** Index of the gateway or runner; unused by faults of the fleet. */
-  target: number;
-  startMs: number;
-  durationMs: number;
-};
-
-/** Time of an injected fault, from its start to the end of its effects. */
-export type FaultSpan = {
-  kind: FaultKind;
-  target: number;
-  startMs: number;
-  endMs: number;
-};
-
-/** Size of a fleet under test. */
-export type FleetSize = { gateways: number; runners: number };
-
 /** Time from the start of an episode in which faults may begin. */
 export const faultWindowMs = 14_000;
 
@@ -112,13 +40,27 @@
 const serviceFaultChance = 0.35;
 /** Chance of a fault of the kinds that are drawn separately. */
 const separateFaultChance = 0.6;
+/** Chance of requests with a part that crashes runners. */
+const crashingPartChance = 0.5;
+/** Long enough for five crashes and for what must hold from 6 s after them. */
+const crashingFault: PlannedFault = {
+  kind: "prompt-crashing",
+  target: 0,
+  startMs: 4000,
+  durationMs: 16_000,
+};
 /** Chance of rounds in which runners fall silent. */
 const silenceChance = 0.7;
 
+/** Options of the draw. */
+export type DrawOptions =
+  & FleetSize
+  & Pick<EpisodeSwitches, "hasCrashingPart">;
+
 /** Draws the faults of an episode, sorted by start time. */
 export function drawFaults(
   random: RandomSource,
-  size: FleetSize,
+  { hasCrashingPart, ...size }: DrawOptions,
 ): PlannedFault[] {
   const count = counts.smallest + random.getInteger(counts.range);
   const faults: PlannedFault[] = [];
@@ -140,6 +82,8 @@
   if (random.getFloat() < silenceChance) {
     faults.push(...drawSilences(random, size));
   }
+  const crashes = random.getFloat() < crashingPartChance;
+  if (hasCrashingPart && crashes) faults.push(crashingFault);
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
@@ -208,23 +152,3 @@
     };
   });
 }
-
-/** Whether a fault affects one runner. */
-export function isRunnerFault(kind: FaultKind): boolean {
-  return [
-    ...runnerFaultKinds,
-    ...separateRunnerFaultKinds,
-    ...silenceFaultKinds,
-  ].some((known) => known === kind);
-}
-
-/** Whether a fault affects all runners of a service. */
-export function isServiceFault(kind: FaultKind): boolean {
-  return serviceFaultKinds.some((known) => known === kind);
-}
-
-/** Whether a fault affects all gateways. */
-export function isFleetFault(kind: FaultKind): boolean {
-  return [...fleetFaultKinds, ...separateFleetFaultKinds]
-    .some((known) => known === kind);
-}
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -1,5 +1,5 @@
 /** Records of calls, runner events and faults that the checks read. */
-import type { FaultSpan } from "./faults.ts";
+import type { FaultSpan } from "./fault_kinds.ts";
 
 /** Kinds of requests that callers send. */
 export const callKinds = [
@@ -44,13 +44,25 @@
   /** Version of the declaration that added the route of kind `added`. */
   version: number;
   endedAtMs: number;
+  /** Ids of the parts of its prompt, if it has one. */
+  partIds?: readonly string[];
   outcome: CallOutcome;
 };
 
 /** Event of an attempt at a runner. */
 export type RunnerEvent = {
-  /** `cut`: the other end closed the connection; `brokenOff`: the runner did. */
-  type: "arrived" | "ran" | "finished" | "cut" | "brokenOff" | "refused";
+  /**
+   * `cut`: the other end closed the connection; `brokenOff`: the runner did;
+   * `crashed`: the runner exited.
+   */
+  type:
+    | "arrived"
+    | "ran"
+    | "finished"
+    | "cut"
+    | "brokenOff"
+    | "crashed"
+    | "refused";
   atMs: number;
   attemptId: string;
   runner: string;
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -1,7 +1,9 @@
 /** Injects each kind of fault into a fleet under test and ends it. */
 import { setTimeout } from "node:timers/promises";
 import type { FaultLink, LinkDirection } from "@jasminetide/testing/fault_link";
-import type { FaultKind, FaultSpan, PlannedFault } from "./faults.ts";
+import type { FaultKind, FaultSpan, PlannedFault } from "./fault_kinds.ts";
+import type { Callers } from "./callers.ts";
+import { injectCrashes } from "./inject_crashes.ts";
 import type { SoakGateway } from "./fleet_gateway.ts";
 import type { SoakRunner } from "./fleet_runner.ts";
 import type { History } from "./history.ts";
@@ -10,8 +12,12 @@
 import { failureMs, restMs } from "./soak_runner.ts";
 import type { StoreFault } from "./store_server.ts";
 
-/** Fleet under test, and the history that records its faults. */
-export type InjectOptions = { fleet: SoakFleet; history: History };
+/** Fleet under test, its callers, and the history that records its faults. */
+export type InjectOptions = {
+  callers: Callers;
+  fleet: SoakFleet;
+  history: History;
+};
 
 const linkDelayMs = 60;
 const storeLinkDelayMs = 300;
@@ -98,6 +104,7 @@
     await setTimeout(restMs);
   },
   "runner-silent": silenceRunner,
+  "prompt-crashing": injectCrashes,
 };
 
 /** Lets a runner send nothing for a time; its connections stay open. */
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -5,7 +5,8 @@
 import { createSeededRandom } from "@jasminetide/core/random";
 import { Callers } from "./callers.ts";
 import { checkHistory } from "./check_history.ts";
-import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
+import type { FleetSize, PlannedFault } from "./fault_kinds.ts";
+import { drawFaults } from "./faults.ts";
 import { retryBudget } from "./fleet_gateway.ts";
 import { createHistory, type History, isServed } from "./history.ts";
 import { defaultSwitches, type EpisodeSwitches } from "./episode_switches.ts";
@@ -53,7 +54,7 @@
   const folder = join(options.folder, `seed-${seed}`);
   mkdirSync(folder, { recursive: true });
   const random = createSeededRandom(seed);
-  const faults = drawFaults(random, size);
+  const faults = drawFaults(random, { ...size, ...switches });
   const history = createHistory();
   const { calls } = history;
   await using fleet = await SoakFleet.create({
@@ -67,7 +68,7 @@
   using callers = Callers.create({ fleet, wire: programs.wire, random, calls });
   await Promise.all(faults.map(async (fault) => {
     await setTimeout(fault.startMs);
-    await injectFault(fault, { fleet, history });
+    await injectFault(fault, { callers, fleet, history });
   }));
   await setTimeout(recoveryMs);
   await callers.stop();
--- a/packages/fault_soak/src/run_fault_soak.ts
+++ b/packages/fault_soak/src/run_fault_soak.ts
@@ -1,7 +1,11 @@
 /** Runs episodes for a given time and formats their reports. */
 import { rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { type FaultKind, faultKinds, type PlannedFault } from "./faults.ts";
+import {
+  type FaultKind,
+  faultKinds,
+  type PlannedFault,
+} from "./fault_kinds.ts";
 import {
   type EpisodeOptions,
   type EpisodeReport,
--- a/packages/fault_soak/src/scripted_answers.ts
+++ b/packages/fault_soak/src/scripted_answers.ts
@@ -22,6 +22,9 @@
 /** Time in which bytes before a break-off are sent. */
 const flushMs = 10;
 
+/** Time from the begin of an answer to the crash of its runner. */
+const crashDelays = { smallestMs: 50, rangeMs: 100 };
+
 /** How a stream is broken off after some of its events. */
 const breakOffs = [
   { isInsideEvent: false, isReset: false },
@@ -39,6 +42,8 @@
   headers: Record<string, string>;
   /** Last event that the caller has received; 0 if none. */
   lastEventId: number;
+  /** Whether the runner exits soon after the answer has begun. */
+  crashes: boolean;
   /** Nothing is sent while it lasts. */
   silence: SilentPeriod;
   /** Whether some answers have neither a length nor chunks. */
@@ -46,7 +51,7 @@
 };
 
 /** How a run ended. */
-export type RunEnd = "finished" | "cut" | "brokenOff";
+export type RunEnd = "finished" | "cut" | "brokenOff" | "crashed";
 
 /** Answers a request and returns how its run ended. */
 export async function answerRun(run: ScriptedRun): Promise<RunEnd> {
@@ -80,7 +85,8 @@
   for (let event = lastEventId + 1; event <= streamEvents; event++) {
     if (!await isOpenAfterSilence(run)) return "cut";
     response.write(formatEvent(attemptId, event));
-    await setTimeout(eventPeriodMs);
+    await setTimeout(run.crashes ? getCrashDelayMs(run) : eventPeriodMs);
+    if (run.crashes) return "crashed";
     if (request.socket.destroyed) return "cut";
     if (isBreakingOff(run) && event === streamEvents / 2) {
       return await breakOffStream(run);
@@ -91,6 +97,11 @@
   return "finished";
 }
 
+function getCrashDelayMs(run: ScriptedRun): number {
+  const { rangeMs, smallestMs } = crashDelays;
+  return smallestMs + Number(draw(run, "crash") % BigInt(rangeMs));
+}
+
 /** Waits while the runner is silent; whether the connection is open then. */
 async function isOpenAfterSilence(
   { request, silence }: ScriptedRun,
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -1,7 +1,7 @@
 /** Gateways, runners, links and store of one episode. */
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
-import type { FleetSize } from "./faults.ts";
+import type { FleetSize } from "./fault_kinds.ts";
 import {
   createGateway,
   type SoakGateway,
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import process from "node:process";
 import type { RunnerEvent } from "./history.ts";
+import { hasCrashingPart } from "./prompts.ts";
 import { answerFailure, answerRun } from "./scripted_answers.ts";
 import { SilentPeriod } from "./silent_period.ts";
 import type { AttemptHeaders, SoakWire } from "./wire.ts";
@@ -31,6 +32,8 @@
 
 const keepAliveMs = 20_000;
 
+const crashExitCode = 70;
+
 /** Runs a runner that reports its events as JSON lines on standard output. */
 export function runSoakRunner(options: SoakRunnerOptions): void {
   const runner = SoakRunnerProgram.create(options);
@@ -89,7 +92,7 @@
   }
 
   async #run(
-    { attemptId, lastEventId }: AttemptHeaders,
+    { attemptId, lastEventId, partIds }: AttemptHeaders,
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
@@ -103,6 +106,7 @@
       runnerId: id,
       headers: this.#formatHeaders(attemptId, { isNotRun: false, pauseMs: 0 }),
       lastEventId,
+      crashes: hasCrashingPart(partIds),
       silence: this.#silence,
       hasUnframedAnswers,
     };
@@ -110,6 +114,7 @@
     const end = await (isFailing ? answerFailure(run) : answerRun(run));
     this.#running -= 1;
     this.#report(end, attemptId);
+    if (end === "crashed") process.exit(crashExitCode);
   }
 
   #formatHeaders(
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -17,6 +17,8 @@
   "cancellation",
   "planned-stops",
   "lost-answers",
+  "crashing-parts",
+  "sound-requests",
   "recovery",
 ] as const;
 
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -1,6 +1,7 @@
 /** Interface between the soak and the wire protocol of the programs it runs. */
 import type { IncomingHttpHeaders, RequestListener } from "node:http";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
+import type { PromptPart } from "@jasminetide/gateway";
 import type { RunnerRecord } from "@jasminetide/gateway/upstreams";
 
 /** Values of the headers of a caller's request. */
@@ -8,6 +9,8 @@
   attemptId: string;
   timeoutMs: number;
   apiKey: string;
+  /** Parts of the prompt; empty if the request has none. */
+  prompt: readonly PromptPart[];
 };
 
 /** Values of the headers of an attempt that a router sends to a runner. */
@@ -17,6 +20,8 @@
   runnerId: string;
   /** Last event that was relayed to the caller; 0 if none. */
   lastEventId: number;
+  /** Ids of the parts of the prompt. */
+  partIds: string[];
 };
 
 /** Values of the headers of a runner's answer. */
