--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -12,6 +12,8 @@
   findUncancelledRun,
   findUnrecoveredCall,
 } from "./call_checks.ts";
+import { findLostAnswer } from "./lost_answers.ts";
+import { findRepeatedCrashes, findStarvedRequests } from "./crash_checks.ts";
 import {
   findLateArrivals,
   findRequestsAtRest,
@@ -45,7 +47,10 @@
       return [{ check, detail: `${finding}: ${formatCall(call)}` }];
     });
   return [
-    ...checkCalls("whole-answers", findForeignAnswer),
+    ...checkCalls(
+      "whole-answers",
+      (call) => findForeignAnswer(call, history),
+    ),
     ...checkCalls("at-most-once", findDuplicateRun),
     ...checkCalls("true-refusals", findFalseRefusal),
     ...checkCalls("attempts", findExtraAttempt),
@@ -63,6 +68,10 @@
       "planned-stops",
       (call, events) => findPlannedStopLoss(call, events, history),
     ),
+    ...checkCalls(
+      "lost-answers",
+      (call, events) => findLostAnswer(call, events, history),
+    ),
     ...checkCalls(
       "recovery",
       (call, events) => findUnrecoveredCall(call, events, history),
@@ -70,6 +79,8 @@
     ...findLateArrivals(history),
     ...findRequestsAtRest(history),
     ...findVersionRollbacks(history),
+    ...findRepeatedCrashes(history),
+    ...findStarvedRequests(history),
     ...findExcessRetries(history, limits),
   ];
 }
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -1,5 +1,5 @@
 /** Records of calls, runner events and faults that the checks read. */
-import type { FaultSpan } from "./faults.ts";
+import type { FaultSpan } from "./fault_kinds.ts";
 
 /** Kinds of requests that callers send. */
 export const callKinds = [
@@ -16,7 +16,14 @@
 /** How a caller's request ended. */
 export type CallOutcome =
   /** The caller received an answer, which may be truncated. */
-  | { type: "answered"; status: number; body: string; isComplete: boolean }
+  | {
+    type: "answered";
+    status: number;
+    body: string;
+    isComplete: boolean;
+    /** Whether it had neither a length nor chunks. */
+    isUnframed?: boolean;
+  }
   /** The connection ended without an answer. */
   | { type: "failed"; reason: string }
   /** The caller stopped waiting before its answer was complete. */
@@ -37,13 +44,25 @@
   /** Version of the declaration that added the route of kind `added`. */
   version: number;
   endedAtMs: number;
+  /** Ids of the parts of its prompt, if it has one. */
+  partIds?: readonly string[];
   outcome: CallOutcome;
 };
 
 /** Event of an attempt at a runner. */
 export type RunnerEvent = {
-  /** `cut`: the other end closed the connection; `brokenOff`: the runner did. */
-  type: "arrived" | "ran" | "finished" | "cut" | "brokenOff" | "refused";
+  /**
+   * `cut`: the other end closed the connection; `brokenOff`: the runner did;
+   * `crashed`: the runner exited.
+   */
+  type:
+    | "arrived"
+    | "ran"
+    | "finished"
+    | "cut"
+    | "brokenOff"
+    | "crashed"
+    | "refused";
   atMs: number;
   attemptId: string;
   runner: string;
@@ -60,6 +79,9 @@
 /** A runner and when the store listed it as draining. */
 export type DrainedRunner = { runner: string; atMs: number };
 
+/** A runner and when its process was seen to have exited. */
+export type RunnerExit = { runner: string; atMs: number };
+
 /** Everything that callers and runners observed in one episode. */
 export type History = {
   calls: CallRecord[];
@@ -67,6 +89,7 @@
   faults: FaultSpan[];
   declared: DeclaredVersion[];
   drained: DrainedRunner[];
+  exits: RunnerExit[];
   /** Time from which all faults are over and every call must be served. */
   settledAtMs: number;
 };
@@ -79,6 +102,7 @@
     faults: [],
     declared: [],
     drained: [],
+    exits: [],
     settledAtMs: Infinity,
   };
 }
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -5,10 +5,13 @@
 import { createSeededRandom } from "@jasminetide/core/random";
 import { Callers } from "./callers.ts";
 import { checkHistory } from "./check_history.ts";
-import { drawFaults, type FleetSize, type PlannedFault } from "./faults.ts";
+import type { FleetSize, PlannedFault } from "./fault_kinds.ts";
+import { drawFaults } from "./faults.ts";
+import { retryBudget } from "./fleet_gateway.ts";
 import { createHistory, type History, isServed } from "./history.ts";
+import { defaultSwitches, type EpisodeSwitches } from "./episode_switches.ts";
 import { injectFault } from "./inject_fault.ts";
-import { retryBudget, SoakFleet } from "./soak_fleet.ts";
+import { SoakFleet } from "./soak_fleet.ts";
 import type { Violation } from "./violation.ts";
 import type { SoakPrograms } from "./wire.ts";
 
@@ -17,6 +20,8 @@
   seed: number;
   size: FleetSize;
   programs: SoakPrograms;
+  /** Replaces default switches. */
+  switches?: Partial<EpisodeSwitches>;
   /** Folder below which logs are kept. */
   folder: string;
 };
@@ -45,10 +50,11 @@
   options: EpisodeOptions,
 ): Promise<EpisodeReport> {
   const { programs, seed, size } = options;
+  const switches = { ...defaultSwitches, ...options.switches };
   const folder = join(options.folder, `seed-${seed}`);
   mkdirSync(folder, { recursive: true });
   const random = createSeededRandom(seed);
-  const faults = drawFaults(random, size);
+  const faults = drawFaults(random, { ...size, ...switches });
   const history = createHistory();
   const { calls } = history;
   await using fleet = await SoakFleet.create({
@@ -56,12 +62,13 @@
     size,
     random,
     history,
+    switches,
     folder,
   });
   using callers = Callers.create({ fleet, wire: programs.wire, random, calls });
   await Promise.all(faults.map(async (fault) => {
     await setTimeout(fault.startMs);
-    await injectFault(fault, { fleet, history });
+    await injectFault(fault, { callers, fleet, history });
   }));
   await setTimeout(recoveryMs);
   await callers.stop();
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -16,6 +16,9 @@
   "resting-runners",
   "cancellation",
   "planned-stops",
+  "lost-answers",
+  "crashing-parts",
+  "sound-requests",
   "recovery",
 ] as const;
 
