Take a runner for gone if connections to it are accepted but none stays open

The first such connection counted as closed, a second one as proof of life.

Change: the second connection has to stay open as well.

--- a/packages/gateway/src/quarantine/crash_probe.ts
+++ b/packages/gateway/src/quarantine/crash_probe.ts
@@ -10,7 +10,7 @@
 export type ProcessState =
   /** Its port refuses connections. */
   | "gone"
-  /** The same, but it accepted a connection shortly before. */
+  /** It accepted a connection before, but none that stays open. */
   | "goneSince"
   | "alive"
   /** No answer in time, or another error. */
@@ -46,18 +46,26 @@
   }
 
   async #probe(upstream: Upstream): Promise<ProcessState> {
-    const first = await openConnection(upstream);
-    if (typeof first === "string") return first;
-    // A process that is ending may still accept connections.
+    const first = await this.#tryConnection(upstream);
+    if (first !== "closed") return first;
+    const second = await this.#tryConnection(upstream);
+    const isGone = second === "gone" || second === "closed";
+    return isGone ? "goneSince" : second;
+  }
+
+  /**
+   * Opens a connection and checks that it stays open. A process that is ending,
+   * or a proxy before one that has ended, may still accept connections.
+   */
+  async #tryConnection(
+    upstream: Upstream,
+  ): Promise<"alive" | "closed" | "gone" | "unknown"> {
+    const connection = await openConnection(upstream);
+    if (typeof connection === "string") return connection;
     await wait(this.#timers, settleMs);
-    const isAlive = first.isUsable(this.#timers.nowMs());
-    upstream.connections.release(first);
-    if (isAlive) return "alive";
-    const second = await openConnection(upstream);
-    if (second === "gone") return "goneSince";
-    if (second === "unknown") return second;
-    upstream.connections.release(second);
-    return "alive";
+    const isOpen = connection.isUsable(this.#timers.nowMs());
+    upstream.connections.release(connection);
+    return isOpen ? "alive" : "closed";
   }
 }
 
