Excuse calls of the soak on connections that were open in a silence of their link

Callers record when a connection was opened; the check on time limits excuses it only if it was open during a silence. One opened later is not excused: planted history beside it, and the excuse's own.

--- a/packages/fault_soak/src/call_checks.ts
+++ b/packages/fault_soak/src/call_checks.ts
@@ -1,6 +1,7 @@
 /** Checks of single calls; each returns a description of a violation, if any. */
 import {
   areRunnersDisturbed,
+  isConnectionSilenced,
   isGatewayDisturbed,
   isGatewayKilled,
   isStoreAccessDisturbed,
@@ -110,11 +111,18 @@
 /** Finds a request that is not answered soon after its time limit. */
 export function findLateEnd(call: CallRecord, { faults }: History): Finding {
   const { endedAtMs, gateway, limitMs, outcome, sentAtMs } = call;
+  const connection = {
+    gateway,
+    fromMs: call.connectedAtMs ?? sentAtMs,
+    toMs: endedAtMs,
+  };
   const isLate = outcome.type === "silent" ||
     endedAtMs - sentAtMs > limitMs + limitSlackMs;
   if (!isLate) return undefined;
   const interval = { gateway, fromMs: sentAtMs, toMs: endedAtMs };
-  return isGatewayDisturbed(faults, interval) ? undefined : "no answer in time";
+  const isExcused = isGatewayDisturbed(faults, interval) ||
+    isConnectionSilenced(faults, connection);
+  return isExcused ? undefined : "no answer in time";
 }
 
 /** Whether a gateway had no route for a call. */
--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -1,6 +1,7 @@
 /** Callers that send requests of every kind and record their outcomes. */
 import { randomBytes } from "node:crypto";
 import { Agent, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { PromptPart } from "@jasminetide/gateway";
@@ -141,6 +142,7 @@
     const { version } = fleet;
     const sentAtMs = Date.now();
     const { index, incarnation } = gateway;
+    let connectedAtMs: number | undefined;
     const outcome = await exchange({
       address: gateway.callerLink.address,
       agent: this.#agents[index],
@@ -153,6 +155,7 @@
       }),
       waitMs: limitMs + extraWaitMs,
       disconnectAfterMs,
+      onConnection: (openedAtMs) => connectedAtMs = openedAtMs,
     });
     const record = {
       attemptId,
@@ -160,6 +163,7 @@
       gateway: index,
       gatewayIncarnation: incarnation,
       sentAtMs,
+      connectedAtMs,
       limitMs,
       version,
       endedAtMs: Date.now(),
@@ -179,8 +183,13 @@
   /** Time after which the caller stops waiting. */
   waitMs: number;
   disconnectAfterMs: number | undefined;
+  /** Called with the time at which the connection was opened. */
+  onConnection: (openedAtMs: number) => void;
 };
 
+/** Times at which the callers' connections were opened. */
+const openedAtMs = new WeakMap<Socket, number>();
+
 function exchange(options: Exchange): Promise<CallOutcome> {
   const { address, agent, disconnectAfterMs, headers, path, waitMs } = options;
   const { ip, port } = parseAddress(address);
@@ -193,6 +202,11 @@
       agent,
       headers: { ...headers, Host: soakHost },
     });
+    callerRequest.on("socket", (socket: Socket) => {
+      const knownMs = openedAtMs.get(socket) ?? Date.now();
+      openedAtMs.set(socket, knownMs);
+      options.onConnection(knownMs);
+    });
     const end = (outcome: CallOutcome) => {
       for (const timer of timers) clearTimeout(timer);
       resolve(outcome);
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -44,6 +44,21 @@
   );
 }
 
+/**
+ * Whether a caller's connection was open while its link was silent; it stays
+ * silent afterwards.
+ */
+export function isConnectionSilenced(
+  faults: readonly FaultSpan[],
+  { fromMs, gateway, toMs }: GatewayInterval,
+): boolean {
+  return faults.some((fault) =>
+    (fault.kind === "caller-link-silent" ||
+      fault.kind === "caller-link-one-way") &&
+    fault.target === gateway && isOverlapping(fault, fromMs, toMs)
+  );
+}
+
 /** Whether a gateway's process was killed. */
 export function isGatewayKilled(
   faults: readonly FaultSpan[],
--- a/packages/fault_soak/src/fault_soak.feature
+++ b/packages/fault_soak/src/fault_soak.feature
@@ -20,6 +20,7 @@
       | a summary that runs at two runners                       | attempts        |
       | twenty lookups that arrive three times within a second   | repeats         |
       | a lookup whose answer comes 600 ms after its limit       | time-limits     |
+      | a lookup without answer on a connection opened after a silence | time-limits |
       | an added route that is unknown 3100 ms after its version | versions        |
       | an added route that was known and is unknown later       | never-back      |
       | a run at a runner that has drained for 3100 ms           | drained-runners |
@@ -46,6 +47,11 @@
       | a stream that a planned stop of its gateway cuts         | runner-killed     |
       | an unframed stream that ends after its fifth event       | gateway-killed    |
 
+  Scenario: A connection that was open while its link was silent stays silent
+    Given callers whose requests of every kind are served
+    And a lookup without answer on a connection from a silence before
+    Then there is no violation
+
   Scenario Outline: A <kind> does not excuse an unframed stream without its end
     Given callers whose requests of every kind are served
     And an unframed stream that ends after its fifth event
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -84,6 +84,10 @@
   "a lookup whose answer comes 600 ms after its limit": (world) => {
     addCall(world, "lookup", { endedAtMs: violationMs + 2100 });
   },
+  "a lookup without answer on a connection from a silence before": (world) =>
+    addCallAfterSilence(world, violationMs - 500),
+  "a lookup without answer on a connection opened after a silence": (world) =>
+    addCallAfterSilence(world, violationMs - 50),
   "an added route that is unknown 3100 ms after its version": (world) => {
     world.history.declared.push({ version: 1, atMs: violationMs - 3100 });
     addUnknown(world, violationMs);
@@ -142,6 +146,18 @@
   },
 };
 
+/** Adds a lookup that is not answered, and a silence of its link before it. */
+function addCallAfterSilence(world: World, connectedAtMs: number): void {
+  world.history.faults.push({
+    kind: "caller-link-silent",
+    target: 0,
+    startMs: violationMs - 400,
+    endMs: violationMs - 100,
+  });
+  const endedAtMs = violationMs + 2100;
+  addCall(world, "lookup", { connectedAtMs, endedAtMs });
+}
+
 Given(
   "callers whose requests of every kind are served",
   function (this: World) {
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -39,6 +39,8 @@
   /** Number of restarts of the gateway's process when the request was sent. */
   gatewayIncarnation: number;
   sentAtMs: number;
+  /** Time at which its connection was opened; unknown if it never was. */
+  connectedAtMs?: number;
   /** Time limit that the request carries. */
   limitMs: number;
   /** Version of the declaration that added the route of kind `added`. */
