Quarantine prompt parts that crash runners

Cause: no gateway related the end of a runner to what it had been asked. Later prompts with the part were placed like any other, and each request was resumed at a second runner. Class of fault: a poison message that is redelivered.

Change: an answer that breaks off within 2 s of its head, at a runner whose port then refuses a connection, is a crash; the shared parts of its prompt that were not answered whole within 60 s are suspects. Gateways send each crash to all others at once and learn which suspects those have seen sound. A part under which three processes crashed in three requests, and of which no request was answered whole 60 s before or at any time after, is quarantined for five to six minutes: first and repeated sends are refused, as not run (2007) if the request has not run.

--- /dev/null
+++ b/packages/core/src/quarantine/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Quarantine of prompt parts that crash each runner that begins to answer a
+ * prompt with them. Decisions are pure; time is an argument.
+ */
+export * from "./crash_table.ts";
+export * from "./evidence.ts";
+export * from "./prompt_quarantine.ts";
--- /dev/null
+++ b/packages/core/src/quarantine/prompt_quarantine.ts
@@ -0,0 +1,197 @@
+import { LRUCache } from "lru-cache";
+import { CrashTable } from "./crash_table.ts";
+import type {
+  Crash,
+  Evidence,
+  EvidenceNews,
+  EvidenceSelection,
+} from "./evidence.ts";
+
+/** Options of a quarantine. */
+export type PromptQuarantineOptions = {
+  /** Time for which a part is quarantined after the last crash. */
+  quarantineMs: number;
+};
+
+/** Prompt part that is quarantined, and the evidence for it. */
+export type QuarantinedPart = {
+  partId: string;
+  /** Time until requests with it are admitted again. */
+  leftMs: number;
+  /** Runner processes that crashed. */
+  processes: number;
+  /** Requests under which they crashed. */
+  requests: number;
+};
+
+/**
+ * Finds the prompt parts that crash runners. A part is quarantined if several
+ * processes crashed under several requests with it and none of its requests
+ * was answered whole, since a part that crashes runners is never answered.
+ *
+ * Evidence of several routers is merged; the result does not depend on the
+ * order, and merging the same evidence again changes nothing.
+ */
+export class PromptQuarantine {
+  readonly #options: PromptQuarantineOptions;
+  readonly #crashes = CrashTable.create({ maxCrashes, maxCrashesPerProcess });
+  /** Time of the last whole answer to a request with a part. */
+  readonly #soundAtMs = new LRUCache<string, number>({ max: maxSoundParts });
+
+  private constructor(options: PromptQuarantineOptions) {
+    this.#options = options;
+  }
+
+  /** Creates a quarantine without evidence. */
+  static create(options: PromptQuarantineOptions): PromptQuarantine {
+    return new PromptQuarantine(options);
+  }
+
+  /**
+   * Records that a request with shared parts was answered whole.
+   *
+   * @returns the parts against which several crashes spoke until now.
+   */
+  recordAnswer(partIds: readonly string[], nowMs: number): string[] {
+    return partIds.filter((partId) => this.#recordSound(partId, nowMs, nowMs));
+  }
+
+  /** Lists the parts that were not part of a whole answer recently. */
+  listSuspects(partIds: readonly string[], nowMs: number): string[] {
+    return partIds.filter((partId) => nowMs >= this.#getSoundUntilMs(partId));
+  }
+
+  /** Records a crash; returns whether it is new. */
+  recordCrash(crash: Crash, nowMs: number): boolean {
+    this.#crashes.expire(nowMs - evidenceMs);
+    return this.#crashes.add(crash);
+  }
+
+  /** Merges the evidence of another router. */
+  merge(evidence: Evidence, nowMs: number): EvidenceNews {
+    const crashes = evidence.crashes
+      .map(({ ageMs, ...crash }) => ({ ...crash, atMs: nowMs - ageMs }))
+      .filter((crash) => this.recordCrash(crash, nowMs));
+    const clearedParts = evidence.sound
+      .filter(({ partId, ageMs }) =>
+        this.#recordSound(partId, nowMs - ageMs, nowMs)
+      )
+      .map(({ partId }) => partId);
+    return { crashes, clearedParts };
+  }
+
+  /** Finds a part that is quarantined; the one for the longest time. */
+  find(
+    partIds: readonly string[],
+    nowMs: number,
+  ): QuarantinedPart | undefined {
+    let longest: QuarantinedPart | undefined;
+    for (const partId of partIds) {
+      if (!this.#crashes.hasPart(partId)) continue;
+      const { lastAtMs, processes, requests } = this.#count(partId, nowMs);
+      const leftMs = lastAtMs + this.#options.quarantineMs - nowMs;
+      if (processes < minProcesses || requests < minRequests) continue;
+      if (leftMs <= (longest?.leftMs ?? 0)) continue;
+      longest = { partId, leftMs, processes, requests };
+    }
+    return longest;
+  }
+
+  /** Lists all parts that are quarantined. */
+  listQuarantined(nowMs: number): QuarantinedPart[] {
+    const partIds = new Set(
+      this.#crashes.list().flatMap((crash) => crash.partIds),
+    );
+    return [...partIds].flatMap((partId) => this.find([partId], nowMs) ?? []);
+  }
+
+  /** Selects evidence to send to other routers. */
+  selectEvidence(
+    { crashes, partIds }: EvidenceSelection,
+    nowMs: number,
+  ): Evidence {
+    const sound = [...partIds].flatMap((partId) => {
+      const atMs = this.#soundAtMs.peek(partId);
+      return atMs === undefined ? [] : [{ partId, ageMs: nowMs - atMs }];
+    });
+    return {
+      crashes: [...crashes].map(({ atMs, ...crash }) => ({
+        ...crash,
+        ageMs: nowMs - atMs,
+      })),
+      sound: sound.filter(({ ageMs }) => ageMs < evidenceMs),
+    };
+  }
+
+  /** Gets all evidence, for a router that has started. */
+  getEvidence(nowMs: number): Evidence {
+    this.#crashes.expire(nowMs - evidenceMs);
+    const crashes = this.#crashes.list();
+    const partIds = new Set(crashes.flatMap((crash) => crash.partIds));
+    return this.selectEvidence({ crashes, partIds }, nowMs);
+  }
+
+  /** Returns whether the answer clears a part of several crashes. */
+  #recordSound(partId: string, atMs: number, nowMs: number): boolean {
+    const knownMs = this.#soundAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
+    if (atMs <= knownMs) return false;
+    const wasSuspected = this.#isSuspected(partId, nowMs);
+    this.#soundAtMs.set(partId, atMs);
+    return wasSuspected && !this.#isSuspected(partId, nowMs);
+  }
+
+  #isSuspected(partId: string, nowMs: number): boolean {
+    return this.#crashes.hasPart(partId) &&
+      this.#count(partId, nowMs).processes >= minSuspectedProcesses;
+  }
+
+  /**
+   * Counts the crashes that speak against a part. Those before its last whole
+   * answer or shortly after it do not: the part has crashed no runner then.
+   */
+  #count(partId: string, nowMs: number) {
+    const sinceMs = Math.max(
+      nowMs - evidenceMs,
+      this.#getSoundUntilMs(partId),
+    );
+    const crashes = this.#crashes.listByPart(partId)
+      .filter(({ atMs }) => atMs >= sinceMs);
+    return {
+      processes: new Set(crashes.map(({ process }) => process)).size,
+      requests: new Set(crashes.map(({ request }) => request)).size,
+      lastAtMs: Math.max(...crashes.map(({ atMs }) => atMs)),
+    };
+  }
+
+  #getSoundUntilMs(partId: string): number {
+    const atMs = this.#soundAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
+    return atMs + soundMs;
+  }
+}
+
+/** Crashed processes from which a part is quarantined. */
+const minProcesses = 3;
+
+/** Requests under which they must have crashed; one may crash several. */
+const minRequests = 3;
+
+/** Crashed processes from which other routers are told that a part is sound. */
+const minSuspectedProcesses = 2;
+
+/** Time after a whole answer for which crashes do not speak against its parts. */
+const soundMs = 60_000;
+
+/**
+ * Time for which crashes count. It exceeds that of a quarantine, so that one
+ * more crash after its end begins the next.
+ */
+const evidenceMs = 1_800_000;
+
+/** Maximum crashes that are kept. */
+const maxCrashes = 1000;
+
+/** The same for one process, which runs fewer requests in their first seconds. */
+const maxCrashesPerProcess = 64;
+
+/** Maximum parts whose last whole answer is known. */
+const maxSoundParts = 20_000;
--- /dev/null
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -0,0 +1,83 @@
+Feature: Prompt parts that crash runners are quarantined on sufficient evidence
+
+  Scenario: Three processes crashed under three requests
+    Given the part "bad" crashed runners "r1 r2" under request "q1"
+    And the part "bad" crashed runners "r3" under request "q2"
+    Then the part "bad" is not quarantined
+    When the part "bad" crashes runners "r4" under request "q3"
+    Then the part "bad" is quarantined for 300 s with 4 processes and 3 requests
+
+  Scenario: A long request that is resumed at three crashing runners
+    Given the part "long" crashed runners "r1 r2 r3" under request "q1"
+    Then the part "long" is not quarantined
+
+  Scenario: One process that takes many requests along
+    Given the part "popular" crashed runners "r1" under request "q1"
+    And the part "popular" crashed runners "r1" under request "q2"
+    And the part "popular" crashed runners "r1" under request "q3"
+    Then the part "popular" is not quarantined
+
+  Scenario: A part that was answered whole within a minute before the crashes
+    Given a request with the part "popular" was answered whole
+    When 59 s pass
+    And three processes crash under three requests with the part "popular"
+    Then the part "popular" is not quarantined
+    And the part "popular" is no suspect
+    When 2 s pass
+    Then the part "popular" is a suspect
+
+  Scenario: A part that is answered whole after the crashes
+    Given three processes crash under three requests with the part "popular"
+    Then the part "popular" is quarantined for 300 s with 3 processes and 3 requests
+    When a request with the part "popular" is answered whole
+    Then other routers are to be told of "popular"
+    And the part "popular" is not quarantined
+    When 100 s pass
+    Then the part "popular" is not quarantined
+
+  Scenario: Another router knows that the part is sound
+    Given three processes crash under three requests with the part "popular"
+    When another router reports a whole answer with the part "popular" 10 s ago
+    Then the part "popular" is not quarantined
+    When another router reports a whole answer with the part "popular" 10 s ago
+    Then other routers are to be told of nothing
+
+  Scenario: The quarantine ends, and one more crash begins the next
+    Given three processes crash under three requests with the part "bad"
+    When 299 s pass
+    Then the part "bad" is quarantined for 1 s with 3 processes and 3 requests
+    When 1 s pass
+    Then the part "bad" is not quarantined
+    When the part "bad" crashes runners "r4" under request "q4"
+    Then the part "bad" is quarantined for 300 s with 4 processes and 4 requests
+
+  Scenario: Evidence is forgotten after half an hour
+    Given three processes crash under three requests with the part "bad"
+    When 1801 s pass
+    And the part "bad" crashes runners "r4" under request "q4"
+    Then the part "bad" is not quarantined
+
+  Scenario: Routers that merge the same evidence in any order agree
+    Then 200 random sets of evidence lead to the same state in any order, with seed 5
+
+  Scenario: The evidence that is kept is bounded
+    When 5000 processes crash under one request each
+    Then at most 1000 crashes are kept
+    When one process crashes under 200 requests
+    Then at most 64 of its crashes are kept
+
+  Scenario: Five gateways replay a minute of prompts of which one kind crashes runners
+    When prompts are replayed of which some crash runners from 4 s on
+    Then without it over 40 such requests reach runners after the fifth crash
+    And with it at most 3 do, from 3 s after the fifth crash on
+    And it refuses no sound request
+    And more sound requests are answered than without it
+
+  Scenario: Prompts crash runners before any prompt was answered
+    When prompts are replayed of which some crash runners from 0 s on
+    Then with it at most 3 do, from 3 s after the fifth crash on
+    And it refuses sound requests in the first 2 s only
+
+  Scenario: Five gateways replay a minute in which sound runners crash
+    When the recorded prompts are replayed while 5 of 13 runners crash at once, three times
+    Then it refuses no sound request
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -131,6 +131,15 @@
     };
   }
 
+  /** Addresses of the other gateways, from the store and the settings. */
+  listPeerAddresses(): string[] {
+    const { peerAddress, seedAddresses } = this.#options.settings;
+    const addresses = new Set(seedAddresses);
+    for (const { address } of this.#peers.values()) addresses.add(address);
+    addresses.delete(peerAddress);
+    return [...addresses];
+  }
+
   /** State as written to a dump. */
   getSnapshot() {
     return {
@@ -177,21 +186,12 @@
         version: this.declarationVersion,
         position: this.#runnersPosition,
       }),
-      listPeers: () => this.#listPeerAddresses(),
+      listPeers: () => this.listPeerAddresses(),
       fetchState: fetchNewerState,
       onNewerState: (state) => this.#applyPeerState(state),
     }));
   }
 
-  /** Addresses of the other gateways, from the store and the settings. */
-  #listPeerAddresses(): string[] {
-    const { peerAddress, seedAddresses } = this.#options.settings;
-    const addresses = new Set(seedAddresses);
-    for (const { address } of this.#peers.values()) addresses.add(address);
-    addresses.delete(peerAddress);
-    return [...addresses];
-  }
-
   /** Applies the newest declaration; an older one never replaces it. */
   #applyDeclarations(declarations: Iterable<RoutingDeclaration>): void {
     for (const declaration of declarations) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,9 +22,12 @@
 import {
   createNewsHandler,
   createPeerHandler,
+  fetchEvidence,
   type PeerRegistry,
+  sendEvidence,
 } from "./peers/mod.ts";
 import type { WireProtocol } from "./protocol.ts";
+import { PromptGuard } from "./quarantine/mod.ts";
 import { RequestLog } from "./request_log.ts";
 import { explainRequest, serveRequest } from "./requests/mod.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -55,6 +58,7 @@
   readonly #capacityForecasts = new Map<string, CapacityForecast>();
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
+  readonly #promptGuard: PromptGuard;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
   #peerAddress = "";
@@ -72,6 +76,16 @@
       metrics: this.#metrics,
       onDeclaration: ({ callerLimits }) => listener.setLimits(callerLimits),
     }));
+    this.#promptGuard = this.#resources.use(PromptGuard.create({
+      ...options,
+      random: this.#random,
+      metrics: this.#metrics,
+      peers: {
+        list: () => this.#fleet.listPeerAddresses(),
+        send: sendEvidence,
+        fetch: fetchEvidence,
+      },
+    }));
     this.#context = this.#createContext();
     listener.setHandler((request, response) => {
       this.#openRequests += 1;
@@ -167,6 +181,8 @@
       handlePeer: createPeerHandler({
         getState: () => this.#fleet.getState(),
         explainRequest: (query) => explainRequest(query, this.#context),
+        mergeEvidence: (evidence) => this.#promptGuard.merge(evidence),
+        getEvidence: () => this.#promptGuard.getEvidence(),
       }),
       handleNews: createNewsHandler(this.#fleet.publisher),
       formatMetrics: () => formatMetrics(this.#metrics.getSnapshot()),
@@ -181,6 +197,7 @@
       isReady: this.isReady,
       openRequests: this.#openRequests,
       fleet: this.#fleet.getSnapshot(),
+      quarantine: this.#promptGuard.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
@@ -191,6 +208,7 @@
       protocol,
       directory: this.#fleet.directory,
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
+      promptGuard: this.#promptGuard,
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { RequestLog } from "./request_log.ts";
 import type { WireProtocol } from "./protocol.ts";
+import type { PromptGuard } from "./quarantine/mod.ts";
 import type { Directory } from "./upstreams/mod.ts";
 
 /** State and services of a router that are used to serve a request. */
@@ -18,6 +19,8 @@
   protocol: WireProtocol;
   directory: Directory;
   holders: PrefixHolders;
+  /** Keeps prompts that crash runners from them. */
+  promptGuard: PromptGuard;
   failureDomain: string;
   timers: TimerService;
   random: RandomSource;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -6,7 +6,7 @@
 export type MetricDescription = {
   name: string;
   type: "counter" | "histogram";
-  unit: "requests" | "attempts" | "outages" | "ms";
+  unit: "requests" | "attempts" | "outages" | "crashes" | "parts" | "ms";
   meaning: string;
 };
 
@@ -68,6 +68,25 @@
     meaning:
       "Times that the store stopped answering calls for a kind of object",
   },
+  {
+    name: "runner-crashes",
+    type: "counter",
+    unit: "crashes",
+    meaning:
+      "Crashes of runners that had just begun to answer a prompt, by request",
+  },
+  {
+    name: "prompts-quarantined",
+    type: "counter",
+    unit: "parts",
+    meaning: "Prompt parts quarantined because they crash runners",
+  },
+  {
+    name: "quarantine-refused",
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests refused, or not repeated, for a quarantined prompt part",
+  },
   {
     name: "answer-ms-KIND",
     type: "histogram",
@@ -129,6 +148,18 @@
     this.#metrics.count(`store-lost-${kind}`);
   }
 
+  countRunnerCrash(): void {
+    this.#metrics.count("runner-crashes");
+  }
+
+  countQuarantinedPrompt(): void {
+    this.#metrics.count("prompts-quarantined");
+  }
+
+  countQuarantineRefusal(): void {
+    this.#metrics.count("quarantine-refused");
+  }
+
   recordAnswer(kind: RequestKind, durationMs: number): void {
     this.#metrics.record(`answer-ms-${kind}`, durationMs);
   }
--- a/packages/gateway/src/peers/gateway_client.ts
+++ b/packages/gateway/src/peers/gateway_client.ts
@@ -1,9 +1,11 @@
+import type { Evidence } from "@jasminetide/core/quarantine";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { sendRequest } from "@jasminetide/runtime/http";
 import type {
   ExplanationQuery,
   RequestExplanation,
 } from "../requests/explain_request.ts";
+import { evidenceSchema } from "./evidence_schema.ts";
 import type { GatewayState, StateVersions } from "./gateway_state.ts";
 import { type PeerProcedures, rpcPath } from "./peer_handler.ts";
 
@@ -34,6 +36,27 @@
   return state as Promise<Partial<GatewayState>>;
 }
 
+/**
+ * Sends what this gateway has learned of crashes to another one; returns which
+ * of the parts the other has seen sound. Rejects if it does not answer.
+ */
+export async function sendEvidence(
+  address: string,
+  evidence: Evidence,
+): Promise<Evidence> {
+  const client = createClient(address, peerLimits);
+  return evidenceSchema.parse(await client.mergeEvidence.mutate(evidence));
+}
+
+/**
+ * Fetches all that another gateway knows of crashes; rejects if it does not
+ * answer.
+ */
+export async function fetchEvidence(address: string): Promise<Evidence> {
+  const client = createClient(address, peerLimits);
+  return evidenceSchema.parse(await client.getEvidence.query());
+}
+
 type AnswerLimits = { firstMs: number; pauseMs: number; totalMs: number };
 
 function createClient(address: string, limits: AnswerLimits) {
--- a/packages/gateway/src/peers/mod.ts
+++ b/packages/gateway/src/peers/mod.ts
@@ -3,6 +3,7 @@
  * and all know its changes while it does not answer them, and operators'
  * queries to gateways.
  */
+export * from "./evidence_schema.ts";
 export * from "./gateway_client.ts";
 export * from "./gateway_registration.ts";
 export * from "./host_capacity.ts";
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -1,4 +1,5 @@
 import type { RequestListener } from "node:http";
+import type { Evidence } from "@jasminetide/core/quarantine";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
@@ -6,6 +7,7 @@
   explanationQuerySchema,
   type RequestExplanation,
 } from "../requests/explain_request.ts";
+import { evidenceSchema } from "./evidence_schema.ts";
 import {
   type GatewayState,
   selectNewerState,
@@ -20,6 +22,10 @@
   /** Returns undefined while the store does not answer this gateway. */
   getState: () => GatewayState | undefined;
   explainRequest: (query: ExplanationQuery) => RequestExplanation;
+  /** Merges what another gateway knows of crashes; returns what it lacks. */
+  mergeEvidence: (evidence: Evidence) => Evidence;
+  /** Returns all that this gateway knows of crashes. */
+  getEvidence: () => Evidence;
 };
 
 function createPeerProcedures(handlers: PeerHandlers) {
@@ -33,6 +39,12 @@
     explainRequest: procedure.input(explanationQuerySchema).mutation((
       { input },
     ) => handlers.explainRequest(input)),
+    /** Takes evidence of crashes; returns which of its parts are sound. */
+    mergeEvidence: procedure.input(evidenceSchema).mutation(({ input }) =>
+      handlers.mergeEvidence(input)
+    ),
+    /** Returns all evidence of crashes, for a gateway that has started. */
+    getEvidence: procedure.query(() => handlers.getEvidence()),
   });
 }
 
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -45,6 +45,8 @@
     const handle = createPeerHandler({
       getState: () => this.peerState,
       explainRequest: () => ({ version: 0, key: "notNeeded", services: [] }),
+      mergeEvidence: () => ({ crashes: [], sound: [] }),
+      getEvidence: () => ({ crashes: [], sound: [] }),
     });
     this.peerServer = createServer((request, response) => {
       if (this.answerMs > 0) sendSlowly(response, this.answerMs);
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -51,6 +51,13 @@
   isFramed: boolean;
 };
 
+/** A successful answer of a runner that has begun. */
+export type BegunAnswer = {
+  atMs: number;
+  /** Whether its headers define its end. */
+  isFramed: boolean;
+};
+
 /** Data read from the headers of a runner's answer. */
 export type RunnerAnswer = {
   /** Attempt that the answer belongs to, if the answer names it. */
--- /dev/null
+++ b/packages/gateway/src/quarantine/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Keeps prompts that crash runners from them: finds crashes, shares them with
+ * the other gateways and refuses the prompts.
+ */
+export * from "./crash_probe.ts";
+export * from "./evidence_delivery.ts";
+export * from "./prompt_guard.ts";
+export * from "./quarantine_error.ts";
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -7,6 +7,7 @@
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
+import { createQuarantineError } from "../quarantine/mod.ts";
 import type { RequestTrace } from "../request_log.ts";
 import type { RunnerRequest } from "../upstreams/mod.ts";
 import type { AnswerSink, AttemptEnd } from "./attempt.ts";
@@ -23,6 +24,7 @@
   describeBreak,
   describeEnd,
   getRunnerOutcome,
+  observePrompt,
   observeRunner,
 } from "./observe_end.ts";
 import {
@@ -130,6 +132,11 @@
   /** Starts an attempt; returns the reason if none can be started. */
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
+    const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+    if (quarantined !== undefined) {
+      context.metrics.countQuarantineRefusal();
+      return `quarantined prompt part ${quarantined.partId}`;
+    }
     const triedIds = this.#triedIds;
     const placement = placeAttempt(
       { caller, service, triedIds, mayReturn },
@@ -254,6 +261,7 @@
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
     this.#observe(running, end);
+    observePrompt(running, { caller, end }, context);
     const step = decideNext(end, this.#getProgress());
     this.#log("attempt-ended", {
       runner: running.upstream.id,
@@ -327,7 +335,12 @@
   }
 
   #refuse(message: string): void {
-    const { admitted: { service }, answer, context } = this.#options;
+    const { admitted: { caller, service }, answer, context } = this.#options;
+    const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+    if (quarantined !== undefined) {
+      answer.sendError(createQuarantineError(quarantined));
+      return;
+    }
     const forecastMs = context.getCapacityForecast(service).recordRefusal({
       nowMs: context.timers.nowMs(),
       leftMs: Math.max(0, this.#getLeftMs()),
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -2,6 +2,8 @@
 import type { LogFields } from "@jasminetide/runtime/logging";
 import type { GatewayContext } from "../gateway_context.ts";
 import {
+  type BegunAnswer,
+  type CallerRequest,
   listSharedParts,
   type PromptPart,
   type RunnerAnswer,
@@ -60,6 +62,17 @@
   });
 }
 
+/** Learns from an answer that had begun whether its prompt crashes runners. */
+export function observePrompt(
+  { begun, upstream }: { begun: BegunAnswer | undefined; upstream: Upstream },
+  { caller, end }: { caller: CallerRequest; end: AttemptEnd },
+  { promptGuard }: Pick<GatewayContext, "promptGuard">,
+): void {
+  const isWhole = end.type === "relayed" || end.type === "answered";
+  if (begun === undefined || (!isWhole && end.type !== "broken")) return;
+  promptGuard.observeEnd({ upstream, begun, caller, isWhole });
+}
+
 /** Describes the end of an attempt for a log line. */
 export function describeEnd(
   end: AttemptEnd,
@@ -76,12 +89,12 @@
  */
 export function describeBreak(
   end: AttemptEnd,
-  { begunAtMs }: { begunAtMs: number | undefined },
+  { begun }: { begun: BegunAnswer | undefined },
   { nowMs, prompt }: { nowMs: number; prompt: readonly PromptPart[] },
 ): LogFields {
-  if (end.type !== "broken" || begunAtMs === undefined) return {};
+  if (end.type !== "broken" || begun === undefined) return {};
   return {
-    begunForMs: Math.round(nowMs - begunAtMs),
+    begunForMs: Math.round(nowMs - begun.atMs),
     sharedParts: listSharedParts(prompt).map(({ id }) => id).join(" "),
   };
 }
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -1,7 +1,7 @@
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { AnswerHead, RunnerAnswer } from "../protocol.ts";
+import type { AnswerHead, BegunAnswer, RunnerAnswer } from "../protocol.ts";
 import type { RunnerRequest, Upstream } from "../upstreams/mod.ts";
 import { AnswerSilence } from "./answer_silence.ts";
 import { type AnswerSink, Attempt, type AttemptEnd } from "./attempt.ts";
@@ -39,7 +39,7 @@
   readonly #silence: AnswerSilence;
   readonly #startedAtMs: number;
   #isSilent = false;
-  #begunAtMs: number | undefined;
+  #begun: BegunAnswer | undefined;
 
   private constructor(options: RunningAttemptOptions) {
     this.#options = options;
@@ -84,9 +84,9 @@
     return this.#silence.isAwaitingFirstByte;
   }
 
-  /** Time at which the runner began its answer to the request, if it did. */
-  get begunAtMs(): number | undefined {
-    return this.#begunAtMs;
+  /** Set once the runner has begun to answer the request. */
+  get begun(): BegunAnswer | undefined {
+    return this.#begun;
   }
 
   /** Cancels the attempt by closing its connection to the runner. */
@@ -113,7 +113,8 @@
   #handleAnswer(answer: RunnerAnswer, head: AnswerHead): void {
     const { context, onNotRun, upstream } = this.#options;
     if (head.status < 300 && answer.isGenuine) {
-      this.#begunAtMs = context.timers.nowMs();
+      const atMs = context.timers.nowMs();
+      this.#begun = { atMs, isFramed: head.isFramed };
     }
     if (answer.isNotRun) onNotRun();
     if (answer.load === undefined) return;
--- a/packages/gateway/src/test_support/crashing_fleet.ts
+++ b/packages/gateway/src/test_support/crashing_fleet.ts
@@ -55,6 +55,9 @@
   /** Answers prompts without the part; answers whole streams if not set. */
   soundScript: Script = ({ attemptId, socket }) =>
     socket.write(formatStreamStart(attemptId, [1]) + formatStreamEnd([2]));
+  /** Begins the answer to a prompt with the part. */
+  startCrashing: (attemptId: string) => string = (attemptId) =>
+    formatStreamStart(attemptId, [1]);
   /** Called when a runner begins to answer the part; crashes it if not set. */
   beginCrash: (runner: ScriptedRunner, request: ReceivedRequest) => void = (
     runner,
@@ -94,9 +97,8 @@
     for (const [id, { address }] of this.#listed) {
       added.runners.put(id, createRunnerRecord(id, address));
     }
-    while (
-      !added.gateway.isReady || added.gateway.runnerCount < this.#listed.size
-    ) await wait(timers, 1);
+    while (!added.gateway.isReady) await wait(timers, 1);
+    await this.#settle();
     return added;
   }
 
@@ -115,7 +117,7 @@
    *
    * @param gatewayIndex number of a gateway, from 0; starts anew at the end.
    */
-  async call(gatewayIndex: number, call: FleetCall): Promise<FleetAnswer> {
+  async request(gatewayIndex: number, call: FleetCall): Promise<FleetAnswer> {
     const { gateway } = this.gateways[gatewayIndex % this.gateways.length];
     const { isRepeatable = true, prompt } = call;
     await this.#settle();
@@ -126,10 +128,27 @@
       attemptId: `fleet-${this.#sent}`,
       headers: { [testHeaders.prompt]: `${prompt},own-${this.#sent}` },
     });
-    await caller.waitUntil((each) => each.hasEnded || isWhole(each.text));
+    await caller.waitUntil((each) => each.hasEnded || isWhole(each));
     const { text } = caller;
     const status = Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
-    return { status, text, isWhole: isWhole(text) };
+    return { status, text, isWhole: isWhole(caller) };
+  }
+
+  /** Lists the quarantined parts at each gateway once nothing is undelivered. */
+  async listQuarantined(): Promise<string[][]> {
+    while (true) {
+      const states = await Promise.all(this.gateways.map(loadQuarantine));
+      if (states.every(({ pendingGateways }) => pendingGateways === 0)) {
+        return states.map(({ parts }) => parts.map(({ partId }) => partId));
+      }
+      await wait(timers, 1);
+    }
+  }
+
+  /** Counts the crashes that each gateway knows of. */
+  async listKnownCrashes(): Promise<number[]> {
+    const states = await Promise.all(this.gateways.map(loadQuarantine));
+    return states.map(({ crashes }) => crashes);
   }
 
   /** Counts the requests with a part that runners have received. */
@@ -145,6 +164,20 @@
     );
   }
 
+  /** Lets a runner get no more requests. */
+  async drain(runner: ScriptedRunner): Promise<void> {
+    for (const [id, listed] of this.#listed) {
+      if (listed !== runner) continue;
+      const record = createRunnerRecord(id, runner.address);
+      for (const { runners } of this.gateways) {
+        runners.put(id, { ...record, isDraining: true });
+      }
+    }
+    const isDrained = ({ gateway }: TestGateway) =>
+      gateway.listRunners().some(({ isDraining }) => isDraining);
+    while (!this.gateways.every(isDrained)) await wait(timers, 1);
+  }
+
   /** Crashes a runner; another process replaces it. */
   async crash(runner: ScriptedRunner): Promise<void> {
     if (runner.hasCrashed) return;
@@ -164,7 +197,9 @@
       const known = new Set(gateway.listRunners().map(({ id }) => id));
       return known.size === ids.length && ids.every((id) => known.has(id));
     };
-    while (this.#isStoreAvailable && !this.gateways.every(isKnown)) {
+    const isCurrent = (each: TestGateway) =>
+      isKnown(each) && each.peers.isCaughtUp;
+    while (this.#isStoreAvailable && !this.gateways.every(isCurrent)) {
       await wait(timers, 1);
     }
   }
@@ -178,7 +213,7 @@
     const runner = await ScriptedRunner.create((request) => {
       if (!hasPart(request.head, crashingPart)) this.soundScript(request);
       else {
-        const start = formatStreamStart(request.attemptId, [1]);
+        const start = this.startCrashing(request.attemptId);
         request.socket.write(start, () => this.beginCrash(runner, request));
       }
     });
@@ -200,16 +235,32 @@
   }
 }
 
+type QuarantineState = {
+  parts: { partId: string }[];
+  crashes: number;
+  pendingGateways: number;
+};
+
+async function loadQuarantine(
+  { gateway }: TestGateway,
+): Promise<QuarantineState> {
+  const answer = await fetch(`http://${gateway.peerAddress}/dump`);
+  const dump = await answer.json() as { quarantine: QuarantineState };
+  return dump.quarantine;
+}
+
 function hasPart(head: string, part: string): boolean {
   const prompt = new RegExp(`^${testHeaders.prompt}: (.*)$`, "im").exec(head);
   return prompt?.[1].trim().split(",").includes(part) === true;
 }
 
-/** Whether the text is an answer with its length or its last chunk. */
-function isWhole(text: string): boolean {
+/** Whether the caller has an answer with its length, last chunk or end. */
+function isWhole({ hasEnded, text }: RawCaller): boolean {
   const end = text.indexOf("\r\n\r\n");
   if (end < 0) return false;
-  const length = /content-length: (\d+)/i.exec(text.slice(0, end))?.[1];
+  const head = text.slice(0, end);
+  const length = /content-length: (\d+)/i.exec(head)?.[1];
   if (length !== undefined) return text.length >= end + 4 + Number(length);
+  if (!/transfer-encoding/i.test(head)) return hasEnded;
   return text.endsWith("0\r\n\r\n");
 }
