Test late ports and evidence that is passed on in the quarantine

Two mechanisms had no test that failed without them: the second connection to a process that accepted the first one while it ended, and passing on to all gateways that a part is sound.

--- a/packages/gateway/src/quarantine/quarantine.feature
+++ b/packages/gateway/src/quarantine/quarantine.feature
@@ -48,6 +48,14 @@
     And 20 more requests with the part are sent to all gateways
     Then at most 3 of them have reached runners
 
+  Scenario: A part is found although ports close later than connections
+    Given 4 gateways and 8 runners
+    And runners that crash close their port 50 ms after their connections
+    When requests with a part that crashes runners have crashed 5 or all gateways refuse them
+    And the gateways have found that the runners are gone
+    And 20 more requests with the part are sent to all gateways
+    Then at most 3 of them have reached runners
+
   Scenario: Sound parts whose answers come without a length are not quarantined
     Given 4 gateways and 8 runners
     And sound answers come without a length
@@ -96,3 +104,10 @@
     When 40 sound requests of one other gateway have begun at runners, of which 5 crash
     Then all gateways know of crashes and none has a part in quarantine
     And 20 sound requests with the same other parts are answered at the first attempt
+
+  Scenario: A gateway hears that a part is sound from those that were told so
+    Given 5 gateways and 8 runners
+    And 1 sound request was answered
+    When 3 runners crash one after the other, under requests of 3 other gateways
+    Then no gateway has a part in quarantine any more
+    And 20 sound requests with the same other parts are answered at the first attempt
--- a/packages/gateway/src/quarantine/quarantine_test.ts
+++ b/packages/gateway/src/quarantine/quarantine_test.ts
@@ -266,8 +266,20 @@
   },
 );
 
+Given(
+  "runners that crash close their port {int} ms after their connections",
+  function (this: World, delayMs: number) {
+    const fleet = this.crashingFleet;
+    fleet.beginCrash = async (runner) => {
+      runner.closeConnections();
+      await wait(timers, delayMs);
+      await fleet.crash(runner);
+    };
+  },
+);
+
 When(
-  /^the gateways have found that the runners live$/,
+  /^the gateways have found that the runners (?:live|are gone)$/,
   async function (this: World) {
     await wait(timers, probeMs);
   },
@@ -339,6 +351,43 @@
   },
 );
 
+When(
+  "{int} runners crash one after the other, under requests of {int} other gateways",
+  async function (this: World, count: number, gatewayCount: number) {
+    const fleet = this.crashingFleet;
+    for (let index = 1; index <= count; index++) {
+      const begun = new Promise<string>((resolve) => {
+        fleet.soundScript = ({ attemptId, socket }) => {
+          socket.write(formatStreamStart(attemptId, [1]));
+          resolve(attemptId);
+        };
+      });
+      const gateway = 1 + index % gatewayCount;
+      const prompt = `${soundPart},kind-${index}`;
+      const answer = fleet.request(gateway, { prompt, isRepeatable: false });
+      const attemptId = await begun;
+      const runner = fleet.runners.find(({ requests }) =>
+        requests.some((request) => request.attemptId === attemptId)
+      );
+      assert.ok(runner);
+      await fleet.crash(runner);
+      await answer;
+      await waitForCrashes(fleet, index);
+    }
+  },
+);
+
+/** Waits until all gateways know a number of crashes. */
+async function waitForCrashes(
+  fleet: CrashingFleet,
+  count: number,
+): Promise<void> {
+  const isKnown = (known: number) => known >= count;
+  while (!(await fleet.listKnownCrashes()).every(isKnown)) {
+    await wait(timers, 1);
+  }
+}
+
 When("one request at another runner is answered", function (this: World) {
   const alive = this.heldRequests.find(({ socket }) => !socket.destroyed);
   alive?.socket.write(formatStreamEnd([2]));
--- a/packages/gateway/src/test_support/crashing_fleet.ts
+++ b/packages/gateway/src/test_support/crashing_fleet.ts
@@ -192,10 +192,10 @@
   /** Waits until all gateways know the current runners. */
   async #settle(): Promise<void> {
     await this.#replaced;
-    const ids = [...this.#listed.keys()];
     const isKnown = ({ gateway }: TestGateway) => {
       const known = new Set(gateway.listRunners().map(({ id }) => id));
-      return known.size === ids.length && ids.every((id) => known.has(id));
+      return known.size === this.#listed.size &&
+        [...this.#listed.keys()].every((id) => known.has(id));
     };
     const isCurrent = (each: TestGateway) =>
       isKnown(each) && each.peers.isCaughtUp;
