Blame a crash on the prompt part that explains more of them

Cause: a process that crashes takes all its requests along, so sound parts that were in the same requests, or at the same processes, collect evidence too. They were quarantined with the part that is to blame if no request with them had been answered yet.

Change: a part is not quarantined if another one, with enough evidence of its own, crashed all of the same processes and more. Findings are kept until the evidence changes, since this goes through all crashes.

--- a/packages/core/src/quarantine/prompt_quarantine.ts
+++ b/packages/core/src/quarantine/prompt_quarantine.ts
@@ -38,6 +38,10 @@
   /** Time of the last whole answer to a request with a part. */
   readonly #soundAtMs = new LRUCache<string, number>({ max: maxSoundParts });
 
+  /** Findings since the evidence changed last, for a limited time. */
+  readonly #findings = new Map<string, QuarantinedPart | undefined>();
+  #foundAtMs = 0;
+
   private constructor(options: PromptQuarantineOptions) {
     this.#options = options;
   }
@@ -63,6 +67,7 @@
 
   /** Records a crash; returns whether it is new. */
   recordCrash(crash: Crash, nowMs: number): boolean {
+    this.#findings.clear();
     this.#crashes.expire(nowMs - evidenceMs);
     return this.#crashes.add(crash);
   }
@@ -88,11 +93,10 @@
     let longest: QuarantinedPart | undefined;
     for (const partId of partIds) {
       if (!this.#crashes.hasPart(partId)) continue;
-      const { lastAtMs, processes, requests } = this.#count(partId, nowMs);
-      const leftMs = lastAtMs + this.#options.quarantineMs - nowMs;
-      if (processes < minProcesses || requests < minRequests) continue;
-      if (leftMs <= (longest?.leftMs ?? 0)) continue;
-      longest = { partId, leftMs, processes, requests };
+      const found = this.#findPart(partId, nowMs);
+      if (found === undefined) continue;
+      const leftMs = found.leftMs - (nowMs - this.#foundAtMs);
+      if (leftMs > (longest?.leftMs ?? 0)) longest = { ...found, leftMs };
     }
     return longest;
   }
@@ -131,36 +135,78 @@
     return this.selectEvidence({ crashes, partIds }, nowMs);
   }
 
+  /** Gets the finding on a part as of `#foundAtMs`. */
+  #findPart(partId: string, nowMs: number): QuarantinedPart | undefined {
+    if (this.#findings.size === 0 || nowMs - this.#foundAtMs > findingMs) {
+      this.#findings.clear();
+      this.#foundAtMs = nowMs;
+    }
+    if (!this.#findings.has(partId)) {
+      const blame = this.#blame(partId, this.#foundAtMs);
+      const isExplained = blame !== undefined &&
+        this.#isExplained(partId, this.#foundAtMs);
+      this.#findings.set(partId, isExplained ? undefined : blame);
+    }
+    return this.#findings.get(partId);
+  }
+
+  /** Describes the evidence against a part if it suffices. */
+  #blame(partId: string, nowMs: number): QuarantinedPart | undefined {
+    const crashes = this.#listCounted(partId, nowMs);
+    const processes = listProcesses(crashes).size;
+    const requests = new Set(crashes.map(({ request }) => request)).size;
+    if (processes < minProcesses || requests < minRequests) return undefined;
+    const lastAtMs = Math.max(...crashes.map(({ atMs }) => atMs));
+    const leftMs = lastAtMs + this.#options.quarantineMs - nowMs;
+    return leftMs > 0 ? { partId, leftMs, processes, requests } : undefined;
+  }
+
+  /**
+   * Whether another part explains the crash of each process that speaks against
+   * a part, and of further ones. A process crashes once, so the other part is
+   * to blame.
+   */
+  #isExplained(partId: string, nowMs: number): boolean {
+    const own = listProcesses(this.#listCounted(partId, nowMs));
+    const others = new Set(
+      this.#crashes.list().filter(({ process }) => own.has(process))
+        .flatMap((crash) => crash.partIds),
+    );
+    for (const otherId of others) {
+      const blame = this.#blame(otherId, nowMs);
+      if (blame === undefined || blame.processes <= own.size) continue;
+      const explained = listProcesses(this.#listCounted(otherId, nowMs));
+      if ([...own].every((process) => explained.has(process))) return true;
+    }
+    return false;
+  }
+
   /** Returns whether the answer clears a part of several crashes. */
   #recordSound(partId: string, atMs: number, nowMs: number): boolean {
     const knownMs = this.#soundAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
     if (atMs <= knownMs) return false;
     const wasSuspected = this.#isSuspected(partId, nowMs);
+    if (this.#listCounted(partId, nowMs).length > 0) this.#findings.clear();
     this.#soundAtMs.set(partId, atMs);
     return wasSuspected && !this.#isSuspected(partId, nowMs);
   }
 
   #isSuspected(partId: string, nowMs: number): boolean {
-    return this.#crashes.hasPart(partId) &&
-      this.#count(partId, nowMs).processes >= minSuspectedProcesses;
+    const crashes = this.#listCounted(partId, nowMs);
+    return listProcesses(crashes).size >= minSuspectedProcesses;
   }
 
   /**
-   * Counts the crashes that speak against a part. Those before its last whole
+   * Lists the crashes that speak against a part. Those before its last whole
    * answer or shortly after it do not: the part has crashed no runner then.
    */
-  #count(partId: string, nowMs: number) {
+  #listCounted(partId: string, nowMs: number): Crash[] {
     const sinceMs = Math.max(
       nowMs - evidenceMs,
       this.#getSoundUntilMs(partId),
     );
-    const crashes = this.#crashes.listByPart(partId)
+    return this.#crashes.listByPart(partId)
       .filter(({ atMs }) => atMs >= sinceMs);
-    return {
-      processes: new Set(crashes.map(({ process }) => process)).size,
-      requests: new Set(crashes.map(({ request }) => request)).size,
-      lastAtMs: Math.max(...crashes.map(({ atMs }) => atMs)),
-    };
   }
 
   #getSoundUntilMs(partId: string): number {
@@ -169,6 +215,10 @@
   }
 }
 
+function listProcesses(crashes: readonly Crash[]): Set<string> {
+  return new Set(crashes.map(({ process }) => process));
+}
+
 /** Crashed processes from which a part is quarantined. */
 const minProcesses = 3;
 
@@ -187,6 +237,9 @@
  */
 const evidenceMs = 1_800_000;
 
+/** Time for which a finding holds while the evidence does not change. */
+const findingMs = 1000;
+
 /** Maximum crashes that are kept. */
 const maxCrashes = 1000;
 
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -42,6 +42,18 @@
     When another router reports a whole answer with the part "popular" 10 s ago
     Then other routers are to be told of nothing
 
+  Scenario: A part whose crashes another part explains
+    Given the parts "base bad" crashed runners "r1" under request "q1"
+    And the parts "base bad" crashed runners "r2" under request "q2"
+    And the parts "base bad" crashed runners "r3" under request "q3"
+    Then the part "base" is quarantined for 300 s with 3 processes and 3 requests
+    And the part "bad" is quarantined for 300 s with 3 processes and 3 requests
+    When the parts "other bad" crash runners "r4" under request "q4"
+    Then the part "base" is not quarantined
+    And the part "bad" is quarantined for 300 s with 4 processes and 4 requests
+    When the part "base" crashes runners "r5" under request "q5"
+    Then the part "base" is quarantined for 300 s with 4 processes and 4 requests
+
   Scenario: The quarantine ends, and one more crash begins the next
     Given three processes crash under three requests with the part "bad"
     When 299 s pass
@@ -57,6 +69,15 @@
     And the part "bad" crashes runners "r4" under request "q4"
     Then the part "bad" is not quarantined
 
+  Scenario: A quarantine ends when too little of its evidence is left
+    Given the part "bad" crashed runners "r1" under request "q1"
+    When 1750 s pass
+    And the part "bad" crashes runners "r2" under request "q2"
+    And the part "bad" crashes runners "r3" under request "q3"
+    Then the part "bad" is quarantined for 300 s with 3 processes and 3 requests
+    When 60 s pass
+    Then the part "bad" is not quarantined
+
   Scenario: Routers that merge the same evidence in any order agree
     Then 200 random sets of evidence lead to the same state in any order, with seed 5
 
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -30,20 +30,21 @@
 
 function recordCrashes(
   world: World,
-  partId: string,
+  partIds: string[],
   { request, runners }: { request: string; runners: string[] },
 ): void {
   const quarantine = getQuarantine(world);
   const atMs = world.quarantineNowMs;
   for (const process of runners) {
-    quarantine.recordCrash({ process, request, partIds: [partId], atMs }, atMs);
+    quarantine.recordCrash({ process, request, partIds, atMs }, atMs);
   }
 }
 
 Given(
-  /^the part "(.+)" crash(?:ed|es) runners "(.+)" under request "(.+)"$/,
-  function (this: World, partId: string, runners: string, request: string) {
-    recordCrashes(this, partId, { request, runners: runners.split(" ") });
+  /^the parts? "(.+)" crash(?:ed|es)? runners "(.+)" under request "(.+)"$/,
+  function (this: World, ids: string, runners: string, request: string) {
+    const crash = { request, runners: runners.split(" ") };
+    recordCrashes(this, ids.split(" "), crash);
   },
 );
 
@@ -51,7 +52,7 @@
   "three processes crash under three requests with the part {string}",
   function (this: World, partId: string) {
     for (const id of ["1", "2", "3"]) {
-      recordCrashes(this, partId, { request: `q${id}`, runners: [`r${id}`] });
+      recordCrashes(this, [partId], { request: `q${id}`, runners: [`r${id}`] });
     }
   },
 );
@@ -184,7 +185,10 @@
   function (this: World, count: number) {
     for (let index = 0; index < count; index++) {
       const request = `q${index}`;
-      recordCrashes(this, `part-${index}`, { request, runners: [`r${index}`] });
+      recordCrashes(this, [`part-${index}`], {
+        request,
+        runners: [`r${index}`],
+      });
     }
   },
 );
@@ -193,7 +197,10 @@
   "one process crashes under {int} requests",
   function (this: World, count: number) {
     for (let index = 0; index < count; index++) {
-      recordCrashes(this, "p", { request: `many-${index}`, runners: ["one"] });
+      recordCrashes(this, ["p"], {
+        request: `many-${index}`,
+        runners: ["one"],
+      });
     }
   },
 );
--- a/packages/core/src/quarantine/test_support/replay_crashes.ts
+++ b/packages/core/src/quarantine/test_support/replay_crashes.ts
@@ -106,9 +106,10 @@
   #send(request: Request): void {
     const { isOn } = this.#options;
     const nowMs = this.#timers.nowMs();
-    const found = request.gateway.quarantine.find(request.partIds, nowMs);
+    const { gateway, partIds } = request;
+    const found = isOn ? gateway.quarantine.find(partIds, nowMs) : undefined;
     const isCrashing = this.#isCrashing(request);
-    if (isOn && found !== undefined) {
+    if (found !== undefined) {
       if (!isCrashing) this.#result.soundRefusedAtMs.push(nowMs);
       return;
     }
--- a/packages/gateway/src/quarantine/prompt_guard.ts
+++ b/packages/gateway/src/quarantine/prompt_guard.ts
@@ -187,8 +187,10 @@
   }
 
   /** Logs the parts whose quarantine has begun or ended. */
-  #logChanges(partIds: Iterable<string>): void {
+  #logChanges(changedParts: Iterable<string>): void {
     const { logger, metrics, timers } = this.#options;
+    // A crash may also show that another part is not to blame.
+    const partIds = new Set([...changedParts, ...this.#releases.keys()]);
     for (const partId of partIds) {
       const found = this.#quarantine.find([partId], timers.nowMs());
       const release = this.#releases.get(partId);
