Blame a prompt part only for crashes that no other part explains better

Change: a part counts only the processes that parts with more crashes do not explain, and needs three of these.

--- a/packages/core/src/quarantine/prompt_quarantine.ts
+++ b/packages/core/src/quarantine/prompt_quarantine.ts
@@ -162,12 +162,13 @@
   }
 
   /**
-   * Whether another part explains the crash of each process that speaks against
-   * a part, and of further ones. A process crashes once, so the other part is
-   * to blame.
+   * Whether parts with more crashed processes explain so many of those that
+   * speak against a part that too few are left. A process crashes once, so the
+   * other parts are to blame.
    */
   #isExplained(partId: string, nowMs: number): boolean {
     const own = listProcesses(this.#listCounted(partId, nowMs));
+    const unexplained = new Set(own);
     const others = new Set(
       this.#crashes.list().filter(({ process }) => own.has(process))
         .flatMap((crash) => crash.partIds),
@@ -176,9 +177,9 @@
       const blame = this.#blame(otherId, nowMs);
       if (blame === undefined || blame.processes <= own.size) continue;
       const explained = listProcesses(this.#listCounted(otherId, nowMs));
-      if ([...own].every((process) => explained.has(process))) return true;
+      for (const process of explained) unexplained.delete(process);
     }
-    return false;
+    return unexplained.size < minProcesses;
   }
 
   /** Returns whether the answer clears a part of several crashes. */
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -54,6 +54,20 @@
     When the part "base" crashes runners "r5" under request "q5"
     Then the part "base" is quarantined for 300 s with 4 processes and 4 requests
 
+  Scenario: A part of which another part explains all crashes but two
+    Given the parts "base bad" crashed runners "r1" under request "q1"
+    And the parts "base bad" crashed runners "r2" under request "q2"
+    And the parts "base" crashed runners "r3" under request "q3"
+    And the parts "base" crashed runners "r4" under request "q4"
+    And the parts "bad" crashed runners "r5" under request "q5"
+    And the parts "bad" crashed runners "r6" under request "q6"
+    And the parts "bad" crashed runners "r7" under request "q7"
+    Then the part "base" is not quarantined
+    And the part "bad" is quarantined for 300 s with 5 processes and 5 requests
+    When the parts "base" crash runners "r8" under request "q8"
+    And the parts "bad" crash runners "r9" under request "q9"
+    Then the part "base" is quarantined for 300 s with 5 processes and 5 requests
+
   Scenario: The quarantine ends, and one more crash begins the next
     Given three processes crash under three requests with the part "bad"
     When 299 s pass
