Move positions and epochs of the store to the core package

Cause: the gateways' follower and store client knew positions and epochs of the store; the product's own object API needs the same and must not copy them.

--- /dev/null
+++ b/packages/core/src/store/mod.ts
@@ -0,0 +1,3 @@
+/** Positions and epochs of the platform's store. */
+export * from "./position.ts";
+export * from "./store_epoch.ts";
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -1,15 +1,14 @@
 import type { RandomSource } from "@jasminetide/core/random";
 import { RouteTable, type RoutingDeclaration } from "@jasminetide/core/routes";
-import { type TimerService, wait } from "@jasminetide/core/timers";
-import { ResourceStack } from "@jasminetide/runtime/disposal";
-import type { Logger } from "@jasminetide/runtime/logging";
 import {
   initialPosition,
   isLaterPosition,
-  ObjectFollower,
-  type ObjectSource,
   type StorePosition,
-} from "./following/mod.ts";
+} from "@jasminetide/core/store";
+import { type TimerService, wait } from "@jasminetide/core/timers";
+import { ResourceStack } from "@jasminetide/runtime/disposal";
+import type { Logger } from "@jasminetide/runtime/logging";
+import { ObjectFollower, type ObjectSource } from "./following/mod.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   fetchNewerState,
--- a/packages/gateway/src/following/change_log.ts
+++ b/packages/gateway/src/following/change_log.ts
@@ -1,8 +1,5 @@
-import {
-  isLaterPosition,
-  type ObjectChange,
-  type StorePosition,
-} from "./object_source.ts";
+import { isLaterPosition, type StorePosition } from "@jasminetide/core/store";
+import type { ObjectChange } from "./object_source.ts";
 
 type LoggedChange<Value> = {
   change: ObjectChange<Value>;
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -1,18 +1,20 @@
 import type { RandomSource } from "@jasminetide/core/random";
 import { normalizeError } from "@jasminetide/core/results";
+import {
+  initialPosition,
+  isLaterPosition,
+  type StorePosition,
+} from "@jasminetide/core/store";
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import { ChangeLog } from "./change_log.ts";
 import { Confirmation } from "./confirmation.ts";
 import { ObjectTable } from "./object_table.ts";
-import {
-  initialPosition,
-  isLaterPosition,
-  type ObjectChange,
-  type ObjectNews,
-  type ObjectSource,
-  type StorePosition,
+import type {
+  ObjectChange,
+  ObjectNews,
+  ObjectSource,
 } from "./object_source.ts";
 
 /** Options of a follower of the objects of one kind. */
--- a/packages/gateway/src/peers/gateway_state.ts
+++ b/packages/gateway/src/peers/gateway_state.ts
@@ -1,6 +1,6 @@
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
+import { isLaterPosition, type StorePosition } from "@jasminetide/core/store";
 import * as z from "zod";
-import { isLaterPosition, type StorePosition } from "../following/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 
 /** Newest state that a gateway has read from the store. */
--- a/packages/gateway/src/peers/news.ts
+++ b/packages/gateway/src/peers/news.ts
@@ -1,8 +1,9 @@
 import { Buffer } from "node:buffer";
 import { constants, deflateRawSync, inflateRawSync } from "node:zlib";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
+import type { StorePosition } from "@jasminetide/core/store";
 import * as z from "zod";
-import type { ObjectNews, StorePosition } from "../following/mod.ts";
+import type { ObjectNews } from "../following/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 
 /** Positions up to which a gateway has the objects of each kind. */
--- a/packages/gateway/src/state_sync.ts
+++ b/packages/gateway/src/state_sync.ts
@@ -1,13 +1,10 @@
 import type { RandomSource } from "@jasminetide/core/random";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
+import type { StorePosition } from "@jasminetide/core/store";
 import type { TimerService } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
-import {
-  ObjectFollower,
-  type ObjectSource,
-  type StorePosition,
-} from "./following/mod.ts";
+import { ObjectFollower, type ObjectSource } from "./following/mod.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   getHostCapacity,
--- a/packages/gateway/src/test_support/test_source.ts
+++ b/packages/gateway/src/test_support/test_source.ts
@@ -1,10 +1,10 @@
 import { AppError } from "@jasminetide/core/results";
+import type { StorePosition } from "@jasminetide/core/store";
 import type {
   ObjectChange,
   ObjectChanges,
   ObjectList,
   ObjectSource,
-  StorePosition,
 } from "../following/mod.ts";
 
 type PendingWatch = { revision: number; notify: () => void };
