Let the platform stand-in be restored from a copy

Cause: the stand-in of the product's object API could not lose its last writes, so nothing showed what the product does on a store that came back from a copy.

Change: every answer states the epoch of the store. POST /copy and /restore, or copy and restore of ObjectStore in a test, bring back older objects: versions go back and are given out again, waiting watches end, a watch after a version that the store lacks is answered with 410. A call may state the epoch that it expects; a write then is a conflict in another one, though its version fits by accident.

Evidence: platform_server.feature, five new scenarios.

Conclusion: the interface now has what a client needs to tell two epochs apart.

--- a/packages/stand_in/src/object_api/object_api.ts
+++ b/packages/stand_in/src/object_api/object_api.ts
@@ -35,6 +35,12 @@
   rates?: CallRates;
 };
 
+/**
+ * Header of answers with the number of times that the store was restored from a
+ * copy; in a write or watch, the number that the caller expects.
+ */
+const epochHeader = "store-epoch";
+
 const retryAfterMs = 1000;
 
 const maxValueBytes = 1_048_576;
@@ -75,6 +81,7 @@
   ): Promise<void> {
     try {
       await this.#delay();
+      this.stateEpoch(response);
       if (this.faults.outage) {
         request.socket.destroy();
         return;
@@ -85,6 +92,11 @@
     }
   }
 
+  /** States the current epoch of the store in the head of an answer. */
+  stateEpoch(response: ServerResponse): void {
+    response.setHeader(epochHeader, String(this.store.epoch));
+  }
+
   /**
    * Counts a call against the rate limits.
    *
@@ -107,12 +119,19 @@
     if (request.method === "PUT") {
       await this.#put(path, request, response);
     } else if (request.method === "DELETE") {
-      const result = this.store.delete(path, getCondition(request));
-      this.#answerWrite(result, { request, response });
+      this.#answerWrite(
+        this.#isEpochExpected(request)
+          ? this.store.delete(path, getCondition(request))
+          : this.#createConflict(path),
+        { request, response },
+      );
     } else if (!path.includes("/")) {
       this.#list(path, response);
     } else if (url.searchParams.has("watch")) {
-      this.#watch(path, url.searchParams, response);
+      const hasHistory = this.#isEpochExpected(request) &&
+        Number(url.searchParams.get("after") ?? "0") <= this.store.version;
+      if (hasHistory) this.#watch(path, url.searchParams, response);
+      else response.writeHead(410).end();
     } else {
       this.#get(path, response);
     }
@@ -141,15 +160,23 @@
     response: ServerResponse,
   ): Promise<void> {
     const body = await readBody(request, maxValueBytes);
-    const result = this.store.put(
-      path,
-      body.toString("utf8"),
-      getCondition(request),
-    );
+    const result = this.#isEpochExpected(request)
+      ? this.store.put(path, body.toString("utf8"), getCondition(request))
+      : this.#createConflict(path);
     this.counts.writtenBytes += body.length;
     this.#answerWrite(result, { request, response });
   }
 
+  /** Whether the store is in the epoch that the call expects, if any. */
+  #isEpochExpected(request: IncomingMessage): boolean {
+    const expected = request.headers[epochHeader];
+    return expected === undefined || expected === String(this.store.epoch);
+  }
+
+  #createConflict(path: string): StoreWriteResult {
+    return { type: "conflict", version: this.store.get(path)?.version ?? 0 };
+  }
+
   #answerWrite(
     result: StoreWriteResult,
     exchange: { request: IncomingMessage; response: ServerResponse },
@@ -159,6 +186,7 @@
       request.socket.destroy();
       return;
     }
+    this.stateEpoch(response);
     response.writeHead(result.type === "written" ? 200 : 412, {
       etag: `"${result.version}"`,
     });
@@ -192,6 +220,7 @@
       subscription[Symbol.dispose]();
       timer[Symbol.dispose]();
       const row = this.store.get(path);
+      this.stateEpoch(response);
       if (this.faults.outage) response.destroy();
       else if (row === undefined) response.writeHead(404).end();
       else this.#sendValue(response, row);
--- a/packages/stand_in/src/object_api/object_store.ts
+++ b/packages/stand_in/src/object_api/object_store.ts
@@ -9,8 +9,15 @@
   | { type: "written"; version: number }
   | { type: "conflict"; version: number };
 
+/** Objects of a store and its last version at some time. */
+export type StoreCopy = {
+  version: number;
+  rows: ReadonlyMap<string, StoreRow>;
+};
+
 /** In-memory store of versioned objects with conditional writes and watches. */
 export class ObjectStore {
+  #epoch = 0;
   #version = 0;
   readonly #rows = new Map<string, StoreRow>();
   /** Each object as it was before its last write or deletion. */
@@ -24,6 +31,34 @@
     return new ObjectStore();
   }
 
+  /** Number of times that the store was restored from a copy. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
+  /** Version of the last write. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Copies all objects. */
+  copy(): StoreCopy {
+    return { version: this.#version, rows: new Map(this.#rows) };
+  }
+
+  /**
+   * Replaces all objects by those of a copy, and so loses later writes. Versions
+   * go back and are given out again. Ends all waiting watches.
+   */
+  restore(copy: StoreCopy): void {
+    this.#epoch += 1;
+    this.#version = copy.version;
+    this.#rows.clear();
+    this.#previous.clear();
+    for (const [path, row] of copy.rows) this.#rows.set(path, row);
+    for (const path of [...this.#listeners.keys()]) this.#notify(path);
+  }
+
   /** Gets an object by its path, `kind/name`. */
   get(path: string): StoreRow | undefined {
     return this.#rows.get(path);
--- a/packages/stand_in/src/platform_server.feature
+++ b/packages/stand_in/src/platform_server.feature
@@ -41,3 +41,33 @@
     Then the list shows it as leaving only after the delay
     When the host is removed over HTTP
     Then the list is empty only after the delay
+
+  Scenario: Every answer states the epoch of the store
+    Then reads, writes, watches, refusals and the host list state epoch 0
+    When the store is restored from a copy
+    Then reads, writes, watches, refusals and the host list state epoch 1
+    When the store is restored from a copy
+    Then reads, writes, watches, refusals and the host list state epoch 2
+
+  Scenario: A restored store has lost the last writes and gives out their versions again
+    When an object is written, the store is copied and the object is written again
+    And the platform is restored from the copy
+    Then a read returns the first value
+    And the next write gets the version of the lost one
+
+  Scenario: A restore ends waiting watches
+    When the store is restored while an object is watched
+    Then the watch ends with status 200 in epoch 1
+
+  Scenario: A watch from a version that the restored store does not have is expired
+    When an object is written, the store is copied and the object is written again
+    And the platform is restored from the copy
+    Then a watch from the lost version ends with status 410
+
+  Scenario: A call that expects the epoch before a restore is refused
+    When an object is written, the store is copied and the object is written again
+    And the platform is restored from the copy
+    And the object is written again
+    Then a write on the lost version that expects epoch 0 is a conflict
+    And a watch from the first version that expects epoch 0 ends with status 410
+    And a write on the lost version that expects epoch 1 is accepted
--- a/packages/stand_in/src/platform_server.ts
+++ b/packages/stand_in/src/platform_server.ts
@@ -13,7 +13,7 @@
 import { z } from "zod";
 import type { HostList } from "./host_list/mod.ts";
 import { hostRecordSchema } from "./host_list/mod.ts";
-import type { ObjectApi } from "./object_api/mod.ts";
+import type { ObjectApi, StoreCopy } from "./object_api/mod.ts";
 
 const ratio = z.number().min(0).max(1);
 
@@ -35,6 +35,8 @@
   hosts: HostList;
 };
 
+type Copies = { last: StoreCopy | undefined };
+
 /** A request to the platform and its response. */
 type Exchange = { request: IncomingMessage; response: ServerResponse };
 
@@ -45,8 +47,10 @@
 export function startPlatformServer(
   options: PlatformServerOptions,
 ): Promise<ListeningServer> {
+  const copies: Copies = { last: undefined };
   return startServer(options.address, (request, response) => {
-    handle({ request, response }, options).catch((error) =>
+    options.objects.stateEpoch(response);
+    handle({ request, response }, { ...options, copies }).catch((error) =>
       sendProblem(response, error)
     );
   });
@@ -54,7 +58,7 @@
 
 async function handle(
   exchange: Exchange,
-  options: PlatformServerOptions,
+  options: PlatformServerOptions & { copies: Copies },
 ): Promise<void> {
   const { request, response } = exchange;
   const path = request.url ?? "/";
@@ -69,9 +73,24 @@
     const faults = await parseBody(request, faultsSchema);
     Object.assign(options.objects.faults, faults);
     sendJson(response, options.objects.faults);
+  } else if (path === "/copy" && request.method === "POST") {
+    options.copies.last = options.objects.store.copy();
+    response.writeHead(204).end();
+  } else if (path === "/restore" && request.method === "POST") {
+    restoreLastCopy(options);
+    response.writeHead(204).end();
   } else throw AppError.create("notFound", `No path ${path}`);
 }
 
+function restoreLastCopy(
+  { copies, objects }: PlatformServerOptions & { copies: Copies },
+): void {
+  if (copies.last === undefined) {
+    throw AppError.create("notFound", "No copy of the store was made");
+  }
+  objects.store.restore(copies.last);
+}
+
 /** Serves the host list to its readers, and changes hosts for tests. */
 async function handleHosts(
   { request, response }: Exchange,
--- a/packages/stand_in/src/platform_server_test.ts
+++ b/packages/stand_in/src/platform_server_test.ts
@@ -3,7 +3,7 @@
 import { VirtualTimerService } from "@jasminetide/core/timers";
 import type { ListeningServer } from "@jasminetide/runtime/http";
 import { HostList } from "./host_list/mod.ts";
-import { ObjectApi } from "./object_api/mod.ts";
+import { ObjectApi, type StoreCopy } from "./object_api/mod.ts";
 import { startPlatformServer } from "./platform_server.ts";
 
 type World = {
@@ -12,6 +12,8 @@
   platform: ListeningServer;
   statuses: number[];
   versions: number[];
+  epochs: (string | null)[];
+  copy: StoreCopy;
   watch: Promise<number>;
 };
 
@@ -27,6 +29,7 @@
   try {
     const url = `http://${world.platform.address}${path}`;
     const response = await fetch(url, init);
+    world.epochs.push(response.headers.get("store-epoch"));
     const etag = response.headers.get("etag");
     if (etag !== null) world.versions.push(Number(etag.replaceAll('"', "")));
     await response.text();
@@ -70,6 +73,7 @@
     const timers = VirtualTimerService.create();
     this.platformTimers = timers;
     this.versions = [];
+    this.epochs = [];
     this.objects = ObjectApi.create({
       timers,
       getRandom: () => 0.5,
@@ -244,3 +248,126 @@
   this.platformTimers.advance(lagMs);
   assert.deepEqual(await getHosts(this), []);
 });
+
+const neverExisting = "/objects/k/b";
+
+Then(
+  "reads, writes, watches, refusals and the host list state epoch {int}",
+  async function (this: World, epoch: number) {
+    this.epochs = [];
+    this.platformTimers.advance(1000);
+    const put = { method: "PUT", body: "1" };
+    const conflicting = { ...put, headers: { "if-match": '"999"' } };
+    const statuses = [
+      await send(this, "/objects/k/a", put),
+      await send(this, "/objects/k/a", conflicting),
+      await send(this, "/objects/k/a"),
+      await send(this, neverExisting),
+      await send(this, "/objects/k"),
+      await send(this, "/objects/k/a?watch=1&after=999"),
+      await send(this, "/objects/k/a"),
+      await send(this, "/hosts"),
+    ];
+    this.platformTimers.advance(1000);
+    statuses.push(
+      await send(this, "/hosts"),
+      await send(this, "/hosts/h9/leaving", { method: "POST" }),
+      await send(this, "/counts"),
+    );
+    const expected = [200, 412, 200, 404, 200, 410, 200, 429, 200, 404, 200];
+    assert.deepEqual(statuses, expected);
+    assert.deepEqual(this.epochs, expected.map(() => String(epoch)));
+  },
+);
+
+When("the store is restored from a copy", async function (this: World) {
+  assert.equal(await send(this, "/copy", { method: "POST" }), 204);
+  assert.equal(await send(this, "/restore", { method: "POST" }), 204);
+});
+
+When(
+  "an object is written, the store is copied and the object is written again",
+  async function (this: World) {
+    await write(this, "first");
+    this.copy = this.objects.store.copy();
+    await write(this, "second");
+  },
+);
+
+When("the platform is restored from the copy", function (this: World) {
+  this.objects.store.restore(this.copy);
+});
+
+Then(
+  "the next write gets the version of the lost one",
+  async function (this: World) {
+    await write(this, "third");
+    const [, lost, third] = this.versions;
+    assert.equal(third, lost);
+  },
+);
+
+When(
+  "the store is restored while an object is watched",
+  async function (this: World) {
+    await write(this, "first");
+    await startWatch(this, this.versions[0]);
+    this.objects.store.restore(this.objects.store.copy());
+  },
+);
+
+Then(
+  "the watch ends with status {int} in epoch {int}",
+  async function (this: World, status: number, epoch: number) {
+    assert.equal(await this.watch, status);
+    assert.equal(this.epochs.at(-1), String(epoch));
+  },
+);
+
+When("the object is written again", async function (this: World) {
+  this.platformTimers.advance(1000);
+  assert.equal(await write(this, "third"), 200);
+});
+
+/** Sends a call that expects an epoch of the store. */
+function sendExpecting(
+  world: World,
+  epoch: number,
+  call: { path: string; method: string; version?: number },
+): Promise<number> {
+  const headers = {
+    "store-epoch": String(epoch),
+    ...(call.version === undefined ? {} : { "if-match": `"${call.version}"` }),
+  };
+  const body = call.method === "PUT" ? { body: "fourth" } : {};
+  return send(world, call.path, { method: call.method, headers, ...body });
+}
+
+Then(
+  "a watch from the lost version ends with status {int}",
+  async function (this: World, status: number) {
+    const path = `/objects/k/a?watch=1&after=${this.versions[1]}`;
+    assert.equal(await send(this, path), status);
+  },
+);
+
+Then(
+  /^a write on the lost version that expects epoch (\d+) is (a conflict|accepted)$/,
+  async function (this: World, epoch: string, outcome: string) {
+    const call = { path: "/objects/k/a", method: "PUT" };
+    const status = await sendExpecting(this, Number(epoch), {
+      ...call,
+      version: this.versions[1],
+    });
+    assert.equal(status, outcome === "accepted" ? 200 : 412);
+  },
+);
+
+Then(
+  "a watch from the first version that expects epoch {int} ends with status {int}",
+  async function (this: World, epoch: number, status: number) {
+    const path = `/objects/k/a?watch=1&after=${this.versions[0]}`;
+    const call = { path, method: "GET" };
+    assert.equal(await sendExpecting(this, epoch, call), status);
+  },
+);
