Notice a restore of the store in the platform client

Cause: the client of the product's object API knew plain versions. A store that came back from a copy gives versions out again, so a conditional write could meet its condition by accident, a late answer or a cached drain of the time before was taken for the current state, and nobody was told.

Change: objects, conditions and watches carry positions of epoch and revision. Writes and watches state the epoch that they rely on; a write that succeeds in another one counts as lost. A watch after a position that the store lacks gets the object as it is. Journals and leases keep integers, into which positions are encoded in their order.

--- a/packages/load/src/soak/fake_platform.ts
+++ b/packages/load/src/soak/fake_platform.ts
@@ -1,5 +1,6 @@
 /** The platform's object API with faults, in virtual time. */
 import { AppError } from "@jasminetide/core/results";
+import { isLaterPosition, type StorePosition } from "@jasminetide/core/store";
 import type {
   ObjectName,
   PlatformClient,
@@ -40,38 +41,44 @@
   /** Gets an object. */
   async get(object: ObjectName): Promise<StoredObject | undefined> {
     await this.#request();
-    return this.store.get(getPath(object));
+    return this.#read(object);
   }
 
   /** Writes an object if the condition holds. */
   async put(
     object: ObjectName,
     options: { value: string; condition: WriteCondition },
-  ): Promise<number> {
+  ): Promise<StorePosition> {
     await this.#request();
     const write = this.store.put(
       getPath(object),
       options.value,
-      options.condition,
+      options.condition === "absent"
+        ? "absent"
+        : { version: options.condition.position.revision },
     );
     const isLost = this.#world.isActive("write-answer-lost") &&
       this.#world.drawBoolean(lossProbability);
     if (isLost) await this.#fail("write answers lost");
     await this.#world.wait(delayMs);
-    if (write.type === "written") return write.version;
+    if (write.type === "written") {
+      return { epoch: this.store.epoch, revision: write.version };
+    }
     throw AppError.create("versionConflict", `At ${write.version}`);
   }
 
-  /** Waits until an object is newer than `afterVersion`, or times out. */
+  /** Waits until an object is later than `after`, or times out. */
   async watch(
     object: ObjectName,
-    options: { afterVersion: number; timeoutMs: number },
+    options: { after: StorePosition; timeoutMs: number },
   ): Promise<StoredObject | undefined> {
     await this.#request();
     const untilMs = this.#world.nowMs() + options.timeoutMs;
     while (this.#world.nowMs() < untilMs) {
-      const stored = this.store.get(getPath(object));
-      if (stored !== undefined && stored.version > options.afterVersion) {
+      const stored = this.#read(object);
+      if (
+        stored !== undefined && isLaterPosition(stored.position, options.after)
+      ) {
         await this.#request();
         return stored;
       }
@@ -80,15 +87,25 @@
     return undefined;
   }
 
-  /** Lists the names and versions of a kind. */
-  async list(kind: string): Promise<{ name: string; version: number }[]> {
+  /** Lists the names and positions of a kind. */
+  async list(
+    kind: string,
+  ): Promise<{ name: string; position: StorePosition }[]> {
     await this.#request();
     return this.store.list(`${kind}/`).map(({ path, version }) => ({
       name: path.slice(kind.length + 1),
-      version,
+      position: { epoch: this.store.epoch, revision: version },
     }));
   }
 
+  #read(object: ObjectName): StoredObject | undefined {
+    const row = this.store.get(getPath(object));
+    return row === undefined ? undefined : {
+      position: { epoch: this.store.epoch, revision: row.version },
+      value: row.value,
+    };
+  }
+
   async #request(): Promise<void> {
     if (this.#world.isActive("platform-down")) {
       await this.#fail("platform calls failed");
--- a/packages/operator/src/apply/publications.ts
+++ b/packages/operator/src/apply/publications.ts
@@ -7,7 +7,10 @@
 import { createHash } from "node:crypto";
 import { formatCanonical } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
-import type { PlatformClient } from "@jasminetide/runtime/platform";
+import type {
+  PlatformClient,
+  WriteCondition,
+} from "@jasminetide/runtime/platform";
 import { z } from "zod";
 import type { Change } from "../changes/mod.ts";
 
@@ -48,10 +51,12 @@
 
 async function loadStored(platform: PlatformClient) {
   const stored = await platform.get(publicationsObject);
-  if (stored === undefined) return { version: 0, publications: [] };
+  if (stored === undefined) {
+    return { condition: "absent" as const, publications: [] };
+  }
   const result = publicationsSchema.safeParse(JSON.parse(stored.value));
   const publications = result.success ? result.data : [];
-  return { version: stored.version, publications };
+  return { condition: { position: stored.position }, publications };
 }
 
 /**
@@ -77,7 +82,7 @@
     ]),
   );
   for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
-    const { version, publications } = await loadStored(platform);
+    const { condition, publications } = await loadStored(platform);
     const isAnnounced = publications.some((entry) =>
       entry.hash === identity.hash && entry.announcedAtMs === announcedAtMs
     );
@@ -88,7 +93,7 @@
       ...kept,
       { ...identity, announcedAtMs, before },
     ]);
-    if (await tryPut(platform, { value, version })) return;
+    if (await tryPut(platform, { value, condition })) return;
   }
   throw AppError.create(
     "platformUnavailable",
@@ -113,12 +118,10 @@
 
 async function tryPut(
   platform: PlatformClient,
-  options: { value: string; version: number },
+  options: { value: string; condition: WriteCondition },
 ): Promise<boolean> {
-  const { value, version } = options;
   try {
-    const condition = version === 0 ? "absent" as const : { version };
-    await platform.put(publicationsObject, { value, condition });
+    await platform.put(publicationsObject, options);
     return true;
   } catch (thrown) {
     const { result } = normalizeError(thrown);
--- a/packages/operator/src/drain/drain_intent.ts
+++ b/packages/operator/src/drain/drain_intent.ts
@@ -74,7 +74,7 @@
         value,
         condition: stored === undefined
           ? "absent"
-          : { version: stored.version },
+          : { position: stored.position },
       });
       return;
     } catch (thrown) {
--- a/packages/operator/src/ledger/load_shard.ts
+++ b/packages/operator/src/ledger/load_shard.ts
@@ -12,6 +12,7 @@
   resolutionsSchema,
 } from "@jasminetide/core/ledger";
 import { AppError } from "@jasminetide/core/results";
+import type { StorePosition } from "@jasminetide/core/store";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 
 /** Ledger of a service, stored in the platform. */
@@ -24,8 +25,8 @@
   /** Entries by key; those of the head override those of segments. */
   entries: Map<string, LedgerEntry>;
   resolutions: Resolutions;
-  /** Version of the stored resolutions; 0 if there are none. */
-  resolutionsVersion: number;
+  /** Position of the stored resolutions; undefined if there are none. */
+  resolutionsPosition: StorePosition | undefined;
 };
 
 /**
@@ -63,7 +64,7 @@
     resolutions: resolutions === undefined
       ? {}
       : resolutionsSchema.parse(JSON.parse(resolutions.value)),
-    resolutionsVersion: resolutions?.version ?? 0,
+    resolutionsPosition: resolutions?.position,
   };
 }
 
--- a/packages/operator/src/ledger/resolve_entry.ts
+++ b/packages/operator/src/ledger/resolve_entry.ts
@@ -64,7 +64,7 @@
   resolution: Resolution,
 ): Promise<void> {
   const { loaded, shard, scopedKey } = located;
-  const version = loaded?.resolutionsVersion ?? 0;
+  const position = loaded?.resolutionsPosition;
   const kept = Object.entries(loaded?.resolutions ?? {})
     .sort(([, left], [, right]) => right.resolvedAtMs - left.resolvedAtMs)
     .slice(0, maxResolutions - 1);
@@ -73,7 +73,7 @@
     formatResolutionsObject(location.service, shard),
     {
       value: JSON.stringify(resolutions),
-      condition: version === 0 ? "absent" : { version },
+      condition: position === undefined ? "absent" : { position },
     },
   );
 }
--- a/packages/router/src/placement/status_writer.ts
+++ b/packages/router/src/placement/status_writer.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from "@jasminetide/core/store";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 import { normalizeError } from "@jasminetide/core/results";
@@ -17,7 +18,7 @@
 export class StatusWriter {
   readonly #options: StatusWriterOptions;
   #lastValue = "";
-  #version: number | undefined;
+  #position: StorePosition | undefined;
   #nextWriteAtMs = 0;
   #isWriting = false;
 
@@ -48,7 +49,7 @@
       await this.#put(value);
       this.#lastValue = value;
     } catch (thrown) {
-      this.#version = undefined;
+      this.#position = undefined;
       this.#options.logger.warn("status-write-failed", {
         code: normalizeError(thrown).code,
       });
@@ -60,9 +61,8 @@
   async #put(value: string): Promise<void> {
     const { name, platform } = this.#options;
     const object = { kind: "status", name };
-    const version = this.#version ??
-      (await platform.get(object))?.version ?? 0;
-    const condition = version === 0 ? "absent" : { version };
-    this.#version = await platform.put(object, { value, condition });
+    const position = this.#position ?? (await platform.get(object))?.position;
+    const condition = position === undefined ? "absent" : { position };
+    this.#position = await platform.put(object, { value, condition });
   }
 }
--- a/packages/runtime/src/configuration/configuration_follower.ts
+++ b/packages/runtime/src/configuration/configuration_follower.ts
@@ -5,15 +5,18 @@
   type SplitSection,
 } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
+import { initialPosition, type StorePosition } from "@jasminetide/core/store";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { PeerClient } from "../control/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import type { PlatformClient, StoredObject } from "../platform/mod.ts";
+import type { PlatformClient } from "../platform/mod.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import {
   completeDeclaration,
   createPlatformSource,
   type PartSource,
+  readStoredConfiguration,
+  type StoredConfiguration,
 } from "./load_accepted.ts";
 import { configurationObject } from "./objects.ts";
 
@@ -62,6 +65,8 @@
     version: 0,
     address: "",
   };
+  /** Position of the object that the last watch or read returned. */
+  #watchedAt: StorePosition = initialPosition;
   #fetching: Promise<void> | undefined;
   /** Whether the initial load has ended, successfully or not. */
   #isInitialLoadDone = false;
@@ -132,9 +137,10 @@
     const { platform } = this.#options;
     try {
       const stored = await platform.get(configurationObject);
-      if (stored !== undefined) {
-        await this.#apply(stored, this.#listPeerSources());
-      }
+      if (stored === undefined) return;
+      const configuration = readStoredConfiguration(stored);
+      await this.#apply(configuration, this.#listPeerSources());
+      this.#watchedAt = stored.position;
     } catch (thrown) {
       if (!await this.#fetchHighestVersion()) throw thrown;
     }
@@ -158,16 +164,18 @@
   }
 
   async #watch(): Promise<void> {
-    const { holder, platform } = this.#options;
+    const { platform } = this.#options;
     const stored = await platform.watch(configurationObject, {
-      afterVersion: holder.version,
+      after: this.#watchedAt,
       timeoutMs: watchTimeoutMs,
       signal: this.#abort.signal,
     });
     // Peers do not have the version yet: watchers are the first to receive it.
-    if (stored !== undefined) {
-      await this.#apply(stored, [this.#getPlatformSource()]);
-    }
+    if (stored === undefined) return;
+    await this.#apply(readStoredConfiguration(stored), [
+      this.#getPlatformSource(),
+    ]);
+    this.#watchedAt = stored.position;
   }
 
   async #fetchAnnounced(): Promise<void> {
@@ -200,7 +208,7 @@
   /** Queries a peer; undefined if it has no newer version or no answer. */
   async #fetchNewer(
     address: string,
-  ): Promise<{ stored: StoredObject; source: PartSource } | undefined> {
+  ): Promise<{ stored: StoredConfiguration; source: PartSource } | undefined> {
     const { getPeer, holder } = this.#options;
     const peer = getPeer(address);
     const answer = await peer.getConfiguration.query({
@@ -214,17 +222,22 @@
           "does not match its hash",
       );
     }
-    const stored = { version: answer.version, value: answer.text };
+    const stored = { version: answer.version, text: answer.text };
     return { stored, source: createPeerSource(peer) };
   }
 
   async #fetchFromPlatform(version: number): Promise<boolean> {
     const stored = await this.#options.platform.get(configurationObject);
-    if (stored === undefined || stored.version < version) return false;
-    return this.#apply(stored, this.#listPeerSources());
+    if (stored === undefined) return false;
+    const configuration = readStoredConfiguration(stored);
+    if (configuration.version < version) return false;
+    return this.#apply(configuration, this.#listPeerSources());
   }
 
-  async #apply(stored: StoredObject, sources: PartSource[]): Promise<boolean> {
+  async #apply(
+    stored: StoredConfiguration,
+    sources: PartSource[],
+  ): Promise<boolean> {
     const { holder, logger, sections } = this.#options;
     if (stored.version <= holder.version) return false;
     const accepted = await completeDeclaration(stored, {
--- a/packages/runtime/src/configuration/following_test.ts
+++ b/packages/runtime/src/configuration/following_test.ts
@@ -6,6 +6,7 @@
   type RandomSource,
 } from "@jasminetide/core/random";
 import { AppError } from "@jasminetide/core/results";
+import { isLaterPosition, type StorePosition } from "@jasminetide/core/store";
 import { VirtualTimerService } from "@jasminetide/core/timers";
 import fc from "fast-check";
 import type { PeerClient } from "../control/mod.ts";
@@ -71,11 +72,11 @@
       meanPartEntries: 4,
     });
     for (const [hash, value] of stored.parts) {
-      this.objects.set(getPath(getPartObject(hash)), [{ version: 1, value }]);
+      this.objects.set(getPath(getPartObject(hash)), [createStored(1, value)]);
     }
     const path = getPath(configurationObject);
     const history = this.objects.get(path) ?? [];
-    history.push({ version: this.version, value: stored.text });
+    history.push(createStored(this.version, stored.text));
     this.objects.set(path, history);
   }
 
@@ -122,12 +123,12 @@
     };
     const watch = async (
       object: ObjectName,
-      options: { afterVersion: number },
+      options: { after: StorePosition },
     ) => {
       await this.#wait(stepMs);
       const stored = await read(object);
       const isNewer = stored !== undefined &&
-        stored.version > options.afterVersion;
+        isLaterPosition(stored.position, options.after);
       return isNewer ? stored : undefined;
     };
     return { get: read, watch } as unknown as PlatformClient;
@@ -161,6 +162,10 @@
   }
 }
 
+function createStored(revision: number, value: string): StoredObject {
+  return { position: { epoch: 0, revision }, value };
+}
+
 function getPath({ kind, name }: ObjectName): string {
   return `${kind}/${name}`;
 }
--- a/packages/runtime/src/configuration/load_accepted.ts
+++ b/packages/runtime/src/configuration/load_accepted.ts
@@ -10,6 +10,9 @@
 import type { PlatformClient, StoredObject } from "../platform/mod.ts";
 import { configurationObject, getPartObject } from "./objects.ts";
 
+/** Text of a stored declaration and the version that it was accepted as. */
+export type StoredConfiguration = { version: number; text: string };
+
 /** Gets parts by hash; parts that it cannot get are missing in the result. */
 export type PartSource = (hashes: string[]) => Promise<Parts>;
 
@@ -31,12 +34,19 @@
 ): Promise<AcceptedConfiguration | undefined> {
   const stored = await platform.get(configurationObject);
   if (stored === undefined) return undefined;
-  return completeDeclaration(stored, {
+  return completeDeclaration(readStoredConfiguration(stored), {
     ...options,
     sources: [createPlatformSource(platform)],
   });
 }
 
+/** Reads the version of a declaration that the platform stores. */
+export function readStoredConfiguration(
+  { position, value }: StoredObject,
+): StoredConfiguration {
+  return { version: position.revision, text: value };
+}
+
 /**
  * Completes a stored declaration with its parts, fetched from the sources in
  * order unless already known.
@@ -45,13 +55,13 @@
  * returns a text that does not match the part's hash.
  */
 export async function completeDeclaration(
-  stored: StoredObject,
+  stored: StoredConfiguration,
   options: LoadAcceptedOptions & { sources: PartSource[] },
 ): Promise<AcceptedConfiguration> {
   const { knownParts, sections, sources } = options;
   const parts = new Map<string, string>();
   let missing: string[] = [];
-  for (const hash of listPartHashes(stored.value, sections)) {
+  for (const hash of listPartHashes(stored.text, sections)) {
     const text = knownParts?.get(hash);
     if (text === undefined) missing.push(hash);
     else parts.set(hash, text);
@@ -63,8 +73,8 @@
   }
   return acceptConfiguration({
     version: stored.version,
-    hash: hashText(stored.value),
-    text: stored.value,
+    hash: hashText(stored.text),
+    text: stored.text,
     parts,
     sections,
   });
--- a/packages/runtime/src/configuration/publish.ts
+++ b/packages/runtime/src/configuration/publish.ts
@@ -8,7 +8,8 @@
 } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import * as z from "zod";
-import type { PlatformClient } from "../platform/mod.ts";
+import type { PlatformClient, WriteCondition } from "../platform/mod.ts";
+import { readStoredConfiguration } from "./load_accepted.ts";
 import { configurationObject, getPartObject } from "./objects.ts";
 
 /** A declaration to publish, and the version it is based on. */
@@ -109,15 +110,14 @@
   options: { text: string; expectedVersion: number },
 ): Promise<number> {
   const { expectedVersion, text } = options;
-  const condition = expectedVersion === 0
-    ? "absent"
-    : { version: expectedVersion };
   for (let attempt = 1;; attempt++) {
     try {
-      return await platform.put(configurationObject, {
+      const condition = await getCondition(platform, expectedVersion);
+      const { revision } = await platform.put(configurationObject, {
         value: text,
         condition,
       });
+      return revision;
     } catch (thrown) {
       const error = normalizeError(thrown);
       const version = await findOwnWrite(platform, options, {
@@ -130,6 +130,28 @@
   }
 }
 
+/**
+ * Gets the condition that the manifest still has a version.
+ *
+ * @throws AppError `versionConflict` if it has another one.
+ */
+async function getCondition(
+  platform: PlatformClient,
+  expectedVersion: number,
+): Promise<WriteCondition> {
+  const stored = await platform.get(configurationObject);
+  const version = stored === undefined
+    ? 0
+    : readStoredConfiguration(stored).version;
+  if (version !== expectedVersion) {
+    throw AppError.create(
+      "versionConflict",
+      `Configuration is at version ${version}, expected ${expectedVersion}`,
+    );
+  }
+  return stored === undefined ? "absent" : { position: stored.position };
+}
+
 /** Gets the version of this declaration if a write of it took effect. */
 async function findOwnWrite(
   platform: PlatformClient,
@@ -143,9 +165,8 @@
   try {
     const stored = await platform.get(configurationObject);
     if (stored?.value !== options.text) return undefined;
-    return stored.version > options.expectedVersion
-      ? stored.version
-      : undefined;
+    const { version } = readStoredConfiguration(stored);
+    return version > options.expectedVersion ? version : undefined;
   } catch {
     return undefined;
   }
--- a/packages/runtime/src/leases/fetch_fencing_number.ts
+++ b/packages/runtime/src/leases/fetch_fencing_number.ts
@@ -30,7 +30,7 @@
     : parseLease(stored.value);
   await platform.put(object, {
     value: formatLease(lease),
-    condition: stored === undefined ? "absent" : { version: stored.version },
+    condition: stored === undefined ? "absent" : { position: stored.position },
   });
   return lease.fencingNumber;
 }
--- a/packages/runtime/src/leases/lease_manager.ts
+++ b/packages/runtime/src/leases/lease_manager.ts
@@ -18,6 +18,7 @@
 } from "@jasminetide/core/leases";
 import { assertNever } from "@jasminetide/core/results";
 import { normalizeError } from "@jasminetide/core/results";
+import { decodePosition, encodePosition } from "@jasminetide/core/store";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { PeerClient } from "../control/mod.ts";
 import type { Logger } from "../logging/mod.ts";
@@ -134,9 +135,10 @@
     const { platform, timers } = this.#options;
     const stored = await platform.get(getLeaseObject(duty));
     applyLeaseRead(this.#tables, duty, {
-      stored: stored === undefined
-        ? undefined
-        : { lease: parseLease(stored.value), version: stored.version },
+      stored: stored === undefined ? undefined : {
+        lease: parseLease(stored.value),
+        version: encodePosition(stored.position),
+      },
       nowMs: timers.nowMs(),
     });
   }
@@ -146,13 +148,16 @@
   ): Promise<void> {
     const { logger, platform, timers } = this.#options;
     const { duty, expectedVersion, lease } = command;
-    const version = await platform.put(getLeaseObject(duty), {
+    const position = await platform.put(getLeaseObject(duty), {
       value: formatLease(lease),
       condition: expectedVersion === 0
         ? "absent"
-        : { version: expectedVersion },
+        : { position: decodePosition(expectedVersion) },
+    });
+    applyLeaseWritten(this.#tables, duty, {
+      version: encodePosition(position),
+      nowMs: timers.nowMs(),
     });
-    applyLeaseWritten(this.#tables, duty, { version, nowMs: timers.nowMs() });
     logger.info("lease-written", {
       duty,
       holder: lease.holder?.name,
--- a/packages/runtime/src/platform/client.ts
+++ b/packages/runtime/src/platform/client.ts
@@ -1,20 +1,26 @@
-import { Buffer } from "node:buffer";
-import { gunzipSync } from "node:zlib";
 import { AppError } from "@jasminetide/core/results";
-import { Pool } from "undici";
+import type {
+  StorePosition,
+  StoreRestoredListener,
+} from "@jasminetide/core/store";
+import {
+  type PlatformAnswer,
+  type PlatformRequest,
+  PlatformTransport,
+} from "./transport.ts";
 import type { HostRecord, StoredObject } from "./types.ts";
 import { WriteLimiter } from "./write_limiter.ts";
 
 /** Name of an object of the platform, unique within its kind. */
 export type ObjectName = { kind: string; name: string };
 
-/** Precondition of a write: the version to replace, or no object. */
-export type WriteCondition = { version: number } | "absent";
+/** Precondition of a write: the position to replace, or no object. */
+export type WriteCondition = { position: StorePosition } | "absent";
 
 /** Outcome of a write; a `lost` one may or may not have taken effect. */
 export type PutResult =
-  | { type: "written"; version: number }
-  | { type: "conflict"; version: number }
+  | { type: "written"; position: StorePosition }
+  | { type: "conflict"; position: StorePosition }
   | { type: "lost" };
 
 /** Address and limits of a client. */
@@ -28,14 +34,13 @@
 
 const defaultTimeoutMs = 2000;
 const defaultWritesPerSecond = 100;
-const maxConnections = 8;
 
 /** Approximate size of a request plus the headers of its answer. */
 const headerBytes = 400;
 
 /** Client of the platform's object API and host list. */
 export class PlatformClient {
-  readonly #pool: Pool;
+  readonly #transport: PlatformTransport;
   readonly #timeoutMs: number;
   readonly #limiter: WriteLimiter;
 
@@ -43,9 +48,7 @@
   #hostListBytes = 0;
 
   private constructor(options: PlatformClientOptions) {
-    this.#pool = new Pool(`http://${options.address}`, {
-      connections: maxConnections,
-    });
+    this.#transport = PlatformTransport.create(options.address);
     this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
     this.#limiter = WriteLimiter.create({
       writesPerSecond: options.writesPerSecond ?? defaultWritesPerSecond,
@@ -57,6 +60,19 @@
     return new PlatformClient(options);
   }
 
+  /** Latest epoch of the store that an answer has stated. */
+  get epoch(): number {
+    return this.#transport.epoch.current;
+  }
+
+  /**
+   * Calls the listener once for each new epoch of the store. What the listener's
+   * owner has read or written before may be gone, and revisions start over.
+   */
+  subscribeRestored(listener: StoreRestoredListener): Disposable {
+    return this.#transport.epoch.subscribe(listener);
+  }
+
   /** Gets an object, or undefined if it does not exist. */
   async get(object: ObjectName): Promise<StoredObject | undefined> {
     const answer = await this.#send({ method: "GET", path: getPath(object) });
@@ -67,19 +83,20 @@
   /**
    * Writes an object if the condition holds.
    *
-   * @returns the new version.
-   * @throws AppError `versionConflict` when the condition fails, and
-   * `platformUnavailable` when the write may or may not have taken effect.
+   * @returns the new position.
+   * @throws AppError `versionConflict` when the condition fails, also because
+   * the store was restored since; `platformUnavailable` when the write may or may not have taken effect.
    */
   async put(
     object: ObjectName,
     options: { value: string; condition: WriteCondition },
-  ): Promise<number> {
+  ): Promise<StorePosition> {
+    const epoch = this.#getKnownEpoch();
     const answer = await this.#limiter.run(
-      () => this.#send(createPutRequest(object, options)),
+      () => this.#send(createPutRequest(object, { ...options, epoch })),
       "other",
     );
-    return answer.version;
+    return answer.position;
   }
 
   /**
@@ -90,50 +107,63 @@
     object: ObjectName,
     options: { value: string; condition: WriteCondition; timeoutMs: number },
   ): Promise<PutResult> {
-    const request = createPutRequest(object, options);
+    const epoch = this.#getKnownEpoch();
+    const request = createPutRequest(object, { ...options, epoch });
     try {
-      const answer = await this.#limiter.run(
-        () => this.#exchange(request, AbortSignal.timeout(options.timeoutMs)),
+      const { position, status } = await this.#limiter.run(
+        () =>
+          this.#transport.exchange(
+            request,
+            AbortSignal.timeout(options.timeoutMs),
+          ),
         "money",
       );
-      if (answer.status === 412) {
-        return { type: "conflict", version: answer.version };
-      }
-      if (answer.status >= 300) return { type: "lost" };
-      return { type: "written", version: answer.version };
+      if (status === 412) return { type: "conflict", position };
+      if (status >= 300) return { type: "lost" };
+      return { type: "written", position };
     } catch {
       return { type: "lost" };
     }
   }
 
   /**
-   * Waits for a version of an object newer than `afterVersion`.
+   * Waits for a later state of an object than at the position `after`. If the
+   * store was restored since, or lacks that position, gets the object as it is.
    *
    * @returns undefined after `timeoutMs`, or if the object does not exist.
    */
   async watch(
     object: ObjectName,
-    options: { afterVersion: number; timeoutMs: number; signal?: AbortSignal },
+    options: { after: StorePosition; timeoutMs: number; signal?: AbortSignal },
   ): Promise<StoredObject | undefined> {
-    const query = `?watch=1&after=${options.afterVersion}` +
-      `&timeoutMs=${options.timeoutMs}`;
+    const { after, signal, timeoutMs } = options;
     const answer = await this.#send({
       method: "GET",
-      path: getPath(object) + query,
-      timeoutMs: options.timeoutMs + this.#timeoutMs,
-      signal: options.signal,
+      path: `${getPath(object)}?watch=1&after=${after.revision}` +
+        `&timeoutMs=${timeoutMs}`,
+      timeoutMs: timeoutMs + this.#timeoutMs,
+      signal,
+      expectedEpoch: after.epoch,
     });
+    if (answer.status === 410) return this.get(object);
     if (answer.status === 304 || answer.status === 404) return undefined;
     return parseObject(answer);
   }
 
-  /** Lists the names and versions of the objects of a kind. */
-  async list(kind: string): Promise<{ name: string; version: number }[]> {
+  /** Lists the names and positions of the objects of a kind. */
+  async list(
+    kind: string,
+  ): Promise<{ name: string; position: StorePosition }[]> {
     const answer = await this.#send({
       method: "GET",
       path: `/objects/${encodeURIComponent(kind)}`,
     });
-    return JSON.parse(answer.body) as { name: string; version: number }[];
+    const { epoch } = answer.position;
+    const rows = JSON.parse(answer.body) as { name: string; version: number }[];
+    return rows.map(({ name, version }) => ({
+      name,
+      position: { epoch, revision: version },
+    }));
   }
 
   /** Bytes spent on reading host lists, headers included. */
@@ -167,14 +197,19 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await this.#pool.destroy();
+    await this.#transport[Symbol.asyncDispose]();
+  }
+
+  #getKnownEpoch(): number | undefined {
+    const { epoch } = this.#transport;
+    return epoch.isKnown ? epoch.current : undefined;
   }
 
   async #send(request: PlatformRequest): Promise<PlatformAnswer> {
     const timeout = AbortSignal.timeout(request.timeoutMs ?? this.#timeoutMs);
     let answer: PlatformAnswer;
     try {
-      answer = await this.#exchange(request, timeout);
+      answer = await this.#transport.exchange(request, timeout);
     } catch (error) {
       throw AppError.create(
         "platformUnavailable",
@@ -185,64 +220,25 @@
     checkAnswer(request, answer);
     return answer;
   }
-
-  async #exchange(
-    request: PlatformRequest,
-    timeout: AbortSignal,
-  ): Promise<PlatformAnswer> {
-    const signal = request.signal === undefined
-      ? timeout
-      : AbortSignal.any([timeout, request.signal]);
-    const response = await this.#pool.request({
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body: request.body,
-      signal,
-    });
-    const bytes = Buffer.from(await response.body.arrayBuffer());
-    const isCompressed = response.headers["content-encoding"] === "gzip";
-    const etag = String(response.headers["etag"] ?? "");
-    return {
-      status: response.statusCode,
-      version: Number(etag.replaceAll('"', "")),
-      etag,
-      body: (isCompressed ? gunzipSync(bytes) : bytes).toString("utf8"),
-      receivedBytes: bytes.length,
-    };
-  }
 }
 
-type PlatformRequest = {
-  method: "GET" | "PUT";
-  path: string;
-  headers?: Record<string, string>;
-  body?: string;
-  timeoutMs?: number;
-  signal?: AbortSignal | undefined;
-};
-
-type PlatformAnswer = {
-  status: number;
-  version: number;
-  etag: string;
-  body: string;
-  /** Size of the body as transferred, before decompression. */
-  receivedBytes: number;
-};
-
 function createPutRequest(
   object: ObjectName,
-  options: { value: string; condition: WriteCondition },
+  options: {
+    value: string;
+    condition: WriteCondition;
+    epoch: number | undefined;
+  },
 ): PlatformRequest {
-  const { condition, value } = options;
+  const { condition, epoch, value } = options;
   return {
     method: "PUT",
     path: getPath(object),
     body: value,
     headers: condition === "absent"
       ? { "if-none-match": "*" }
-      : { "if-match": `"${condition.version}"` },
+      : { "if-match": `"${condition.position.revision}"` },
+    expectedEpoch: condition === "absent" ? epoch : condition.position.epoch,
   };
 }
 
@@ -252,15 +248,16 @@
 }
 
 function parseObject(answer: PlatformAnswer): StoredObject {
-  return { version: answer.version, value: answer.body };
+  return { position: answer.position, value: answer.body };
 }
 
 function checkAnswer(request: PlatformRequest, answer: PlatformAnswer): void {
-  if (answer.status < 400 || answer.status === 404) return;
+  if (answer.status < 400) return;
+  if (answer.status === 404 || answer.status === 410) return;
   if (answer.status === 412) {
     throw AppError.create(
       "versionConflict",
-      `${request.path} is at version ${answer.version}`,
+      `${request.path} is at version ${answer.position.revision}`,
     );
   }
   if (answer.status === 413) {
--- a/packages/runtime/src/platform/drains.ts
+++ b/packages/runtime/src/platform/drains.ts
@@ -1,3 +1,4 @@
+import { isSamePosition, type StorePosition } from "@jasminetide/core/store";
 import * as z from "zod";
 import type { PlatformClient } from "./client.ts";
 import type { HostRecord } from "./types.ts";
@@ -17,10 +18,12 @@
 /** An operator's request to drain a host or runner, or to cancel that. */
 export type DrainIntent = z.output<typeof drainIntentSchema>;
 
-/** Reads drain intents; caches each until its version changes. */
+type CachedIntent = { position: StorePosition; intent: DrainIntent };
+
+/** Reads drain intents; caches each until its position changes. */
 export class DrainReader {
   readonly #platform: PlatformClient;
-  #cache = new Map<string, { version: number; intent: DrainIntent }>();
+  #cache = new Map<string, CachedIntent>();
 
   private constructor(platform: PlatformClient) {
     this.#platform = platform;
@@ -33,11 +36,12 @@
 
   /** Loads all intents; throws if one cannot be read or parsed. */
   async load(): Promise<DrainIntent[]> {
-    const entries = new Map<string, { version: number; intent: DrainIntent }>();
-    for (const { name, version } of await this.#platform.list(drainKind)) {
+    const entries = new Map<string, CachedIntent>();
+    for (const { name, position } of await this.#platform.list(drainKind)) {
       const cached = this.#cache.get(name);
-      if (cached?.version === version) entries.set(name, cached);
-      else await this.#loadIntent(name, entries);
+      if (cached !== undefined && isSamePosition(cached.position, position)) {
+        entries.set(name, cached);
+      } else await this.#loadIntent(name, entries);
     }
     this.#cache = entries;
     return [...entries.values()].map(({ intent }) => intent);
@@ -45,12 +49,12 @@
 
   async #loadIntent(
     name: string,
-    entries: Map<string, { version: number; intent: DrainIntent }>,
+    entries: Map<string, CachedIntent>,
   ): Promise<void> {
     const stored = await this.#platform.get({ kind: drainKind, name });
     if (stored === undefined) return;
     const intent = drainIntentSchema.parse(JSON.parse(stored.value));
-    entries.set(name, { version: stored.version, intent });
+    entries.set(name, { position: stored.position, intent });
   }
 }
 
--- a/packages/runtime/src/platform/types.ts
+++ b/packages/runtime/src/platform/types.ts
@@ -1,7 +1,8 @@
+import type { StorePosition } from "@jasminetide/core/store";
 import type { RunnerKind } from "@jasminetide/core/tables";
 
-/** Value and version of an object that the platform stores. */
-export type StoredObject = { version: number; value: string };
+/** Value and position of an object that the platform stores. */
+export type StoredObject = { position: StorePosition; value: string };
 
 /** A process on a host, as described by the labels of the host list. */
 export type HostProcess =
--- a/packages/sidecar/src/ledger/journal_store.ts
+++ b/packages/sidecar/src/ledger/journal_store.ts
@@ -9,6 +9,7 @@
   type JournalSegment,
   type ShardEvent,
 } from "@jasminetide/core/ledger";
+import { decodePosition, encodePosition } from "@jasminetide/core/store";
 import type {
   ObjectName,
   PlatformClient,
@@ -44,7 +45,8 @@
       if (stored === undefined) {
         return { type: "head-read", version: 0, head: undefined };
       }
-      const { version, value } = stored;
+      const { position, value } = stored;
+      const version = encodePosition(position);
       return { type: "head-read", version, head: decodeHead(value) };
     } catch {
       return { type: "head-read-failed" };
@@ -66,9 +68,15 @@
     );
     switch (result.type) {
       case "written":
-        return { type: "head-written", version: result.version };
+        return {
+          type: "head-written",
+          version: encodePosition(result.position),
+        };
       case "conflict":
-        return { type: "head-conflict", version: result.version };
+        return {
+          type: "head-conflict",
+          version: encodePosition(result.position),
+        };
       case "lost":
         return { type: "head-write-lost" };
     }
@@ -107,9 +115,17 @@
     );
     switch (result.type) {
       case "written":
-        return { type: "segment-written", slot, version: result.version };
+        return {
+          type: "segment-written",
+          slot,
+          version: encodePosition(result.position),
+        };
       case "conflict":
-        return { type: "segment-conflict", slot, version: result.version };
+        return {
+          type: "segment-conflict",
+          slot,
+          version: encodePosition(result.position),
+        };
       case "lost":
         return { type: "segment-write-lost", slot };
     }
@@ -122,7 +138,9 @@
     const stored = await this.#options.platform.get(
       this.#getSegmentName(shard, wanted.slot),
     );
-    if (stored?.version !== wanted.version) return undefined;
+    // A restored store keeps the revisions of what it has not lost.
+    const { revision } = decodePosition(wanted.version);
+    if (stored?.position.revision !== revision) return undefined;
     return decodeSegment(stored.value);
   }
 
@@ -136,5 +154,5 @@
 }
 
 function createCondition(expected: number): WriteCondition {
-  return expected === 0 ? "absent" : { version: expected };
+  return expected === 0 ? "absent" : { position: decodePosition(expected) };
 }
