Void leases of the time before a restore of the store

Cause: a lease of a restored store was taken as it stood there. A holder whose lease was in the lost seconds went on, and another router counted on from the older number, so that two holders could be given the same one.

Change: each epoch of the store has its own range of fencing numbers, so a number tells its epoch. A lease of an earlier one is void: a router forgets it at the event store-restored, reads again and takes it over by rank. Sidecars raise the least number that they accept to the floor of the epoch, also at their start.

Conclusion: a process that neither the store nor an order of the new epoch reaches still learns nothing; digests don't carry the epoch.

--- a/packages/core/src/leases/duty_table.ts
+++ b/packages/core/src/leases/duty_table.ts
@@ -1,5 +1,7 @@
 import { assertInvariant } from "../results/mod.ts";
+import { encodePosition } from "../store/mod.ts";
 import { Table } from "../tables/mod.ts";
+import { getFencingEpoch } from "./fencing_number.ts";
 import {
   type Duty,
   isSameHolder,
@@ -15,7 +17,7 @@
   duty: Duty;
   /** Last observed lease; absent if the platform has none. */
   lease: Lease | undefined;
-  /** Version of the lease object, 0 where there is none. */
+  /** Encoded position of the lease object; of revision 0 if there is none. */
   version: number;
   /** False until the first read and after a failed write. */
   hasRead: boolean;
@@ -36,6 +38,8 @@
   duties: Table<Duty, DutyRow>;
   /** Time without a response after which a holder is considered dead. */
   leaseMs: number;
+  /** Epoch of the store. Leases that were written in earlier ones are void. */
+  storeEpoch: number;
 };
 
 /** Creates the tables of a process that holds no duty. */
@@ -43,7 +47,7 @@
   self: LeaseHolder;
   leaseMs: number;
 }): LeaseTables {
-  return { ...options, duties: Table.create<Duty, DutyRow>() };
+  return { ...options, duties: Table.create<Duty, DutyRow>(), storeEpoch: 0 };
 }
 
 /** Adds a duty that the process may acquire. */
@@ -79,7 +83,28 @@
 
 /** Reports whether the last observed lease names this process as holder. */
 export function isHeldBySelf(tables: LeaseTables, row: DutyRow): boolean {
-  return isSameHolder(row.lease?.holder, tables.self);
+  return !isVoid(tables, row) && isSameHolder(row.lease?.holder, tables.self);
+}
+
+/** Reports whether the last observed lease is of an earlier epoch. */
+export function isVoid(tables: LeaseTables, row: DutyRow): boolean {
+  return row.lease !== undefined &&
+    getFencingEpoch(row.lease.fencingNumber) < tables.storeEpoch;
+}
+
+/**
+ * Applies the epoch of the store. In a new one, what was known of the leases is
+ * dropped and read again: a restored store may hold older ones, or none.
+ */
+export function applyStoreEpoch(tables: LeaseTables, storeEpoch: number): void {
+  if (storeEpoch <= tables.storeEpoch) return;
+  tables.storeEpoch = storeEpoch;
+  for (const row of tables.duties.rows()) {
+    row.lease = undefined;
+    row.version = encodePosition({ epoch: storeEpoch, revision: 0 });
+    row.hasRead = false;
+    row.attempted = undefined;
+  }
 }
 
 /** A lease object with its version, as read from the platform. */
@@ -110,9 +135,10 @@
   options: { version: number; nowMs: number },
 ): void {
   const row = tables.duties.get(duty);
-  if (row?.attempted === undefined) return;
-  const { nowMs, version } = options;
+  if (row === undefined) return;
   row.pendingOperation = undefined;
+  if (row.attempted === undefined) return;
+  const { nowMs, version } = options;
   setLease(tables, row, { stored: { lease: row.attempted, version }, nowMs });
 }
 
--- a/packages/core/src/leases/fenced_orders.ts
+++ b/packages/core/src/leases/fenced_orders.ts
@@ -1,5 +1,6 @@
 import PQueue from "p-queue";
 import { FencingGuard } from "./fencing.ts";
+import { getFencingFloor } from "./fencing_number.ts";
 
 /** Options of `FencedOrders`. */
 export type FencedOrdersOptions = {
@@ -30,6 +31,16 @@
     return this.#guard.highest;
   }
 
+  /**
+   * Observes that the store is in an epoch: orders of earlier ones are refused
+   * from now on.
+   */
+  observeStoreEpoch(storeEpoch: number): void {
+    // Otherwise the number that is fetched first is of this epoch.
+    if (!this.#guard.isInitialized) return;
+    this.#guard.observe(getFencingFloor(storeEpoch));
+  }
+
   /**
    * Runs an order after the earlier ones have ended.
    *
--- a/packages/core/src/leases/leases_test.ts
+++ b/packages/core/src/leases/leases_test.ts
@@ -2,15 +2,19 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import { createSeededRandom, type RandomSource } from "../random/mod.ts";
+import { decodePosition, encodePosition } from "../store/mod.ts";
 import {
   addDuty,
   applyHolderAlive,
   applyLeaseFailure,
   applyLeaseRead,
   applyLeaseWritten,
+  applyStoreEpoch,
   createLeaseTables,
   FencedOrders,
   FencingGuard,
+  getFencingEpoch,
+  getFencingFloor,
   isHeld,
   isHeldBySelf,
   type LeaseCommand,
@@ -44,7 +48,11 @@
   readonly random: RandomSource;
   readonly faults: Faults = { outage: false, lostAnswers: 0, staleReads: 0 };
   guard = FencingGuard.create();
+  /** Leases in the order of their writes; versions are encoded positions. */
   history: StoredLease[] = [];
+  storeEpoch = 0;
+  /** Holder of each fencing number under which an order was accepted. */
+  readonly holders = new Map<number, string>();
   accepted: number[] = [];
   reads = 0;
   writes = 0;
@@ -77,6 +85,16 @@
     while (this.nowMs < endMs) {
       this.nowMs += stepMs;
       for (const router of this.routers) this.#tick(router);
+      this.#checkHolders();
+    }
+  }
+
+  /** Asserts that no router acts on a lease that it knows to be void. */
+  #checkHolders(): void {
+    for (const router of this.listHolders()) {
+      const { duties, storeEpoch } = router.tables;
+      const fencingNumber = duties.get(duty)?.lease?.fencingNumber ?? 0;
+      assert.equal(getFencingEpoch(fencingNumber), storeEpoch);
     }
   }
 
@@ -92,6 +110,28 @@
     assert.ok(row?.lease !== undefined);
     this.guard.admit(row.lease.fencingNumber);
     this.accepted.push(row.lease.fencingNumber);
+    const holder = JSON.stringify(row.lease.holder);
+    const known = this.holders.get(row.lease.fencingNumber) ?? holder;
+    assert.equal(known, holder, "Two holders had the same fencing number");
+    this.holders.set(row.lease.fencingNumber, holder);
+  }
+
+  /** Restores the store from a copy without the last leases. */
+  restore(lostCount: number): void {
+    this.storeEpoch += 1;
+    this.history = this.history
+      .slice(0, Math.max(0, this.history.length - lostCount))
+      .map(({ lease, version }) => {
+        const { revision } = decodePosition(version);
+        const position = { epoch: this.storeEpoch, revision };
+        return { lease, version: encodePosition(position) };
+      });
+  }
+
+  /** Creates a guard and observes the number, as a restarted sidecar does. */
+  restartSidecar(): void {
+    this.guard = FencingGuard.create();
+    assert.ok(this.observe());
   }
 
   /**
@@ -103,7 +143,8 @@
     const stored = this.#read();
     const current = this.history.at(-1);
     if (stored?.version !== current?.version) return false;
-    this.guard.observe(current?.lease.fencingNumber ?? 0);
+    const floor = getFencingFloor(this.storeEpoch);
+    this.guard.observe(Math.max(current?.lease.fencingNumber ?? 0, floor));
     return true;
   }
 
@@ -136,9 +177,11 @@
       }
       case "read-lease":
         if (this.faults.outage) return fail();
+        applyStoreEpoch(tables, this.storeEpoch);
         return applyLeaseRead(tables, duty, { stored: this.#read(), nowMs });
       case "write-lease": {
         const version = this.#write(command);
+        if (!this.faults.outage) applyStoreEpoch(tables, this.storeEpoch);
         if (version === undefined) return fail();
         return applyLeaseWritten(tables, duty, { version, nowMs });
       }
@@ -156,7 +199,8 @@
   ): number | undefined {
     if (this.faults.outage) return undefined;
     this.writes += 1;
-    const version = this.history.at(-1)?.version ?? 0;
+    const version = this.history.at(-1)?.version ??
+      encodePosition({ epoch: this.storeEpoch, revision: 0 });
     if (version !== command.expectedVersion) return undefined;
     this.history.push({ lease: command.lease, version: version + 1 });
     return this.random.getFloat() < this.faults.lostAnswers
@@ -249,6 +293,92 @@
   },
 );
 
+When(
+  "the store is restored with its last {int} leases lost",
+  function (this: World, lostCount: number) {
+    this.holder = getHolder(this);
+    this.leases.restore(lostCount);
+  },
+);
+
+Then(
+  "the holder no longer holds the duty once it notices",
+  function (this: World) {
+    const { tables } = this.holder;
+    applyStoreEpoch(tables, this.leases.storeEpoch);
+    assert.equal(isHeld(tables, duty, this.leases.nowMs), false);
+  },
+);
+
+Then(
+  "exactly one router holds it with a fencing number of epoch {int}",
+  function (this: World, epoch: number) {
+    assert.equal(getFencingEpoch(getNumber(getHolder(this))), epoch);
+  },
+);
+
+When("the sidecar restarts and observes the number", function (this: World) {
+  this.leases.restartSidecar();
+});
+
+When("the sidecar notices the restore", async function (this: World) {
+  const { leases } = this;
+  const orders = FencedOrders.create({
+    fetchHighest: () => Promise.resolve(getNumber(this.holder)),
+  });
+  await orders.run(getNumber(this.holder), () => Promise.resolve());
+  orders.observeStoreEpoch(leases.storeEpoch);
+  leases.guard.observe(orders.highest);
+});
+
+Then(
+  "an order of a holder that has not noticed the restore is refused",
+  function (this: World) {
+    const { tables } = this.holder;
+    assert.ok(isHeld(tables, duty, this.leases.nowMs));
+    assert.throws(() => this.leases.order(this.holder), {
+      result: "staleFencingNumber",
+      executed: "no",
+    });
+  },
+);
+
+When(
+  "a router takes the duty and the answer follows the notice of a restore",
+  function (this: World) {
+    const { leases } = this;
+    const [router] = leases.routers;
+    const { tables } = router;
+    const { nowMs } = leases;
+    const tick = {
+      nowMs,
+      candidates: [tables.self],
+      isLeaving: false,
+      createAttempt: () => "late",
+    };
+    assert.equal(updateLeases(tables, tick)[0]?.type, "read-lease");
+    applyLeaseRead(tables, duty, { stored: undefined, nowMs });
+    assert.equal(updateLeases(tables, tick)[0]?.type, "write-lease");
+    leases.restore(0);
+    applyStoreEpoch(tables, leases.storeEpoch);
+    applyLeaseWritten(tables, duty, { version: 1, nowMs });
+    this.holder = router;
+  },
+);
+
+Then("that router does not hold the duty", function (this: World) {
+  const { tables } = this.holder;
+  assert.equal(tables.duties.get(duty)?.lease, undefined);
+  const [command] = updateLeases(tables, {
+    nowMs: this.leases.nowMs,
+    candidates: [tables.self],
+    isLeaving: false,
+    createAttempt: () => "next",
+  });
+  assert.equal(command.type, "read-lease");
+  this.holder.pending = [command];
+});
+
 const eventArbitrary = fc.record({
   kind: fc.constantFrom(
     "pause",
@@ -328,6 +458,48 @@
   },
 );
 
+const restoreArbitrary = fc.record({
+  kind: fc.constantFrom(
+    "pause",
+    "outage",
+    "restart-sidecar",
+    "restart-router",
+    "restore",
+  ),
+  router: fc.nat(4),
+  durationMs: fc.integer({ min: 1, max: 20 }).map((units) => units * 1000),
+  lostCount: fc.nat(3),
+});
+
+Then(
+  "fencing numbers have one holder in {int} random runs with restores, seed {int}",
+  function (numRuns: number, seed: number) {
+    const events = fc.array(restoreArbitrary, { minLength: 6, maxLength: 14 });
+    fc.assert(
+      fc.property(events, fc.integer(), (list, randomSeed) => {
+        const world = new LeaseWorld(5, randomSeed);
+        Object.assign(world.faults, { lostAnswers: 0.2 });
+        for (const event of list) {
+          if (event.kind === "restore") world.restore(event.lostCount);
+          playEvent(world, event);
+        }
+        const sorted = [...world.accepted].sort((a, b) => a - b);
+        assert.deepEqual(world.accepted, sorted);
+        Object.assign(world.faults, { outage: false, lostAnswers: 0 });
+        for (const router of world.routers) router.pausedUntilMs = 0;
+        world.advance(40_000);
+        const [holder, ...others] = world.listHolders();
+        assert.equal(others.length, 0);
+        assert.equal(
+          getFencingEpoch(getNumber(holder)),
+          world.storeEpoch,
+        );
+      }),
+      { seed, numRuns },
+    );
+  },
+);
+
 Then(
   "no write and at most {int} reads happen in {int} seconds",
   function (this: World, reads: number, seconds: number) {
--- a/packages/core/src/leases/mod.ts
+++ b/packages/core/src/leases/mod.ts
@@ -2,6 +2,7 @@
 export * from "./duty_table.ts";
 export * from "./fenced_orders.ts";
 export * from "./fencing.ts";
+export * from "./fencing_number.ts";
 export * from "./lease.ts";
 export * from "./orders.ts";
 export * from "./update_leases.ts";
--- a/packages/core/src/leases/update_leases.ts
+++ b/packages/core/src/leases/update_leases.ts
@@ -1,5 +1,11 @@
 import { hash32 } from "../hashing/mod.ts";
-import { type DutyRow, isHeldBySelf, type LeaseTables } from "./duty_table.ts";
+import {
+  type DutyRow,
+  isHeldBySelf,
+  isVoid,
+  type LeaseTables,
+} from "./duty_table.ts";
+import { getNextFencingNumber } from "./fencing_number.ts";
 import type { Duty, Lease, LeaseHolder } from "./lease.ts";
 
 /** Operation that the caller of `updateLeases` has to carry out. */
@@ -9,7 +15,7 @@
     type: "write-lease";
     duty: Duty;
     lease: Lease;
-    /** Version to replace, 0 where there is no lease yet. */
+    /** Encoded position to replace; of revision 0 if there is no lease. */
     expectedVersion: number;
   }
   | { type: "ping-holder"; duty: Duty; holder: LeaseHolder };
@@ -133,7 +139,7 @@
   tick: LeaseTick,
 ): number {
   const holder = row.lease?.holder;
-  if (holder === undefined) return 0;
+  if (holder === undefined || isVoid(tables, row)) return 0;
   const candidate = tick.candidates.find(({ name }) => name === holder.name);
   const isReplaced = candidate !== undefined &&
     candidate.epoch > holder.epoch;
@@ -147,7 +153,10 @@
 ): LeaseCommand {
   return createWrite(row, {
     holder: tables.self,
-    fencingNumber: (row.lease?.fencingNumber ?? 0) + 1,
+    fencingNumber: getNextFencingNumber(
+      row.lease?.fencingNumber ?? 0,
+      tables.storeEpoch,
+    ),
     attempt: tick.createAttempt(),
   });
 }
--- a/packages/load/src/soak/fake_platform.ts
+++ b/packages/load/src/soak/fake_platform.ts
@@ -1,6 +1,11 @@
 /** The platform's object API with faults, in virtual time. */
 import { AppError } from "@jasminetide/core/results";
-import { isLaterPosition, type StorePosition } from "@jasminetide/core/store";
+import {
+  isLaterPosition,
+  StoreEpoch,
+  type StorePosition,
+  type StoreRestoredListener,
+} from "@jasminetide/core/store";
 import type {
   ObjectName,
   PlatformClient,
@@ -22,6 +27,7 @@
 /** In-memory object API that fails, slows down and loses answers to writes. */
 export class FakePlatform {
   readonly store = ObjectStore.create();
+  readonly #epoch = StoreEpoch.create();
   readonly #world: World;
 
   private constructor(world: World) {
@@ -38,6 +44,16 @@
     return this as unknown as PlatformClient;
   }
 
+  /** Latest epoch of the store that an answer has stated. */
+  get epoch(): number {
+    return this.#epoch.current;
+  }
+
+  /** Calls the listener once for each new epoch of the store. */
+  subscribeRestored(listener: StoreRestoredListener): Disposable {
+    return this.#epoch.subscribe(listener);
+  }
+
   /** Gets an object. */
   async get(object: ObjectName): Promise<StoredObject | undefined> {
     await this.#request();
@@ -112,6 +128,7 @@
     }
     const isSlow = this.#world.isActive("platform-slow");
     await this.#world.wait(isSlow ? slowMs : delayMs);
+    this.#epoch.observe(this.store.epoch);
   }
 
   async #fail(name: string): Promise<never> {
--- a/packages/local_fleet/src/leases.feature
+++ b/packages/local_fleet/src/leases.feature
@@ -16,3 +16,13 @@
     Given a local fleet
     When the platform goes down before an order with fencing number 3 arrives
     Then the order is refused with code 5003 unless the runner reports a number
+
+  Scenario: A restore of the store voids every lease and order of the time before
+    Given a local fleet
+    Then one router holds every duty
+    When an order with fencing number 1 reaches a sidecar, then the store is restored
+    Then one router holds the placement duty under a number of epoch 1
+    And an order with fencing number 3 is refused with code 6001 and not executed
+    And so it is by a sidecar that takes its first order
+    When the store is restored from a copy without leases
+    Then one router holds the placement duty under a number of epoch 2
--- a/packages/local_fleet/src/leases_test.ts
+++ b/packages/local_fleet/src/leases_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { Then, When } from "@cucumber/cucumber";
-import { getPlacementDuty } from "@jasminetide/core/leases";
+import { getFencingEpoch, getPlacementDuty } from "@jasminetide/core/leases";
 import type { Router } from "@jasminetide/router";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import {
@@ -34,11 +34,15 @@
   return holders[0];
 }
 
-async function sendOrder(fleet: LocalFleet, fencingNumber: number) {
+async function sendOrder(
+  fleet: LocalFleet,
+  fencingNumber: number,
+  sidecar = fleet.sidecars[0],
+) {
   const agent = new Agent();
   try {
     const client = createSidecarClient({
-      address: fleet.sidecars[0].controlAddress,
+      address: sidecar.controlAddress,
       dispatcher: agent,
     });
     return await client.order.mutate({
@@ -113,3 +117,62 @@
     );
   },
 );
+
+When(
+  "an order with fencing number {int} reaches a sidecar, then the store is restored",
+  async function (this: World, fencingNumber: number) {
+    const outcome = await sendOrder(this.fleet, fencingNumber);
+    assert.equal(outcome.type, "done");
+    const { store } = this.fleet.objects;
+    store.restore(store.copy());
+  },
+);
+
+When(
+  "the store is restored from a copy without leases",
+  function (this: World) {
+    const { store } = this.fleet.objects;
+    const { rows, version } = store.copy();
+    const kept = [...rows].filter(([path]) => !path.startsWith("lease/"));
+    store.restore({ version, rows: new Map(kept) });
+  },
+);
+
+Then(
+  "one router holds the placement duty under a number of epoch {int}",
+  { timeout: 30_000 },
+  async function (this: World, epoch: number) {
+    const listNumbers = () =>
+      this.fleet.routers
+        .map((router) => router.getFencingNumber(duty))
+        .filter((number) => number !== undefined);
+    await waitUntil(() => {
+      const numbers = listNumbers();
+      return numbers.length === 1 && getFencingEpoch(numbers[0]) === epoch;
+    });
+  },
+);
+
+Then(
+  "an order with fencing number {int} is refused with code {int} and not executed",
+  { timeout: 20_000 },
+  async function (this: World, fencingNumber: number, code: number) {
+    const [sidecar] = this.fleet.sidecars;
+    await waitUntil(() => getFencingEpoch(sidecar.highestFencingNumber) > 0);
+    this.outcome = await sendOrder(this.fleet, fencingNumber);
+    assert.ok(this.outcome.type === "refused");
+    assert.deepEqual([this.outcome.code, this.outcome.executed], [code, "no"]);
+  },
+);
+
+Then(
+  "so it is by a sidecar that takes its first order",
+  async function (this: World) {
+    const { sidecars } = this.fleet;
+    const outcome = await sendOrder(this.fleet, 3, sidecars.at(-1));
+    assert.ok(outcome.type === "refused");
+    assert.ok(this.outcome.type === "refused");
+    assert.equal(outcome.code, this.outcome.code);
+    assert.equal(outcome.executed, "no");
+  },
+);
--- a/packages/runtime/src/leases/fetch_fencing_number.ts
+++ b/packages/runtime/src/leases/fetch_fencing_number.ts
@@ -2,6 +2,7 @@
 import {
   type Duty,
   formatLease,
+  getFencingFloor,
   type Lease,
   parseLease,
 } from "@jasminetide/core/leases";
@@ -28,9 +29,10 @@
   const lease: Lease = stored === undefined
     ? { fencingNumber: 0, attempt: randomUUID() }
     : parseLease(stored.value);
-  await platform.put(object, {
+  const { epoch } = await platform.put(object, {
     value: formatLease(lease),
     condition: stored === undefined ? "absent" : { position: stored.position },
   });
-  return lease.fencingNumber;
+  // A lease of an earlier epoch is void, and so is any that a restore has lost.
+  return Math.max(lease.fencingNumber, getFencingFloor(epoch));
 }
--- a/packages/runtime/src/leases/lease_manager.ts
+++ b/packages/runtime/src/leases/lease_manager.ts
@@ -5,6 +5,7 @@
   applyLeaseFailure,
   applyLeaseRead,
   applyLeaseWritten,
+  applyStoreEpoch,
   createLeaseTables,
   type Duty,
   formatLease,
@@ -47,6 +48,7 @@
   readonly #options: LeaseManagerOptions;
   readonly #tables: LeaseTables;
   readonly #ticks: Disposable;
+  readonly #restores: Disposable;
   #isLeaving = false;
 
   private constructor(options: LeaseManagerOptions) {
@@ -54,6 +56,9 @@
     this.#tables = createLeaseTables({ self: options.self, leaseMs });
     for (const duty of options.duties) addDuty(this.#tables, duty);
     this.#ticks = options.timers.subscribe(tickPeriodMs, () => this.#tick());
+    this.#restores = options.platform.subscribeRestored(({ epoch }) =>
+      applyStoreEpoch(this.#tables, epoch)
+    );
   }
 
   /** Starts to check the leases of the duties periodically. */
@@ -90,6 +95,7 @@
 
   [Symbol.dispose](): void {
     this.#ticks[Symbol.dispose]();
+    this.#restores[Symbol.dispose]();
   }
 
   #tick(): void {
@@ -97,7 +103,8 @@
   }
 
   async #run(): Promise<void> {
-    const { listCandidates, timers } = this.#options;
+    const { listCandidates, platform, timers } = this.#options;
+    applyStoreEpoch(this.#tables, platform.epoch);
     const commands = updateLeases(this.#tables, {
       nowMs: timers.nowMs(),
       candidates: listCandidates(),
@@ -148,11 +155,10 @@
   ): Promise<void> {
     const { logger, platform, timers } = this.#options;
     const { duty, expectedVersion, lease } = command;
+    const expected = decodePosition(expectedVersion);
     const position = await platform.put(getLeaseObject(duty), {
       value: formatLease(lease),
-      condition: expectedVersion === 0
-        ? "absent"
-        : { position: decodePosition(expectedVersion) },
+      condition: expected.revision === 0 ? "absent" : { position: expected },
     });
     applyLeaseWritten(this.#tables, duty, {
       version: encodePosition(position),
--- a/packages/sidecar/src/orders/order_gate.ts
+++ b/packages/sidecar/src/orders/order_gate.ts
@@ -32,12 +32,16 @@
 export class OrderGate {
   readonly #options: OrderGateOptions;
   readonly #orders: FencedOrders;
+  readonly #restores: Disposable;
 
   private constructor(options: OrderGateOptions) {
     this.#options = options;
     this.#orders = FencedOrders.create({
       fetchHighest: () => this.#loadFencingNumber(),
     });
+    this.#restores = options.platform.subscribeRestored(({ epoch }) =>
+      this.#orders.observeStoreEpoch(epoch)
+    );
   }
 
   /** Creates a gate; the first order loads the highest fencing number. */
@@ -76,6 +80,10 @@
     }
   }
 
+  [Symbol.dispose](): void {
+    this.#restores[Symbol.dispose]();
+  }
+
   #checkDuty(duty: Duty): void {
     if (duty === this.#options.duty) return;
     throw AppError.create(
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -67,6 +67,11 @@
     return this.#state.settings.host;
   }
 
+  /** Highest fencing number that orders have shown; 0 before the first. */
+  get highestFencingNumber(): number {
+    return this.#state.orders?.highestFencingNumber ?? 0;
+  }
+
   /** State of the ledger shards at this sidecar. */
   get ledgerShards(): ReturnType<Ledger["getDump"]> {
     return this.#state.ledger?.getDump() ?? [];
@@ -155,7 +160,9 @@
     resources.defer(() => state.runner.close());
     const duty = getPlacementDuty(settings.region);
     const { runner } = state;
-    state.orders = OrderGate.create({ duty, platform, runner, logger });
+    state.orders = resources.use(
+      OrderGate.create({ duty, platform, runner, logger }),
+    );
     state.ledger = resources.use(createLedger(state, platform));
     await this.#listen({ platform, resources });
     const expiry = timers.subscribe(
