Keep the declaration in force when the store was restored

Cause: the version of a configuration was the store's version of its object. A restored store goes back and gives versions out again: what operators published next had a lower version and was ignored by every process until the store had passed the old one, two declarations could bear one version, and a watch after the version in force was never answered. What the copy lacked was lost at the next restart.

Change: the version and the epoch of its acceptance stand in the stored text. A publication that replaces a manifest of an earlier epoch leaves out 2^20 versions for each restore. Watchers follow the object's position, apart from the version in force, and write what is in force again, parts first, if the store holds an older one or none; the write replaces exactly what was read, so a newer one of the operators wins. A process that starts takes what peers have announced before the older one of the store.

Conclusion: declarations without a version in their text are kept, but not written again. All processes must run this product before the next publication.

--- a/packages/core/src/configuration/mod.ts
+++ b/packages/core/src/configuration/mod.ts
@@ -2,6 +2,7 @@
 export * from "./documents.ts";
 export * from "./faults.ts";
 export * from "./accepted.ts";
+export * from "./accepted_version.ts";
 export * from "./compare.ts";
 export * from "./json.ts";
 export * from "./parse.ts";
--- a/packages/core/src/configuration/parts.ts
+++ b/packages/core/src/configuration/parts.ts
@@ -2,6 +2,7 @@
 import * as z from "zod";
 import { hash32 } from "../hashing/mod.ts";
 import { AppError } from "../results/mod.ts";
+import { removeAcceptedVersion } from "./accepted_version.ts";
 import { isJsonObject, type Json, type JsonObject } from "./json.ts";
 import { formatCanonical } from "./parse.ts";
 
@@ -86,7 +87,7 @@
 ): JsonObject {
   const object = parseObject(stored.text);
   const manifest = readManifest(object);
-  if (manifest === undefined) return object;
+  if (manifest === undefined) return removeAcceptedVersion(object);
   const body = { ...parseObject(requirePart(stored.parts, manifest.base)) };
   for (const section of splitSections) {
     const hashes = manifest[section];
@@ -170,7 +171,12 @@
   throw AppError.create("invalidConfiguration", "Part is not a list");
 }
 
-function parseObject(text: string): JsonObject {
+/**
+ * Parses a stored text or a part.
+ *
+ * @throws AppError `invalidConfiguration` if it is not a JSON object.
+ */
+export function parseObject(text: string): JsonObject {
   const value = parseJson(text);
   if (isJsonObject(value)) return value;
   throw AppError.create("invalidConfiguration", "Declaration is not an object");
--- a/packages/load/src/soak/fake_platform.ts
+++ b/packages/load/src/soak/fake_platform.ts
@@ -57,7 +57,7 @@
   /** Gets an object. */
   async get(object: ObjectName): Promise<StoredObject | undefined> {
     await this.#request();
-    return this.#read(object);
+    return this.read(object);
   }
 
   /** Writes an object if the condition holds. */
@@ -91,7 +91,7 @@
     await this.#request();
     const untilMs = this.#world.nowMs() + options.timeoutMs;
     while (this.#world.nowMs() < untilMs) {
-      const stored = this.#read(object);
+      const stored = this.read(object);
       if (
         stored !== undefined && isLaterPosition(stored.position, options.after)
       ) {
@@ -114,7 +114,8 @@
     }));
   }
 
-  #read(object: ObjectName): StoredObject | undefined {
+  /** Reads an object at once, for checks. */
+  read(object: ObjectName): StoredObject | undefined {
     const row = this.store.get(getPath(object));
     return row === undefined ? undefined : {
       position: { epoch: this.store.epoch, revision: row.version },
--- a/packages/load/src/soak/soak_editors.ts
+++ b/packages/load/src/soak/soak_editors.ts
@@ -2,9 +2,14 @@
 import {
   type Configuration,
   configurationSchema,
+  joinDeclaration,
 } from "@jasminetide/core/configuration";
 import { applyDeclaration } from "@jasminetide/operator/apply";
 import { loadDeclaration } from "@jasminetide/operator/declaration";
+import {
+  configurationObject,
+  readStoredConfiguration,
+} from "@jasminetide/runtime/configuration";
 import type { FakePlatform } from "./fake_platform.ts";
 import type { World } from "./world.ts";
 
@@ -73,7 +78,8 @@
 
   /** Highest version that the platform has accepted. */
   get acceptedVersion(): number {
-    return this.#platform.store.get("configuration/fleet")?.version ?? 0;
+    const stored = this.#platform.read(configurationObject);
+    return stored === undefined ? 0 : readStoredConfiguration(stored).version;
   }
 
   async #runEdits(editor: Editor): Promise<void> {
@@ -106,8 +112,11 @@
   }
 
   #getStored(): Configuration {
-    const stored = this.#platform.store.get("configuration/fleet");
-    return configurationSchema.parse(JSON.parse(stored?.value ?? "{}"));
+    const stored = this.#platform.read(configurationObject);
+    const text = stored?.value ?? "{}";
+    return configurationSchema.parse(
+      joinDeclaration({ text, parts: new Map() }),
+    );
   }
 }
 
--- a/packages/local_fleet/src/operator_program.feature
+++ b/packages/local_fleet/src/operator_program.feature
@@ -39,7 +39,7 @@
     When the operator runs "apply --file theirs"
     And the operator runs "apply --file mine"
     Then it exits with 3 and prints "defaults.load.capMultiple"
-    When the operator runs "apply --file mine --base 3"
+    When the operator runs "apply --file mine --base 2"
     Then it exits with 0 and prints "Applied as version"
 
   Scenario: A write whose answer is lost is confirmed by reading it back
--- a/packages/runtime/src/configuration/configuration_follower.ts
+++ b/packages/runtime/src/configuration/configuration_follower.ts
@@ -9,16 +9,17 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import type { PeerClient } from "../control/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import type { PlatformClient } from "../platform/mod.ts";
+import type { PlatformClient, StoredObject } from "../platform/mod.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import {
   completeDeclaration,
   createPlatformSource,
   type PartSource,
   readStoredConfiguration,
-  type StoredConfiguration,
+  type VersionedText,
 } from "./load_accepted.ts";
 import { configurationObject } from "./objects.ts";
+import { rewriteAccepted } from "./rewrite_accepted.ts";
 
 /** Dependencies and settings of a follower. */
 export type ConfigurationFollowerOptions = {
@@ -139,8 +140,11 @@
       const stored = await platform.get(configurationObject);
       if (stored === undefined) return;
       const configuration = readStoredConfiguration(stored);
-      await this.#apply(configuration, this.#listPeerSources());
-      this.#watchedAt = stored.position;
+      // A restored store may hold an older one than peers have announced.
+      const { address, version } = this.#announced;
+      const isKnown = version > configuration.version &&
+        await this.#fetchFromPeer(address);
+      if (!isKnown) await this.#apply(configuration, this.#listPeerSources());
     } catch (thrown) {
       if (!await this.#fetchHighestVersion()) throw thrown;
     }
@@ -171,11 +175,23 @@
       signal: this.#abort.signal,
     });
     // Peers do not have the version yet: watchers are the first to receive it.
-    if (stored === undefined) return;
-    await this.#apply(readStoredConfiguration(stored), [
-      this.#getPlatformSource(),
-    ]);
-    this.#watchedAt = stored.position;
+    if (stored !== undefined) {
+      await this.#apply(readStoredConfiguration(stored), [
+        this.#getPlatformSource(),
+      ]);
+    } else if (platform.epoch === this.#watchedAt.epoch) return;
+    await this.#rewrite(stored);
+    this.#watchedAt = stored?.position ??
+      { epoch: platform.epoch, revision: 0 };
+  }
+
+  /** Writes what is in force again if a restore of the store has lost it. */
+  async #rewrite(stored: StoredObject | undefined): Promise<void> {
+    const { holder, logger, platform } = this.#options;
+    if (!holder.isLoaded) return;
+    const accepted = holder.get();
+    if (!await rewriteAccepted(platform, accepted, stored)) return;
+    logger.warn("configuration-rewritten", { version: accepted.version });
   }
 
   async #fetchAnnounced(): Promise<void> {
@@ -208,7 +224,7 @@
   /** Queries a peer; undefined if it has no newer version or no answer. */
   async #fetchNewer(
     address: string,
-  ): Promise<{ stored: StoredConfiguration; source: PartSource } | undefined> {
+  ): Promise<{ stored: VersionedText; source: PartSource } | undefined> {
     const { getPeer, holder } = this.#options;
     const peer = getPeer(address);
     const answer = await peer.getConfiguration.query({
@@ -235,7 +251,7 @@
   }
 
   async #apply(
-    stored: StoredConfiguration,
+    stored: VersionedText,
     sources: PartSource[],
   ): Promise<boolean> {
     const { holder, logger, sections } = this.#options;
--- a/packages/runtime/src/configuration/load_accepted.ts
+++ b/packages/runtime/src/configuration/load_accepted.ts
@@ -1,17 +1,23 @@
 import {
   acceptConfiguration,
   type AcceptedConfiguration,
+  type AcceptedVersion,
   hashText,
   listPartHashes,
+  parseObject,
   type Parts,
+  readAcceptedVersion,
   type SplitSection,
 } from "@jasminetide/core/configuration";
 import { AppError } from "@jasminetide/core/results";
 import type { PlatformClient, StoredObject } from "../platform/mod.ts";
 import { configurationObject, getPartObject } from "./objects.ts";
 
-/** Text of a stored declaration and the version that it was accepted as. */
-export type StoredConfiguration = { version: number; text: string };
+/** Text of a declaration and the version that it was accepted as. */
+export type VersionedText = { version: number; text: string };
+
+/** Text of a stored declaration, and when it was accepted as what version. */
+export type StoredConfiguration = AcceptedVersion & { text: string };
 
 /** Gets parts by hash; parts that it cannot get are missing in the result. */
 export type PartSource = (hashes: string[]) => Promise<Parts>;
@@ -40,11 +46,16 @@
   });
 }
 
-/** Reads the version of a declaration that the platform stores. */
+/**
+ * Reads the version of a declaration that the platform stores. One without a
+ * version in its text has that of the object.
+ */
 export function readStoredConfiguration(
   { position, value }: StoredObject,
 ): StoredConfiguration {
-  return { version: position.revision, text: value };
+  const accepted = readAcceptedVersion(parseObject(value)) ??
+    { version: position.revision, storeEpoch: 0 };
+  return { ...accepted, text: value };
 }
 
 /**
@@ -55,7 +66,7 @@
  * returns a text that does not match the part's hash.
  */
 export async function completeDeclaration(
-  stored: StoredConfiguration,
+  stored: VersionedText,
   options: LoadAcceptedOptions & { sources: PartSource[] },
 ): Promise<AcceptedConfiguration> {
   const { knownParts, sections, sources } = options;
--- a/packages/runtime/src/configuration/mod.ts
+++ b/packages/runtime/src/configuration/mod.ts
@@ -7,4 +7,5 @@
 export * from "./load_accepted.ts";
 export * from "./objects.ts";
 export * from "./publish.ts";
+export * from "./rewrite_accepted.ts";
 export * from "./effective_settings.ts";
--- a/packages/runtime/src/configuration/publish.ts
+++ b/packages/runtime/src/configuration/publish.ts
@@ -1,5 +1,8 @@
 import {
+  type AcceptedVersion,
+  addAcceptedVersion,
   formatFaults,
+  getNextVersion,
   type JsonObject,
   parseConfiguration,
   parseDocument,
@@ -68,7 +71,7 @@
 }
 
 /** Writes the missing parts; they must exist before the manifest does. */
-async function putParts(
+export async function putParts(
   platform: PlatformClient,
   stored: StoredDeclaration,
 ): Promise<number> {
@@ -110,17 +113,20 @@
   options: { text: string; expectedVersion: number },
 ): Promise<number> {
   const { expectedVersion, text } = options;
+  let ownText: string | undefined;
   for (let attempt = 1;; attempt++) {
     try {
-      const condition = await getCondition(platform, expectedVersion);
-      const { revision } = await platform.put(configurationObject, {
-        value: text,
-        condition,
+      const base = await loadBase(platform, expectedVersion);
+      const value = addAcceptedVersion(text, base.next);
+      ownText = value;
+      await platform.put(configurationObject, {
+        value,
+        condition: base.condition,
       });
-      return revision;
+      return base.next.version;
     } catch (thrown) {
       const error = normalizeError(thrown);
-      const version = await findOwnWrite(platform, options, {
+      const version = await findOwnWrite(platform, ownText, {
         isRetry: attempt > 1,
         result: error.result,
       });
@@ -130,32 +136,39 @@
   }
 }
 
+/** Manifest that is replaced, as the condition of a write, and what follows. */
+type PublicationBase = { condition: WriteCondition; next: AcceptedVersion };
+
 /**
- * Gets the condition that the manifest still has a version.
+ * Loads the manifest, which must have a version.
  *
  * @throws AppError `versionConflict` if it has another one.
  */
-async function getCondition(
+async function loadBase(
   platform: PlatformClient,
   expectedVersion: number,
-): Promise<WriteCondition> {
+): Promise<PublicationBase> {
   const stored = await platform.get(configurationObject);
-  const version = stored === undefined
-    ? 0
-    : readStoredConfiguration(stored).version;
+  const last = stored === undefined
+    ? { version: 0, storeEpoch: 0 }
+    : readStoredConfiguration(stored);
+  const { version } = last;
   if (version !== expectedVersion) {
     throw AppError.create(
       "versionConflict",
       `Configuration is at version ${version}, expected ${expectedVersion}`,
     );
   }
-  return stored === undefined ? "absent" : { position: stored.position };
+  return {
+    condition: stored === undefined ? "absent" : { position: stored.position },
+    next: getNextVersion(last, stored?.position.epoch ?? platform.epoch),
+  };
 }
 
 /** Gets the version of this declaration if a write of it took effect. */
 async function findOwnWrite(
   platform: PlatformClient,
-  options: { text: string; expectedVersion: number },
+  ownText: string | undefined,
   failure: { isRetry: boolean; result: string },
 ): Promise<number | undefined> {
   // At the first attempt, the conflict cannot be with an own earlier write.
@@ -164,9 +177,8 @@
   }
   try {
     const stored = await platform.get(configurationObject);
-    if (stored?.value !== options.text) return undefined;
-    const { version } = readStoredConfiguration(stored);
-    return version > options.expectedVersion ? version : undefined;
+    if (stored === undefined || stored.value !== ownText) return undefined;
+    return readStoredConfiguration(stored).version;
   } catch {
     return undefined;
   }
