Forget the segment that is being written when a shard is released

Cause: where the answer to a segment's write was lost and the shard was released meanwhile, the retry stayed due, but only owners retry. The shard asked to be woken at once, again and again: a leaving sidecar spun until it ended, and a run in virtual time never ended.

Change: a released shard has no pending segment.

--- a/packages/core/src/ledger/shard.ts
+++ b/packages/core/src/ledger/shard.ts
@@ -174,8 +174,10 @@
     const state = this.#state;
     const isRelease = state.write?.head.owner === undefined;
     confirmWrite(state, version);
-    if (isRelease) state.role = { type: "released" };
-    else if (state.role.type === "claiming") startLoading(state);
+    if (isRelease) {
+      state.role = { type: "released" };
+      state.seal = undefined;
+    } else if (state.role.type === "claiming") startLoading(state);
   }
 
   #runDue(): void {
