Write the placement's status again after a restore of the store

Cause: the status is written when it changes. After a restore the store had an older one, or none, until the next change, and the writer's position was of the epoch before.

Change: a status that was written in an earlier epoch counts as not written.

Evidence: status_writer.feature fails without it.

--- a/packages/router/src/placement/status_writer.ts
+++ b/packages/router/src/placement/status_writer.ts
@@ -32,17 +32,14 @@
   }
 
   /**
-   * Writes a status if it differs from the last one written, none is being
+   * Writes a status if it differs from the last one written, or the store was
+   * restored from a copy since, none is being
    * written, and `minimumPeriodMs` has passed since the last write.
    */
   async write(status: unknown, nowMs: number): Promise<void> {
     const value = JSON.stringify(status);
-    if (
-      this.#isWriting || value === this.#lastValue ||
-      nowMs < this.#nextWriteAtMs
-    ) {
-      return;
-    }
+    const isStored = value === this.#lastValue && this.#isOfCurrentEpoch;
+    if (this.#isWriting || isStored || nowMs < this.#nextWriteAtMs) return;
     this.#isWriting = true;
     this.#nextWriteAtMs = nowMs + minimumPeriodMs;
     try {
@@ -58,10 +55,17 @@
     }
   }
 
+  /** Whether the store was not restored since the last write. */
+  get #isOfCurrentEpoch(): boolean {
+    return this.#position?.epoch === this.#options.platform.epoch;
+  }
+
   async #put(value: string): Promise<void> {
     const { name, platform } = this.#options;
     const object = { kind: "status", name };
-    const position = this.#position ?? (await platform.get(object))?.position;
+    const position = this.#isOfCurrentEpoch
+      ? this.#position
+      : (await platform.get(object))?.position;
     const condition = position === undefined ? "absent" : { position };
     this.#position = await platform.put(object, { value, condition });
   }
