--- a/packages/router/src/placement/status_writer.ts
+++ b/packages/router/src/placement/status_writer.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from "@jasminetide/core/store";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 import { normalizeError } from "@jasminetide/core/results";
@@ -17,7 +18,7 @@
 export class StatusWriter {
   readonly #options: StatusWriterOptions;
   #lastValue = "";
-  #version: number | undefined;
+  #position: StorePosition | undefined;
   #nextWriteAtMs = 0;
   #isWriting = false;
 
@@ -31,24 +32,21 @@
   }
 
   /**
-   * Writes a status if it differs from the last one written, none is being
+   * Writes a status if it differs from the last one written, or the store was
+   * restored from a copy since, none is being
    * written, and `minimumPeriodMs` has passed since the last write.
    */
   async write(status: unknown, nowMs: number): Promise<void> {
     const value = JSON.stringify(status);
-    if (
-      this.#isWriting || value === this.#lastValue ||
-      nowMs < this.#nextWriteAtMs
-    ) {
-      return;
-    }
+    const isStored = value === this.#lastValue && this.#isOfCurrentEpoch;
+    if (this.#isWriting || isStored || nowMs < this.#nextWriteAtMs) return;
     this.#isWriting = true;
     this.#nextWriteAtMs = nowMs + minimumPeriodMs;
     try {
       await this.#put(value);
       this.#lastValue = value;
     } catch (thrown) {
-      this.#version = undefined;
+      this.#position = undefined;
       this.#options.logger.warn("status-write-failed", {
         code: normalizeError(thrown).code,
       });
@@ -57,12 +55,18 @@
     }
   }
 
+  /** Whether the store was not restored since the last write. */
+  get #isOfCurrentEpoch(): boolean {
+    return this.#position?.epoch === this.#options.platform.epoch;
+  }
+
   async #put(value: string): Promise<void> {
     const { name, platform } = this.#options;
     const object = { kind: "status", name };
-    const version = this.#version ??
-      (await platform.get(object))?.version ?? 0;
-    const condition = version === 0 ? "absent" : { version };
-    this.#version = await platform.put(object, { value, condition });
+    const position = this.#isOfCurrentEpoch
+      ? this.#position
+      : (await platform.get(object))?.position;
+    const condition = position === undefined ? "absent" : { position };
+    this.#position = await platform.put(object, { value, condition });
   }
 }
--- a/packages/runtime/src/leases/lease_manager.ts
+++ b/packages/runtime/src/leases/lease_manager.ts
@@ -5,6 +5,7 @@
   applyLeaseFailure,
   applyLeaseRead,
   applyLeaseWritten,
+  applyStoreEpoch,
   createLeaseTables,
   type Duty,
   formatLease,
@@ -18,6 +19,7 @@
 } from "@jasminetide/core/leases";
 import { assertNever } from "@jasminetide/core/results";
 import { normalizeError } from "@jasminetide/core/results";
+import { decodePosition, encodePosition } from "@jasminetide/core/store";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { PeerClient } from "../control/mod.ts";
 import type { Logger } from "../logging/mod.ts";
@@ -46,6 +48,7 @@
   readonly #options: LeaseManagerOptions;
   readonly #tables: LeaseTables;
   readonly #ticks: Disposable;
+  readonly #restores: Disposable;
   #isLeaving = false;
 
   private constructor(options: LeaseManagerOptions) {
@@ -53,6 +56,9 @@
     this.#tables = createLeaseTables({ self: options.self, leaseMs });
     for (const duty of options.duties) addDuty(this.#tables, duty);
     this.#ticks = options.timers.subscribe(tickPeriodMs, () => this.#tick());
+    this.#restores = options.platform.subscribeRestored(({ epoch }) =>
+      applyStoreEpoch(this.#tables, epoch)
+    );
   }
 
   /** Starts to check the leases of the duties periodically. */
@@ -89,6 +95,7 @@
 
   [Symbol.dispose](): void {
     this.#ticks[Symbol.dispose]();
+    this.#restores[Symbol.dispose]();
   }
 
   #tick(): void {
@@ -96,7 +103,8 @@
   }
 
   async #run(): Promise<void> {
-    const { listCandidates, timers } = this.#options;
+    const { listCandidates, platform, timers } = this.#options;
+    applyStoreEpoch(this.#tables, platform.epoch);
     const commands = updateLeases(this.#tables, {
       nowMs: timers.nowMs(),
       candidates: listCandidates(),
@@ -134,9 +142,10 @@
     const { platform, timers } = this.#options;
     const stored = await platform.get(getLeaseObject(duty));
     applyLeaseRead(this.#tables, duty, {
-      stored: stored === undefined
-        ? undefined
-        : { lease: parseLease(stored.value), version: stored.version },
+      stored: stored === undefined ? undefined : {
+        lease: parseLease(stored.value),
+        version: encodePosition(stored.position),
+      },
       nowMs: timers.nowMs(),
     });
   }
@@ -146,13 +155,15 @@
   ): Promise<void> {
     const { logger, platform, timers } = this.#options;
     const { duty, expectedVersion, lease } = command;
-    const version = await platform.put(getLeaseObject(duty), {
+    const expected = decodePosition(expectedVersion);
+    const position = await platform.put(getLeaseObject(duty), {
       value: formatLease(lease),
-      condition: expectedVersion === 0
-        ? "absent"
-        : { version: expectedVersion },
+      condition: expected.revision === 0 ? "absent" : { position: expected },
+    });
+    applyLeaseWritten(this.#tables, duty, {
+      version: encodePosition(position),
+      nowMs: timers.nowMs(),
     });
-    applyLeaseWritten(this.#tables, duty, { version, nowMs: timers.nowMs() });
     logger.info("lease-written", {
       duty,
       holder: lease.holder?.name,
