Tell a runner's start to those whose load cap depends on it

Empty runners lower the mean at once, but the admitting sidecar had heard of neither or of one, still had one with its load from before, or counted one by the share it had ramped up to, so that its mean was 1.09 to 1.25 times the true one. News of a start went by gossip alone, though a process that starts asks every member of a small fleet for its record directly: the request told who asks, not its epoch, so the receiver went on with the record from before.

Change: a request for a record contains the own record. Runners of the own pools are asked first, without the delay that large fleets have. The experiment, which has its own model of digests, sends such a request to each process 50 ms after a start, with the loss of digests and counted as control traffic.

--- a/packages/core/src/membership/request_records.ts
+++ b/packages/core/src/membership/request_records.ts
@@ -5,7 +5,8 @@
   type GossipState,
   type SendDigest,
 } from "./gossip_state.ts";
-import type { MemberRow } from "./tables.ts";
+import { getOwnRecord } from "./own_record.ts";
+import type { MemberRow, MembershipTables } from "./tables.ts";
 
 /** Time after which a record that has not arrived is requested again. */
 const retryPeriodMs = 1000;
@@ -21,7 +22,9 @@
 
 /**
  * Requests the full record and identity of members whose epoch is unknown or
- * whose identity is outdated, as far as the byte budget allows.
+ * whose identity is outdated, as far as the byte budget allows. A request
+ * contains this process's own record, so that those it asks when it starts
+ * count it at once. Runners of its own pools are asked first.
  */
 export function requestUnknownRecords(
   gossip: GossipState,
@@ -29,10 +32,11 @@
 ): SendDigest[] {
   const { budget, tables } = gossip;
   const commands: SendDigest[] = [];
-  for (const member of tables.unknown) {
+  for (const member of listUnknown(tables)) {
     if (nowMs < getRequestTimeMs(gossip, member, nowMs)) continue;
     const bytes = encodeDigest({
       ...createDigest(gossip),
+      records: [getOwnRecord(gossip, nowMs)],
       wanted: [member.record.wireId],
       identities: [tables.self.identity],
     });
@@ -44,9 +48,26 @@
   return commands;
 }
 
+/** Lists the members to ask, those that share a pool with this one first. */
+function listUnknown(tables: MembershipTables): MemberRow[] {
+  const unknown = [...tables.unknown];
+  const isPeer = (member: MemberRow) => hasCommonPool(tables.self, member);
+  return [
+    ...unknown.filter(isPeer),
+    ...unknown.filter((member) => !isPeer(member)),
+  ];
+}
+
+function hasCommonPool(left: MemberRow, right: MemberRow): boolean {
+  const pools = right.identity.runner?.pools ?? [];
+  return left.identity.runner?.pools.some((pool) => pools.includes(pool)) ??
+    false;
+}
+
 /**
  * Gets the time of the next request. In large fleets the first one is delayed
- * by a hash, so that many processes do not query a member at the same time.
+ * by a hash, so that many processes do not query a member at the same time,
+ * except that the runners of the own pools are asked immediately.
  */
 function getRequestTimeMs(
   gossip: GossipState,
@@ -54,7 +75,10 @@
   nowMs: number,
 ): number {
   const { members, self } = gossip.tables;
-  if (member.nextRequestAtMs === 0 && members.size > maxMembersWithoutDelay) {
+  if (
+    member.nextRequestAtMs === 0 && members.size > maxMembersWithoutDelay &&
+    !hasCommonPool(self, member)
+  ) {
     const hash = (self.record.wireId ^ member.record.wireId) >>> 0;
     member.nextRequestAtMs = nowMs + hash % maxFirstDelayMs;
   }
--- a/packages/load/src/measure/digests.ts
+++ b/packages/load/src/measure/digests.ts
@@ -13,6 +13,15 @@
 const digestDelayMs = { smallest: 200, range: 2800 };
 const digestLossShare = 0.05;
 
+/**
+ * Time from the start of a sidecar until its first requests arrive, for which
+ * it reads the host list.
+ */
+const startRequestMs = 50;
+
+/** Bytes of such a request, with its headers. */
+const startRequestBytes = 280;
+
 /** Components of one experiment. */
 export type Fleet = {
   events: EventQueue;
@@ -37,15 +46,22 @@
   }, { joinedAtMs, nowMs: Math.max(0, joinedAtMs) });
 }
 
-/** Sends each sidecar's load to all other processes, with delay and loss. */
+/**
+ * Sends each sidecar's load to all other processes, with delay and loss. One
+ * that starts asks each of them for its record and tells its own with it.
+ */
 export function startDigests(fleet: Fleet): void {
   const { events, nodes, scenario } = fleet;
   const random = createSeededRandom(scenario.seed + 2);
+  const startRandom = createSeededRandom(scenario.seed + 3);
   for (const node of nodes) {
     const send = (nowMs: number) => sendDigest({ node, nowMs, random }, fleet);
     events.subscribe(digestPeriodMs, send);
     events.subscribe(digestPeriodMs, () => node.announceChats());
-    node.subscribe(send);
+    node.subscribe((nowMs) => {
+      send(nowMs);
+      sendStartRequests({ node, nowMs, random: startRandom }, fleet);
+    });
   }
 }
 
@@ -56,12 +72,7 @@
   const { node, nowMs, random } = digest;
   const { events, nodes, routers, collector } = fleet;
   if (node.state === "down") return;
-  const record = {
-    loadTokens: node.loadTokens,
-    observedAtMs: nowMs,
-    joinedAtMs: node.startedAtMs,
-    isLeaving: node.state === "leaving",
-  };
+  const record = createRecord(node, nowMs);
   collector.recordControl(recordBytes * routers.length, nowMs);
   for (const process of [...routers, ...nodes]) {
     if (process === node || random.getFloat() < digestLossShare) continue;
@@ -73,6 +84,32 @@
   }
 }
 
+function sendStartRequests(
+  start: { node: SidecarNode; nowMs: number; random: RandomSource },
+  fleet: Fleet,
+): void {
+  const { node, nowMs, random } = start;
+  const { events, nodes, routers, collector } = fleet;
+  const record = createRecord(node, nowMs);
+  const runner = nodes.indexOf(node);
+  collector.recordControl(startRequestBytes * routers.length, nowMs);
+  for (const process of [...routers, ...nodes]) {
+    if (process === node || random.getFloat() < digestLossShare) continue;
+    events.schedule(nowMs + startRequestMs, () => {
+      applyRecord(record, { runner, process, fleet });
+    });
+  }
+}
+
+function createRecord(node: SidecarNode, nowMs: number): DigestRecord {
+  return {
+    loadTokens: node.loadTokens,
+    observedAtMs: nowMs,
+    joinedAtMs: node.startedAtMs,
+    isLeaving: node.state === "leaving",
+  };
+}
+
 type DigestRecord = {
   loadTokens: number;
   observedAtMs: number;
--- a/packages/load/src/measure/targets.feature
+++ b/packages/load/src/measure/targets.feature
@@ -14,7 +14,6 @@
       | 1    |
       | 3    |
 
-  @known-red
   Scenario: No admission is over the cap with seed 3
     When "ours" is measured in full with seed 3
     Then no admission of "ours" went over the cap
