--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -1,12 +1,11 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { AppError, type ResultName } from "@jasminetide/core/results";
+import type { ResultName } from "@jasminetide/core/results";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { LogFields } from "@jasminetide/runtime/logging";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
-import { createQuarantineError } from "../quarantine/mod.ts";
 import type { RequestTrace } from "../request_log.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
@@ -22,6 +21,11 @@
   describePlacement,
   describeSilence,
 } from "./describe_attempt.ts";
+import {
+  failRequest,
+  refuseRequest,
+  type WholeAnswer,
+} from "./final_answer.ts";
 import { formatRunnerRequest } from "./format_runner_request.ts";
 import {
   describeBreak,
@@ -30,11 +34,7 @@
   observePrompt,
   observeRunner,
 } from "./observe_end.ts";
-import {
-  getPauseLeftMs,
-  placeAttempt,
-  type Placement,
-} from "./place_attempt.ts";
+import { placeAttempt, type Placement } from "./place_attempt.ts";
 import { RunningAttempt } from "./running_attempt.ts";
 import { AttemptStream, StreamRelay } from "./stream_relay.ts";
 
@@ -83,7 +83,7 @@
   /** Attempts in which the request may have run. */
   #runs = 0;
   #hasEnded = false;
-  #lastAnswer: Extract<AttemptEnd, { type: "answered" }> | undefined;
+  #lastAnswer: WholeAnswer | undefined;
 
   private constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -347,27 +347,13 @@
   }
 
   #refuse(message: string): void {
-    const { admitted: { caller, service }, answer, context } = this.#options;
-    const quarantined = context.promptGuard.findQuarantined(caller.prompt);
-    if (quarantined !== undefined) {
-      answer.sendError(createQuarantineError(quarantined));
-      return;
-    }
-    const forecastMs = context.getCapacityForecast(service).recordRefusal({
-      nowMs: context.timers.nowMs(),
-      leftMs: Math.max(0, this.#getLeftMs()),
-      random: context.random.getFloat(),
-    });
-    const retryAfterMs = forecastMs + getPauseLeftMs(service, context);
-    answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
+    const leftMs = this.#getLeftMs();
+    refuseRequest(message, { ...this.#options, leftMs });
   }
 
-  /** Reports a failure, with the last whole answer of a runner if any. */
   #fail(message: string, result: ResultName = "runnerFailed"): void {
-    const { answer } = this.#options;
     const last = this.#lastAnswer;
-    if (last !== undefined) answer.sendBuffered(last.head, last.body);
-    else answer.sendError(AppError.create(result, message));
+    failRequest(this.#options.answer, { message, result, last });
   }
 
   /** Sends the final answer when the deadline is reached. */
--- /dev/null
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -0,0 +1,54 @@
+/** Final answers of this router to requests that no runner has answered. */
+import { AppError, type ResultName } from "@jasminetide/core/results";
+import type { GatewayContext } from "../gateway_context.ts";
+import { createQuarantineError } from "../quarantine/mod.ts";
+import type { AttemptEnd } from "./attempt.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+import type { AdmittedRequest } from "./exchange.ts";
+import { getPauseLeftMs } from "./place_attempt.ts";
+
+/** A whole answer of a runner. */
+export type WholeAnswer = Extract<AttemptEnd, { type: "answered" }>;
+
+/** A request that is refused, and its caller. */
+export type RefusedRequest = {
+  admitted: AdmittedRequest;
+  answer: CallerAnswer;
+  context: GatewayContext;
+  /** Time left until the request's deadline. */
+  leftMs: number;
+};
+
+/** Refuses a request that has not run and states when to come back. */
+export function refuseRequest(message: string, refused: RefusedRequest): void {
+  const { admitted: { caller, service }, answer, context, leftMs } = refused;
+  const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+  if (quarantined !== undefined) {
+    answer.sendError(createQuarantineError(quarantined));
+    return;
+  }
+  const forecastMs = context.getCapacityForecast(service).recordRefusal({
+    nowMs: context.timers.nowMs(),
+    leftMs: Math.max(0, leftMs),
+    random: context.random.getFloat(),
+  });
+  const retryAfterMs = forecastMs + getPauseLeftMs(service, context);
+  answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
+}
+
+/** How a request that may have run has failed. */
+export type RequestFailure = {
+  result: ResultName;
+  message: string;
+  /** Last whole answer of a runner, which the caller gets instead. */
+  last: WholeAnswer | undefined;
+};
+
+/** Reports the failure of a request that may have run. */
+export function failRequest(
+  answer: CallerAnswer,
+  { last, message, result }: RequestFailure,
+): void {
+  if (last !== undefined) answer.sendBuffered(last.head, last.body);
+  else answer.sendError(AppError.create(result, message));
+}
