Blame the rarer of two prompt parts that crashed the same runners

Gateways that had all been killed had not seen a shared part answered yet; it was under way at each of the four crashes of the crashing part, was quarantined with it, and half of the streams got 503 to the end (10 calls after the recovery).

Cause: of two parts that crashed the same processes neither was blamed before the other, and no answer can clear a part that every gateway refuses.

Change: of parts that crashed as many processes, the one in fewer requests is to blame. If that is wrong, its next crash is in one process more and clears the other.

Evidence: quarantine.feature, "A shared part that was under way at each crash of a rarer one" failed before. Remains: two parts in as many requests are both quarantined.

--- a/packages/core/src/quarantine/prompt_quarantine.ts
+++ b/packages/core/src/quarantine/prompt_quarantine.ts
@@ -144,7 +144,7 @@
     if (!this.#findings.has(partId)) {
       const blame = this.#blame(partId, this.#foundAtMs);
       const isExplained = blame !== undefined &&
-        this.#isExplained(partId, this.#foundAtMs);
+        this.#isExplained(blame, this.#foundAtMs);
       this.#findings.set(partId, isExplained ? undefined : blame);
     }
     return this.#findings.get(partId);
@@ -162,11 +162,12 @@
   }
 
   /**
-   * Whether parts with more crashed processes explain so many of those that
+   * Whether parts with stronger evidence explain so many of the processes that
    * speak against a part that too few are left. A process crashes once, so the
    * other parts are to blame.
    */
-  #isExplained(partId: string, nowMs: number): boolean {
+  #isExplained(found: QuarantinedPart, nowMs: number): boolean {
+    const { partId } = found;
     const own = listProcesses(this.#listCounted(partId, nowMs));
     const unexplained = new Set(own);
     const others = new Set(
@@ -175,7 +176,7 @@
     );
     for (const otherId of others) {
       const blame = this.#blame(otherId, nowMs);
-      if (blame === undefined || blame.processes <= own.size) continue;
+      if (blame === undefined || !isStronger(blame, found)) continue;
       const explained = listProcesses(this.#listCounted(otherId, nowMs));
       for (const process of explained) unexplained.delete(process);
     }
@@ -216,6 +217,18 @@
   }
 }
 
+/**
+ * Whether the evidence against a part is stronger. Of parts that crashed as many
+ * processes, the one in fewer requests is to blame: a sound part that many
+ * requests share is under way several times where a process crashes.
+ */
+function isStronger(left: QuarantinedPart, right: QuarantinedPart): boolean {
+  if (left.processes !== right.processes) {
+    return left.processes > right.processes;
+  }
+  return left.requests < right.requests;
+}
+
 function listProcesses(crashes: readonly Crash[]): Set<string> {
   return new Set(crashes.map(({ process }) => process));
 }
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -54,6 +54,15 @@
     When the part "base" crashes runners "r5" under request "q5"
     Then the part "base" is quarantined for 300 s with 4 processes and 4 requests
 
+  Scenario: A shared part that was under way at each crash of a rarer one
+    Given the parts "base bad" crashed runners "r1" under request "q1"
+    And the parts "base" crashed runners "r1" under request "q2"
+    And the parts "base bad" crashed runners "r2" under request "q3"
+    And the parts "base" crashed runners "r3" under request "q4"
+    And the parts "bad" crashed runners "r3" under request "q5"
+    Then the part "base" is not quarantined
+    And the part "bad" is quarantined for 300 s with 3 processes and 3 requests
+
   Scenario: A part of which another part explains all crashes but two
     Given the parts "base bad" crashed runners "r1" under request "q1"
     And the parts "base bad" crashed runners "r2" under request "q2"
