Play unframed answers and prompts that crash runners in each soak

Both were off while the gateways failed under them. Runners report which answers are unframed, and only an unframed answer of a runner that exited meanwhile is excused; a framed one is not: planted histories of both.

--- a/packages/fault_soak/src/call_checks.ts
+++ b/packages/fault_soak/src/call_checks.ts
@@ -12,6 +12,7 @@
   type History,
   isServed,
   type RunnerEvent,
+  type RunnerExit,
 } from "./history.ts";
 import { createSoakDeclaration } from "./soak_declaration.ts";
 import { formatBody, formatStream } from "./scripted_answers.ts";
@@ -47,12 +48,13 @@
 
 /**
  * Finds a complete answer that differs from the expected one, or a truncated
- * answer that is not a prefix of it. An unframed answer that a killed gateway
- * truncated ends like a complete one.
+ * answer that is not a prefix of it. An unframed answer that a killed gateway or
+ * an exited runner truncated ends like a complete one.
  */
 export function findForeignAnswer(
   call: CallRecord,
-  { faults }: History,
+  events: readonly RunnerEvent[],
+  { exits, faults }: History,
 ): Finding {
   const { attemptId, endedAtMs, gateway, outcome, sentAtMs } = call;
   if (outcome.type !== "answered" || outcome.status !== 200) return undefined;
@@ -60,8 +62,11 @@
     ? formatStream(attemptId)
     : formatBody(attemptId);
   const interval = { gateway, fromMs: sentAtMs, toMs: endedAtMs };
-  const mayLookComplete = outcome.isUnframed === true &&
-    isGatewayKilled(faults, interval);
+  const mayLookComplete =
+    (outcome.isUnframed === true && isGatewayKilled(faults, interval)) ||
+    events.some((event) =>
+      event.isUnframed === true && hasExitedDuring(event, { call, exits })
+    );
   if (outcome.isComplete && !mayLookComplete) {
     return outcome.body === expected ? undefined : "wrong or incomplete answer";
   }
@@ -125,6 +130,20 @@
   return isExcused ? undefined : "no answer in time";
 }
 
+/** Time by which the exit of a runner may be seen after its effects. */
+const exitSlackMs = 500;
+
+/** Whether the runner of an event exited while a call was under way. */
+export function hasExitedDuring(
+  { runner }: RunnerEvent,
+  { call, exits }: { call: CallRecord; exits: readonly RunnerExit[] },
+): boolean {
+  return exits.some((exit) =>
+    exit.runner === runner && exit.atMs >= call.sentAtMs &&
+    exit.atMs <= call.endedAtMs + exitSlackMs
+  );
+}
+
 /** Whether a gateway had no route for a call. */
 export function isUnknownRoute({ outcome }: CallRecord): boolean {
   return outcome.type === "answered" && outcome.status === 404;
--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -49,7 +49,7 @@
   return [
     ...checkCalls(
       "whole-answers",
-      (call) => findForeignAnswer(call, history),
+      (call, events) => findForeignAnswer(call, events, history),
     ),
     ...checkCalls("at-most-once", findDuplicateRun),
     ...checkCalls("true-refusals", findFalseRefusal),
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -6,8 +6,8 @@
   hasCrashingPart: boolean;
 };
 
-/** Off while the gateways fail under them: see KNOWN-RED.txt, issue 27. */
+/** Behaviour that episodes include unless they are run without it. */
 export const defaultSwitches: EpisodeSwitches = {
-  hasUnframedAnswers: false,
-  hasCrashingPart: false,
+  hasUnframedAnswers: true,
+  hasCrashingPart: true,
 };
--- a/packages/fault_soak/src/fault_soak.feature
+++ b/packages/fault_soak/src/fault_soak.feature
@@ -47,6 +47,16 @@
       | a stream that a planned stop of its gateway cuts         | runner-killed     |
       | an unframed stream that ends after its fifth event       | gateway-killed    |
 
+  Scenario: A stream whose unframed answer its runner truncated by its exit is excused
+    Given callers whose requests of every kind are served
+    And a stream that ends early since its runner exited in an unframed answer
+    Then there is no violation
+
+  Scenario: An exit does not excuse a stream whose answer was framed
+    Given callers whose requests of every kind are served
+    And a stream that ends early although its runner exited in a framed answer
+    Then "whole-answers" is the only violated check
+
   Scenario: A connection that was open while its link was silent stays silent
     Given callers whose requests of every kind are served
     And a lookup without answer on a connection from a silence before
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -48,6 +48,12 @@
       isUnframed: true,
     };
   },
+  "a stream that ends early since its runner exited in an unframed answer": (
+    world,
+  ) => addEndAtExit(world, { isUnframed: true }),
+  "a stream that ends early although its runner exited in a framed answer": (
+    world,
+  ) => addEndAtExit(world, { isUnframed: false }),
   "a stream that breaks off after another request's event": (world) => {
     const call = addCall(world, "story");
     const body = formatEvent(call.attemptId, 1) + formatEvent("another", 2);
@@ -146,6 +152,16 @@
   },
 };
 
+/** Adds a stream that ends as complete, but early, when its runner exits. */
+function addEndAtExit(world: World, run: { isUnframed: boolean }): void {
+  const call = addCall(world, "summary");
+  const body = formatEvent(call.attemptId, 1);
+  call.outcome = { type: "answered", status: 200, body, isComplete: true };
+  addRun(world, call, { ...run, end: "crashed" });
+  const exit = { runner: "runner-0-0", atMs: call.endedAtMs };
+  world.history.exits.push(exit);
+}
+
 /** Adds a lookup that is not answered, and a silence of its link before it. */
 function addCallAfterSilence(world: World, connectedAtMs: number): void {
   world.history.faults.push({
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -69,6 +69,8 @@
   attemptId: string;
   runner: string;
   service: string;
+  /** Whether its answer has neither a length nor chunks. */
+  isUnframed?: boolean;
   /** Whether its answer states that the runner is about to leave. */
   isLeaving?: boolean;
   /** Time until which the runner wants no requests, if it refused one so. */
--- a/packages/fault_soak/src/lost_answers.ts
+++ b/packages/fault_soak/src/lost_answers.ts
@@ -1,5 +1,5 @@
 /** Check that no answer of a sound runner is lost on the way to its caller. */
-import type { Finding } from "./call_checks.ts";
+import { type Finding, hasExitedDuring } from "./call_checks.ts";
 import { areRunnerLinksCut, isGatewayDisturbed } from "./disturbances.ts";
 import type {
   CallOutcome,
@@ -8,9 +8,6 @@
   RunnerEvent,
 } from "./history.ts";
 
-/** Time by which the exit of a runner may be seen after its effects. */
-const exitSlackMs = 500;
-
 /** Time by which a timer of a gateway may end a request early. */
 const timerPrecisionMs = 20;
 
@@ -32,9 +29,8 @@
   const isInTime = endedAtMs - sentAtMs < limitMs - timerPrecisionMs;
   if (!isLost(outcome) || !hasRun || !isInTime) return undefined;
   const hasBrokenOff = events.some(({ type }) => type === "brokenOff");
-  const hasExited = exits.some(({ atMs, runner }) =>
-    atMs >= sentAtMs && atMs <= endedAtMs + exitSlackMs &&
-    events.some((event) => event.runner === runner)
+  const hasExited = events.some((event) =>
+    hasExitedDuring(event, { call, exits })
   );
   const interval = { gateway, fromMs: sentAtMs, toMs: endedAtMs };
   const isExcused = hasBrokenOff || hasExited ||
--- a/packages/fault_soak/src/scripted_answers.ts
+++ b/packages/fault_soak/src/scripted_answers.ts
@@ -112,12 +112,13 @@
 
 /** Lets an answer without framing end with its connection. */
 function beginAnswer(run: ScriptedRun): void {
-  if (!isUnframed(run)) return;
+  if (!isUnframedRun(run)) return;
   run.response.useChunkedEncodingByDefault = false;
   run.response.shouldKeepAlive = false;
 }
 
-function isUnframed(run: ScriptedRun): boolean {
+/** Whether the answer has neither a length nor chunks. */
+export function isUnframedRun(run: ScriptedRun): boolean {
   return run.hasUnframedAnswers &&
     draw(run, "framing") % unframedOneIn === 0n;
 }
@@ -125,7 +126,7 @@
 function isBreakingOff(run: ScriptedRun): boolean {
   const { attemptId, runnerId } = run;
   const isDrawn = hash64(`${attemptId} ${runnerId}`) % breakOffOneIn === 0n;
-  return isDrawn || (isUnframed(run) &&
+  return isDrawn || (isUnframedRun(run) &&
     draw(run, "unframed break-off") % unframedBreakOffOneIn === 0n);
 }
 
@@ -145,7 +146,7 @@
  */
 async function breakOffStream(run: ScriptedRun): Promise<RunEnd> {
   const { attemptId, request, response } = run;
-  const recognizable = isUnframed(run) ? breakOffs.slice(1) : breakOffs;
+  const recognizable = isUnframedRun(run) ? breakOffs.slice(1) : breakOffs;
   const index = draw(run, "break-off") % BigInt(recognizable.length);
   const { isInsideEvent, isReset } = recognizable[Number(index)];
   if (isInsideEvent) {
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -7,7 +7,7 @@
 import process from "node:process";
 import type { RunnerEvent } from "./history.ts";
 import { hasCrashingPart } from "./prompts.ts";
-import { answerFailure, answerRun } from "./scripted_answers.ts";
+import { answerFailure, answerRun, isUnframedRun } from "./scripted_answers.ts";
 import { SilentPeriod } from "./silent_period.ts";
 import type { AttemptHeaders, SoakWire } from "./wire.ts";
 
@@ -98,7 +98,6 @@
   ): Promise<void> {
     const { hasUnframedAnswers, id } = this.#options;
     this.#running += 1;
-    this.#report("ran", attemptId);
     const run = {
       request,
       response,
@@ -110,6 +109,7 @@
       silence: this.#silence,
       hasUnframedAnswers,
     };
+    this.#report("ran", attemptId, isUnframedRun(run));
     const isFailing = Date.now() < this.#failsUntilMs;
     const end = await (isFailing ? answerFailure(run) : answerRun(run));
     this.#running -= 1;
@@ -136,7 +136,11 @@
     return Math.max(0, this.#restsUntilMs - Date.now());
   }
 
-  #report(type: RunnerEvent["type"], attemptId: string): void {
+  #report(
+    type: RunnerEvent["type"],
+    attemptId: string,
+    hasUnframedAnswer = false,
+  ): void {
     const { id, service } = this.#options;
     const event: RunnerEvent = {
       type,
@@ -145,6 +149,7 @@
       runner: id,
       service,
       ...(this.#isLeaving ? { isLeaving: true } : {}),
+      ...(hasUnframedAnswer ? { isUnframed: true } : {}),
       ...(type === "refused" ? { restsUntilMs: this.#restsUntilMs } : {}),
     };
     process.stdout.write(`${JSON.stringify(event)}\n`);
