Test that a withdrawn key stays withdrawn after a restart

The last item of the list in docs/testing.md without a test: a gateway starts, takes the declaration from another one, and then its store answers with an older one that has the key. With versions no longer compared the scenario fails.

--- a/packages/gateway/src/peers/peers.feature
+++ b/packages/gateway/src/peers/peers.feature
@@ -48,3 +48,10 @@
     When the runner leaves while its store is away
     And another one starts with it as a seed and no working store
     Then the other one is ready and knows no runner
+
+  Scenario: A key that was withdrawn is not in use again after a restart
+    Given a gateway that has declaration 5 without the key "kiosk-key" and a runner
+    When another one starts with it as a seed and no working store
+    Then it becomes ready with declaration 5
+    When its store answers with declaration 4 and the key "kiosk-key"
+    Then it refuses the key "kiosk-key"
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -11,8 +11,10 @@
 import {
   createDeclaration,
   createRunnerRecord,
+  RawCaller,
   startTestGateway,
   type TestGateway,
+  testHeaders,
 } from "../test_support/mod.ts";
 import {
   createPeerHandler,
@@ -169,6 +171,47 @@
   },
 );
 
+Given(
+  "a gateway that has declaration {int} without the key {string} and a runner",
+  async function (this: World, version: number, key: string) {
+    const declaration = createDeclaration(version);
+    const workspaces = declaration.workspaces?.map((workspace) => ({
+      ...workspace,
+      apiKeys: workspace.apiKeys.filter((apiKey) => apiKey !== key),
+    }));
+    this.seed = await startTestGateway();
+    this.seed.declarations.put("main", { ...declaration, workspaces });
+    this.seed.runners.put("r", createRunnerRecord("r", "127.0.0.1:1"));
+    await waitUntilReady(this.seed);
+  },
+);
+
+When(
+  "its store answers with declaration {int} and the key {string}",
+  async function (this: World, version: number, key: string) {
+    const declaration = createDeclaration(version);
+    assert.ok(
+      declaration.workspaces?.some(({ apiKeys }) => apiKeys.includes(key)),
+    );
+    this.starting.declarations.put("main", declaration);
+    this.starting.declarations.setUnavailable(false);
+    while (!this.starting.declarations.isCaughtUp) {
+      await wait(RealTimerService.create(), 1);
+    }
+  },
+);
+
+Then("it refuses the key {string}", async function (this: World, key: string) {
+  using caller = await RawCaller.create(this.starting.gateway.callerAddress);
+  caller.send({
+    path: "/private/1",
+    attemptId: "attempt-with-withdrawn-key",
+    headers: { [testHeaders.key]: key },
+  });
+  await caller.waitUntil(({ text }) => text.includes("\r\n\r\n"));
+  assert.match(caller.text, /^HTTP\/1\.1 401 /);
+});
+
 async function waitUntilReady({ gateway }: TestGateway): Promise<void> {
   while (!gateway.isReady || gateway.runnerCount === 0) {
     await wait(RealTimerService.create(), 1);
