--- a/packages/core/src/limits/mod.ts
+++ b/packages/core/src/limits/mod.ts
@@ -1,4 +1,5 @@
-/** Workspace quotas shared by all routers. */
+/** Limits that all routers share: quotas of workspaces, limits of runners. */
 export * from "./quota.ts";
 export * from "./quota_holder.ts";
 export * from "./quota_owner.ts";
+export * from "./stated_limit.ts";
--- a/packages/core/src/pools/runner_availability.ts
+++ b/packages/core/src/pools/runner_availability.ts
@@ -1,9 +1,13 @@
+import { StatedLimit } from "../limits/mod.ts";
+
 /**
  * Whether a runner process accepts new requests of this router, by what its
  * answers to this router state. Unlike the health of a runner, which is a guess,
  * this is never overridden when no other runner is left.
  */
 export class RunnerAvailability {
+  /** Limit on the requests of all routers together. */
+  readonly limit = StatedLimit.create();
   #isLeaving = false;
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
 
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -70,6 +70,8 @@
   isLeaving: boolean;
   /** Time for which a runner that refused a request wants no others. */
   pauseMs: number | undefined;
+  /** Requests a second that the runner accepts from all routers together. */
+  limitPerSecond: number | undefined;
   load: ReportedLoad | undefined;
 };
 
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -143,7 +143,7 @@
     setScript(
       this,
       ({ attemptId, socket }) =>
-        socket.write(formatAnswer(attemptId, body, status)),
+        socket.write(formatAnswer(attemptId, body, { status })),
     );
   },
 );
@@ -154,7 +154,7 @@
     const runner = this.scriptedRunners.get(id);
     assert.ok(runner);
     runner.script = ({ attemptId, socket }) =>
-      socket.write(formatAnswer(attemptId, body, status));
+      socket.write(formatAnswer(attemptId, body, { status }));
   },
 );
 
@@ -344,7 +344,7 @@
       this.scriptedRunners.values(),
       breakOffInThird,
       ({ attemptId, socket }) =>
-        socket.write(formatAnswer(attemptId, "no", `${status} No`)),
+        socket.write(formatAnswer(attemptId, "no", { status: `${status} No` })),
     );
   },
 );
@@ -355,7 +355,7 @@
     setScripts(
       this.scriptedRunners.values(),
       ({ attemptId, socket }) =>
-        socket.write(formatAnswer(attemptId, "no", `${status} No`)),
+        socket.write(formatAnswer(attemptId, "no", { status: `${status} No` })),
       ({ socket }) => socket.destroy(),
     );
   },
--- a/packages/gateway/src/requests/silence_test.ts
+++ b/packages/gateway/src/requests/silence_test.ts
@@ -39,7 +39,7 @@
   "refuses as not run": refuseAsNotRun,
   "closes without an answer": ({ socket }) => socket.destroy(),
   "answers with status 500": ({ attemptId, socket }) =>
-    socket.write(formatAnswer(attemptId, "no", "500 Failed")),
+    socket.write(formatAnswer(attemptId, "no", { status: "500 Failed" })),
   "accepts and sends no answer": () => {},
   "begins and closes": ({ attemptId, socket }) =>
     socket.end(formatStreamStart(attemptId)),
--- a/packages/gateway/src/state_logging.feature
+++ b/packages/gateway/src/state_logging.feature
@@ -11,6 +11,15 @@
     When the runner answers a lookup
     Then it logs "runner-trusted" for the runner
 
+  Scenario: A runner states a limit, another one and none any more
+    Given a logged gateway with declaration 6 and a runner
+    When the runner answers a lookup and states a limit of 90000 a second
+    Then it logs "runner-limit-begun" with "perSecond" 90000
+    When the runner answers a lookup and states a limit of 50000 a second
+    Then it logs "runner-limit-changed" with "perSecond" 50000 and "beforePerSecond" 90000
+    When the runner answers a lookup
+    Then it logs "runner-limit-ended" with "beforePerSecond" 50000
+
   Scenario: An answer breaks off after it has begun
     Given a logged gateway with declaration 6 and a runner
     When the runner breaks off its answer to a prompt of parts "base,tool,own"
--- a/packages/gateway/src/state_logging_test.ts
+++ b/packages/gateway/src/state_logging_test.ts
@@ -78,6 +78,15 @@
   await callOnce(this, "/lookup/1");
 });
 
+When(
+  "the runner answers a lookup and states a limit of {int} a second",
+  async function (this: World, perSecond: number) {
+    this.loggedRunner.script = ({ attemptId, socket }) =>
+      socket.write(formatAnswer(attemptId, "done", { perSecond }));
+    await callOnce(this, "/lookup/1");
+  },
+);
+
 When(
   "the runner breaks off its answer to a prompt of parts {string}",
   async function (this: World, prompt: string) {
@@ -121,6 +130,13 @@
   },
 );
 
+Then(
+  "it logs {string} with {string} {int}",
+  function (this: World, event: string, name: string, value: number) {
+    assert.equal(getLogFields(this, event)[name], value);
+  },
+);
+
 Then("it logs {string} for the runner", function (this: World, event: string) {
   assert.equal(getLogFields(this, event).runner, "r");
 });
--- a/packages/gateway/src/test_support/scripted_runner.ts
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -126,12 +126,24 @@
     `${testHeaders.mark}: m\r\n`;
 }
 
+/** How an answer differs from a usual one. */
+export type AnswerVariation = {
+  status?: string;
+  /** Limit that the runner states, in requests a second. */
+  perSecond?: number;
+};
+
 /** Formats a whole genuine answer with its length. */
 export function formatAnswer(
   attemptId: string,
   body: string,
-  status = "200 OK",
+  { perSecond, status = "200 OK" }: AnswerVariation = {},
 ): string {
-  return `${formatHead(attemptId, status)}Content-Length: ${body.length}` +
+  const limit = perSecond === undefined
+    ? ""
+    : `${testHeaders.limit}: ${perSecond}\r\n`;
+  return `${
+    formatHead(attemptId, status)
+  }${limit}Content-Length: ${body.length}` +
     `\r\n\r\n${body}`;
 }
--- a/packages/gateway/src/test_support/test_protocol.ts
+++ b/packages/gateway/src/test_support/test_protocol.ts
@@ -14,6 +14,7 @@
   cacheSource: "x-cache-source",
   leaving: "x-leaving",
   pause: "x-pause-ms",
+  limit: "x-limit",
 } as const;
 
 /** Header format for tests; its names differ from those of any deployment. */
@@ -58,6 +59,7 @@
     isGenuine: find(testHeaders.mark) !== undefined,
     isLeaving: find(testHeaders.leaving) !== undefined,
     pauseMs: parseCount(find(testHeaders.pause)),
+    limitPerSecond: parseCount(find(testHeaders.limit)),
     load: undefined,
   };
 }
