--- a/packages/gateway/src/quarantine/quarantine_test.ts
+++ b/packages/gateway/src/quarantine/quarantine_test.ts
@@ -127,7 +127,7 @@
     for (let index = 0; index < count; index++) {
       await this.crashingFleet.request(index, {
         prompt: crashingPrompt,
-        isRepeatable: false,
+        path: "/summary/1",
       });
     }
   },
@@ -295,7 +295,7 @@
     fleet.soundScript = ({ attemptId, socket }) =>
       socket.write(formatStreamStart(attemptId, [1]), () => socket.destroy());
     for (let sent = 0; sent < count; sent++) {
-      const call = { prompt: soundPrompt, isRepeatable: false };
+      const call = { prompt: soundPrompt, path: "/summary/1" };
       await fleet.request(sent, call);
     }
     await wait(timers, probeMs);
@@ -330,7 +330,7 @@
         // Prompts with the same last shared part would go to the same runner.
         const prompt = `${soundPart},kind-${index}`;
         const gateway = oneGateway === null ? index : 1;
-        return fleet.request(gateway, { prompt, isRepeatable: false });
+        return fleet.request(gateway, { prompt, path: "/summary/1" });
       },
     );
     while (this.heldRequests.length < Number(count)) await wait(timers, 1);
@@ -364,7 +364,7 @@
       });
       const gateway = 1 + index % gatewayCount;
       const prompt = `${soundPart},kind-${index}`;
-      const answer = fleet.request(gateway, { prompt, isRepeatable: false });
+      const answer = fleet.request(gateway, { prompt, path: "/summary/1" });
       const attemptId = await begun;
       const runner = fleet.runners.find(({ requests }) =>
         requests.some((request) => request.attemptId === attemptId)
--- a/packages/gateway/src/test_support/crashing_fleet.ts
+++ b/packages/gateway/src/test_support/crashing_fleet.ts
@@ -29,10 +29,13 @@
 
 /** Request to a fleet. */
 export type FleetCall = {
-  /** Parts of its prompt but the last, which is added, such as "base,tool". */
-  prompt: string;
-  /** Whether it may be sent to a second runner; true if absent. */
-  isRepeatable?: boolean;
+  /**
+   * Parts of its prompt but the last, which is added, such as "base,tool"; it
+   * has no prompt if absent.
+   */
+  prompt?: string;
+  /** Path of a test route; one for streams that resume if absent. */
+  path?: string;
 };
 
 /** Size of a fleet. */
@@ -113,20 +116,22 @@
   }
 
   /**
-   * Sends a stream request and waits for the end of its answer.
+   * Sends a request and waits for the end of its answer.
    *
    * @param gatewayIndex number of a gateway, from 0; starts anew at the end.
    */
   async request(gatewayIndex: number, call: FleetCall): Promise<FleetAnswer> {
     const { gateway } = this.gateways[gatewayIndex % this.gateways.length];
-    const { isRepeatable = true, prompt } = call;
+    const { path = "/story/1", prompt } = call;
     await this.#settle();
     using caller = await RawCaller.create(gateway.callerAddress);
     this.#sent += 1;
     caller.send({
-      path: isRepeatable ? "/story/1" : "/summary/1",
+      path,
       attemptId: `fleet-${this.#sent}`,
-      headers: { [testHeaders.prompt]: `${prompt},own-${this.#sent}` },
+      headers: prompt === undefined
+        ? {}
+        : { [testHeaders.prompt]: `${prompt},own-${this.#sent}` },
     });
     await caller.waitUntil((each) => each.hasEnded || isWhole(each));
     const { text } = caller;
