Tell the other gateways of the limits that runners state

**What was seen.** A gateway without a share of a limit sends nothing to the runner, so no answer could tell it that the limit had ended: it stayed away for 60 s. PeerDelivery is taken out of EvidenceDelivery and serves both; crashes and parts that wait for a gateway are bounded together now. explainRequest names the limit. **Measured.** The new scenario failed before (the other gateways never learned of the limit; the step timed out) and passes now. **Conclusion.** All gateways keep to a limit and its end from the first answer of any of them, within the time of a message.

--- a/packages/core/src/limits/stated_limit.ts
+++ b/packages/core/src/limits/stated_limit.ts
@@ -20,7 +20,17 @@
   sharers: LimitSharers;
 };
 
-type Statement = { perSecond: number; statedAtMs: number; bucket: QuotaBucket };
+/** What a router has learned of a limit, as it is sent to other routers. */
+export type LimitStatement = {
+  runnerId: string;
+  /** Start of the runner's process, in Unix milliseconds. */
+  startedAtMs: number;
+  /** Requests a second; undefined if the runner states no limit any more. */
+  perSecond?: number;
+  ageMs: number;
+};
+
+type Statement = { perSecond: number; bucket: QuotaBucket };
 
 /** A share that was computed, and from what. */
 type KnownShare = { of: SharedLimit; sharers: LimitSharers; share: number };
@@ -31,6 +41,8 @@
  */
 export class StatedLimit {
   #statement: Statement | undefined;
+  #statedAtMs = Number.NEGATIVE_INFINITY;
+  #heardAtMs = Number.NEGATIVE_INFINITY;
   #knownShare: KnownShare | undefined;
 
   private constructor() {}
@@ -40,6 +52,11 @@
     return new StatedLimit();
   }
 
+  /** Time at which an answer to this router last stated something. */
+  get heardAtMs(): number {
+    return this.#heardAtMs;
+  }
+
   /**
    * Records what an answer states.
    *
@@ -50,14 +67,36 @@
     perSecond: number | undefined,
     nowMs: number,
   ): LimitChange | undefined {
+    this.#heardAtMs = nowMs;
+    return this.merge(perSecond, { ageMs: 0, nowMs });
+  }
+
+  /**
+   * Takes in what an answer to another router stated, unless this router knows
+   * of a later one.
+   *
+   * @returns the change if it is more than slight.
+   */
+  merge(
+    perSecond: number | undefined,
+    { ageMs, nowMs }: { ageMs: number; nowMs: number },
+  ): LimitChange | undefined {
+    const statedAtMs = nowMs - ageMs;
+    if (statedAtMs < this.#statedAtMs) return undefined;
     const before = this.#getStatement(nowMs);
     const bucket = before?.bucket ?? QuotaBucket.create(nowMs);
+    this.#statedAtMs = statedAtMs;
     this.#statement = perSecond === undefined
       ? undefined
-      : { perSecond, statedAtMs: nowMs, bucket };
+      : { perSecond, bucket };
     return describeChange(before?.perSecond, perSecond);
   }
 
+  /** Gets the age of the last statement. */
+  getAgeMs(nowMs: number): number {
+    return nowMs - this.#statedAtMs;
+  }
+
   /** Gets the limit in requests a second; undefined if none is stated. */
   getPerSecond(nowMs: number): number | undefined {
     return this.#getStatement(nowMs)?.perSecond;
@@ -83,10 +122,8 @@
 
   /** Gets the statement unless it is too old to be believed. */
   #getStatement(nowMs: number): Statement | undefined {
-    const statement = this.#statement;
-    if (statement === undefined) return undefined;
-    const ageMs = nowMs - statement.statedAtMs;
-    return ageMs < maxStatementAgeMs ? statement : undefined;
+    const isBelieved = this.getAgeMs(nowMs) < maxStatementAgeMs;
+    return isBelieved ? this.#statement : undefined;
   }
 
   #getShare(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,12 +20,14 @@
   startControlListener,
   startReadinessListener,
 } from "./listening/mod.ts";
+import { LimitNews } from "./limits/mod.ts";
 import {
   createNewsHandler,
   createPeerHandler,
   fetchEvidence,
   type PeerRegistry,
   sendEvidence,
+  sendLimits,
 } from "./peers/mod.ts";
 import type { WireProtocol } from "./protocol.ts";
 import { PromptGuard } from "./quarantine/mod.ts";
@@ -60,6 +62,7 @@
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
   readonly #promptGuard: PromptGuard;
+  readonly #limitNews: LimitNews;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
   #peerAddress = "";
@@ -87,6 +90,14 @@
         fetch: fetchEvidence,
       },
     }));
+    this.#limitNews = this.#resources.use(LimitNews.create({
+      ...options,
+      directory: this.#fleet.directory,
+      peers: {
+        list: () => this.#fleet.listPeerAddresses(),
+        send: sendLimits,
+      },
+    }));
     this.#context = this.#createContext();
     listener.setHandler((request, response) => {
       this.#openRequests += 1;
@@ -185,6 +196,7 @@
         explainRequest: (query) => explainRequest(query, this.#context),
         mergeEvidence: (evidence) => this.#promptGuard.merge(evidence),
         getEvidence: () => this.#promptGuard.getEvidence(),
+        mergeLimits: (statements) => this.#limitNews.merge(statements),
       }),
       handleNews: createNewsHandler(this.#fleet.publisher),
       formatMetrics: () => formatMetrics(this.#metrics.getSnapshot()),
@@ -211,6 +223,7 @@
       directory: this.#fleet.directory,
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
       promptGuard: this.#promptGuard,
+      limitNews: this.#limitNews,
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -10,6 +10,7 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "@jasminetide/runtime/logging";
+import type { LimitNews } from "./limits/mod.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { WireProtocol } from "./protocol.ts";
 import type { PromptGuard } from "./quarantine/mod.ts";
@@ -22,6 +23,8 @@
   holders: PrefixHolders;
   /** Keeps prompts that crash runners from them. */
   promptGuard: PromptGuard;
+  /** Limits that runners state, shared with the other gateways. */
+  limitNews: LimitNews;
   failureDomain: string;
   timers: TimerService;
   random: RandomSource;
--- a/packages/gateway/src/peers/gateway_client.ts
+++ b/packages/gateway/src/peers/gateway_client.ts
@@ -1,3 +1,4 @@
+import type { LimitStatement } from "@jasminetide/core/limits";
 import type { Evidence } from "@jasminetide/core/quarantine";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { sendRequest } from "@jasminetide/runtime/http";
@@ -57,6 +58,14 @@
   return evidenceSchema.parse(await client.getEvidence.query());
 }
 
+/** Sends what runners have stated of their limits to another gateway. */
+export async function sendLimits(
+  address: string,
+  statements: LimitStatement[],
+): Promise<void> {
+  await createClient(address, peerLimits).mergeLimits.mutate(statements);
+}
+
 type AnswerLimits = { firstMs: number; pauseMs: number; totalMs: number };
 
 function createClient(address: string, limits: AnswerLimits) {
--- a/packages/gateway/src/peers/mod.ts
+++ b/packages/gateway/src/peers/mod.ts
@@ -12,6 +12,7 @@
 export * from "./news_follower.ts";
 export * from "./news_limits.ts";
 export * from "./news_publisher.ts";
+export * from "./peer_delivery.ts";
 export * from "./peer_poller.ts";
 export * from "./peer_handler.ts";
 export * from "./gateway_state.ts";
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -1,4 +1,5 @@
 import type { RequestListener } from "node:http";
+import type { LimitStatement } from "@jasminetide/core/limits";
 import type { Evidence } from "@jasminetide/core/quarantine";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
@@ -7,6 +8,7 @@
   explanationQuerySchema,
   type RequestExplanation,
 } from "../requests/explain_request.ts";
+import { limitStatementsSchema } from "../limits/limit_schema.ts";
 import { evidenceSchema } from "./evidence_schema.ts";
 import {
   type GatewayState,
@@ -26,6 +28,8 @@
   mergeEvidence: (evidence: Evidence) => Evidence;
   /** Returns all that this gateway knows of crashes. */
   getEvidence: () => Evidence;
+  /** Takes in what another gateway knows of the limits of runners. */
+  mergeLimits: (statements: LimitStatement[]) => void;
 };
 
 function createPeerProcedures(handlers: PeerHandlers) {
@@ -45,6 +49,10 @@
     ),
     /** Returns all evidence of crashes, for a gateway that has started. */
     getEvidence: procedure.query(() => handlers.getEvidence()),
+    /** Takes what runners have stated of their limits. */
+    mergeLimits: procedure.input(limitStatementsSchema).mutation(({ input }) =>
+      handlers.mergeLimits(input)
+    ),
   });
 }
 
--- a/packages/gateway/src/peers/peers_test.ts
+++ b/packages/gateway/src/peers/peers_test.ts
@@ -50,6 +50,7 @@
       explainRequest: () => ({ version: 0, key: "notNeeded", services: [] }),
       mergeEvidence: () => ({ crashes: [], sound: [] }),
       getEvidence: () => ({ crashes: [], sound: [] }),
+      mergeLimits: () => {},
     });
     this.peerServer = createServer((request, response) => {
       if (this.answerMs > 0) sendSlowly(response, this.answerMs);
--- a/packages/gateway/src/requests/explain_request.ts
+++ b/packages/gateway/src/requests/explain_request.ts
@@ -32,6 +32,8 @@
   failureShare: number;
   /** Whether new requests go to other runners if there are any. */
   isAvoided: boolean;
+  /** Requests a second that it accepts from all routers, if it states so. */
+  limitPerSecond?: number;
 };
 
 /** How a router would handle a request, and the state this depends on. */
@@ -98,7 +100,8 @@
 }
 
 function explainRunner(upstream: Upstream, nowMs: number): RunnerExplanation {
-  const { health, id, load, record, slots } = upstream;
+  const { availability, health, id, load, record, slots } = upstream;
+  const limitPerSecond = availability.limit.getPerSecond(nowMs);
   return {
     id,
     address: record.address,
@@ -107,5 +110,6 @@
     load: load.getEstimate(nowMs),
     failureShare: health.getFailureShare(nowMs),
     isAvoided: health.isAvoided(nowMs),
+    ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
   };
 }
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -62,23 +62,6 @@
   });
 }
 
-/**
- * Records the limit that an answer to a request of this router states, or that
- * it states none any more, and logs a change.
- */
-export function observeLimit(
-  { availability, id }: Upstream,
-  { attemptId, limitPerSecond }: RunnerAnswer,
-  { logger, timers }: Pick<GatewayContext, "logger" | "timers">,
-): void {
-  // Bytes that are no answer to the request do not end a limit.
-  if (limitPerSecond === undefined && attemptId === undefined) return;
-  const change = availability.limit.record(limitPerSecond, timers.nowMs());
-  if (change === undefined) return;
-  const { type, ...inputs } = change;
-  logger.info(`runner-limit-${type}`, { runner: id, ...inputs });
-}
-
 /** Learns from an answer that had begun whether its prompt crashes runners. */
 export function observePrompt(
   { begun, upstream }: { begun: BegunAnswer | undefined; upstream: Upstream },
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -5,11 +5,7 @@
 import type { RunnerRequest, Upstream } from "../upstreams/mod.ts";
 import { AnswerSilence } from "./answer_silence.ts";
 import { Attempt, type AttemptEnd } from "./attempt.ts";
-import {
-  observeAvailability,
-  observeLimit,
-  observeRunner,
-} from "./observe_end.ts";
+import { observeAvailability, observeRunner } from "./observe_end.ts";
 import type { AttemptStream } from "./stream_relay.ts";
 
 /** Options of a running attempt. */
@@ -121,7 +117,10 @@
       const atMs = context.timers.nowMs();
       this.#begun = { atMs, isFramed: head.isFramed };
     }
-    observeLimit(upstream, answer, context);
+    // Bytes that are no answer to the request do not end a limit.
+    if (answer.limitPerSecond !== undefined || answer.attemptId !== undefined) {
+      context.limitNews.observe(upstream, answer.limitPerSecond);
+    }
     if (answer.isNotRun) onNotRun();
     if (answer.load === undefined) return;
     upstream.load.observe(answer.load, context.timers.nowMs());
--- a/packages/gateway/src/requests/stated_limits.feature
+++ b/packages/gateway/src/requests/stated_limits.feature
@@ -20,3 +20,12 @@
     When 8 lookups are sent to all gateways in turn
     And runner 1 states no limit any more
     Then lookups at all gateways are answered soon and then without exception
+
+  Scenario: Gateways that send nothing to a runner learn its limit and the end of it
+    Given 4 gateways and 1 runners
+    And runner 1 states a limit of 200 requests a second
+    When 1 lookups are sent to all gateways in turn
+    Then all gateways know a limit of 200 requests a second
+    When runner 1 states no limit any more
+    And the first gateway has a lookup answered
+    Then all gateways know of no limit
--- a/packages/gateway/src/requests/stated_limits_test.ts
+++ b/packages/gateway/src/requests/stated_limits_test.ts
@@ -1,9 +1,13 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { wait } from "@jasminetide/core/timers";
+import { RealTimerService } from "@jasminetide/runtime/clock";
+import { fetchExplanation } from "../peers/mod.ts";
 import {
   type CrashingFleet,
   type FleetAnswer,
   formatAnswer,
+  testHost,
 } from "../test_support/mod.ts";
 
 type World = {
@@ -14,6 +18,8 @@
   lookupSeconds: number;
 };
 
+const timers = RealTimerService.create();
+
 /** Rate above the stated one that is tolerated, and requests besides. */
 const tolerance = { factor: 1.5, requests: 5 };
 
@@ -117,3 +123,40 @@
     }
   },
 );
+
+When(
+  "the first gateway has a lookup answered",
+  async function (this: World) {
+    for (let sent = 0; sent < maxLookups; sent++) {
+      if ((await sendLookup(this, 0)).status === 200) return;
+    }
+    assert.fail("No lookup was answered");
+  },
+);
+
+Then(
+  "all gateways know a limit of {int} requests a second",
+  function (this: World, perSecond: number) {
+    return waitUntilKnown(this, perSecond);
+  },
+);
+
+Then("all gateways know of no limit", function (this: World) {
+  return waitUntilKnown(this, undefined);
+});
+
+/** Waits until all gateways know the same limit of the only runner. */
+async function waitUntilKnown(
+  { crashingFleet }: World,
+  perSecond: number | undefined,
+): Promise<void> {
+  for (const { gateway } of crashingFleet.gateways) {
+    let known: number | undefined;
+    do {
+      await wait(timers, 1);
+      const query = { host: testHost, path: "/lookup/1" };
+      const { services } = await fetchExplanation(gateway.peerAddress, query);
+      known = services[0].runners[0].limitPerSecond;
+    } while (known !== perSecond);
+  }
+}
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -45,9 +45,14 @@
     return this.#allByService.get(service) ?? [];
   }
 
+  /** All runners of all services, including draining ones. */
+  listUpstreams(): Upstream[] {
+    return [...this.#upstreams.values()];
+  }
+
   /** Records of all runners, including draining ones. */
   listRecords(): RunnerRecord[] {
-    return [...this.#upstreams.values()].map(({ record }) => record);
+    return this.listUpstreams().map(({ record }) => record);
   }
 
   /** Finds a runner, including draining ones. */
