Play runners that state a limit in the fault soak

**Cause.** The soak had no runner that asks for fewer requests. **Change.** In half of the episodes, one or two runners state a limit for 9 s; stated-limits checks that all gateways together keep to it, with planted histories of both sides.

--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -23,6 +23,7 @@
   findVersionRollbacks,
   type RetryBudgetLimits,
 } from "./fleet_checks.ts";
+import { findExcessRequests } from "./limit_checks.ts";
 import type { CallRecord, History, RunnerEvent } from "./history.ts";
 import { type CheckName, formatCall, type Violation } from "./violation.ts";
 
@@ -78,6 +79,7 @@
     ),
     ...findLateArrivals(history),
     ...findRequestsAtRest(history),
+    ...findExcessRequests(history),
     ...findVersionRollbacks(history),
     ...findRepeatedCrashes(history),
     ...findStarvedRequests(history),
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -17,6 +17,7 @@
 const respondingKinds: readonly FaultKind[] = [
   "runner-resting",
   "runner-silent",
+  "runner-limited",
 ];
 
 /** Whether any unplanned fault overlaps a time interval. */
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -4,10 +4,13 @@
   hasUnframedAnswers: boolean;
   /** Whether some episodes send a part of a prompt that crashes runners. */
   hasCrashingPart: boolean;
+  /** Whether runners of some episodes state limits on their requests. */
+  hasStatedLimits: boolean;
 };
 
 /** Behaviour that episodes include unless they are run without it. */
 export const defaultSwitches: EpisodeSwitches = {
   hasUnframedAnswers: true,
   hasCrashingPart: true,
+  hasStatedLimits: true,
 };
--- a/packages/fault_soak/src/fault_kinds.ts
+++ b/packages/fault_soak/src/fault_kinds.ts
@@ -54,6 +54,9 @@
 /** Requests that crash runners, drawn last and only when switched on. */
 export const crashFaultKinds = ["prompt-crashing"] as const;
 
+/** Runners that state a limit on their requests, drawn last. */
+export const limitFaultKinds = ["runner-limited"] as const;
+
 /** Every kind of fault. */
 export const faultKinds = [
   ...gatewayFaultKinds,
@@ -64,6 +67,7 @@
   ...separateRunnerFaultKinds,
   ...silenceFaultKinds,
   ...crashFaultKinds,
+  ...limitFaultKinds,
 ] as const;
 
 /** Kind of a fault. */
@@ -95,6 +99,7 @@
     ...runnerFaultKinds,
     ...separateRunnerFaultKinds,
     ...silenceFaultKinds,
+    ...limitFaultKinds,
   ].some((known) => known === kind);
 }
 
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -225,6 +225,7 @@
     gateways: 3,
     runners: 4,
     hasCrashingPart: true,
+    hasStatedLimits: true,
   });
 }
 
--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -1,6 +1,7 @@
 /** The seeded schedule of an episode's faults. */
 import type { RandomSource } from "@jasminetide/core/random";
 import type { EpisodeSwitches } from "./episode_switches.ts";
+import { limitMs } from "./soak_runner.ts";
 import {
   type FaultKind,
   fleetFaultKinds,
@@ -52,15 +53,20 @@
 /** Chance of rounds in which runners fall silent. */
 const silenceChance = 0.7;
 
+/** Chance that some runners state a limit. */
+const limitChance = 0.5;
+const maxLimitedRunners = 2;
+const limitStarts = { smallestMs: 2500, rangeMs: 6000 };
+
 /** Options of the draw. */
 export type DrawOptions =
   & FleetSize
-  & Pick<EpisodeSwitches, "hasCrashingPart">;
+  & Pick<EpisodeSwitches, "hasCrashingPart" | "hasStatedLimits">;
 
 /** Draws the faults of an episode, sorted by start time. */
 export function drawFaults(
   random: RandomSource,
-  { hasCrashingPart, ...size }: DrawOptions,
+  { hasCrashingPart, hasStatedLimits, ...size }: DrawOptions,
 ): PlannedFault[] {
   const count = counts.smallest + random.getInteger(counts.range);
   const faults: PlannedFault[] = [];
@@ -84,6 +90,8 @@
   }
   const crashes = random.getFloat() < crashingPartChance;
   if (hasCrashingPart && crashes) faults.push(crashingFault);
+  const areLimited = random.getFloat() < limitChance;
+  if (hasStatedLimits && areLimited) faults.push(...drawLimits(random, size));
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
@@ -103,6 +111,19 @@
   };
 }
 
+/** Draws runners that state a limit from about the same time on. */
+function drawLimits(random: RandomSource, size: FleetSize): PlannedFault[] {
+  const count = 1 +
+    random.getInteger(Math.min(size.runners, maxLimitedRunners));
+  const first = random.getInteger(size.runners);
+  return Array.from({ length: count }, (_, index) => ({
+    kind: "runner-limited" as const,
+    target: (first + index) % size.runners,
+    startMs: limitStarts.smallestMs + random.getInteger(limitStarts.rangeMs),
+    durationMs: limitMs,
+  }));
+}
+
 const silenceRounds = { smallest: 2, range: 2 };
 /** Keeps two pauses of one runner apart, so that no stream meets both. */
 const silencePeriodMs = 5000;
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -73,6 +73,8 @@
   isUnframed?: boolean;
   /** Whether its answer states that the runner is about to leave. */
   isLeaving?: boolean;
+  /** Limit that its answer states, in requests a second. */
+  limitPerSecond?: number;
   /** Time until which the runner wants no requests, if it refused one so. */
   restsUntilMs?: number;
 };
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -9,7 +9,7 @@
 import type { History } from "./history.ts";
 import type { ManagedProcess } from "./managed_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
-import { failureMs, restMs } from "./soak_runner.ts";
+import { failureMs, limitMs, restMs } from "./soak_runner.ts";
 import type { StoreFault } from "./store_server.ts";
 
 /** Fleet under test, its callers, and the history that records its faults. */
@@ -105,6 +105,10 @@
   },
   "runner-silent": silenceRunner,
   "prompt-crashing": injectCrashes,
+  "runner-limited": async ({ runner }) => {
+    runner.process.sendSignal("SIGCHLD");
+    await setTimeout(limitMs);
+  },
 };
 
 /** Lets a runner send nothing for a time; its connections stay open. */
--- a/packages/fault_soak/src/managed_process.ts
+++ b/packages/fault_soak/src/managed_process.ts
@@ -21,6 +21,7 @@
 
 /** Signals that the soak sends; a runner falls silent from SIGURG to SIGCONT. */
 export type SoakSignal =
+  | "SIGCHLD"
   | "SIGTERM"
   | "SIGKILL"
   | "SIGSTOP"
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -30,6 +30,12 @@
 /** Time for which a runner refuses all requests after SIGWINCH. */
 export const restMs = 2500;
 
+/** Time for which a runner states a limit after SIGCHLD. */
+export const limitMs = 9000;
+
+/** Limit that it states, in requests a second. */
+const limitPerSecond = 4;
+
 const keepAliveMs = 20_000;
 
 const crashExitCode = 70;
@@ -51,6 +57,7 @@
   #running = 0;
   #failsUntilMs = 0;
   #restsUntilMs = 0;
+  #isLimitedUntilMs = 0;
   #isLeaving = false;
 
   private constructor(options: SoakRunnerOptions) {
@@ -62,6 +69,11 @@
     const runner = new SoakRunnerProgram(options);
     process.on("SIGUSR2", () => runner.#failsUntilMs = Date.now() + failureMs);
     process.on("SIGWINCH", () => runner.#restsUntilMs = Date.now() + restMs);
+    // Ignored by default, so that a process that has just started survives it.
+    process.on(
+      "SIGCHLD",
+      () => runner.#isLimitedUntilMs = Date.now() + limitMs,
+    );
     process.on("SIGHUP", () => runner.#isLeaving = true);
     process.on("SIGURG", () => runner.#silence.begin());
     process.on("SIGCONT", () => runner.#silence.end());
@@ -129,6 +141,7 @@
       running: this.#running,
       slots: runnerSlots,
       isLeaving: this.#isLeaving,
+      limitPerSecond: this.#getLimit(),
     });
   }
 
@@ -136,6 +149,10 @@
     return Math.max(0, this.#restsUntilMs - Date.now());
   }
 
+  #getLimit(): number | undefined {
+    return Date.now() < this.#isLimitedUntilMs ? limitPerSecond : undefined;
+  }
+
   #report(
     type: RunnerEvent["type"],
     attemptId: string,
@@ -149,6 +166,7 @@
       runner: id,
       service,
       ...(this.#isLeaving ? { isLeaving: true } : {}),
+      limitPerSecond: this.#getLimit(),
       ...(hasUnframedAnswer ? { isUnframed: true } : {}),
       ...(type === "refused" ? { restsUntilMs: this.#restsUntilMs } : {}),
     };
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -14,6 +14,7 @@
   "drained-runners",
   "announced-leaving",
   "resting-runners",
+  "stated-limits",
   "cancellation",
   "planned-stops",
   "lost-answers",
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -32,6 +32,8 @@
   running: number;
   slots: number;
   isLeaving: boolean;
+  /** Limit on the requests a second of all gateways, if it has one. */
+  limitPerSecond: number | undefined;
   /** Time for which the runner wants no requests; 0 if it accepts them. */
   pauseMs: number;
 };
