--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -35,6 +35,7 @@
   observeRunner,
 } from "./observe_end.ts";
 import { placeAttempt, type Placement } from "./place_attempt.ts";
+import { formatRequestKey } from "./request_key.ts";
 import { RunningAttempt } from "./running_attempt.ts";
 import { AttemptStream, StreamRelay } from "./stream_relay.ts";
 
@@ -83,6 +84,7 @@
   /** Attempts in which the request may have run. */
   #runs = 0;
   #hasEnded = false;
+  #key: string | undefined;
   #lastAnswer: WholeAnswer | undefined;
 
   private constructor(options: ExchangeOptions) {
@@ -285,6 +287,7 @@
       ...describeBreak(end, running, {
         prompt: caller.prompt,
         nowMs: context.timers.nowMs(),
+        getKey: () => this.#getKey(),
       }),
     });
     if (this.#running.size > 0 && !isSettled(step, end)) this.#tryTakeover();
@@ -383,6 +386,13 @@
     this.#log("caller-left", { attempts: this.#attempts });
   }
 
+  /** Gets the key by which the request is recognised if it comes again. */
+  #getKey(): string {
+    const { admitted, request } = this.#options;
+    this.#key ??= formatRequestKey(admitted, request);
+    return this.#key;
+  }
+
   #getLeftMs(): number {
     const { admitted, context } = this.#options;
     return admitted.deadlineMs - context.timers.nowMs();
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -82,18 +82,28 @@
   return { end: end.type };
 }
 
+/** A request whose attempt has ended. */
+export type EndedRequest = {
+  nowMs: number;
+  prompt: readonly PromptPart[];
+  /** Gets the key that it has whenever it is sent. */
+  getKey: () => string;
+};
+
 /**
- * Describes a request whose answer broke off after it had begun, for a log
- * line: the time since then, and the shared parts of the prompt, by which
- * several such requests can be related.
+ * Describes a request whose answer broke off, for a log line: its key and, if
+ * the answer had begun, the time since then and the shared parts of the prompt.
+ * By these, several such requests can be related.
  */
 export function describeBreak(
   end: AttemptEnd,
   { begun }: { begun: BegunAnswer | undefined },
-  { nowMs, prompt }: { nowMs: number; prompt: readonly PromptPart[] },
+  { getKey, nowMs, prompt }: EndedRequest,
 ): LogFields {
-  if (end.type !== "broken" || begun === undefined) return {};
+  if (end.type !== "broken") return {};
+  if (begun === undefined) return { requestKey: getKey() };
   return {
+    requestKey: getKey(),
     begunForMs: Math.round(nowMs - begun.atMs),
     sharedParts: listSharedParts(prompt).map(({ id }) => id).join(" "),
   };
--- a/packages/gateway/src/state_logging.feature
+++ b/packages/gateway/src/state_logging.feature
@@ -24,3 +24,9 @@
     Given a logged gateway with declaration 6 and a runner
     When the runner breaks off its answer to a prompt of parts "base,tool,own"
     Then it logs that the answer broke off, with shared parts "base tool"
+
+  Scenario: The same request breaks off twice and another one once
+    Given a logged gateway with declaration 6 and a runner
+    When the runner closes the connections of 2 lookups
+    And the runner closes the connections of 2 other lookups
+    Then the ends of the first two have the same request key and the others another one
--- a/packages/gateway/src/state_logging_test.ts
+++ b/packages/gateway/src/state_logging_test.ts
@@ -72,6 +72,28 @@
   },
 );
 
+When(
+  "the runner closes the connections of {int} other lookups",
+  async function (this: World, count: number) {
+    for (let sent = 0; sent < count; sent += 2) {
+      await callOnce(this, "/lookup/2");
+    }
+  },
+);
+
+Then(
+  "the ends of the first two have the same request key and the others another one",
+  function (this: World) {
+    const keys = this.loggedLines
+      .filter(({ event }) => event === "attempt-ended")
+      .map(({ fields }) => fields.requestKey);
+    const [first, , third] = keys;
+    assert.equal(typeof first, "string");
+    assert.notEqual(first, third);
+    assert.deepEqual(keys, [first, first, third, third]);
+  },
+);
+
 When("the runner answers a lookup", async function (this: World) {
   this.loggedRunner.script = ({ attemptId, socket }) =>
     socket.write(formatAnswer(attemptId, "done"));
