--- a/packages/gateway/src/test_support/crashing_fleet.ts
+++ b/packages/gateway/src/test_support/crashing_fleet.ts
@@ -36,8 +36,16 @@
   prompt?: string;
   /** Path of a test route; one for streams that resume if absent. */
   path?: string;
+  /** Its body; differs from any other if absent. */
+  body?: string;
 };
 
+/** Answers a request at a runner of a fleet. */
+export type FleetScript = (
+  request: ReceivedRequest,
+  runner: ScriptedRunner,
+) => void;
+
 /** Size of a fleet. */
 export type CrashingFleetOptions = {
   gatewayCount: number;
@@ -65,11 +73,15 @@
   beginCrash: (runner: ScriptedRunner, request: ReceivedRequest) => void = (
     runner,
   ) => void this.crash(runner);
+  /** Whether a script leaves some requests without an answer. */
+  holdsOthers = false;
   readonly #logger: Logger;
   readonly #listed = new Map<string, ScriptedRunner>();
   /** Resolves when the runners that have crashed are replaced. */
   #replaced: Promise<void> = Promise.resolve();
   #isStoreAvailable = true;
+  #script: FleetScript = (request, runner) =>
+    this.#answerPrompt(request, runner);
   #sent = 0;
 
   private constructor(logger: Logger) {
@@ -85,6 +97,11 @@
     return fleet;
   }
 
+  /** Sets how all runners answer, those that start later included. */
+  setScript(script: FleetScript): void {
+    this.#script = script;
+  }
+
   /** Number of runners that have crashed. */
   get crashes(): number {
     return this.runners.filter(({ hasCrashed }) => hasCrashed).length;
@@ -129,6 +146,7 @@
     caller.send({
       path,
       attemptId: `fleet-${this.#sent}`,
+      body: call.body ?? `body ${this.#sent}`,
       headers: prompt === undefined
         ? {}
         : { [testHeaders.prompt]: `${prompt},own-${this.#sent}` },
@@ -215,13 +233,9 @@
   }
 
   async #addRunner(): Promise<void> {
-    const runner = await ScriptedRunner.create((request) => {
-      if (!hasPart(request.head, crashingPart)) this.soundScript(request);
-      else {
-        const start = this.startCrashing(request.attemptId);
-        request.socket.write(start, () => this.beginCrash(runner, request));
-      }
-    });
+    const runner = await ScriptedRunner.create((request) =>
+      this.#script(request, runner)
+    );
     const id = `r${this.runners.length}`;
     this.runners.push(runner);
     this.#listed.set(id, runner);
@@ -230,6 +244,15 @@
     }
   }
 
+  /** Begins to answer a prompt with the crashing part, and crashes. */
+  #answerPrompt(request: ReceivedRequest, runner: ScriptedRunner): void {
+    if (!hasPart(request.head, crashingPart)) this.soundScript(request);
+    else {
+      const start = this.startCrashing(request.attemptId);
+      request.socket.write(start, () => this.beginCrash(runner, request));
+    }
+  }
+
   #listGateways(): void {
     this.gateways.forEach(({ peers }, self) =>
       this.gateways.forEach(({ gateway }, index) => {
--- a/packages/gateway/src/test_support/scripted_runner.ts
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -10,6 +10,7 @@
 /** Request that a scripted runner has received. */
 export type ReceivedRequest = {
   head: string;
+  body: string;
   attemptId: string;
   socket: Socket;
   /** Settles when the request's connection has closed. */
@@ -95,8 +96,10 @@
       const head = text.slice(0, end);
       const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
       if (text.length < end + 4 + length) return;
+      const body = text.slice(end + 4, end + 4 + length);
       text = text.slice(end + 4 + length);
-      this.#handle({ head, attemptId: readAttemptId(head), socket, closed });
+      const attemptId = readAttemptId(head);
+      this.#handle({ head, body, attemptId, socket, closed });
     });
   }
 
