Rename the quarantine for what it will also keep from runners

**Cause.** The quarantine was named for prompts; whole requests follow. **Change.** CrashQuarantine for PromptQuarantine, CrashGuard for PromptGuard; no logic. **Measured.** Type checks and the features of the quarantine pass. **Conclusion.** None needed.

--- a/packages/core/src/quarantine/prompt_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -8,7 +8,7 @@
 } from "./evidence.ts";
 
 /** Options of a quarantine. */
-export type PromptQuarantineOptions = {
+export type CrashQuarantineOptions = {
   /** Time for which a part is quarantined after the last crash. */
   quarantineMs: number;
 };
@@ -32,8 +32,8 @@
  * Evidence of several routers is merged; the result does not depend on the
  * order, and merging the same evidence again changes nothing.
  */
-export class PromptQuarantine {
-  readonly #options: PromptQuarantineOptions;
+export class CrashQuarantine {
+  readonly #options: CrashQuarantineOptions;
   readonly #crashes = CrashTable.create({ maxCrashes, maxCrashesPerProcess });
   /** Time of the last whole answer to a request with a part. */
   readonly #soundAtMs = new LRUCache<string, number>({ max: maxSoundParts });
@@ -42,13 +42,13 @@
   readonly #findings = new Map<string, QuarantinedPart | undefined>();
   #foundAtMs = 0;
 
-  private constructor(options: PromptQuarantineOptions) {
+  private constructor(options: CrashQuarantineOptions) {
     this.#options = options;
   }
 
   /** Creates a quarantine without evidence. */
-  static create(options: PromptQuarantineOptions): PromptQuarantine {
-    return new PromptQuarantine(options);
+  static create(options: CrashQuarantineOptions): CrashQuarantine {
+    return new CrashQuarantine(options);
   }
 
   /**
--- a/packages/core/src/quarantine/mod.ts
+++ b/packages/core/src/quarantine/mod.ts
@@ -4,4 +4,4 @@
  */
 export * from "./crash_table.ts";
 export * from "./evidence.ts";
-export * from "./prompt_quarantine.ts";
+export * from "./crash_quarantine.ts";
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -9,10 +9,10 @@
   type CrashReplayResult,
   createCrashArrivals,
 } from "./test_support/replay_crashes.ts";
-import { type Evidence, PromptQuarantine } from "./mod.ts";
+import { CrashQuarantine, type Evidence } from "./mod.ts";
 
 type World = {
-  quarantine: PromptQuarantine | undefined;
+  quarantine: CrashQuarantine | undefined;
   quarantineNowMs: number;
   clearedParts: string[];
   crashReplays: { on: CrashReplayResult; off: CrashReplayResult };
@@ -20,9 +20,9 @@
 
 const quarantineMs = 300_000;
 
-function getQuarantine(world: World): PromptQuarantine {
+function getQuarantine(world: World): CrashQuarantine {
   if (world.quarantine === undefined) {
-    world.quarantine = PromptQuarantine.create({ quarantineMs });
+    world.quarantine = CrashQuarantine.create({ quarantineMs });
     world.quarantineNowMs = 1_000_000;
   }
   return world.quarantine;
@@ -153,7 +153,7 @@
 /** Formats a state without the order in which it was learned. */
 function formatState(messages: readonly Evidence[]): string {
   const nowMs = 1_000_000;
-  const quarantine = PromptQuarantine.create({ quarantineMs });
+  const quarantine = CrashQuarantine.create({ quarantineMs });
   for (const message of messages) quarantine.merge(message, nowMs);
   const { crashes, sound } = quarantine.getEvidence(nowMs);
   const lines = [
--- a/packages/core/src/quarantine/test_support/replay_crashes.ts
+++ b/packages/core/src/quarantine/test_support/replay_crashes.ts
@@ -1,7 +1,7 @@
 import { hash32 } from "../../hashing/mod.ts";
 import { createSeededRandom, type RandomSource } from "../../random/mod.ts";
 import { type TimerService, VirtualTimerService } from "../../timers/mod.ts";
-import { type Crash, type Evidence, PromptQuarantine } from "../mod.ts";
+import { type Crash, CrashQuarantine, type Evidence } from "../mod.ts";
 
 /** A recorded request with a prompt. */
 export type CrashArrival = {
@@ -44,7 +44,7 @@
 
 type Runner = { process: string; runs: Set<Run> };
 
-type Gateway = { quarantine: PromptQuarantine };
+type Gateway = { quarantine: CrashQuarantine };
 
 /** Replays arrivals in virtual time on models of gateways and runners. */
 export class CrashReplay {
@@ -65,7 +65,7 @@
     this.#options = options;
     this.#random = createSeededRandom(options.seed);
     this.#gateways = Array.from({ length: options.gatewayCount }, () => ({
-      quarantine: PromptQuarantine.create({ quarantineMs: 300_000 }),
+      quarantine: CrashQuarantine.create({ quarantineMs: 300_000 }),
     }));
     for (let index = 0; index < options.runnerCount; index++) this.#addRunner();
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,7 +30,7 @@
   sendLimits,
 } from "./peers/mod.ts";
 import type { WireProtocol } from "./protocol.ts";
-import { PromptGuard } from "./quarantine/mod.ts";
+import { CrashGuard } from "./quarantine/mod.ts";
 import { RequestLog } from "./request_log.ts";
 import { explainRequest, serveRequest } from "./requests/mod.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -61,7 +61,7 @@
   readonly #capacityForecasts = new Map<string, CapacityForecast>();
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
-  readonly #promptGuard: PromptGuard;
+  readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
@@ -80,7 +80,7 @@
       metrics: this.#metrics,
       onDeclaration: ({ callerLimits }) => listener.setLimits(callerLimits),
     }));
-    this.#promptGuard = this.#resources.use(PromptGuard.create({
+    this.#crashGuard = this.#resources.use(CrashGuard.create({
       ...options,
       random: this.#random,
       metrics: this.#metrics,
@@ -194,8 +194,8 @@
       handlePeer: createPeerHandler({
         getState: () => this.#fleet.getState(),
         explainRequest: (query) => explainRequest(query, this.#context),
-        mergeEvidence: (evidence) => this.#promptGuard.merge(evidence),
-        getEvidence: () => this.#promptGuard.getEvidence(),
+        mergeEvidence: (evidence) => this.#crashGuard.merge(evidence),
+        getEvidence: () => this.#crashGuard.getEvidence(),
         mergeLimits: (statements) => this.#limitNews.merge(statements),
       }),
       handleNews: createNewsHandler(this.#fleet.publisher),
@@ -211,7 +211,7 @@
       isReady: this.isReady,
       openRequests: this.#openRequests,
       fleet: this.#fleet.getSnapshot(),
-      quarantine: this.#promptGuard.getSnapshot(),
+      quarantine: this.#crashGuard.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
     };
   }
@@ -222,7 +222,7 @@
       protocol,
       directory: this.#fleet.directory,
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
-      promptGuard: this.#promptGuard,
+      crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
       failureDomain: settings.failureDomain,
       timers,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -13,7 +13,7 @@
 import type { LimitNews } from "./limits/mod.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { WireProtocol } from "./protocol.ts";
-import type { PromptGuard } from "./quarantine/mod.ts";
+import type { CrashGuard } from "./quarantine/mod.ts";
 import type { Directory } from "./upstreams/mod.ts";
 
 /** State and services of a router that are used to serve a request. */
@@ -22,7 +22,7 @@
   directory: Directory;
   holders: PrefixHolders;
   /** Keeps prompts that crash runners from them. */
-  promptGuard: PromptGuard;
+  crashGuard: CrashGuard;
   /** Limits that runners state, shared with the other gateways. */
   limitNews: LimitNews;
   failureDomain: string;
--- a/packages/gateway/src/quarantine/prompt_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -1,7 +1,7 @@
 import {
   type Crash,
+  CrashQuarantine,
   type Evidence,
-  PromptQuarantine,
   type QuarantinedPart,
 } from "@jasminetide/core/quarantine";
 import type { RandomSource } from "@jasminetide/core/random";
@@ -21,7 +21,7 @@
 import { EvidenceDelivery, type EvidencePeers } from "./evidence_delivery.ts";
 
 /** Options of a guard. */
-export type PromptGuardOptions = {
+export type CrashGuardOptions = {
   timers: TimerService;
   random: RandomSource;
   logger: Logger;
@@ -39,22 +39,22 @@
 };
 
 /** Finds the prompt parts that crash runners, together with other gateways. */
-export class PromptGuard {
-  readonly #options: PromptGuardOptions;
-  readonly #quarantine: PromptQuarantine;
+export class CrashGuard {
+  readonly #options: CrashGuardOptions;
+  readonly #quarantine: CrashQuarantine;
   readonly #probe: CrashProbe;
   readonly #delivery: EvidenceDelivery;
   /** Checks at the end of each quarantine that was logged, by part. */
   readonly #releases = new Map<string, TimerSubscription>();
   #isDisposed = false;
 
-  private constructor(options: PromptGuardOptions) {
+  private constructor(options: CrashGuardOptions) {
     const { logger, peers, random, timers } = options;
     this.#options = options;
     // Gateways admit such prompts again one after the other, so that the first
     // further crash reaches the others before they do.
     const quarantineMs = minQuarantineMs + random.getFloat() * extraMs;
-    this.#quarantine = PromptQuarantine.create({ quarantineMs });
+    this.#quarantine = CrashQuarantine.create({ quarantineMs });
     this.#probe = CrashProbe.create(timers);
     this.#delivery = EvidenceDelivery.create({
       timers,
@@ -72,8 +72,8 @@
   }
 
   /** Creates a guard and fetches the evidence of other gateways. */
-  static create(options: PromptGuardOptions): PromptGuard {
-    return new PromptGuard(options);
+  static create(options: CrashGuardOptions): CrashGuard {
+    return new CrashGuard(options);
   }
 
   /** Finds a quarantined part of a prompt. */
--- a/packages/gateway/src/quarantine/mod.ts
+++ b/packages/gateway/src/quarantine/mod.ts
@@ -4,5 +4,5 @@
  */
 export * from "./crash_probe.ts";
 export * from "./evidence_delivery.ts";
-export * from "./prompt_guard.ts";
+export * from "./crash_guard.ts";
 export * from "./quarantine_error.ts";
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -154,7 +154,7 @@
   /** Starts an attempt; returns the reason if none can be started. */
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
-    const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+    const quarantined = context.crashGuard.findQuarantined(caller.prompt);
     if (quarantined !== undefined) {
       context.metrics.countQuarantineRefusal();
       return `quarantined prompt part ${quarantined.partId}`;
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -22,7 +22,7 @@
 /** Refuses a request that has not run and states when to come back. */
 export function refuseRequest(message: string, refused: RefusedRequest): void {
   const { admitted: { caller, service }, answer, context, leftMs } = refused;
-  const quarantined = context.promptGuard.findQuarantined(caller.prompt);
+  const quarantined = context.crashGuard.findQuarantined(caller.prompt);
   if (quarantined !== undefined) {
     answer.sendError(createQuarantineError(quarantined));
     return;
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -66,11 +66,11 @@
 export function observePrompt(
   { begun, upstream }: { begun: BegunAnswer | undefined; upstream: Upstream },
   { caller, end }: { caller: CallerRequest; end: AttemptEnd },
-  { promptGuard }: Pick<GatewayContext, "promptGuard">,
+  { crashGuard }: Pick<GatewayContext, "crashGuard">,
 ): void {
   const isWhole = end.type === "relayed" || end.type === "answered";
   if (begun === undefined || (!isWhole && end.type !== "broken")) return;
-  promptGuard.observeEnd({ upstream, begun, caller, isWhole });
+  crashGuard.observeEnd({ upstream, begun, caller, isWhole });
 }
 
 /** Describes the end of an attempt for a log line. */
