Keep a request that crashes each runner from the runners

The class of fault is a poison message that is delivered again. **Change.** The quarantine treats a whole request, by its key, like a prompt part of its own. An attempt that breaks off before its answer has begun counts for it if the runner's process is gone; three processes suffice, under one request or several; a successful whole answer clears it. A crash that speaks against one request alone is told to three gateways by its key, where crashes that different gateways have seen meet; all are told from the second process on.

--- a/packages/core/src/hashing/mod.ts
+++ b/packages/core/src/hashing/mod.ts
@@ -13,6 +13,11 @@
   return hasher.h64(text, seed);
 }
 
+/** Hashes bytes to 64 bits. */
+export function hashBytes64(bytes: Uint8Array, seed = 0n): bigint {
+  return hasher.h64Raw(bytes, seed);
+}
+
 /**
  * Mixes two 32-bit integers into one (the finalizer of MurmurHash3 by Appleby),
  * to score a pair of hashes without hashing the texts again.
--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -6,6 +6,7 @@
   EvidenceNews,
   EvidenceSelection,
 } from "./evidence.ts";
+import { isRequestKey } from "./request_key.ts";
 
 /** Options of a quarantine. */
 export type CrashQuarantineOptions = {
@@ -13,8 +14,9 @@
   quarantineMs: number;
 };
 
-/** Prompt part that is quarantined, and the evidence for it. */
+/** Prompt part or request that is quarantined, and the evidence for it. */
 export type QuarantinedPart = {
+  /** Id of the part or key of the request. */
   partId: string;
   /** Time until requests with it are admitted again. */
   leftMs: number;
@@ -27,7 +29,9 @@
 /**
  * Finds the prompt parts that crash runners. A part is quarantined if several
  * processes crashed under several requests with it and none of its requests
- * was answered whole, since a part that crashes runners is never answered.
+ * was answered whole, since a part that crashes runners is never answered. A
+ * request as a whole counts as a part of its own, named by its key; it may come
+ * once or again and again.
  *
  * Evidence of several routers is merged; the result does not depend on the
  * order, and merging the same evidence again changes nothing.
@@ -37,6 +41,10 @@
   readonly #crashes = CrashTable.create({ maxCrashes, maxCrashesPerProcess });
   /** Time of the last whole answer to a request with a part. */
   readonly #soundAtMs = new LRUCache<string, number>({ max: maxSoundParts });
+  /** The same for whole requests, most of which come once. */
+  readonly #soundRequests = new LRUCache<string, number>({
+    max: maxSoundRequests,
+  });
 
   /** Findings since the evidence changed last, for a limited time. */
   readonly #findings = new Map<string, QuarantinedPart | undefined>();
@@ -60,6 +68,11 @@
     return partIds.filter((partId) => this.#recordSound(partId, nowMs, nowMs));
   }
 
+  /** Lists the crashes that speak against a part. */
+  listCrashes(partId: string, nowMs: number): Crash[] {
+    return this.#listCounted(partId, nowMs);
+  }
+
   /** Lists the parts that were not part of a whole answer recently. */
   listSuspects(partIds: readonly string[], nowMs: number): string[] {
     return partIds.filter((partId) => nowMs >= this.#getSoundUntilMs(partId));
@@ -115,7 +128,7 @@
     nowMs: number,
   ): Evidence {
     const sound = [...partIds].flatMap((partId) => {
-      const atMs = this.#soundAtMs.peek(partId);
+      const atMs = this.#getSoundTimes(partId).peek(partId);
       return atMs === undefined ? [] : [{ partId, ageMs: nowMs - atMs }];
     });
     return {
@@ -155,6 +168,7 @@
     const crashes = this.#listCounted(partId, nowMs);
     const processes = listProcesses(crashes).size;
     const requests = new Set(crashes.map(({ request }) => request)).size;
+    const minRequests = isRequestKey(partId) ? 1 : minPartRequests;
     if (processes < minProcesses || requests < minRequests) return undefined;
     const lastAtMs = Math.max(...crashes.map(({ atMs }) => atMs));
     const leftMs = lastAtMs + this.#options.quarantineMs - nowMs;
@@ -185,15 +199,16 @@
 
   /** Returns whether the answer clears a part of several crashes. */
   #recordSound(partId: string, atMs: number, nowMs: number): boolean {
-    const knownMs = this.#soundAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
-    if (atMs <= knownMs) return false;
-    const wasSuspected = this.#isSuspected(partId, nowMs);
+    const times = this.#getSoundTimes(partId);
+    if (atMs <= (times.peek(partId) ?? Number.NEGATIVE_INFINITY)) return false;
+    const wasSuspected = this.isSuspected(partId, nowMs);
     if (this.#listCounted(partId, nowMs).length > 0) this.#findings.clear();
-    this.#soundAtMs.set(partId, atMs);
-    return wasSuspected && !this.#isSuspected(partId, nowMs);
+    times.set(partId, atMs);
+    return wasSuspected && !this.isSuspected(partId, nowMs);
   }
 
-  #isSuspected(partId: string, nowMs: number): boolean {
+  /** Whether so many processes crashed that all routers should know. */
+  isSuspected(partId: string, nowMs: number): boolean {
     const crashes = this.#listCounted(partId, nowMs);
     return listProcesses(crashes).size >= minSuspectedProcesses;
   }
@@ -212,8 +227,12 @@
   }
 
   #getSoundUntilMs(partId: string): number {
-    const atMs = this.#soundAtMs.peek(partId) ?? Number.NEGATIVE_INFINITY;
-    return atMs + soundMs;
+    const atMs = this.#getSoundTimes(partId).peek(partId);
+    return (atMs ?? Number.NEGATIVE_INFINITY) + soundMs;
+  }
+
+  #getSoundTimes(partId: string): LRUCache<string, number> {
+    return isRequestKey(partId) ? this.#soundRequests : this.#soundAtMs;
   }
 }
 
@@ -236,8 +255,8 @@
 /** Crashed processes from which a part is quarantined. */
 const minProcesses = 3;
 
-/** Requests under which they must have crashed; one may crash several. */
-const minRequests = 3;
+/** Requests with a part under which they must have crashed. */
+const minPartRequests = 3;
 
 /** Crashed processes from which other routers are told that a part is sound. */
 const minSuspectedProcesses = 2;
@@ -262,3 +281,6 @@
 
 /** Maximum parts whose last whole answer is known. */
 const maxSoundParts = 20_000;
+
+/** The same for whole requests. */
+const maxSoundRequests = 5000;
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -1,10 +1,13 @@
-/** A runner process that ended just after it began to answer a request. */
+/** A runner process that ended while it ran a request or just began to. */
 export type Crash = {
   /** Key of the process, which differs when a runner's id is reused. */
   process: string;
   /** Id of the request. */
   request: string;
-  /** Shared parts of the prompt that were not known to be sound. */
+  /**
+   * What was not known to be sound: shared parts of the prompt, if the answer
+   * had begun, and the key of the request as a whole.
+   */
   partIds: readonly string[];
   atMs: number;
 };
@@ -12,7 +15,7 @@
 /** A crash as routers send it to each other; their clocks may differ. */
 export type AgedCrash = Omit<Crash, "atMs"> & { ageMs: number };
 
-/** Prompt part of a request that was answered whole, and how long ago. */
+/** Prompt part or request that was answered whole, and how long ago. */
 export type SoundPart = { partId: string; ageMs: number };
 
 /** What a router knows of crashes, as it is sent to other routers. */
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -11,6 +11,14 @@
     Given the part "long" crashed runners "r1 r2 r3" under request "q1"
     Then the part "long" is not quarantined
 
+  Scenario: A whole request that crashes three processes, sent once or again
+    Given the part "request:1" crashed runners "r1 r2" under request "q1"
+    Then the part "request:1" is not quarantined
+    When the part "request:1" crashes runners "r3" under request "q1"
+    Then the part "request:1" is quarantined for 300 s with 3 processes and 1 requests
+    When a request with the part "request:1" is answered whole
+    Then the part "request:1" is not quarantined
+
   Scenario: One process that takes many requests along
     Given the part "popular" crashed runners "r1" under request "q1"
     And the part "popular" crashed runners "r1" under request "q2"
--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -35,6 +35,7 @@
   circuitOpen: row(2005, 503, "no", "Pool is failing"),
   overLoadCap: row(2006, 503, "no", "Runner is at its load cap"),
   promptQuarantined: row(2007, 503, "no", "Prompt crashes runners"),
+  requestQuarantined: row(2008, 503, "no", "Request crashes runners"),
   noRunner: row(3001, 503, "no", "No live runner"),
   runnerLeaving: row(3002, 503, "no", "Runner is leaving"),
   epochMismatch: row(3003, 409, "no", "Runner was restarted"),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -72,8 +72,7 @@
     name: "runner-crashes",
     type: "counter",
     unit: "crashes",
-    meaning:
-      "Crashes of runners that had just begun to answer a prompt, by request",
+    meaning: "Crashes of runners under requests that they ran, by request",
   },
   {
     name: "prompts-quarantined",
@@ -81,11 +80,19 @@
     unit: "parts",
     meaning: "Prompt parts quarantined because they crash runners",
   },
+  {
+    name: "requests-quarantined",
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests quarantined because they crash runners that run them",
+  },
   {
     name: "quarantine-refused",
     type: "counter",
     unit: "requests",
-    meaning: "Requests refused, or not repeated, for a quarantined prompt part",
+    meaning:
+      "Requests refused, or not repeated, since they or a part of their " +
+      "prompt are quarantined",
   },
   {
     name: "answer-ms-KIND",
@@ -152,8 +159,8 @@
     this.#metrics.count("runner-crashes");
   }
 
-  countQuarantinedPrompt(): void {
-    this.#metrics.count("prompts-quarantined");
+  countQuarantined(subject: "prompt" | "request"): void {
+    this.#metrics.count(`${subject}s-quarantined`);
   }
 
   countQuarantineRefusal(): void {
--- a/packages/gateway/src/peers/peer_delivery.ts
+++ b/packages/gateway/src/peers/peer_delivery.ts
@@ -18,7 +18,7 @@
 type Outbox<Item> = Map<string, Item>;
 
 /**
- * Sends items to all other gateways, and again to those that did not answer
+ * Sends items to other gateways, and again to those that did not answer
  * while they are listed, for a limited time. An item replaces one with the same
  * key that was not yet received.
  */
@@ -43,9 +43,12 @@
     return this.#outboxes.size;
   }
 
-  /** Sends items to all other gateways. */
-  send(items: ReadonlyMap<string, Item>): void {
-    for (const address of this.#options.listPeers()) {
+  /** Sends items to other gateways, to all if none are named. */
+  send(
+    items: ReadonlyMap<string, Item>,
+    addresses: readonly string[] = this.#options.listPeers(),
+  ): void {
+    for (const address of addresses) {
       const outbox = this.#outboxes.get(address);
       if (outbox !== undefined) {
         addItems(outbox, items);
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -2,6 +2,8 @@
   type Crash,
   CrashQuarantine,
   type Evidence,
+  type EvidenceNews,
+  isRequestKey,
   type QuarantinedPart,
 } from "@jasminetide/core/quarantine";
 import type { RandomSource } from "@jasminetide/core/random";
@@ -16,6 +18,7 @@
   type PromptPart,
 } from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import { chooseCollectors } from "./choose_collectors.ts";
 import { CrashProbe, formatProcessKey } from "./crash_probe.ts";
 import { fetchMissedEvidence } from "./evidence_catch_up.ts";
 import { EvidenceDelivery, type EvidencePeers } from "./evidence_delivery.ts";
@@ -29,16 +32,26 @@
   peers: EvidencePeers;
 };
 
-/** An attempt whose answer had begun and has ended. */
-export type EndedAnswer = {
-  upstream: Upstream;
+/** A request as the quarantine knows it. */
+export type SuspectRequest = {
   caller: CallerRequest;
-  begun: BegunAnswer;
+  /** Key that it has whenever it is sent. */
+  requestKey: string;
+};
+
+/** An attempt that has ended. */
+export type EndedAttempt = SuspectRequest & {
+  upstream: Upstream;
+  /** The answer, if a successful one had begun. */
+  begun: BegunAnswer | undefined;
   /** Whether the answer came whole; otherwise the runner broke it off. */
   isWhole: boolean;
 };
 
-/** Finds the prompt parts that crash runners, together with other gateways. */
+/**
+ * Finds the requests and prompt parts that crash runners, together with other
+ * gateways.
+ */
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
   readonly #quarantine: CrashQuarantine;
@@ -76,17 +89,23 @@
     return new CrashGuard(options);
   }
 
-  /** Finds a quarantined part of a prompt. */
-  findQuarantined(prompt: readonly PromptPart[]): QuarantinedPart | undefined {
+  /** Finds out whether a request or a part of its prompt is quarantined. */
+  findQuarantined(
+    { caller, requestKey }: SuspectRequest,
+  ): QuarantinedPart | undefined {
     const nowMs = this.#options.timers.nowMs();
-    return this.#quarantine.find(listPartIds(prompt), nowMs);
+    const partIds = [...listPartIds(caller.prompt), requestKey];
+    return this.#quarantine.find(partIds, nowMs);
   }
 
-  /** Learns from the end of an answer whether its prompt crashed the runner. */
-  observeEnd(ended: EndedAnswer): void {
-    const { begun, caller, isWhole } = ended;
-    const partIds = listPartIds(caller.prompt);
-    if (partIds.length === 0) return;
+  /** Learns from the end of an attempt whether it crashed the runner. */
+  observeEnd(ended: EndedAttempt): void {
+    const { begun, caller, isWhole, requestKey } = ended;
+    if (begun === undefined) {
+      if (!isWhole) void this.#checkCrash(ended, { partIds: [requestKey] });
+      return;
+    }
+    const partIds = [...listPartIds(caller.prompt), requestKey];
     const begunForMs = this.#options.timers.nowMs() - begun.atMs;
     // An answer without framing looks whole when its runner crashes.
     if (isWhole && begun.isFramed) this.#recordAnswer(partIds);
@@ -97,7 +116,8 @@
 
   /** Merges the evidence of a gateway; returns which parts are sound here. */
   merge(evidence: Evidence): Evidence {
-    this.#merge(evidence);
+    const isNews = this.#merge(evidence).crashes.length > 0;
+    if (isNews) this.#tellOfSuspects(evidence);
     const partIds = evidence.crashes.flatMap((crash) => crash.partIds);
     return this.#quarantine.selectEvidence(
       { crashes: [], partIds: new Set(partIds) },
@@ -137,8 +157,8 @@
 
   /** Records a crash if the runner's process is gone. */
   async #checkCrash(
-    { caller, isWhole, upstream }: EndedAnswer,
-    { begunForMs, partIds }: { begunForMs: number; partIds: string[] },
+    { caller, isWhole, upstream }: EndedAttempt,
+    { begunForMs, partIds }: { begunForMs?: number; partIds: string[] },
   ): Promise<void> {
     const { logger, timers } = this.#options;
     const atMs = timers.nowMs();
@@ -146,15 +166,12 @@
     if (suspects.length === 0) return;
     const process = formatProcessKey(upstream.record);
     const state = await this.#probe.probe(upstream);
-    if (isWhole && state === "alive") {
-      this.#recordAnswer(partIds);
-      return;
-    }
-    if (begunForMs > maxBegunMs) return;
+    if (isWhole && state === "alive") this.#recordAnswer(partIds);
+    if (state === "alive" || (begunForMs ?? 0) > maxBegunMs) return;
     logger.info("runner-crash-suspected", {
       runner: upstream.id,
       attemptId: caller.attemptId,
-      begunForMs: Math.round(begunForMs),
+      begunForMs: begunForMs === undefined ? undefined : Math.round(begunForMs),
       process: state,
       suspects: suspects.join(" "),
     });
@@ -169,20 +186,60 @@
     if (!this.#quarantine.recordCrash(crash, timers.nowMs())) return;
     metrics.countRunnerCrash();
     this.#logChanges(crash.partIds);
-    this.#delivery.send({ crashes: [crash], partIds: crash.partIds });
+    this.#tellOfCrash(crash);
   }
 
-  #merge(evidence: Evidence): string[] {
+  /**
+   * Tells all gateways of a crash under a suspected prompt part or request. A
+   * crash that speaks against one request alone, as most do, is told only to
+   * those that collect the crashes under it.
+   */
+  #tellOfCrash(crash: Crash): void {
+    const { peers, timers } = this.#options;
+    const nowMs = timers.nowMs();
+    const requestKey = crash.partIds.find(isRequestKey);
+    const isForAll = crash.partIds.some((partId) =>
+      !isRequestKey(partId) || this.#quarantine.isSuspected(partId, nowMs)
+    );
+    if (requestKey === undefined || isForAll) {
+      const crashes = requestKey === undefined
+        ? [crash]
+        : [crash, ...this.#quarantine.listCrashes(requestKey, nowMs)];
+      this.#delivery.send({ crashes, partIds: crash.partIds });
+      return;
+    }
+    const collectors = chooseCollectors(requestKey, peers.list());
+    const selection = { crashes: [crash], partIds: crash.partIds };
+    this.#delivery.send(selection, collectors);
+  }
+
+  /** Tells all gateways of requests whose single crashes have met here. */
+  #tellOfSuspects(received: Evidence): void {
     const nowMs = this.#options.timers.nowMs();
-    const { clearedParts, crashes } = this.#quarantine.merge(evidence, nowMs);
-    const partIds = crashes.flatMap((crash) => crash.partIds);
-    this.#logChanges(new Set([...partIds, ...clearedParts]));
-    return clearedParts;
+    const partIds = received.crashes.flatMap((crash) => crash.partIds);
+    for (const requestKey of new Set(partIds.filter(isRequestKey))) {
+      const processes = received.crashes
+        .filter((crash) => crash.partIds.includes(requestKey))
+        .map(({ process }) => process);
+      // The sender of several has told all gateways itself.
+      if (new Set(processes).size > 1) continue;
+      if (!this.#quarantine.isSuspected(requestKey, nowMs)) continue;
+      const crashes = this.#quarantine.listCrashes(requestKey, nowMs);
+      this.#delivery.send({ crashes, partIds: [requestKey] });
+    }
+  }
+
+  #merge(evidence: Evidence): EvidenceNews {
+    const nowMs = this.#options.timers.nowMs();
+    const news = this.#quarantine.merge(evidence, nowMs);
+    const partIds = news.crashes.flatMap((crash) => crash.partIds);
+    this.#logChanges(new Set([...partIds, ...news.clearedParts]));
+    return news;
   }
 
   /** Merges the answer of a gateway and tells the others of sound parts. */
   #mergeAndForward(evidence: Evidence): void {
-    const partIds = this.#merge(evidence);
+    const { clearedParts: partIds } = this.#merge(evidence);
     if (partIds.length > 0) this.#delivery.send({ crashes: [], partIds });
   }
 
@@ -196,13 +253,15 @@
       const release = this.#releases.get(partId);
       if (found !== undefined && release === undefined) {
         const { leftMs, ...counts } = found;
-        logger.warn("prompt-quarantined", { ...counts, durationMs: leftMs });
-        metrics.countQuarantinedPrompt();
+        const subject = getSubject(partId);
+        const fields = { ...counts, durationMs: leftMs };
+        logger.warn(`${subject}-quarantined`, fields);
+        metrics.countQuarantined(subject);
         this.#scheduleRelease(found);
       } else if (found === undefined && release !== undefined) {
         release[Symbol.dispose]();
         this.#releases.delete(partId);
-        logger.info("prompt-released", { partId });
+        logger.info(`${getSubject(partId)}-released`, { partId });
       }
     }
   }
@@ -218,10 +277,19 @@
   }
 }
 
-/** Lists the ids of the shared parts of a prompt, within the limits. */
+/** What a quarantine is about, as log lines and metrics name it. */
+function getSubject(partId: string): "prompt" | "request" {
+  return isRequestKey(partId) ? "request" : "prompt";
+}
+
+/**
+ * Lists the ids of the shared parts of a prompt, within the limits. Those that
+ * look like the key of a request are left out, since callers choose them.
+ */
 function listPartIds(prompt: readonly PromptPart[]): string[] {
   const ids = listSharedParts(prompt).map(({ id }) => id.slice(0, maxIdLength));
-  return [...new Set(ids)].slice(0, maxPartCount);
+  const partIds = new Set(ids.filter((id) => !isRequestKey(id)));
+  return [...partIds].slice(0, maxPartCount - 1);
 }
 
 /** Time after the beginning of an answer in which its prompt is suspected. */
--- a/packages/gateway/src/quarantine/crashing_requests.feature
+++ b/packages/gateway/src/quarantine/crashing_requests.feature
@@ -1,6 +1,5 @@
 Feature: Requests that crash runners are kept from them
 
-  @known-red
   Scenario: A lookup that crashed three runners crashes at most three more
     Given 4 gateways and 8 runners
     When a lookup that crashes runners has crashed 3 or all gateways refuse it
@@ -8,21 +7,18 @@
     Then at most 3 of those have reached runners
     And the others are refused as not run with result 2008
 
-  @known-red
   Scenario: Each gateway has seen one crash of a payout at most
     Given 6 gateways and 8 runners
     When each of 3 gateways has sent a payout that crashes runners
     And it is sent 20 more times, to all gateways
     Then at most 3 of those have reached runners
 
-  @known-red
   Scenario: A stream that crashes runners once it has begun
     Given 4 gateways and 8 runners
     When a stream that crashes runners has crashed 3 or all gateways refuse it
     And it is sent 20 more times, to all gateways
     Then at most 3 of those have reached runners
 
-  @known-red
   Scenario: A gateway that starts later knows the request
     Given 4 gateways and 8 runners
     When a lookup that crashes runners has crashed 3 or all gateways refuse it
@@ -30,7 +26,6 @@
     And it is sent 10 more times, to the last gateway
     Then at most 3 of those have reached runners
 
-  @known-red
   Scenario: Gateways share the request while the store does not answer
     Given 4 gateways and 12 runners
     When the store does not answer any gateway
--- a/packages/gateway/src/quarantine/evidence_delivery.ts
+++ b/packages/gateway/src/quarantine/evidence_delivery.ts
@@ -34,7 +34,7 @@
   /** Last whole answer to a request with a part. */
   | { type: "sound"; partId: string };
 
-/** Sends evidence to all other gateways. */
+/** Sends evidence to other gateways. */
 export class EvidenceDelivery {
   readonly #delivery: PeerDelivery<EvidenceItem>;
 
@@ -61,15 +61,21 @@
     return this.#delivery.pendingGateways;
   }
 
-  /** Sends crashes, and the last whole answers to requests with parts. */
-  send({ crashes, partIds }: EvidenceSelection): void {
+  /**
+   * Sends crashes, and the last whole answers to requests with parts, to other
+   * gateways, to all if none are named.
+   */
+  send(
+    { crashes, partIds }: EvidenceSelection,
+    addresses?: readonly string[],
+  ): void {
     const items = new Map<string, EvidenceItem>();
     for (const crash of crashes) {
       const key = JSON.stringify([crash.process, crash.request]);
       items.set(key, { type: "crash", crash });
     }
     for (const partId of partIds) items.set(partId, { type: "sound", partId });
-    this.#delivery.send(items);
+    this.#delivery.send(items, addresses);
   }
 
   [Symbol.dispose](): void {
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -6,6 +6,7 @@
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
+import type { SuspectRequest } from "../quarantine/mod.ts";
 import type { RequestTrace } from "../request_log.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
@@ -31,11 +32,11 @@
   describeBreak,
   describeEnd,
   getRunnerOutcome,
-  observePrompt,
+  observeCrash,
   observeRunner,
 } from "./observe_end.ts";
 import { placeAttempt, type Placement } from "./place_attempt.ts";
-import { formatRequestKey } from "./request_key.ts";
+import { createRequestKey } from "./request_key.ts";
 import { RunningAttempt } from "./running_attempt.ts";
 import { AttemptStream, StreamRelay } from "./stream_relay.ts";
 
@@ -73,6 +74,8 @@
   /** Those of them that refused the request as not run. */
   readonly #refusedIds = new Set<string>();
   readonly #relay: StreamRelay;
+  /** The request as the quarantine knows it. */
+  readonly #suspect: SuspectRequest;
   /** Attempts that are under way; several only while a runner is silent. */
   readonly #running = new Set<RunningAttempt>();
   readonly #finished: Promise<void>;
@@ -84,12 +87,16 @@
   /** Attempts in which the request may have run. */
   #runs = 0;
   #hasEnded = false;
-  #key: string | undefined;
   #lastAnswer: WholeAnswer | undefined;
 
   private constructor(options: ExchangeOptions) {
     this.#options = options;
     this.#relay = StreamRelay.create(options.answer);
+    const { admitted, request } = options;
+    this.#suspect = {
+      caller: admitted.caller,
+      requestKey: createRequestKey(admitted, request),
+    };
     this.#finished = new Promise((resolve, reject) => {
       this.#finish = resolve;
       this.#reject = reject;
@@ -154,10 +161,10 @@
   /** Starts an attempt; returns the reason if none can be started. */
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
-    const quarantined = context.crashGuard.findQuarantined(caller.prompt);
+    const quarantined = context.crashGuard.findQuarantined(this.#suspect);
     if (quarantined !== undefined) {
       context.metrics.countQuarantineRefusal();
-      return `quarantined prompt part ${quarantined.partId}`;
+      return `quarantined ${quarantined.partId}`;
     }
     const triedIds = this.#triedIds;
     const placement = placeAttempt(
@@ -272,22 +279,22 @@
     // Attempts that were cancelled are no longer under way.
     if (!this.#running.delete(running)) return;
     running.stop();
-    const { admitted: { caller }, context } = this.#options;
+    const { context } = this.#options;
     context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
     if (this.#wasRefused) this.#refusedIds.add(running.upstream.id);
     this.#observe(running, end);
-    observePrompt(running, { caller, end }, context);
+    const suspect = this.#suspect;
+    observeCrash(running, { ...suspect, end }, context);
     const step = decideNext(end, this.#getProgress());
     this.#log("attempt-ended", {
       ...describeAttempt(running),
       step,
       ...describeEnd(end),
       ...describeBreak(end, running, {
-        prompt: caller.prompt,
+        ...suspect,
         nowMs: context.timers.nowMs(),
-        getKey: () => this.#getKey(),
       }),
     });
     if (this.#running.size > 0 && !isSettled(step, end)) this.#tryTakeover();
@@ -352,7 +359,11 @@
 
   #refuse(message: string): void {
     const leftMs = this.#getLeftMs();
-    refuseRequest(message, { ...this.#options, leftMs });
+    refuseRequest(message, {
+      ...this.#options,
+      suspect: this.#suspect,
+      leftMs,
+    });
   }
 
   #fail(message: string, result: ResultName = "runnerFailed"): void {
@@ -386,13 +397,6 @@
     this.#log("caller-left", { attempts: this.#attempts });
   }
 
-  /** Gets the key by which the request is recognised if it comes again. */
-  #getKey(): string {
-    const { admitted, request } = this.#options;
-    this.#key ??= formatRequestKey(admitted, request);
-    return this.#key;
-  }
-
   #getLeftMs(): number {
     const { admitted, context } = this.#options;
     return admitted.deadlineMs - context.timers.nowMs();
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -1,7 +1,10 @@
 /** Final answers of this router to requests that no runner has answered. */
 import { AppError, type ResultName } from "@jasminetide/core/results";
 import type { GatewayContext } from "../gateway_context.ts";
-import { createQuarantineError } from "../quarantine/mod.ts";
+import {
+  createQuarantineError,
+  type SuspectRequest,
+} from "../quarantine/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { AdmittedRequest } from "./exchange.ts";
@@ -14,6 +17,8 @@
 export type RefusedRequest = {
   admitted: AdmittedRequest;
   answer: CallerAnswer;
+  /** The request as the quarantine knows it. */
+  suspect: SuspectRequest;
   context: GatewayContext;
   /** Time left until the request's deadline. */
   leftMs: number;
@@ -21,8 +26,8 @@
 
 /** Refuses a request that has not run and states when to come back. */
 export function refuseRequest(message: string, refused: RefusedRequest): void {
-  const { admitted: { caller, service }, answer, context, leftMs } = refused;
-  const quarantined = context.crashGuard.findQuarantined(caller.prompt);
+  const { admitted: { service }, answer, context, leftMs, suspect } = refused;
+  const quarantined = context.crashGuard.findQuarantined(suspect);
   if (quarantined !== undefined) {
     answer.sendError(createQuarantineError(quarantined));
     return;
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -3,11 +3,10 @@
 import type { GatewayContext } from "../gateway_context.ts";
 import {
   type BegunAnswer,
-  type CallerRequest,
   listSharedParts,
-  type PromptPart,
   type RunnerAnswer,
 } from "../protocol.ts";
+import type { SuspectRequest } from "../quarantine/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 
@@ -62,15 +61,15 @@
   });
 }
 
-/** Learns from an answer that had begun whether its prompt crashes runners. */
-export function observePrompt(
+/** Learns from the end of an attempt whether its request crashes runners. */
+export function observeCrash(
   { begun, upstream }: { begun: BegunAnswer | undefined; upstream: Upstream },
-  { caller, end }: { caller: CallerRequest; end: AttemptEnd },
+  { caller, end, requestKey }: SuspectRequest & { end: AttemptEnd },
   { crashGuard }: Pick<GatewayContext, "crashGuard">,
 ): void {
   const isWhole = end.type === "relayed" || end.type === "answered";
-  if (begun === undefined || (!isWhole && end.type !== "broken")) return;
-  crashGuard.observeEnd({ upstream, begun, caller, isWhole });
+  if (!isWhole && end.type !== "broken") return;
+  crashGuard.observeEnd({ upstream, begun, caller, isWhole, requestKey });
 }
 
 /** Describes the end of an attempt for a log line. */
@@ -82,14 +81,6 @@
   return { end: end.type };
 }
 
-/** A request whose attempt has ended. */
-export type EndedRequest = {
-  nowMs: number;
-  prompt: readonly PromptPart[];
-  /** Gets the key that it has whenever it is sent. */
-  getKey: () => string;
-};
-
 /**
  * Describes a request whose answer broke off, for a log line: its key and, if
  * the answer had begun, the time since then and the shared parts of the prompt.
@@ -98,13 +89,13 @@
 export function describeBreak(
   end: AttemptEnd,
   { begun }: { begun: BegunAnswer | undefined },
-  { getKey, nowMs, prompt }: EndedRequest,
+  { caller, nowMs, requestKey }: SuspectRequest & { nowMs: number },
 ): LogFields {
   if (end.type !== "broken") return {};
-  if (begun === undefined) return { requestKey: getKey() };
+  if (begun === undefined) return { requestKey };
   return {
-    requestKey: getKey(),
+    requestKey,
     begunForMs: Math.round(nowMs - begun.atMs),
-    sharedParts: listSharedParts(prompt).map(({ id }) => id).join(" "),
+    sharedParts: listSharedParts(caller.prompt).map(({ id }) => id).join(" "),
   };
 }
--- a/packages/gateway/src/requests/request_key.ts
+++ b/packages/gateway/src/requests/request_key.ts
@@ -1,21 +1,16 @@
 import type { IncomingMessage } from "node:http";
-import { hash64 } from "@jasminetide/core/hashing";
+import { hash64, hashBytes64 } from "@jasminetide/core/hashing";
+import { formatRequestKey } from "@jasminetide/core/quarantine";
 import type { AdmittedRequest } from "./exchange.ts";
 
 /**
- * Formats a key by which a request is recognised when its caller sends it again
+ * Creates a key by which a request is recognised when its caller sends it again
  * under another id: a hash of method, host, path, workspace and body.
  */
-export function formatRequestKey(
+export function createRequestKey(
   { body, workspace }: Pick<AdmittedRequest, "body" | "workspace">,
   { headers, method, url }: Pick<IncomingMessage, "headers" | "method" | "url">,
 ): string {
-  const text = JSON.stringify([
-    method,
-    headers.host,
-    url,
-    workspace,
-    body.toString("latin1"),
-  ]);
-  return `request:${hash64(text).toString(16)}`;
+  const text = JSON.stringify([method, headers.host, url, workspace]);
+  return formatRequestKey(hash64(text, hashBytes64(body)));
 }
