Play a request that crashes runners in the fault soak

**Cause.** The soak crashed runners by prompts alone, and all its calls of a kind had the same body. **Change.** Four episodes in ten send one request again and again that ends each runner before it answers; crashing-requests checks what reaches runners after the third crash, with planted histories of both sides. Other calls have a body of their own.

--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -13,6 +13,7 @@
 import { drawCrashingPrompt, drawPrompt } from "./prompts.ts";
 import {
   callLimitsMs,
+  crashPath,
   formatPath,
   soakHost,
   soakKey,
@@ -40,9 +41,16 @@
 /** Kinds of requests that have prompts. */
 const streamKinds = ["story", "summary"] as const;
 
+/** Kinds of the request that crashes runners as a whole. */
+const crashingKinds = ["lookup", "payout", "story"] as const;
+
+const maxCrashNumber = 1_000_000;
+
 /** How a call differs from the usual one. */
 type CallVariation = {
   disconnectAfterMs?: number;
+  /** Body of a request that crashes runners, the same whenever it is sent. */
+  body?: string;
   prompt?: readonly PromptPart[];
 };
 
@@ -80,16 +88,41 @@
     );
   }
 
-  /** Sends requests that crash runners, and waits until all have ended. */
-  async sendCrashing(durationMs: number): Promise<void> {
+  /**
+   * Sends requests with a part of their prompts that crashes runners, and waits
+   * until all have ended.
+   */
+  async sendCrashingPrompts(durationMs: number): Promise<void> {
+    const { random } = this.#options;
+    await this.#sendForTime(durationMs, () => ({
+      kind: streamKinds[random.getInteger(streamKinds.length)],
+      prompt: drawCrashingPrompt(random),
+    }));
+  }
+
+  /**
+   * Sends one request that crashes runners again and again, and waits until all
+   * have ended.
+   */
+  async sendCrashingRequest(durationMs: number): Promise<void> {
+    const { random } = this.#options;
+    const kind = crashingKinds[random.getInteger(crashingKinds.length)];
+    const body = `{"crash":${random.getInteger(maxCrashNumber)}}`;
+    await this.#sendForTime(durationMs, () => ({ kind, body }));
+  }
+
+  /** Makes a call at a random gateway every so often. */
+  async #sendForTime(
+    durationMs: number,
+    draw: () => CallVariation & { kind: CallKind },
+  ): Promise<void> {
     const { fleet, random } = this.#options;
     const endMs = Date.now() + durationMs;
     const sent: Promise<CallRecord>[] = [];
     while (Date.now() < endMs) {
       const gateway = fleet.gateways[random.getInteger(fleet.gateways.length)];
-      const kind = streamKinds[random.getInteger(streamKinds.length)];
-      const prompt = drawCrashingPrompt(random);
-      sent.push(this.#call(gateway, kind, { prompt }));
+      const { kind, ...variation } = draw();
+      sent.push(this.#call(gateway, kind, variation));
       await setTimeout(crashingPeriodMs);
     }
     await Promise.all(sent);
@@ -134,9 +167,11 @@
   async #call(
     gateway: SoakGateway,
     kind: CallKind,
-    { disconnectAfterMs, prompt = this.#drawPrompt(kind) }: CallVariation = {},
+    variation: CallVariation = {},
   ): Promise<CallRecord> {
     const { calls, fleet, wire } = this.#options;
+    const { body, disconnectAfterMs } = variation;
+    const prompt = variation.prompt ?? this.#drawPrompt(kind);
     const attemptId = randomBytes(8).toString("hex");
     const limitMs = callLimitsMs[kind];
     const { version } = fleet;
@@ -146,7 +181,8 @@
     const outcome = await exchange({
       address: gateway.callerLink.address,
       agent: this.#agents[index],
-      path: formatPath(kind, version),
+      path: formatPath(kind, version) + (body === undefined ? "" : crashPath),
+      body: body ?? `{"id":"${attemptId}"}`,
       headers: wire.formatCallerHeaders({
         attemptId,
         timeoutMs: limitMs,
@@ -168,6 +204,7 @@
       version,
       endedAtMs: Date.now(),
       partIds: prompt.map(({ id }) => id),
+      crashes: body !== undefined,
       outcome,
     };
     calls.push(record);
@@ -179,6 +216,7 @@
   address: string;
   agent: Agent;
   path: string;
+  body: string;
   headers: Record<string, string>;
   /** Time after which the caller stops waiting. */
   waitMs: number;
@@ -191,7 +229,8 @@
 const openedAtMs = new WeakMap<Socket, number>();
 
 function exchange(options: Exchange): Promise<CallOutcome> {
-  const { address, agent, disconnectAfterMs, headers, path, waitMs } = options;
+  const { address, agent, body, disconnectAfterMs, headers, path, waitMs } =
+    options;
   const { ip, port } = parseAddress(address);
   return new Promise((resolve) => {
     const callerRequest = request({
@@ -229,7 +268,7 @@
       ({ message }) => end({ type: "failed", reason: message }),
     );
     callerRequest.on("response", (response) => readAnswer(response, end));
-    callerRequest.end("{}");
+    callerRequest.end(body);
   });
 }
 
--- a/packages/fault_soak/src/crash_checks.feature
+++ b/packages/fault_soak/src/crash_checks.feature
@@ -1,4 +1,4 @@
-Feature: The fault soak finds parts of prompts that go on crashing runners
+Feature: The fault soak finds requests that go on crashing runners
 
   Scenario: Three requests with the part may still reach runners
     Given callers whose requests of every kind are served
@@ -50,3 +50,15 @@
     And five runners that crashed under one part of a prompt
     And sound requests of which 100 % begin at first attempt before and 40 % after 5800 ms
     Then there is no violation
+
+  Scenario Outline: A request that crashed three runners reaches runners <count> times more
+    Given callers whose requests of every kind are served
+    And three runners that crashed under one request
+    And that request reaches runners <count> more times, <delay> ms after the third crash
+    Then <result>
+
+    Examples:
+      | count | delay | result                                         |
+      | 3     | 3100  | there is no violation                          |
+      | 4     | 3100  | "crashing-requests" is the only violated check |
+      | 4     | 2900  | there is no violation                          |
--- a/packages/fault_soak/src/crash_checks.ts
+++ b/packages/fault_soak/src/crash_checks.ts
@@ -1,6 +1,7 @@
 /**
- * Checks that gateways stop sending requests with a part of a prompt that
- * crashes runners, and serve the other requests of the same callers again.
+ * Checks that gateways stop sending requests that crash runners, as a whole or
+ * by a part of their prompts, and serve the other requests of the same callers
+ * again.
  */
 import { isStream } from "./call_checks.ts";
 import { isGatewayDisturbed, isUnplannedBetween } from "./disturbances.ts";
@@ -12,10 +13,29 @@
   type RunnerEvent,
 } from "./history.ts";
 import { hasCrashingPart } from "./prompts.ts";
-import { formatCall, type Violation } from "./violation.ts";
+import { type CheckName, formatCall, type Violation } from "./violation.ts";
 
-/** Crashes after which a part must not reach runners any more. */
-const crashLimit = 5;
+/** Requests that crash runners, and what is promised about them. */
+type CrashingKind = {
+  check: CheckName;
+  isCrashing: (call: CallRecord) => boolean;
+  /** Crashes after which such requests must not reach runners any more. */
+  crashLimit: number;
+};
+
+/** Requests with a part of their prompts that crashes runners. */
+const crashingParts: CrashingKind = {
+  check: "crashing-parts",
+  isCrashing: ({ partIds }) => hasCrashingPart(partIds),
+  crashLimit: 5,
+};
+
+/** One request that comes again and again. */
+const crashingRequests: CrashingKind = {
+  check: "crashing-requests",
+  isCrashing: ({ crashes }) => crashes === true,
+  crashLimit: 3,
+};
 
 /** Time within which all connected gateways must know of a crash. */
 const contactMs = 3000;
@@ -29,26 +49,36 @@
 /** Sound calls needed before and after the crashes to compare them. */
 const minimumSample = 20;
 
-/** A call with the crashing part, and an event of it at a runner. */
+/** A call that crashes runners, and an event of it at a runner. */
 type CrashingEvent = { call: CallRecord; event: RunnerEvent };
 
-/** Finds requests with a crashing part that reach runners when it is known. */
+/** Finds requests that reach runners although they are known to crash them. */
 export function findRepeatedCrashes(history: History): Violation[] {
-  const events = listCrashingEvents(history);
+  return [crashingParts, crashingRequests].flatMap((kind) =>
+    findLateArrivals(kind, history)
+  );
+}
+
+function findLateArrivals(kind: CrashingKind, history: History): Violation[] {
+  const { check, crashLimit } = kind;
+  const events = listCrashingEvents(kind, history);
   const crashes = events.filter((each) => isKnownCrash(each, history));
   const late = events.filter((arrival) =>
-    arrival.event.type === "arrived" && isLate(arrival, crashes, history)
+    arrival.event.type === "arrived" &&
+    isLate(arrival, { crashes, crashLimit, history })
   );
   if (late.length <= maxLateArrivals) return [];
   const detail = `${late.length} requests under which ${crashLimit} runners ` +
     `had exited reached runners: ${formatCall(late[0].call)}`;
-  return [{ check: "crashing-parts", detail }];
+  return [{ check, detail }];
 }
 
-function listCrashingEvents({ calls, runnerEvents }: History): CrashingEvent[] {
+function listCrashingEvents(
+  { isCrashing }: CrashingKind,
+  { calls, runnerEvents }: History,
+): CrashingEvent[] {
   const crashing = new Map(
-    calls.filter(({ partIds }) => hasCrashingPart(partIds))
-      .map((call) => [call.attemptId, call]),
+    calls.filter(isCrashing).map((call) => [call.attemptId, call]),
   );
   return runnerEvents.flatMap((event) => {
     const call = crashing.get(event.attemptId);
@@ -65,10 +95,17 @@
   return type === "crashed" && !isGatewayDisturbed(faults, interval);
 }
 
+/** Crashes that the gateways could tell each other of. */
+type KnownCrashes = {
+  crashes: readonly CrashingEvent[];
+  /** Crashes after which all must know that the requests crash runners. */
+  crashLimit: number;
+  history: History;
+};
+
 function isLate(
   { call: { gateway }, event: { atMs } }: CrashingEvent,
-  crashes: readonly CrashingEvent[],
-  { faults }: History,
+  { crashes, crashLimit, history: { faults } }: KnownCrashes,
 ): boolean {
   const forgottenAtMs = Math.max(
     0,
@@ -109,11 +146,11 @@
 
 /** Gets the time from when the crashes are known to the last such request. */
 function getAfterCrashes(span: FaultSpan, history: History): Interval {
-  const events = listCrashingEvents(history).filter(({ event }) =>
-    event.atMs >= span.startMs && event.atMs <= span.endMs
-  );
+  const events = listCrashingEvents(crashingParts, history).filter((
+    { event },
+  ) => event.atMs >= span.startMs && event.atMs <= span.endMs);
   const crashes = events.filter(({ event }) => event.type === "crashed");
-  const last = crashes.at(crashLimit - 1) ?? crashes.at(-1);
+  const last = crashes.at(crashingParts.crashLimit - 1) ?? crashes.at(-1);
   const sentAtMs = history.calls
     .filter(({ partIds }) => hasCrashingPart(partIds))
     .map((call) => call.sentAtMs);
@@ -139,6 +176,7 @@
   }
   const sound = calls.filter((call) =>
     isStream(call) && !hasCrashingPart(call.partIds) &&
+    call.crashes !== true &&
     call.outcome.type !== "left" &&
     call.sentAtMs >= fromMs && call.sentAtMs <= toMs &&
     !isUnplannedBetween(others, call.sentAtMs - contactMs, call.endedAtMs)
--- a/packages/fault_soak/src/crash_checks_test.ts
+++ b/packages/fault_soak/src/crash_checks_test.ts
@@ -85,6 +85,40 @@
   },
 );
 
+/** Adds a call of the request that crashes runners, and its run. */
+function addCrashingRun(
+  world: World,
+  atMs: number,
+  run: Parameters<typeof addRun>[2],
+): void {
+  const sentAtMs = atMs - 5;
+  const outcome = { type: "failed", reason: "a crash" } as const;
+  const call = addCall(world, "lookup", { sentAtMs, crashes: true, outcome });
+  addRun(world, call, run);
+  world.history.exits.push({ runner: String(run?.runner), atMs });
+}
+
+Given(
+  "three runners that crashed under one request",
+  function (this: World) {
+    for (let index = 0; index < 3; index++) {
+      const atMs = violationMs - (2 - index) * crashPeriodMs;
+      const runner = `runner-5-${index}`;
+      addCrashingRun(this, atMs, { runner, end: "crashed", endedAtMs: atMs });
+    }
+  },
+);
+
+Given(
+  "that request reaches runners {int} more times, {int} ms after the third crash",
+  function (this: World, count: number, delayMs: number) {
+    for (let index = 0; index < count; index++) {
+      const runner = `runner-3-${index}`;
+      addCrashingRun(this, violationMs + delayMs, { runner, end: "cut" });
+    }
+  },
+);
+
 /** Adds sound calls of which a share is served at the first attempt. */
 function addSoundCalls(
   world: World,
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -6,6 +6,8 @@
   hasCrashingPart: boolean;
   /** Whether runners of some episodes state limits on their requests. */
   hasStatedLimits: boolean;
+  /** Whether some episodes send a request that crashes runners. */
+  hasCrashingRequest: boolean;
 };
 
 /** Behaviour that episodes include unless they are run without it. */
@@ -13,4 +15,5 @@
   hasUnframedAnswers: true,
   hasCrashingPart: true,
   hasStatedLimits: true,
+  hasCrashingRequest: true,
 };
--- a/packages/fault_soak/src/fault_kinds.ts
+++ b/packages/fault_soak/src/fault_kinds.ts
@@ -54,6 +54,9 @@
 /** Requests that crash runners, drawn last and only when switched on. */
 export const crashFaultKinds = ["prompt-crashing"] as const;
 
+/** One request that crashes runners, sent again and again, drawn last. */
+export const requestFaultKinds = ["request-crashing"] as const;
+
 /** Runners that state a limit on their requests, drawn last. */
 export const limitFaultKinds = ["runner-limited"] as const;
 
@@ -68,6 +71,7 @@
   ...silenceFaultKinds,
   ...crashFaultKinds,
   ...limitFaultKinds,
+  ...requestFaultKinds,
 ] as const;
 
 /** Kind of a fault. */
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -226,6 +226,7 @@
     runners: 4,
     hasCrashingPart: true,
     hasStatedLimits: true,
+    hasCrashingRequest: true,
   });
 }
 
--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -53,6 +53,15 @@
 /** Chance of rounds in which runners fall silent. */
 const silenceChance = 0.7;
 
+/** Chance of a request that crashes runners. */
+const crashingRequestChance = 0.4;
+/** Long enough for three crashes and for what must hold from 3 s after them. */
+const crashingRequestFault: PlannedFault = {
+  kind: "request-crashing",
+  target: 0,
+  startMs: 5000,
+  durationMs: 14_000,
+};
 /** Chance that some runners state a limit. */
 const limitChance = 0.5;
 const maxLimitedRunners = 2;
@@ -61,12 +70,16 @@
 /** Options of the draw. */
 export type DrawOptions =
   & FleetSize
-  & Pick<EpisodeSwitches, "hasCrashingPart" | "hasStatedLimits">;
+  & Pick<
+    EpisodeSwitches,
+    "hasCrashingPart" | "hasCrashingRequest" | "hasStatedLimits"
+  >;
 
 /** Draws the faults of an episode, sorted by start time. */
 export function drawFaults(
   random: RandomSource,
-  { hasCrashingPart, hasStatedLimits, ...size }: DrawOptions,
+  { hasCrashingPart, hasCrashingRequest, hasStatedLimits, ...size }:
+    DrawOptions,
 ): PlannedFault[] {
   const count = counts.smallest + random.getInteger(counts.range);
   const faults: PlannedFault[] = [];
@@ -92,6 +105,8 @@
   if (hasCrashingPart && crashes) faults.push(crashingFault);
   const areLimited = random.getFloat() < limitChance;
   if (hasStatedLimits && areLimited) faults.push(...drawLimits(random, size));
+  const isSent = random.getFloat() < crashingRequestChance;
+  if (hasCrashingRequest && isSent) faults.push(crashingRequestFault);
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -48,6 +48,8 @@
   endedAtMs: number;
   /** Ids of the parts of its prompt, if it has one. */
   partIds?: readonly string[];
+  /** Whether it crashes each runner that runs it. */
+  crashes?: boolean;
   outcome: CallOutcome;
 };
 
--- a/packages/fault_soak/src/inject_crashes.ts
+++ b/packages/fault_soak/src/inject_crashes.ts
@@ -1,11 +1,11 @@
-/** Injects requests with a part of their prompts that crashes runners. */
+/** Injects requests that crash runners. */
 import { setTimeout } from "node:timers/promises";
-import type { Callers } from "./callers.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 
 /** Options of the injection. */
 export type CrashOptions = {
-  callers: Callers;
+  /** Sends such requests for a time and settles when all have ended. */
+  send: (durationMs: number) => Promise<void>;
   fleet: SoakFleet;
   durationMs: number;
 };
@@ -17,11 +17,11 @@
  * settles when all requests have ended and all runners are back.
  */
 export async function injectCrashes(
-  { callers, durationMs, fleet }: CrashOptions,
+  { durationMs, fleet, send }: CrashOptions,
 ): Promise<void> {
   const restarts: Promise<void>[] = [];
   let isSending = true;
-  const sent = callers.sendCrashing(durationMs).then(() => isSending = false);
+  const sent = send(durationMs).then(() => isSending = false);
   const restartExited = () => {
     for (const runner of fleet.runners) {
       if (runner.process.isRunning || runner.restart !== undefined) continue;
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -104,7 +104,16 @@
     await setTimeout(restMs);
   },
   "runner-silent": silenceRunner,
-  "prompt-crashing": injectCrashes,
+  "prompt-crashing": (context) =>
+    injectCrashes({
+      ...context,
+      send: (durationMs) => context.callers.sendCrashingPrompts(durationMs),
+    }),
+  "request-crashing": (context) =>
+    injectCrashes({
+      ...context,
+      send: (durationMs) => context.callers.sendCrashingRequest(durationMs),
+    }),
   "runner-limited": async ({ runner }) => {
     runner.process.sendSignal("SIGCHLD");
     await setTimeout(limitMs);
--- a/packages/fault_soak/src/scripted_answers.ts
+++ b/packages/fault_soak/src/scripted_answers.ts
@@ -22,7 +22,7 @@
 /** Time in which bytes before a break-off are sent. */
 const flushMs = 10;
 
-/** Time from the begin of an answer to the crash of its runner. */
+/** Time from the begin of a run or an answer to the crash of its runner. */
 const crashDelays = { smallestMs: 50, rangeMs: 100 };
 
 /** How a stream is broken off after some of its events. */
@@ -33,6 +33,9 @@
   { isInsideEvent: true, isReset: true },
 ] as const;
 
+/** Where a run crashes its runner: soon after it or its answer has begun. */
+export type CrashPoint = "beforeAnswer" | "inAnswer";
+
 /** A request that runs at a runner, and how it is answered. */
 export type ScriptedRun = {
   request: IncomingMessage;
@@ -42,8 +45,8 @@
   headers: Record<string, string>;
   /** Last event that the caller has received; 0 if none. */
   lastEventId: number;
-  /** Whether the runner exits soon after the answer has begun. */
-  crashes: boolean;
+  /** Where the runner exits, if it does. */
+  crashes: CrashPoint | undefined;
   /** Nothing is sent while it lasts. */
   silence: SilentPeriod;
   /** Whether some answers have neither a length nor chunks. */
@@ -55,6 +58,10 @@
 
 /** Answers a request and returns how its run ended. */
 export async function answerRun(run: ScriptedRun): Promise<RunEnd> {
+  if (run.crashes === "beforeAnswer") {
+    await setTimeout(getCrashDelayMs(run));
+    return "crashed";
+  }
   const isStream = /^\/(story|summary)\//.test(run.request.url ?? "");
   return isStream ? await answerStream(run) : await answerPlain(run);
 }
@@ -85,8 +92,10 @@
   for (let event = lastEventId + 1; event <= streamEvents; event++) {
     if (!await isOpenAfterSilence(run)) return "cut";
     response.write(formatEvent(attemptId, event));
-    await setTimeout(run.crashes ? getCrashDelayMs(run) : eventPeriodMs);
-    if (run.crashes) return "crashed";
+    await setTimeout(
+      run.crashes === "inAnswer" ? getCrashDelayMs(run) : eventPeriodMs,
+    );
+    if (run.crashes === "inAnswer") return "crashed";
     if (request.socket.destroyed) return "cut";
     if (isBreakingOff(run) && event === streamEvents / 2) {
       return await breakOffStream(run);
--- a/packages/fault_soak/src/soak_declaration.ts
+++ b/packages/fault_soak/src/soak_declaration.ts
@@ -8,6 +8,9 @@
 /** Host name of all routes. */
 export const soakHost = "soak.example";
 
+/** End of the path of a request that crashes each runner that runs it. */
+export const crashPath = "crash";
+
 /** API key that is valid in every version. */
 export const soakKey = "soak-key";
 
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -7,7 +7,13 @@
 import process from "node:process";
 import type { RunnerEvent } from "./history.ts";
 import { hasCrashingPart } from "./prompts.ts";
-import { answerFailure, answerRun, isUnframedRun } from "./scripted_answers.ts";
+import {
+  answerFailure,
+  answerRun,
+  type CrashPoint,
+  isUnframedRun,
+} from "./scripted_answers.ts";
+import { crashPath } from "./soak_declaration.ts";
 import { SilentPeriod } from "./silent_period.ts";
 import type { AttemptHeaders, SoakWire } from "./wire.ts";
 
@@ -50,6 +56,14 @@
   server.listen(options.port, "127.0.0.1");
 }
 
+function getCrashPoint(
+  { url }: IncomingMessage,
+  partIds: readonly string[],
+): CrashPoint | undefined {
+  if (url?.endsWith(`/${crashPath}`)) return "beforeAnswer";
+  return hasCrashingPart(partIds) ? "inAnswer" : undefined;
+}
+
 /** State of a runner, which signals change. */
 class SoakRunnerProgram {
   readonly #options: SoakRunnerOptions;
@@ -117,7 +131,7 @@
       runnerId: id,
       headers: this.#formatHeaders(attemptId, { isNotRun: false, pauseMs: 0 }),
       lastEventId,
-      crashes: hasCrashingPart(partIds),
+      crashes: getCrashPoint(request, partIds),
       silence: this.#silence,
       hasUnframedAnswers,
     };
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -19,6 +19,7 @@
   "planned-stops",
   "lost-answers",
   "crashing-parts",
+  "crashing-requests",
   "sound-requests",
   "recovery",
 ] as const;
