--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -1,13 +1,11 @@
-import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResultName } from "@jasminetide/core/results";
-import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { LogFields } from "@jasminetide/runtime/logging";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { CallerRequest } from "../protocol.ts";
 import type { SuspectRequest } from "../quarantine/mod.ts";
 import type { RequestTrace } from "../request_log.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import {
@@ -31,28 +29,16 @@
 import {
   describeBreak,
   describeEnd,
-  getRunnerOutcome,
   observeCrash,
-  observeRunner,
+  observeOutcome,
 } from "./observe_end.ts";
 import { placeAttempt, type Placement } from "./place_attempt.ts";
 import { createRequestKey } from "./request_key.ts";
 import { RunningAttempt } from "./running_attempt.ts";
+import { RunningAttempts } from "./running_attempts.ts";
+import { takeRetry } from "./take_retry.ts";
 import { AttemptStream, StreamRelay } from "./stream_relay.ts";
 
-/** A request that was admitted, with its route and limits. */
-export type AdmittedRequest = {
-  caller: CallerRequest;
-  route: DeclaredRoute;
-  service: string;
-  workspace: string | undefined;
-  /** Priority of the workspace or else of the route; 0 is served first. */
-  priority: number;
-  body: Buffer;
-  /** Time by which it must be answered, on the timer service's clock. */
-  deadlineMs: number;
-};
-
 /** Options of an exchange. */
 export type ExchangeOptions = {
   context: GatewayContext;
@@ -76,8 +62,7 @@
   readonly #relay: StreamRelay;
   /** The request as the quarantine knows it. */
   readonly #suspect: SuspectRequest;
-  /** Attempts that are under way; several only while a runner is silent. */
-  readonly #running = new Set<RunningAttempt>();
+  readonly #running: RunningAttempts;
   readonly #finished: Promise<void>;
   #finish: () => void = () => {};
   #reject: (thrown: unknown) => void = () => {};
@@ -92,7 +77,8 @@
   private constructor(options: ExchangeOptions) {
     this.#options = options;
     this.#relay = StreamRelay.create(options.answer);
-    const { admitted, request } = options;
+    const { admitted, context: { metrics }, request, trace } = options;
+    this.#running = RunningAttempts.create({ trace, metrics });
     this.#suspect = {
       caller: admitted.caller,
       requestKey: createRequestKey(admitted, request),
@@ -151,7 +137,7 @@
 
   /** Tries another runner while all that were tried are silent. */
   #tryTakeover(): void {
-    if ([...this.#running].some(({ isSilent }) => !isSilent)) return;
+    if (!this.#running.areSilent) return;
     const reason = canTakeOver(this.#getProgress())
       ? this.#startAttempt({ mayReturn: false })
       : "no attempt left";
@@ -172,8 +158,10 @@
       context,
     );
     if (placement === undefined) return "no runner available";
-    if (!this.#takeRetry()) return "retry budget exhausted";
-    if (this.#attempts > 0) context.metrics.countRetry();
+    const attempts = this.#attempts;
+    if (!takeRetry({ attempts, service }, context)) {
+      return "retry budget exhausted";
+    }
     const running = this.#createAttempt(placement);
     this.#running.add(running);
     void running.ended.then((end) =>
@@ -182,20 +170,6 @@
     return undefined;
   }
 
-  /** Takes a retry from the budget; the first send does not count as one. */
-  #takeRetry(): boolean {
-    const { admitted, context } = this.#options;
-    const budget = context.getRetryBudget(admitted.service);
-    const nowMs = context.timers.nowMs();
-    if (this.#attempts === 0) {
-      budget.recordRequest(nowMs);
-      return true;
-    }
-    const isTaken = budget.tryTake(nowMs, context.countRouters());
-    if (!isTaken) context.metrics.countRefusedRetry();
-    return isTaken;
-  }
-
   #createAttempt(placement: Placement): RunningAttempt {
     const { admitted, context } = this.#options;
     const { upstream } = placement;
@@ -239,31 +213,13 @@
       accepts: (head) => route.kind === "stream" && head.status < 300,
       onBegin: () => {
         if (this.#running.size === 1) return true;
-        timers.schedule(maxOverlapMs, () => this.#preferAttempt(getRunning()));
+        timers.schedule(maxOverlapMs, () => this.#running.prefer(getRunning()));
         return false;
       },
-      onEvents: () => this.#preferAttempt(getRunning()),
+      onEvents: () => this.#running.prefer(getRunning()),
     });
   }
 
-  /** Cancels the other attempts once the answer of one progresses. */
-  #preferAttempt(preferred: RunningAttempt): void {
-    if (this.#running.has(preferred)) this.#cancelExcept(preferred);
-  }
-
-  #cancelExcept(preferred: RunningAttempt | undefined): void {
-    for (const running of [...this.#running]) {
-      if (running === preferred) continue;
-      this.#running.delete(running);
-      running.cancel();
-      this.#options.context.metrics.countAttempt("cancelled");
-      this.#log("attempt-cancelled", {
-        ...describeAttempt(running),
-        preferred: preferred?.upstream.id,
-      });
-    }
-  }
-
   #handleSilence(running: RunningAttempt, silence: Silence): void {
     this.#log("silent", {
       ...describeSilence(running, silence),
@@ -277,14 +233,14 @@
 
   #handleEnd(running: RunningAttempt, end: AttemptEnd): void {
     // Attempts that were cancelled are no longer under way.
-    if (!this.#running.delete(running)) return;
+    if (!this.#running.remove(running)) return;
     running.stop();
-    const { context } = this.#options;
+    const { admitted: { service }, context } = this.#options;
     context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
     this.#wasRefused = end.type === "notRun";
     if (this.#wasRefused) this.#refusedIds.add(running.upstream.id);
-    this.#observe(running, end);
+    observeOutcome(running, { end, service }, context);
     const suspect = this.#suspect;
     observeCrash(running, { ...suspect, end }, context);
     const step = decideNext(end, this.#getProgress());
@@ -301,19 +257,6 @@
     else this.#applyStep(step, end);
   }
 
-  /** Updates the capacity forecast and the runner's health. */
-  #observe({ isSilent, upstream }: RunningAttempt, end: AttemptEnd): void {
-    const { admitted: { service }, context } = this.#options;
-    if (end.type === "relayed" || end.type === "answered") {
-      const forecast = context.getCapacityForecast(service);
-      forecast.recordCompletion(context.timers.nowMs());
-    }
-    const outcome = getRunnerOutcome(end);
-    // A silent attempt was counted as lost already.
-    if (outcome === undefined || (outcome === "lost" && isSilent)) return;
-    observeRunner(upstream, outcome, context);
-  }
-
   #applyStep(step: NextStep, end: AttemptEnd): void {
     const { answer } = this.#options;
     switch (step) {
@@ -342,7 +285,7 @@
   /** Ends the request and cancels the attempts that are still under way. */
   #end(): void {
     this.#hasEnded = true;
-    this.#cancelExcept(undefined);
+    this.#running.cancel();
     this.#finish();
   }
 
@@ -377,10 +320,10 @@
     const { answer } = this.#options;
     const mayHaveRun = this.#runs > 0;
     // Later attempts had less time, so their silence says little.
-    const [first] = this.#running;
+    const { first } = this.#running;
     const wasSilent = first?.isAwaitingFirstByte ?? false;
     this.#log("expired", { mayHaveRun, hasBegun: answer.hasBegun, wasSilent });
-    if (wasSilent && !first.isSilent) first.recordLoss();
+    if (wasSilent && first?.isSilent === false) first.recordLoss();
     if (answer.hasBegun) answer.breakOff();
     else if (mayHaveRun) {
       this.#fail("No answer within the time limit", "deadlineExceeded");
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -7,7 +7,7 @@
 } from "../quarantine/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
-import type { AdmittedRequest } from "./exchange.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import { getRunnerWaitMs } from "./place_attempt.ts";
 
 /** A whole answer of a runner. */
--- a/packages/gateway/src/requests/format_runner_request.ts
+++ b/packages/gateway/src/requests/format_runner_request.ts
@@ -2,7 +2,7 @@
 import type { GatewayContext } from "../gateway_context.ts";
 import type { RunnerHeaderValues } from "../protocol.ts";
 import type { RunnerRequest } from "../upstreams/mod.ts";
-import type { AdmittedRequest } from "./exchange.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import { selectForwardedHeaders } from "./forwarded_headers.ts";
 import type { Placement } from "./place_attempt.ts";
 
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -11,7 +11,7 @@
 import type { AttemptEnd } from "./attempt.ts";
 
 /** Gets the outcome that an end means for the runner's health, if any. */
-export function getRunnerOutcome(end: AttemptEnd): RunnerOutcome | undefined {
+function getRunnerOutcome(end: AttemptEnd): RunnerOutcome | undefined {
   switch (end.type) {
     case "relayed":
       return "succeeded";
@@ -27,6 +27,22 @@
   }
 }
 
+/** Updates the capacity forecast and the runner's health. */
+export function observeOutcome(
+  { isSilent, upstream }: { isSilent: boolean; upstream: Upstream },
+  { end, service }: { end: AttemptEnd; service: string },
+  context: GatewayContext,
+): void {
+  if (end.type === "relayed" || end.type === "answered") {
+    const forecast = context.getCapacityForecast(service);
+    forecast.recordCompletion(context.timers.nowMs());
+  }
+  const outcome = getRunnerOutcome(end);
+  // A silent attempt was counted as lost already.
+  if (outcome === undefined || (outcome === "lost" && isSilent)) return;
+  observeRunner(upstream, outcome, context);
+}
+
 /** Records an outcome in the runner's health and logs a change of state. */
 export function observeRunner(
   upstream: Upstream,
--- a/packages/gateway/src/requests/request_key.ts
+++ b/packages/gateway/src/requests/request_key.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { hash64, hashBytes64 } from "@jasminetide/core/hashing";
 import { formatRequestKey } from "@jasminetide/core/quarantine";
-import type { AdmittedRequest } from "./exchange.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 
 /**
  * Creates a key by which a request is recognised when its caller sends it again
--- a/packages/operator/src/gateways/report_request_explanation.ts
+++ b/packages/operator/src/gateways/report_request_explanation.ts
@@ -51,6 +51,7 @@
         "slots",
         "failed",
         "avoided",
+        "limit",
       ],
       style,
     }),
@@ -76,5 +77,6 @@
     String(runner.slots),
     `${Math.round(runner.failureShare * 100)} %`,
     runner.isAvoided ? "yes" : "no",
+    runner.limitPerSecond === undefined ? "" : `${runner.limitPerSecond}/s`,
   ];
 }
