--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -7,7 +7,7 @@
   type QuarantinedPart,
 } from "@jasminetide/core/quarantine";
 import type { RandomSource } from "@jasminetide/core/random";
-import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
+import type { TimerService } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import { maxIdLength, maxPartCount } from "../peers/evidence_schema.ts";
@@ -22,6 +22,7 @@
 import { CrashProbe, formatProcessKey } from "./crash_probe.ts";
 import { fetchMissedEvidence } from "./evidence_catch_up.ts";
 import { EvidenceDelivery, type EvidencePeers } from "./evidence_delivery.ts";
+import { QuarantineLog } from "./quarantine_log.ts";
 
 /** Options of a guard. */
 export type CrashGuardOptions = {
@@ -57,8 +58,7 @@
   readonly #quarantine: CrashQuarantine;
   readonly #probe: CrashProbe;
   readonly #delivery: EvidenceDelivery;
-  /** Checks at the end of each quarantine that was logged, by part. */
-  readonly #releases = new Map<string, TimerSubscription>();
+  readonly #log: QuarantineLog;
   #isDisposed = false;
 
   private constructor(options: CrashGuardOptions) {
@@ -68,6 +68,10 @@
     // further crash reaches the others before they do.
     const quarantineMs = minQuarantineMs + random.getFloat() * extraMs;
     this.#quarantine = CrashQuarantine.create({ quarantineMs });
+    this.#log = QuarantineLog.create({
+      ...options,
+      quarantine: this.#quarantine,
+    });
     this.#probe = CrashProbe.create(timers);
     this.#delivery = EvidenceDelivery.create({
       timers,
@@ -143,15 +147,14 @@
   [Symbol.dispose](): void {
     this.#isDisposed = true;
     this.#delivery[Symbol.dispose]();
-    for (const release of this.#releases.values()) release[Symbol.dispose]();
-    this.#releases.clear();
+    this.#log[Symbol.dispose]();
   }
 
   #recordAnswer(partIds: readonly string[]): void {
     const nowMs = this.#options.timers.nowMs();
     const cleared = this.#quarantine.recordAnswer(partIds, nowMs);
     if (cleared.length === 0) return;
-    this.#logChanges(cleared);
+    this.#log.update(cleared);
     this.#delivery.send({ crashes: [], partIds: cleared });
   }
 
@@ -185,7 +188,7 @@
     const { metrics, timers } = this.#options;
     if (!this.#quarantine.recordCrash(crash, timers.nowMs())) return;
     metrics.countRunnerCrash();
-    this.#logChanges(crash.partIds);
+    this.#log.update(crash.partIds);
     this.#tellOfCrash(crash);
   }
 
@@ -233,7 +236,7 @@
     const nowMs = this.#options.timers.nowMs();
     const news = this.#quarantine.merge(evidence, nowMs);
     const partIds = news.crashes.flatMap((crash) => crash.partIds);
-    this.#logChanges(new Set([...partIds, ...news.clearedParts]));
+    this.#log.update(new Set([...partIds, ...news.clearedParts]));
     return news;
   }
 
@@ -242,44 +245,6 @@
     const { clearedParts: partIds } = this.#merge(evidence);
     if (partIds.length > 0) this.#delivery.send({ crashes: [], partIds });
   }
-
-  /** Logs the parts whose quarantine has begun or ended. */
-  #logChanges(changedParts: Iterable<string>): void {
-    const { logger, metrics, timers } = this.#options;
-    // A crash may also show that another part is not to blame.
-    const partIds = new Set([...changedParts, ...this.#releases.keys()]);
-    for (const partId of partIds) {
-      const found = this.#quarantine.find([partId], timers.nowMs());
-      const release = this.#releases.get(partId);
-      if (found !== undefined && release === undefined) {
-        const { leftMs, ...counts } = found;
-        const subject = getSubject(partId);
-        const fields = { ...counts, durationMs: leftMs };
-        logger.warn(`${subject}-quarantined`, fields);
-        metrics.countQuarantined(subject);
-        this.#scheduleRelease(found);
-      } else if (found === undefined && release !== undefined) {
-        release[Symbol.dispose]();
-        this.#releases.delete(partId);
-        logger.info(`${getSubject(partId)}-released`, { partId });
-      }
-    }
-  }
-
-  /** Checks the part again when its quarantine would end. */
-  #scheduleRelease({ leftMs, partId }: QuarantinedPart): void {
-    const release = this.#options.timers.schedule(leftMs, (nowMs) => {
-      const found = this.#quarantine.find([partId], nowMs);
-      if (found === undefined) this.#logChanges([partId]);
-      else this.#scheduleRelease(found);
-    });
-    this.#releases.set(partId, release);
-  }
-}
-
-/** What a quarantine is about, as log lines and metrics name it. */
-function getSubject(partId: string): "prompt" | "request" {
-  return isRequestKey(partId) ? "request" : "prompt";
 }
 
 /**
