--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -19,6 +19,13 @@
     When a request with the part "request:1" is answered whole
     Then the part "request:1" is not quarantined
 
+  Scenario: What is sent to a process after its crash
+    Given the part "first" crashed runners "r1" under request "q1"
+    When 2 s pass
+    And the part "second" crashes runners "r1" under request "q2"
+    Then what was sent to "r1" 3 s ago may have crashed it
+    And what was sent to "r1" 1 s ago has not crashed it
+
   Scenario: One process that takes many requests along
     Given the part "popular" crashed runners "r1" under request "q1"
     And the part "popular" crashed runners "r1" under request "q2"
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -43,6 +43,7 @@
 /** An attempt that has ended. */
 export type EndedAttempt = SuspectRequest & {
   upstream: Upstream;
+  startedAtMs: number;
   /** The answer, if a successful one had begun. */
   begun: BegunAnswer | undefined;
   /** Whether the answer came whole; otherwise the runner broke it off. */
@@ -160,14 +161,15 @@
 
   /** Records a crash if the runner's process is gone. */
   async #checkCrash(
-    { caller, isWhole, upstream }: EndedAttempt,
+    { caller, isWhole, startedAtMs, upstream }: EndedAttempt,
     { begunForMs, partIds }: { begunForMs?: number; partIds: string[] },
   ): Promise<void> {
     const { logger, timers } = this.#options;
     const atMs = timers.nowMs();
+    const process = formatProcessKey(upstream.record);
+    if (this.#quarantine.hasCrashedBefore(process, startedAtMs)) return;
     const suspects = this.#quarantine.listSuspects(partIds, atMs);
     if (suspects.length === 0) return;
-    const process = formatProcessKey(upstream.record);
     const state = await this.#probe.probe(upstream);
     if (isWhole && state === "alive") this.#recordAnswer(partIds);
     if (state === "alive" || (begunForMs ?? 0) > maxBegunMs) return;
--- a/packages/gateway/src/quarantine/crashing_requests.feature
+++ b/packages/gateway/src/quarantine/crashing_requests.feature
@@ -51,3 +51,9 @@
     When 5 runners crash while that lookup is under way at each
     And the other lookup is sent 20 times, to all gateways
     Then all lookups are answered
+
+  Scenario: A request that was sent to runners after their crash is not blamed
+    Given 4 gateways and 4 runners
+    When 3 runners crash behind proxies that still accept connections
+    And the other lookup is sent 40 times, to all gateways
+    Then no lookup is refused with result 2008
--- a/packages/gateway/src/quarantine/crashing_requests_test.ts
+++ b/packages/gateway/src/quarantine/crashing_requests_test.ts
@@ -181,6 +181,38 @@
   return { runner, answer };
 }
 
+When(
+  "{int} runners crash behind proxies that still accept connections",
+  async function (this: World, count: number) {
+    begin(this, "lookup");
+    const fleet = this.crashingFleet;
+    for (const runner of fleet.runners.slice(0, count)) {
+      runner.crashBehindProxy();
+    }
+    // Each gateway finds out that they are gone under requests of others.
+    for (let round = 0; round < 2; round++) {
+      await sendLookups(
+        this,
+        4 * fleet.gateways.length,
+        (index) => `round ${round} body ${index}`,
+      );
+    }
+    await wait(timers, probeMs);
+  },
+);
+
+/** Longer than it takes to find out whether a runner lives. */
+const probeMs = 500;
+
+Then(
+  "no lookup is refused with result {int}",
+  function (this: World, code: number) {
+    for (const { text } of this.lookupAnswers) {
+      assert.doesNotMatch(text, new RegExp(`"code":${code}`));
+    }
+  },
+);
+
 When(
   "{int} runners crash while that lookup is under way at each",
   async function (this: World, count: number) {
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -6,7 +6,7 @@
   listSharedParts,
   type RunnerAnswer,
 } from "../protocol.ts";
-import type { SuspectRequest } from "../quarantine/mod.ts";
+import type { EndedAttempt, SuspectRequest } from "../quarantine/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { AttemptEnd } from "./attempt.ts";
 
@@ -79,13 +79,21 @@
 
 /** Learns from the end of an attempt whether its request crashes runners. */
 export function observeCrash(
-  { begun, upstream }: { begun: BegunAnswer | undefined; upstream: Upstream },
+  attempt: Pick<EndedAttempt, "begun" | "startedAtMs" | "upstream">,
   { caller, end, requestKey }: SuspectRequest & { end: AttemptEnd },
   { crashGuard }: Pick<GatewayContext, "crashGuard">,
 ): void {
   const isWhole = end.type === "relayed" || end.type === "answered";
   if (!isWhole && end.type !== "broken") return;
-  crashGuard.observeEnd({ upstream, begun, caller, isWhole, requestKey });
+  const { begun, startedAtMs, upstream } = attempt;
+  crashGuard.observeEnd({
+    upstream,
+    startedAtMs,
+    begun,
+    caller,
+    isWhole,
+    requestKey,
+  });
 }
 
 /** Describes the end of an attempt for a log line. */
--- a/packages/gateway/src/test_support/scripted_runner.ts
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -27,6 +27,7 @@
   readonly #resolvers: ((request: ReceivedRequest) => void)[] = [];
   readonly #address: string;
   #hasCrashed = false;
+  #isProxied = false;
   /** Requests received so far. */
   readonly requests: ReceivedRequest[] = [];
   /** Answers the requests; may be replaced at any time. */
@@ -65,6 +66,12 @@
     this.closeConnections();
   }
 
+  /** Ends the runner; a proxy before it still accepts connections. */
+  crashBehindProxy(): void {
+    this.#isProxied = true;
+    this.closeConnections();
+  }
+
   /** Closes all connections while the runner goes on. */
   closeConnections(): void {
     for (const socket of this.#sockets) socket.destroy();
@@ -84,6 +91,11 @@
   }
 
   #accept(socket: Socket): void {
+    if (this.#isProxied) {
+      socket.on("error", () => {});
+      socket.destroy();
+      return;
+    }
     this.#sockets.add(socket);
     // A reset is an error and a close; only the latter matters here.
     const closed = new Promise((resolve) => socket.once("close", resolve));
