Admit a few requests with a quarantined prompt part on trial

The class of fault is a circuit breaker without a half-open state. **Change.** Three requests with a part are admitted on trial, 1, 2 and 4 s after the first refusal, each by another gateway, chosen by rendezvous hashing.

--- a/packages/core/src/limits/limit_share.ts
+++ b/packages/core/src/limits/limit_share.ts
@@ -1,12 +1,4 @@
-import { mix32 } from "../hashing/mod.ts";
-
-/** Routers that share the limits that runners state. */
-export type LimitSharers = {
-  /** `hash32` of this router's name. */
-  selfHash: number;
-  /** `hash32` of the other routers' names; undefined if these are not known. */
-  otherHashes: readonly number[] | undefined;
-};
+import { getRouterRank, type KnownRouters } from "../hashing/mod.ts";
 
 /** Limit of a runner that routers share. */
 export type SharedLimit = {
@@ -18,24 +10,17 @@
 /**
  * Gets this router's share of a limit, 0 to 1. All routers find the same shares
  * if they know the same routers. If there are far more routers than requests a
- * second, some share the limit by rendezvous hashing (Thaler and Ravishankar,
- * 1998) and the others have none, so that each share is worth a request in
- * about a second.
+ * second, those that rank first for the runner share the limit and the others
+ * have none, so that each share is worth a request in about a second.
  */
 export function getLimitShare(
   { perSecond, runnerHash }: SharedLimit,
-  { otherHashes, selfHash }: LimitSharers,
+  routers: KnownRouters,
 ): number {
-  if (otherHashes === undefined) return 1 / minAssumedRouters;
-  const sharers = Math.min(
-    otherHashes.length + 1,
-    Math.ceil(perSecond) + extraSharers,
-  );
-  const weight = mix32(runnerHash, selfHash);
-  let rank = 0;
-  for (const otherHash of otherHashes) {
-    if (mix32(runnerHash, otherHash) > weight) rank += 1;
-  }
+  const rank = getRouterRank(runnerHash, routers);
+  if (rank === undefined) return 1 / minAssumedRouters;
+  const others = routers.otherHashes?.length ?? 0;
+  const sharers = Math.min(others + 1, Math.ceil(perSecond) + extraSharers);
   return rank < sharers ? 1 / sharers : 0;
 }
 
--- a/packages/core/src/limits/stated_limit.ts
+++ b/packages/core/src/limits/stated_limit.ts
@@ -1,8 +1,5 @@
-import {
-  getLimitShare,
-  type LimitSharers,
-  type SharedLimit,
-} from "./limit_share.ts";
+import type { KnownRouters } from "../hashing/mod.ts";
+import { getLimitShare, type SharedLimit } from "./limit_share.ts";
 import type { Quota } from "./quota.ts";
 import { QuotaBucket } from "./quota_bucket.ts";
 
@@ -17,7 +14,7 @@
   nowMs: number;
   /** `hash32` of the runner's id. */
   runnerHash: number;
-  sharers: LimitSharers;
+  sharers: KnownRouters;
 };
 
 /** What a router has learned of a limit, as it is sent to other routers. */
@@ -33,7 +30,7 @@
 type Statement = { perSecond: number; bucket: QuotaBucket };
 
 /** A share that was computed, and from what. */
-type KnownShare = { of: SharedLimit; sharers: LimitSharers; share: number };
+type KnownShare = { of: SharedLimit; sharers: KnownRouters; share: number };
 
 /**
  * Limit on the requests of all routers together that a runner process states in
--- a/packages/core/src/limits/stated_limit_test.ts
+++ b/packages/core/src/limits/stated_limit_test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
-import { hash32 } from "../hashing/mod.ts";
+import { hash32, type KnownRouters } from "../hashing/mod.ts";
 import { createSeededRandom, type RandomSource } from "../random/mod.ts";
-import type { LimitSharers } from "./limit_share.ts";
 import { StatedLimit } from "./stated_limit.ts";
 
 type Run = {
@@ -42,7 +41,7 @@
   return sentAtMs;
 }
 
-function listSharers({ areKnown, routers }: Run): LimitSharers[] {
+function listSharers({ areKnown, routers }: Run): KnownRouters[] {
   const hashes = Array.from(
     { length: routers },
     (_, index) => hash32(`router-${index}`),
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -19,6 +19,10 @@
     When a request with the part "request:1" is answered whole
     Then the part "request:1" is not quarantined
 
+  Scenario: Few requests with a quarantined part are admitted on trial
+    When 4 routers get requests with a quarantined part for 300 s
+    Then 3 are admitted, after 1000, 2000 and 4000 ms, each by another router
+
   Scenario: What is sent to a process after its crash
     Given the part "first" crashed runners "r1" under request "q1"
     When 2 s pass
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -9,12 +9,13 @@
   type CrashReplayResult,
   createCrashArrivals,
 } from "./test_support/replay_crashes.ts";
-import { CrashQuarantine, type Evidence } from "./mod.ts";
+import { CrashQuarantine, type Evidence, QuarantineTrials } from "./mod.ts";
 
 type World = {
   quarantine: CrashQuarantine | undefined;
   quarantineNowMs: number;
   clearedParts: string[];
+  admittedOnTrial: { atMs: number; rank: number }[];
   crashReplays: { on: CrashReplayResult; off: CrashReplayResult };
 };
 
@@ -28,6 +29,39 @@
   return world.quarantine;
 }
 
+When(
+  "{int} routers get requests with a quarantined part for {int} s",
+  function (this: World, routers: number, seconds: number) {
+    const trials = Array.from(
+      { length: routers },
+      () => QuarantineTrials.create(),
+    );
+    this.admittedOnTrial = [];
+    for (let nowMs = 0; nowMs <= seconds * 1000; nowMs += 10) {
+      trials.forEach((each, rank) => {
+        if (!each.tryAdmit("part", { nowMs, rank })) return;
+        this.admittedOnTrial.push({ atMs: nowMs, rank });
+      });
+    }
+  },
+);
+
+Then(
+  "{int} are admitted, after {int}, {int} and {int} ms, each by another router",
+  function (
+    this: World,
+    count: number,
+    first: number,
+    second: number,
+    third: number,
+  ) {
+    const expected = [first, second, third]
+      .map((atMs, rank) => ({ atMs, rank }));
+    assert.equal(expected.length, count);
+    assert.deepEqual(this.admittedOnTrial, expected);
+  },
+);
+
 Then(
   /^what was sent to "(.*)" (\d+) s ago (may have|has not) crashed it$/,
   function (this: World, process: string, seconds: string, may: string) {
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -1,5 +1,4 @@
-import { hash32 } from "@jasminetide/core/hashing";
-import type { LimitSharers } from "@jasminetide/core/limits";
+import { hash32, type KnownRouters } from "@jasminetide/core/hashing";
 import type { RandomSource } from "@jasminetide/core/random";
 import { RouteTable, type RoutingDeclaration } from "@jasminetide/core/routes";
 import { type TimerService, wait } from "@jasminetide/core/timers";
@@ -48,7 +47,7 @@
   readonly #registration: GatewayRegistration;
   #routes: RouteTable | undefined;
   #peers: ReadonlyMap<string, PeerRecord> = new Map();
-  #limitSharers: LimitSharers;
+  #knownRouters: KnownRouters;
   #hasRunners = false;
   #wasReady = false;
   #complete: () => void = () => {};
@@ -60,7 +59,7 @@
     const { registry, settings } = options;
     this.#options = options;
     const selfHash = hash32(settings.name);
-    this.#limitSharers = { selfHash, otherHashes: undefined };
+    this.#knownRouters = { selfHash, otherHashes: undefined };
     this.directory = Directory.create(options);
     this.#sync = this.#resources.use(StateSync.create({
       ...options,
@@ -118,9 +117,9 @@
     return this.#peers.size;
   }
 
-  /** Gateways that share the limits that runners state. */
-  get limitSharers(): LimitSharers {
-    return this.#limitSharers;
+  /** All gateways; replaced when they change. */
+  get knownRouters(): KnownRouters {
+    return this.#knownRouters;
   }
 
   /** State to send to other gateways; undefined during an outage. */
@@ -215,7 +214,7 @@
   #applyPeers(peers: ReadonlyMap<string, PeerRecord>): void {
     const before = this.#peers.size;
     this.#peers = new Map(peers);
-    this.#limitSharers = createLimitSharers(peers, this.#options.settings.name);
+    this.#knownRouters = createKnownRouters(peers, this.#options.settings.name);
     this.#registration.checkList(peers);
     if (before === peers.size) return;
     this.#options.logger.info("gateways-known", { before, now: peers.size });
@@ -235,10 +234,10 @@
   }
 }
 
-function createLimitSharers(
+function createKnownRouters(
   peers: ReadonlyMap<string, PeerRecord>,
   self: string,
-): LimitSharers {
+): KnownRouters {
   const others = [...peers.keys()].filter((name) => name !== self);
   const isKnown = peers.size > 0;
   return {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,7 @@
       ...options,
       random: this.#random,
       metrics: this.#metrics,
+      getKnownRouters: () => this.#fleet.knownRouters,
       peers: {
         list: () => this.#fleet.listPeerAddresses(),
         send: sendEvidence,
@@ -238,7 +239,7 @@
       getFirstByteTimes: (service, kind) =>
         this.#getFirstByteTimes(`${service} ${kind}`),
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
-      getLimitSharers: () => this.#fleet.limitSharers,
+      getKnownRouters: () => this.#fleet.knownRouters,
       isStopping: () => this.#isStopping,
       isClosing: () => this.#isClosing,
     };
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,4 +1,4 @@
-import type { LimitSharers } from "@jasminetide/core/limits";
+import type { KnownRouters } from "@jasminetide/core/hashing";
 import type {
   CapacityForecast,
   PrefixHolders,
@@ -46,8 +46,8 @@
   getFirstByteTimes: (service: string, kind: RequestKind) => LatencyTracker;
   /** Number of routers that share the retry budgets, including this one. */
   countRouters: () => number;
-  /** Routers that share the limits that runners state; replaced on changes. */
-  getLimitSharers: () => LimitSharers;
+  /** All routers; replaced when they change. */
+  getKnownRouters: () => KnownRouters;
   /** Whether answers should tell callers to close their connections. */
   isStopping: () => boolean;
   /** Whether a new request could no longer be completed. */
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -5,7 +5,13 @@
   type EvidenceNews,
   isRequestKey,
   type QuarantinedPart,
+  QuarantineTrials,
 } from "@jasminetide/core/quarantine";
+import {
+  getRouterRank,
+  hash32,
+  type KnownRouters,
+} from "@jasminetide/core/hashing";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
@@ -31,6 +37,8 @@
   logger: Logger;
   metrics: GatewayMetrics;
   peers: EvidencePeers;
+  /** All gateways. */
+  getKnownRouters: () => KnownRouters;
 };
 
 /** A request as the quarantine knows it. */
@@ -57,6 +65,7 @@
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
   readonly #quarantine: CrashQuarantine;
+  readonly #trials = QuarantineTrials.create();
   readonly #probe: CrashProbe;
   readonly #delivery: EvidenceDelivery;
   readonly #log: QuarantineLog;
@@ -103,6 +112,21 @@
     return this.#quarantine.find(partIds, nowMs);
   }
 
+  /**
+   * Whether a request with a quarantined part is admitted all the same, to find
+   * out whether the part is sound.
+   */
+  tryAdmitOnTrial({ partId }: QuarantinedPart): boolean {
+    if (isRequestKey(partId)) return false;
+    const { getKnownRouters, logger, timers } = this.#options;
+    const isAdmitted = this.#trials.tryAdmit(partId, {
+      nowMs: timers.nowMs(),
+      rank: getRouterRank(hash32(partId), getKnownRouters()),
+    });
+    if (isAdmitted) logger.info("prompt-on-trial", { partId });
+    return isAdmitted;
+  }
+
   /** Learns from the end of an attempt whether it crashed the runner. */
   observeEnd(ended: EndedAttempt): void {
     const { begun, caller, isWhole, requestKey } = ended;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -148,7 +148,9 @@
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
-    if (quarantined !== undefined) {
+    const isRefused = quarantined !== undefined &&
+      (this.#attempts > 0 || !context.crashGuard.tryAdmitOnTrial(quarantined));
+    if (isRefused) {
       context.metrics.countQuarantineRefusal();
       return `quarantined ${quarantined.partId}`;
     }
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -70,17 +70,17 @@
 }
 
 /** Parts of the context on which the limits of runners depend. */
-type LimitContext = Pick<GatewayContext, "getLimitSharers" | "timers">;
+type LimitContext = Pick<GatewayContext, "getKnownRouters" | "timers">;
 
 /** Gets the time until the limit of a runner allows a request; 0 if it does. */
 function getLimitWaitMs(
   { availability, idHash }: Upstream,
-  { getLimitSharers, timers }: LimitContext,
+  { getKnownRouters, timers }: LimitContext,
 ): number {
   return availability.limit.getWaitMs({
     nowMs: timers.nowMs(),
     runnerHash: idHash,
-    sharers: getLimitSharers(),
+    sharers: getKnownRouters(),
   });
 }
 
