--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -7,11 +7,7 @@
   type QuarantinedPart,
   QuarantineTrials,
 } from "@jasminetide/core/quarantine";
-import {
-  getRouterRank,
-  hash32,
-  type KnownRouters,
-} from "@jasminetide/core/hashing";
+import type { KnownRouters } from "@jasminetide/core/hashing";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
@@ -113,18 +109,21 @@
   }
 
   /**
-   * Whether a request with a quarantined part is admitted all the same, to find
-   * out whether the part is sound.
+   * Whether a request with a quarantined part may be sent on trial, to find out
+   * whether the part is sound.
    */
-  tryAdmitOnTrial({ partId }: QuarantinedPart): boolean {
-    if (isRequestKey(partId)) return false;
-    const { getKnownRouters, logger, timers } = this.#options;
-    const isAdmitted = this.#trials.tryAdmit(partId, {
+  isTrialDue(quarantined: QuarantinedPart): boolean {
+    const { getKnownRouters, timers } = this.#options;
+    return this.#trials.isDue(quarantined, {
       nowMs: timers.nowMs(),
-      rank: getRouterRank(hash32(partId), getKnownRouters()),
+      routers: getKnownRouters(),
     });
-    if (isAdmitted) logger.info("prompt-on-trial", { partId });
-    return isAdmitted;
+  }
+
+  /** Records that a request with a quarantined part is sent on trial. */
+  beginTrial({ partId, processes }: QuarantinedPart): void {
+    this.#trials.begin(partId);
+    this.#options.logger.info("prompt-on-trial", { partId, processes });
   }
 
   /** Learns from the end of an attempt whether it crashed the runner. */
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -36,8 +36,8 @@
 import { createRequestKey } from "./request_key.ts";
 import { RunningAttempt } from "./running_attempt.ts";
 import { RunningAttempts } from "./running_attempts.ts";
-import { takeRetry } from "./take_retry.ts";
 import { AttemptStream, StreamRelay } from "./stream_relay.ts";
+import { takeRetry } from "./take_retry.ts";
 
 /** Options of an exchange. */
 export type ExchangeOptions = {
@@ -148,9 +148,9 @@
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
-    const isRefused = quarantined !== undefined &&
-      (this.#attempts > 0 || !context.crashGuard.tryAdmitOnTrial(quarantined));
-    if (isRefused) {
+    const isOnTrial = quarantined !== undefined && this.#attempts === 0 &&
+      context.crashGuard.isTrialDue(quarantined);
+    if (quarantined !== undefined && !isOnTrial) {
       context.metrics.countQuarantineRefusal();
       return `quarantined ${quarantined.partId}`;
     }
@@ -164,6 +164,7 @@
     if (!takeRetry({ attempts, service }, context)) {
       return "retry budget exhausted";
     }
+    if (isOnTrial) context.crashGuard.beginTrial(quarantined);
     const running = this.#createAttempt(placement);
     this.#running.add(running);
     void running.ended.then((end) =>
