--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -60,7 +60,7 @@
     gateway.process.sendSignal("SIGTERM");
     return fleet.restartGateway(gateway);
   },
-  "gateway-reloaded": ({ gateway }) => gateway.process.sendSignal("SIGHUP"),
+  "gateway-reloaded": reloadGateway,
   "all-killed": async (context) => {
     const { gateways } = context.fleet;
     await Promise.all(gateways.map((each) => killGateway(each, context)));
@@ -120,6 +120,20 @@
   },
 };
 
+/** Time in which a process that a signal has ended is seen to have exited. */
+const signalMs = 1000;
+
+/** Sends SIGHUP; a process that has just started may not listen to it yet. */
+async function reloadGateway(
+  { fleet, gateway }: FaultContext,
+): Promise<void> {
+  const { process } = gateway;
+  process.sendSignal("SIGHUP");
+  await setTimeout(signalMs);
+  const isCurrent = gateway.process === process;
+  if (isCurrent && !process.isRunning) await fleet.restartGateway(gateway);
+}
+
 /** Lets a runner send nothing for a time; its connections stay open. */
 async function silenceRunner(
   { durationMs, runner: { process } }: FaultContext,
