--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -78,14 +78,6 @@
     return partIds.filter((partId) => nowMs >= this.#getSoundUntilMs(partId));
   }
 
-  /**
-   * Whether a process is known to have crashed before a time. What was sent to
-   * it later, through a proxy that still accepts connections, is not to blame.
-   */
-  hasCrashedBefore(process: string, timeMs: number): boolean {
-    return (this.#crashes.getFirstAtMs(process) ?? Infinity) < timeMs;
-  }
-
   /** Records a crash; returns whether it is new. */
   recordCrash(crash: Crash, nowMs: number): boolean {
     this.#findings.clear();
--- a/packages/core/src/quarantine/crash_table.ts
+++ b/packages/core/src/quarantine/crash_table.ts
@@ -8,15 +8,12 @@
   maxCrashesPerProcess: number;
 };
 
-/** A process that has crashed, and how many crashes of it are kept. */
-type CrashedProcess = { crashes: number; firstAtMs: number };
-
 /** Crashes by process and request, indexed by prompt part. */
 export class CrashTable {
   readonly #options: CrashTableOptions;
   readonly #crashes = new Map<string, Crash>();
   readonly #keysByPart = new Map<string, Set<string>>();
-  readonly #processes = new Map<string, CrashedProcess>();
+  readonly #countsByProcess = new Map<string, number>();
 
   private constructor(options: CrashTableOptions) {
     this.#options = options;
@@ -42,11 +39,6 @@
     return crashes;
   }
 
-  /** Gets the time of the first crash of a process; undefined if none. */
-  getFirstAtMs(process: string): number | undefined {
-    return this.#processes.get(process)?.firstAtMs;
-  }
-
   /** Whether a crash of a request with a part is known. */
   hasPart(partId: string): boolean {
     return this.#keysByPart.has(partId);
@@ -65,13 +57,9 @@
       this.#index(key, crash.partIds);
       return false;
     }
-    const { crashes, firstAtMs } = this.#processes.get(crash.process) ??
-      { crashes: 0, firstAtMs: crash.atMs };
-    if (crashes >= this.#options.maxCrashesPerProcess) return false;
-    this.#processes.set(crash.process, {
-      crashes: crashes + 1,
-      firstAtMs: Math.min(firstAtMs, crash.atMs),
-    });
+    const count = this.#countsByProcess.get(crash.process) ?? 0;
+    if (count >= this.#options.maxCrashesPerProcess) return false;
+    this.#countsByProcess.set(crash.process, count + 1);
     this.#crashes.set(key, crash);
     this.#index(key, crash.partIds);
     if (this.#crashes.size > this.#options.maxCrashes) this.#deleteFirst();
@@ -107,10 +95,9 @@
       keys?.delete(key);
       if (keys?.size === 0) this.#keysByPart.delete(partId);
     }
-    const process = this.#processes.get(crash.process);
-    if (process === undefined) return;
-    process.crashes -= 1;
-    if (process.crashes === 0) this.#processes.delete(crash.process);
+    const left = (this.#countsByProcess.get(crash.process) ?? 0) - 1;
+    if (left > 0) this.#countsByProcess.set(crash.process, left);
+    else this.#countsByProcess.delete(crash.process);
   }
 }
 
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -30,13 +30,6 @@
       | 1       | that does not                 | 1 2 4 8 16 32 |
       | 30      | that does not                 | 1 2 4 8 16 32 |
 
-  Scenario: What is sent to a process after its crash
-    Given the part "first" crashed runners "r1" under request "q1"
-    When 2 s pass
-    And the part "second" crashes runners "r1" under request "q2"
-    Then what was sent to "r1" 3 s ago may have crashed it
-    And what was sent to "r1" 1 s ago has not crashed it
-
   Scenario: One process that takes many requests along
     Given the part "popular" crashed runners "r1" under request "q1"
     And the part "popular" crashed runners "r1" under request "q2"
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -62,15 +62,6 @@
   },
 );
 
-Then(
-  /^what was sent to "(.*)" (\d+) s ago (may have|has not) crashed it$/,
-  function (this: World, process: string, seconds: string, may: string) {
-    const sentAtMs = this.quarantineNowMs - Number(seconds) * 1000;
-    const isLate = getQuarantine(this).hasCrashedBefore(process, sentAtMs);
-    assert.equal(isLate, may === "has not");
-  },
-);
-
 function recordCrashes(
   world: World,
   partIds: string[],
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -47,7 +47,6 @@
 /** An attempt that has ended. */
 export type EndedAttempt = SuspectRequest & {
   upstream: Upstream;
-  startedAtMs: number;
   /** The answer, if a successful one had begun. */
   begun: BegunAnswer | undefined;
   /** Whether the answer came whole; otherwise the runner broke it off. */
@@ -184,13 +183,12 @@
 
   /** Records a crash if the runner's process is gone. */
   async #checkCrash(
-    { caller, isWhole, startedAtMs, upstream }: EndedAttempt,
+    { caller, isWhole, upstream }: EndedAttempt,
     { begunForMs, partIds }: { begunForMs?: number; partIds: string[] },
   ): Promise<void> {
     const { logger, timers } = this.#options;
     const atMs = timers.nowMs();
     const process = formatProcessKey(upstream.record);
-    if (this.#quarantine.hasCrashedBefore(process, startedAtMs)) return;
     const suspects = this.#quarantine.listSuspects(partIds, atMs);
     if (suspects.length === 0) return;
     const state = await this.#probe.probe(upstream);
--- a/packages/gateway/src/quarantine/crashing_requests.feature
+++ b/packages/gateway/src/quarantine/crashing_requests.feature
@@ -57,3 +57,11 @@
     When 3 runners crash behind proxies that still accept connections
     And the other lookup is sent 40 times, to all gateways
     Then no lookup is refused with result 2008
+
+  Scenario: Runners that were listed before they started crash later
+    Given 4 gateways and 8 runners
+    When all runners are listed while only proxies accept connections
+    And they have started
+    And a lookup that crashes runners has crashed 3 or all gateways refuse it
+    And it is sent 20 more times, to all gateways
+    Then at most 3 of those have reached runners
--- a/packages/gateway/src/quarantine/crashing_requests_test.ts
+++ b/packages/gateway/src/quarantine/crashing_requests_test.ts
@@ -201,6 +201,25 @@
   },
 );
 
+When(
+  "all runners are listed while only proxies accept connections",
+  async function (this: World) {
+    begin(this, "lookup");
+    const fleet = this.crashingFleet;
+    for (const runner of fleet.runners) runner.crashBehindProxy();
+    await sendLookups(
+      this,
+      8 * fleet.gateways.length,
+      (index) => `early body ${index}`,
+    );
+    await wait(timers, probeMs);
+  },
+);
+
+When("they have started", function (this: World) {
+  for (const runner of this.crashingFleet.runners) runner.startBehindProxy();
+});
+
 /** Longer than it takes to find out whether a runner lives. */
 const probeMs = 500;
 
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -79,21 +79,13 @@
 
 /** Learns from the end of an attempt whether its request crashes runners. */
 export function observeCrash(
-  attempt: Pick<EndedAttempt, "begun" | "startedAtMs" | "upstream">,
+  { begun, upstream }: Pick<EndedAttempt, "begun" | "upstream">,
   { caller, end, requestKey }: SuspectRequest & { end: AttemptEnd },
   { crashGuard }: Pick<GatewayContext, "crashGuard">,
 ): void {
   const isWhole = end.type === "relayed" || end.type === "answered";
   if (!isWhole && end.type !== "broken") return;
-  const { begun, startedAtMs, upstream } = attempt;
-  crashGuard.observeEnd({
-    upstream,
-    startedAtMs,
-    begun,
-    caller,
-    isWhole,
-    requestKey,
-  });
+  crashGuard.observeEnd({ begun, upstream, caller, isWhole, requestKey });
 }
 
 /** Describes the end of an attempt for a log line. */
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -33,9 +33,9 @@
 export class RunningAttempt {
   readonly upstream: Upstream;
   readonly number: number;
-  readonly startedAtMs: number;
   readonly #options: RunningAttemptOptions;
   readonly #attempt: Attempt;
+  readonly #startedAtMs: number;
   readonly #silence: AnswerSilence;
   #isSilent = false;
   #begun: BegunAnswer | undefined;
@@ -44,7 +44,7 @@
     this.#options = options;
     this.upstream = options.upstream;
     this.number = options.number;
-    this.startedAtMs = options.context.timers.nowMs();
+    this.#startedAtMs = options.context.timers.nowMs();
     this.#silence = AnswerSilence.create({
       ...options,
       onSilence: (silence) => this.#handleSilence(silence),
@@ -107,7 +107,7 @@
    */
   recordLoss(): void {
     const { context, upstream } = this.#options;
-    upstream.connections.closeIdleSince(this.startedAtMs);
+    upstream.connections.closeIdleSince(this.#startedAtMs);
     observeRunner(upstream, "lost", context);
   }
 
--- a/packages/gateway/src/test_support/scripted_runner.ts
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -72,6 +72,11 @@
     this.closeConnections();
   }
 
+  /** Answers again, as a process that has started behind a proxy. */
+  startBehindProxy(): void {
+    this.#isProxied = false;
+  }
+
   /** Closes all connections while the runner goes on. */
   closeConnections(): void {
     for (const socket of this.#sockets) socket.destroy();
