--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -19,17 +19,6 @@
     When a request with the part "request:1" is answered whole
     Then the part "request:1" is not quarantined
 
-  Scenario Outline: Few requests with a quarantined part are admitted on trial
-    When <routers> routers get requests with a part <kind> for 300 s
-    Then requests are admitted on trial after <times> s
-
-    Examples:
-      | routers | kind                          | times        |
-      | 4       | that crashes runners          | 1 2 4        |
-      | 4       | that does not                 | 1 2 4 8 16 32 |
-      | 1       | that does not                 | 1 2 4 8 16 32 |
-      | 30      | that does not                 | 1 2 4 8 16 32 |
-
   Scenario: One process that takes many requests along
     Given the part "popular" crashed runners "r1" under request "q1"
     And the part "popular" crashed runners "r1" under request "q2"
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -5,9 +5,7 @@
   type EvidenceNews,
   isRequestKey,
   type QuarantinedPart,
-  QuarantineTrials,
 } from "@jasminetide/core/quarantine";
-import type { KnownRouters } from "@jasminetide/core/hashing";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
@@ -33,8 +31,6 @@
   logger: Logger;
   metrics: GatewayMetrics;
   peers: EvidencePeers;
-  /** All gateways. */
-  getKnownRouters: () => KnownRouters;
 };
 
 /** A request as the quarantine knows it. */
@@ -60,7 +56,6 @@
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
   readonly #quarantine: CrashQuarantine;
-  readonly #trials = QuarantineTrials.create();
   readonly #probe: CrashProbe;
   readonly #delivery: EvidenceDelivery;
   readonly #log: QuarantineLog;
@@ -107,24 +102,6 @@
     return this.#quarantine.find(partIds, nowMs);
   }
 
-  /**
-   * Whether a request with a quarantined part may be sent on trial, to find out
-   * whether the part is sound.
-   */
-  isTrialDue(quarantined: QuarantinedPart): boolean {
-    const { getKnownRouters, timers } = this.#options;
-    return this.#trials.isDue(quarantined, {
-      nowMs: timers.nowMs(),
-      routers: getKnownRouters(),
-    });
-  }
-
-  /** Records that a request with a quarantined part is sent on trial. */
-  beginTrial({ partId, processes }: QuarantinedPart): void {
-    this.#trials.begin(partId);
-    this.#options.logger.info("prompt-on-trial", { partId, processes });
-  }
-
   /** Learns from the end of an attempt whether it crashed the runner. */
   observeEnd(ended: EndedAttempt): void {
     const { begun, caller, isWhole, requestKey } = ended;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -148,9 +148,7 @@
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
-    const isOnTrial = quarantined !== undefined && this.#attempts === 0 &&
-      context.crashGuard.isTrialDue(quarantined);
-    if (quarantined !== undefined && !isOnTrial) {
+    if (quarantined !== undefined) {
       context.metrics.countQuarantineRefusal();
       return `quarantined ${quarantined.partId}`;
     }
@@ -164,7 +162,6 @@
     if (!takeRetry({ attempts, service }, context)) {
       return "retry budget exhausted";
     }
-    if (isOnTrial) context.crashGuard.beginTrial(quarantined);
     const running = this.#createAttempt(placement);
     this.#running.add(running);
     void running.ended.then((end) =>
