Test that a part is found by the other answers that its runners broke off

The crashing part was under way at each of the four processes that ended, under three requests; but one of its answers had no framing, looked whole and was not counted, although the other answers of that process were broken off in the same moment.

--- a/packages/gateway/src/quarantine/quarantine.feature
+++ b/packages/gateway/src/quarantine/quarantine.feature
@@ -56,6 +56,17 @@
     And 20 more requests with the part are sent to all gateways
     Then at most 3 of them have reached runners
 
+  @known-red
+  Scenario: A part is found by the other answers that its runners broke off
+    Given 4 gateways and 8 runners
+    And 8 sound requests were answered
+    And answers that crash runners come without a length
+    And runners that crash close their port 50 ms after their connections
+    When 5 runners crash under requests with the part, each beside a sound request
+    And the gateways have found that the runners are gone
+    And 20 more requests with the part are sent to all gateways
+    Then at most 3 of them have reached runners
+
   Scenario: Sound parts whose answers come without a length are not quarantined
     Given 4 gateways and 8 runners
     And sound answers come without a length
--- a/packages/gateway/src/quarantine/quarantine_test.ts
+++ b/packages/gateway/src/quarantine/quarantine_test.ts
@@ -377,6 +377,27 @@
   },
 );
 
+When(
+  "{int} runners crash under requests with the part, each beside a sound request",
+  async function (this: World, count: number) {
+    const fleet = this.crashingFleet;
+    for (let index = 0; index < count; index++) {
+      const begun = new Promise<void>((resolve) => {
+        fleet.soundScript = ({ attemptId, socket }) => {
+          socket.write(formatStreamStart(attemptId, [1]));
+          resolve();
+        };
+      });
+      const call = { prompt: soundPrompt, path: "/summary/1" };
+      const soundAnswer = fleet.request(index, call);
+      await begun;
+      // The same last shared part leads to the same runner.
+      await fleet.request(index, { prompt: crashingPrompt });
+      assert.equal((await soundAnswer).isWhole, false);
+    }
+  },
+);
+
 /** Waits until all gateways know a number of crashes. */
 async function waitForCrashes(
   fleet: CrashingFleet,
