--- a/packages/gateway/src/quarantine/quarantine.feature
+++ b/packages/gateway/src/quarantine/quarantine.feature
@@ -121,3 +121,19 @@
     When 3 runners crash one after the other, under requests of 3 other gateways
     Then no gateway has a part in quarantine any more
     And 20 sound requests with the same other parts are answered at the first attempt
+
+  @known-red
+  Scenario: A sound part in quarantine is cleared by a request on trial
+    Given 4 gateways and 8 runners
+    When 40 sound requests have begun at runners, of which 5 crash
+    Then all gateways know of crashes and each has a part in quarantine
+    When sound requests are sent to all gateways until one is answered
+    Then no gateway has a part in quarantine any more
+    And 20 sound requests with the same other parts are answered at the first attempt
+
+  Scenario: A part that crashes runners stays in quarantine when it is tried
+    Given 4 gateways and 8 runners
+    When requests with a part that crashes runners have crashed 5 or all gateways refuse them
+    And such requests are sent to all gateways for 8 s
+    Then at most 3 of them have reached runners
+    And each of them reached one runner at most
--- a/packages/gateway/src/quarantine/quarantine_test.ts
+++ b/packages/gateway/src/quarantine/quarantine_test.ts
@@ -445,3 +445,43 @@
     assert.deepEqual(lists.flat(), []);
   },
 );
+
+When(
+  "sound requests are sent to all gateways until one is answered",
+  { timeout: -1 },
+  async function (this: World) {
+    const fleet = this.crashingFleet;
+    fleet.soundScript = answerWhole;
+    const endMs = timers.nowMs() + maxTrialMs;
+    for (let sent = 0; timers.nowMs() < endMs; sent++) {
+      const { status } = await fleet.request(sent, { prompt: soundPrompt });
+      if (status === 200) return;
+    }
+    assert.fail("No request was answered");
+  },
+);
+
+/** Longer than it takes until a request with sound parts alone is tried. */
+const maxTrialMs = 10_000;
+
+When(
+  "such requests are sent to all gateways for {int} s",
+  { timeout: -1 },
+  async function (this: World, seconds: number) {
+    const fleet = this.crashingFleet;
+    this.receivedBefore = fleet.countReceived(crashingPart);
+    this.crashingAnswers = [];
+    const endMs = timers.nowMs() + seconds * 1000;
+    for (let sent = 0; timers.nowMs() < endMs; sent++) {
+      const call = { prompt: crashingPrompt };
+      this.crashingAnswers.push(await fleet.request(sent, call));
+    }
+  },
+);
+
+Then("each of them reached one runner at most", function (this: World) {
+  const reached = this.crashingFleet.countReceived(crashingPart) -
+    this.receivedBefore;
+  const begun = this.crashingAnswers.filter(({ status }) => status === 200);
+  assert.equal(begun.length, reached);
+});
