--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -1,4 +1,3 @@
-import { LRUCache } from "lru-cache";
 import { CrashTable } from "./crash_table.ts";
 import type {
   Crash,
@@ -7,6 +6,7 @@
   EvidenceSelection,
 } from "./evidence.ts";
 import { isRequestKey } from "./request_key.ts";
+import { SoundAnswers } from "./sound_answers.ts";
 
 /** Options of a quarantine. */
 export type CrashQuarantineOptions = {
@@ -39,13 +39,7 @@
 export class CrashQuarantine {
   readonly #options: CrashQuarantineOptions;
   readonly #crashes = CrashTable.create({ maxCrashes, maxCrashesPerProcess });
-  /** Time of the last whole answer to a request with a part. */
-  readonly #soundAtMs = new LRUCache<string, number>({ max: maxSoundParts });
-  /** The same for whole requests, most of which come once. */
-  readonly #soundRequests = new LRUCache<string, number>({
-    max: maxSoundRequests,
-  });
-
+  readonly #answers = SoundAnswers.create();
   /** Findings since the evidence changed last, for a limited time. */
   readonly #findings = new Map<string, QuarantinedPart | undefined>();
   #foundAtMs = 0;
@@ -135,7 +129,7 @@
     nowMs: number,
   ): Evidence {
     const sound = [...partIds].flatMap((partId) => {
-      const atMs = this.#getSoundTimes(partId).peek(partId);
+      const atMs = this.#answers.getLastMs(partId);
       return atMs === undefined ? [] : [{ partId, ageMs: nowMs - atMs }];
     });
     return {
@@ -206,11 +200,11 @@
 
   /** Returns whether the answer clears a part of several crashes. */
   #recordSound(partId: string, atMs: number, nowMs: number): boolean {
-    const times = this.#getSoundTimes(partId);
-    if (atMs <= (times.peek(partId) ?? Number.NEGATIVE_INFINITY)) return false;
+    const lastMs = this.#answers.getLastMs(partId);
+    if (atMs <= (lastMs ?? Number.NEGATIVE_INFINITY)) return false;
     const wasSuspected = this.isSuspected(partId, nowMs);
     if (this.#listCounted(partId, nowMs).length > 0) this.#findings.clear();
-    times.set(partId, atMs);
+    this.#answers.record(partId, atMs);
     return wasSuspected && !this.isSuspected(partId, nowMs);
   }
 
@@ -234,13 +228,9 @@
   }
 
   #getSoundUntilMs(partId: string): number {
-    const atMs = this.#getSoundTimes(partId).peek(partId);
+    const atMs = this.#answers.getLastMs(partId);
     return (atMs ?? Number.NEGATIVE_INFINITY) + soundMs;
   }
-
-  #getSoundTimes(partId: string): LRUCache<string, number> {
-    return isRequestKey(partId) ? this.#soundRequests : this.#soundAtMs;
-  }
 }
 
 /**
@@ -288,9 +278,3 @@
 
 /** The same for one process, which runs fewer requests in their first seconds. */
 const maxCrashesPerProcess = 64;
-
-/** Maximum parts whose last whole answer is known. */
-const maxSoundParts = 20_000;
-
-/** The same for whole requests. */
-const maxSoundRequests = 5000;
