Send few requests with a quarantined part on trial

A process that a part with stronger evidence explains is no failed trial. Requests with fewer suspected parts go first. Whole requests are tried too.

--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -5,6 +5,7 @@
   EvidenceNews,
   EvidenceSelection,
 } from "./evidence.ts";
+import { getTrialDueMs, type Trial } from "./quarantine_trials.ts";
 import { isRequestKey } from "./request_key.ts";
 import { SoundAnswers } from "./sound_answers.ts";
 
@@ -26,6 +27,9 @@
   requests: number;
 };
 
+/** A quarantined part, and when a request with it may be sent on trial. */
+type Finding = { part: QuarantinedPart; trialDueMs: number | undefined };
+
 /**
  * Finds the prompt parts that crash runners. A part is quarantined if several
  * processes crashed under several requests with it and none of its requests
@@ -41,7 +45,7 @@
   readonly #crashes = CrashTable.create({ maxCrashes, maxCrashesPerProcess });
   readonly #answers = SoundAnswers.create();
   /** Findings since the evidence changed last, for a limited time. */
-  readonly #findings = new Map<string, QuarantinedPart | undefined>();
+  readonly #findings = new Map<string, Finding | undefined>();
   #foundAtMs = 0;
 
   private constructor(options: CrashQuarantineOptions) {
@@ -109,12 +113,34 @@
       if (!this.#crashes.hasPart(partId)) continue;
       const found = this.#findPart(partId, nowMs);
       if (found === undefined) continue;
-      const leftMs = found.leftMs - (nowMs - this.#foundAtMs);
-      if (leftMs > (longest?.leftMs ?? 0)) longest = { ...found, leftMs };
+      const leftMs = found.part.leftMs - (nowMs - this.#foundAtMs);
+      if (leftMs > (longest?.leftMs ?? 0)) longest = { ...found.part, leftMs };
     }
     return longest;
   }
 
+  /**
+   * Finds out when a request with quarantined parts may be sent on trial. One
+   * with fewer suspected parts goes first, since it tells more about them.
+   */
+  findTrial(partIds: readonly string[], nowMs: number): Trial | undefined {
+    const crashed = partIds.filter((partId) =>
+      this.#listCounted(partId, nowMs).length > 0
+    );
+    const findings = crashed.flatMap((partId) =>
+      this.#findPart(partId, nowMs) ?? []
+    );
+    const [last] = findings.toSorted((left, right) =>
+      getDueMs(right) - getDueMs(left)
+    );
+    if (last?.trialDueMs === undefined) return undefined;
+    return {
+      partIds: findings.map(({ part }) => part.partId),
+      lastPartId: last.part.partId,
+      dueMs: last.trialDueMs + (crashed.length - 1) * extraPartMs,
+    };
+  }
+
   /** Lists all parts that are quarantined. */
   listQuarantined(nowMs: number): QuarantinedPart[] {
     const partIds = new Set(
@@ -150,20 +176,27 @@
   }
 
   /** Gets the finding on a part as of `#foundAtMs`. */
-  #findPart(partId: string, nowMs: number): QuarantinedPart | undefined {
+  #findPart(partId: string, nowMs: number): Finding | undefined {
     if (this.#findings.size === 0 || nowMs - this.#foundAtMs > findingMs) {
       this.#findings.clear();
       this.#foundAtMs = nowMs;
     }
     if (!this.#findings.has(partId)) {
-      const blame = this.#blame(partId, this.#foundAtMs);
-      const isExplained = blame !== undefined &&
-        this.#isExplained(blame, this.#foundAtMs);
-      this.#findings.set(partId, isExplained ? undefined : blame);
+      this.#findings.set(partId, this.#createFinding(partId, this.#foundAtMs));
     }
     return this.#findings.get(partId);
   }
 
+  #createFinding(partId: string, nowMs: number): Finding | undefined {
+    const part = this.#blame(partId, nowMs);
+    if (part === undefined) return undefined;
+    const processes = this.#listUnexplained(part, nowMs);
+    if (processes.size < minProcesses) return undefined;
+    const crashes = this.#listCounted(partId, nowMs)
+      .filter(({ process }) => processes.has(process));
+    return { part, trialDueMs: getTrialDueMs(crashes, minProcesses) };
+  }
+
   /** Describes the evidence against a part if it suffices. */
   #blame(partId: string, nowMs: number): QuarantinedPart | undefined {
     const crashes = this.#listCounted(partId, nowMs);
@@ -177,11 +210,11 @@
   }
 
   /**
-   * Whether parts with stronger evidence explain so many of the processes that
-   * speak against a part that too few are left. A process crashes once, so the
-   * other parts are to blame.
+   * Lists the processes that speak against a part without those that parts with
+   * stronger evidence explain. A process crashes once, so the other parts are to
+   * blame.
    */
-  #isExplained(found: QuarantinedPart, nowMs: number): boolean {
+  #listUnexplained(found: QuarantinedPart, nowMs: number): Set<string> {
     const { partId } = found;
     const own = listProcesses(this.#listCounted(partId, nowMs));
     const unexplained = new Set(own);
@@ -195,7 +228,7 @@
       const explained = listProcesses(this.#listCounted(otherId, nowMs));
       for (const process of explained) unexplained.delete(process);
     }
-    return unexplained.size < minProcesses;
+    return unexplained;
   }
 
   /** Returns whether the answer clears a part of several crashes. */
@@ -245,10 +278,18 @@
   return left.requests < right.requests;
 }
 
+/** Gets the time of the next trial; infinite if there is none. */
+function getDueMs({ trialDueMs }: Finding): number {
+  return trialDueMs ?? Number.POSITIVE_INFINITY;
+}
+
 function listProcesses(crashes: readonly Crash[]): Set<string> {
   return new Set(crashes.map(({ process }) => process));
 }
 
+/** Time by which a trial waits for each further part that is suspected. */
+const extraPartMs = 1000;
+
 /** Crashed processes from which a part is quarantined. */
 const minProcesses = 3;
 
--- a/packages/core/src/quarantine/mod.ts
+++ b/packages/core/src/quarantine/mod.ts
@@ -6,4 +6,5 @@
 export * from "./crash_table.ts";
 export * from "./evidence.ts";
 export * from "./crash_quarantine.ts";
+export * from "./quarantine_trials.ts";
 export * from "./request_key.ts";
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -94,6 +94,48 @@
     When the part "bad" crashes runners "r4" under request "q4"
     Then the part "bad" is quarantined for 300 s with 4 processes and 4 requests
 
+  Scenario: Trials that crash runners end soon
+    Given three processes crash under three requests with the part "bad"
+    Then a request with the parts "bad new" is tried in 2 s
+    When 2 s pass
+    And the part "bad" crashes runners "r4" under request "q4"
+    Then a request with the parts "bad new" is tried in 12 s
+    When 12 s pass
+    And the part "bad" crashes runners "r5" under request "q5"
+    Then a request with the parts "bad new" is not tried
+
+  Scenario: A request with fewer suspected parts is tried first
+    Given the parts "base bad" crashed runners "r1" under request "q1"
+    And the parts "base bad" crashed runners "r2" under request "q2"
+    And the parts "base bad" crashed runners "r3" under request "q3"
+    Then a request with the parts "base" is tried in 2 s
+    And a request with the parts "base bad" is tried in 3 s
+
+  Scenario: A trial that ends with a process that another part crashes
+    Given three processes crash under three requests with the part "base"
+    And the part "bad" crashed runners "p1 p2 p3" under request "q4"
+    And the part "bad" crashed runners "p4" under request "q5"
+    And the part "bad" crashed runners "p5" under request "q6"
+    When 2 s pass
+    And the part "base" crashes runners "p6" under request "q7"
+    And the part "bad" crashes runners "p6" under request "q8"
+    Then a request with the parts "base" is tried in 0 s
+    And a request with the parts "bad" is tried in 12 s
+
+  Scenario Outline: Few routers try a part in turn while none learns anything
+    When <routers> routers get requests with a quarantined part for 60 s
+    Then <senders> of them try <trials>, the first after 2 s, 3 s apart or more
+
+    Examples:
+      | routers | senders | trials |
+      | 1       | 1       | 3      |
+      | 2       | 2       | 6      |
+      | 30      | 3       | 9      |
+
+  Scenario: A router that does not know the others tries nothing
+    When a router that does not know the others gets requests for 60 s
+    Then 0 of them try 0, the first after 2 s, 3 s apart or more
+
   Scenario: Evidence is forgotten after half an hour
     Given three processes crash under three requests with the part "bad"
     When 1801 s pass
@@ -133,3 +175,13 @@
   Scenario: Five gateways replay a minute in which sound runners crash
     When the recorded prompts are replayed while 5 of 13 runners crash at once, three times
     Then it refuses no sound request
+
+  Scenario: All runners crash before any prompt was answered
+    When the recorded prompts are replayed while all 13 runners crash at 500 ms
+    Then it refuses sound requests in the first 10 s only
+
+  Scenario: All runners crash while some prompts crash them again
+    When prompts are replayed of which some crash runners, while all 13 crash at 500 ms
+    Then with it at most 3 do, from 3 s after the fifth crash on
+    And it refuses sound requests in the first 10 s only
+    And more sound requests are answered than without it
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
+import { hash32, type KnownRouters } from "../hashing/mod.ts";
 import { loadPrompts } from "../pools/test_support/load_arrivals.ts";
 import {
   type CrashArrivalOptions,
@@ -9,12 +10,13 @@
   type CrashReplayResult,
   createCrashArrivals,
 } from "./test_support/replay_crashes.ts";
-import { CrashQuarantine, type Evidence } from "./mod.ts";
+import { CrashQuarantine, type Evidence, QuarantineTrials } from "./mod.ts";
 
 type World = {
   quarantine: CrashQuarantine | undefined;
   quarantineNowMs: number;
   clearedParts: string[];
+  trials: { atMs: number; router: number }[];
   crashReplays: { on: CrashReplayResult; off: CrashReplayResult };
 };
 
@@ -180,6 +182,86 @@
   },
 );
 
+Then(
+  /^a request with the parts "(.+)" is tried in (\d+) s$/,
+  function (this: World, ids: string, seconds: string) {
+    const nowMs = this.quarantineNowMs;
+    const trial = getQuarantine(this).findTrial(ids.split(" "), nowMs);
+    assert.equal((trial?.dueMs ?? Infinity) - nowMs, Number(seconds) * 1000);
+  },
+);
+
+Then(
+  "a request with the parts {string} is not tried",
+  function (this: World, ids: string) {
+    const partIds = ids.split(" ");
+    const nowMs = this.quarantineNowMs;
+    assert.ok(getQuarantine(this).find(partIds, nowMs));
+    assert.equal(getQuarantine(this).findTrial(partIds, nowMs), undefined);
+  },
+);
+
+/** Lists the trials of one part that routers send in a time. */
+function listTrials(
+  all: readonly KnownRouters[],
+  durationMs: number,
+): World["trials"] {
+  const trials = all.map(() => QuarantineTrials.create());
+  const trial = { partIds: ["part"], lastPartId: "part", dueMs: firstTrialMs };
+  const sent: World["trials"] = [];
+  for (let nowMs = 0; nowMs < durationMs; nowMs += 10) {
+    all.forEach((routers, router) => {
+      if (!trials[router].isDue(trial, { nowMs, routers })) return;
+      trials[router].recordSend(trial, nowMs);
+      sent.push({ atMs: nowMs, router });
+    });
+  }
+  return sent;
+}
+
+const firstTrialMs = 2000;
+
+When(
+  "{int} routers get requests with a quarantined part for {int} s",
+  function (this: World, count: number, seconds: number) {
+    const hashes = Array.from({ length: count }, (_, i) => hash32(`r${i}`));
+    const all = hashes.map((selfHash, index) => ({
+      selfHash,
+      otherHashes: hashes.toSpliced(index, 1),
+    }));
+    this.trials = listTrials(all, seconds * 1000);
+  },
+);
+
+When(
+  "a router that does not know the others gets requests for {int} s",
+  function (this: World, seconds: number) {
+    const alone = { selfHash: hash32("r0"), otherHashes: undefined };
+    this.trials = listTrials([alone], seconds * 1000);
+  },
+);
+
+Then(
+  "{int} of them try {int}, the first after {int} s, {int} s apart or more",
+  function (
+    this: World,
+    routers: number,
+    count: number,
+    firstS: number,
+    apartS: number,
+  ) {
+    const { trials } = this;
+    assert.equal(trials.length, count);
+    assert.equal(new Set(trials.map(({ router }) => router)).size, routers);
+    trials.forEach(({ atMs }, index) => {
+      const earliestMs = index === 0
+        ? firstS * 1000
+        : trials[index - 1].atMs + apartS * 1000;
+      assert.ok(atMs >= earliestMs, `trial ${index} after ${atMs} ms`);
+    });
+  },
+);
+
 When(
   "{int} processes crash under one request each",
   function (this: World, count: number) {
@@ -268,6 +350,26 @@
   },
 );
 
+When(
+  "the recorded prompts are replayed while all 13 runners crash at {int} ms",
+  function (this: World, atMs: number) {
+    this.crashReplays = replayBoth(
+      { fromMs: 0, period: 0 },
+      { otherCrashesAtMs: [atMs], crashesAtOnce: 13 },
+    );
+  },
+);
+
+When(
+  "prompts are replayed of which some crash runners, while all 13 crash at {int} ms",
+  function (this: World, atMs: number) {
+    this.crashReplays = replayBoth(
+      { fromMs: 0, period: 4 },
+      { otherCrashesAtMs: [atMs], crashesAtOnce: 13 },
+    );
+  },
+);
+
 /** Counts the crashing requests that were sent some time after the fifth crash. */
 function countLate(
   { crashedAtMs, crashingSentAtMs }: CrashReplayResult,
--- a/packages/core/src/quarantine/test_support/replay_crashes.ts
+++ b/packages/core/src/quarantine/test_support/replay_crashes.ts
@@ -1,7 +1,12 @@
-import { hash32 } from "../../hashing/mod.ts";
+import { hash32, type KnownRouters } from "../../hashing/mod.ts";
 import { createSeededRandom, type RandomSource } from "../../random/mod.ts";
 import { type TimerService, VirtualTimerService } from "../../timers/mod.ts";
-import { type Crash, CrashQuarantine, type Evidence } from "../mod.ts";
+import {
+  type Crash,
+  CrashQuarantine,
+  type Evidence,
+  QuarantineTrials,
+} from "../mod.ts";
 
 /** A recorded request with a prompt. */
 export type CrashArrival = {
@@ -44,7 +49,11 @@
 
 type Runner = { process: string; runs: Set<Run> };
 
-type Gateway = { quarantine: CrashQuarantine };
+type Gateway = {
+  quarantine: CrashQuarantine;
+  trials: QuarantineTrials;
+  routers: KnownRouters;
+};
 
 /** Replays arrivals in virtual time on models of gateways and runners. */
 export class CrashReplay {
@@ -64,8 +73,14 @@
   private constructor(options: CrashReplayOptions) {
     this.#options = options;
     this.#random = createSeededRandom(options.seed);
-    this.#gateways = Array.from({ length: options.gatewayCount }, () => ({
+    const hashes = Array.from(
+      { length: options.gatewayCount },
+      (_, index) => hash32(`gateway-${index}`),
+    );
+    this.#gateways = hashes.map((selfHash, index) => ({
       quarantine: CrashQuarantine.create({ quarantineMs: 300_000 }),
+      trials: QuarantineTrials.create(),
+      routers: { selfHash, otherHashes: hashes.toSpliced(index, 1) },
     }));
     for (let index = 0; index < options.runnerCount; index++) this.#addRunner();
   }
@@ -109,7 +124,7 @@
     const { gateway, partIds } = request;
     const found = isOn ? gateway.quarantine.find(partIds, nowMs) : undefined;
     const isCrashing = this.#isCrashing(request);
-    if (found !== undefined) {
+    if (found !== undefined && !this.#tryTrial(request)) {
       if (!isCrashing) this.#result.soundRefusedAtMs.push(nowMs);
       return;
     }
@@ -122,6 +137,18 @@
     this.#timers.schedule(beginMs, () => this.#begin(run, runner));
   }
 
+  /** Sends a first request with quarantined parts on trial, if one is due. */
+  #tryTrial({ gateway, partIds, runs }: Request): boolean {
+    const { quarantine, routers, trials } = gateway;
+    const nowMs = this.#timers.nowMs();
+    const trial = quarantine.findTrial(partIds, nowMs);
+    const hasRunner = this.#runners.length > 0;
+    if (trial === undefined || runs > 0 || !hasRunner) return false;
+    if (!trials.isDue(trial, { nowMs, routers })) return false;
+    trials.recordSend(trial, nowMs);
+    return true;
+  }
+
   #begin(run: Run, runner: Runner): void {
     if (!runner.runs.has(run)) return;
     run.begunAtMs = this.#timers.nowMs();
@@ -131,8 +158,10 @@
       : run.request.durationMs;
     this.#timers.schedule(delayMs, () => {
       if (!runner.runs.has(run)) return;
-      if (isCrashing) this.#endProcess(runner);
-      else this.#complete(run, runner);
+      if (isCrashing) {
+        this.#result.crashedAtMs.push(this.#timers.nowMs());
+        this.#endProcess(runner);
+      } else this.#complete(run, runner);
     });
   }
 
@@ -151,9 +180,6 @@
     this.#runners.splice(this.#runners.indexOf(runner), 1);
     this.#timers.schedule(restartMs, () => this.#addRunner());
     const nowMs = this.#timers.nowMs();
-    if (runs.some(({ request }) => this.#isCrashing(request))) {
-      this.#result.crashedAtMs.push(nowMs);
-    }
     for (const { begunAtMs, request } of runs) {
       const isEarly = begunAtMs !== undefined && nowMs - begunAtMs <= 2000;
       if (isEarly) this.#recordCrash(runner, request);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,7 @@
       ...options,
       random: this.#random,
       metrics: this.#metrics,
+      getKnownRouters: () => this.#fleet.knownRouters,
       peers: {
         list: () => this.#fleet.listPeerAddresses(),
         send: sendEvidence,
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -5,7 +5,9 @@
   type EvidenceNews,
   isRequestKey,
   type QuarantinedPart,
+  QuarantineTrials,
 } from "@jasminetide/core/quarantine";
+import type { KnownRouters } from "@jasminetide/core/hashing";
 import type { RandomSource } from "@jasminetide/core/random";
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
@@ -15,7 +17,6 @@
   type BegunAnswer,
   type CallerRequest,
   listSharedParts,
-  type PromptPart,
 } from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { chooseCollectors } from "./choose_collectors.ts";
@@ -31,6 +32,8 @@
   logger: Logger;
   metrics: GatewayMetrics;
   peers: EvidencePeers;
+  /** All gateways. */
+  getKnownRouters: () => KnownRouters;
 };
 
 /** A request as the quarantine knows it. */
@@ -56,6 +59,7 @@
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
   readonly #quarantine: CrashQuarantine;
+  readonly #trials = QuarantineTrials.create();
   readonly #probe: CrashProbe;
   readonly #delivery: EvidenceDelivery;
   readonly #log: QuarantineLog;
@@ -94,22 +98,44 @@
   }
 
   /** Finds out whether a request or a part of its prompt is quarantined. */
-  findQuarantined(
-    { caller, requestKey }: SuspectRequest,
-  ): QuarantinedPart | undefined {
+  findQuarantined(suspect: SuspectRequest): QuarantinedPart | undefined {
     const nowMs = this.#options.timers.nowMs();
-    const partIds = [...listPartIds(caller.prompt), requestKey];
-    return this.#quarantine.find(partIds, nowMs);
+    return this.#quarantine.find(listSuspectIds(suspect), nowMs);
+  }
+
+  /**
+   * Whether a request is to be sent although it is quarantined, to find out
+   * whether it is sound.
+   */
+  isTrialDue(suspect: SuspectRequest): boolean {
+    const { getKnownRouters, timers } = this.#options;
+    const nowMs = timers.nowMs();
+    const trial = this.#quarantine.findTrial(listSuspectIds(suspect), nowMs);
+    if (trial === undefined) return false;
+    return this.#trials.isDue(trial, { nowMs, routers: getKnownRouters() });
+  }
+
+  /** Records that a quarantined request is sent to a runner on trial. */
+  recordTrial(suspect: SuspectRequest): void {
+    const nowMs = this.#options.timers.nowMs();
+    const trial = this.#quarantine.findTrial(listSuspectIds(suspect), nowMs);
+    if (trial === undefined) return;
+    this.#trials.recordSend(trial, nowMs);
+    this.#options.logger.info("sent-on-trial", {
+      attemptId: suspect.caller.attemptId,
+      partIds: trial.partIds.join(" "),
+      dueForMs: Math.round(nowMs - trial.dueMs),
+    });
   }
 
   /** Learns from the end of an attempt whether it crashed the runner. */
   observeEnd(ended: EndedAttempt): void {
-    const { begun, caller, isWhole, requestKey } = ended;
+    const { begun, isWhole, requestKey } = ended;
     if (begun === undefined) {
       if (!isWhole) void this.#checkCrash(ended, { partIds: [requestKey] });
       return;
     }
-    const partIds = [...listPartIds(caller.prompt), requestKey];
+    const partIds = listSuspectIds(ended);
     const begunForMs = this.#options.timers.nowMs() - begun.atMs;
     // An answer without framing looks whole when its runner crashes.
     if (isWhole && begun.isFramed) this.#recordAnswer(partIds);
@@ -154,6 +180,7 @@
     const nowMs = this.#options.timers.nowMs();
     const cleared = this.#quarantine.recordAnswer(partIds, nowMs);
     if (cleared.length === 0) return;
+    this.#trials.forget(cleared);
     this.#log.update(cleared);
     this.#delivery.send({ crashes: [], partIds: cleared });
   }
@@ -246,6 +273,7 @@
     const nowMs = this.#options.timers.nowMs();
     const news = this.#quarantine.merge(evidence, nowMs);
     const partIds = news.crashes.flatMap((crash) => crash.partIds);
+    this.#trials.forget(news.clearedParts);
     this.#log.update(new Set([...partIds, ...news.clearedParts]));
     return news;
   }
@@ -258,13 +286,15 @@
 }
 
 /**
- * Lists the ids of the shared parts of a prompt, within the limits. Those that
- * look like the key of a request are left out, since callers choose them.
+ * Lists the ids of the shared parts of a prompt, within the limits, and the key
+ * of the request. Parts that look like such a key are left out, since callers
+ * choose their ids.
  */
-function listPartIds(prompt: readonly PromptPart[]): string[] {
-  const ids = listSharedParts(prompt).map(({ id }) => id.slice(0, maxIdLength));
+function listSuspectIds({ caller, requestKey }: SuspectRequest): string[] {
+  const ids = listSharedParts(caller.prompt)
+    .map(({ id }) => id.slice(0, maxIdLength));
   const partIds = new Set(ids.filter((id) => !isRequestKey(id)));
-  return [...partIds].slice(0, maxPartCount - 1);
+  return [...[...partIds].slice(0, maxPartCount - 1), requestKey];
 }
 
 /** Time after the beginning of an answer in which its prompt is suspected. */
--- a/packages/gateway/src/quarantine/quarantine.feature
+++ b/packages/gateway/src/quarantine/quarantine.feature
@@ -122,7 +122,6 @@
     Then no gateway has a part in quarantine any more
     And 20 sound requests with the same other parts are answered at the first attempt
 
-  @known-red
   Scenario: A sound part in quarantine is cleared by a request on trial
     Given 4 gateways and 8 runners
     When 40 sound requests have begun at runners, of which 5 crash
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -148,7 +148,9 @@
   #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
-    if (quarantined !== undefined) {
+    const isOnTrial = quarantined !== undefined && this.#attempts === 0 &&
+      context.crashGuard.isTrialDue(this.#suspect);
+    if (quarantined !== undefined && !isOnTrial) {
       context.metrics.countQuarantineRefusal();
       return `quarantined ${quarantined.partId}`;
     }
@@ -162,6 +164,7 @@
     if (!takeRetry({ attempts, service }, context)) {
       return "retry budget exhausted";
     }
+    if (isOnTrial) context.crashGuard.recordTrial(this.#suspect);
     const running = this.#createAttempt(placement);
     this.#running.add(running);
     void running.ended.then((end) =>
