Tell callers of quarantined requests to come back for the next trial

**Cause.** A refused caller was told to come back when the quarantine ends, five to six minutes later, although a trial may find the request sound within seconds. **Change.** Retry-After is the time until the trial is due and half a turn to a turn more; it grows with the time for which no trial has told anything. **Measured.** The scenario failed before with a Retry-After of 353 s and passes. **Conclusion.** Sound callers lose seconds; refusing others again costs little.

--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -132,6 +132,15 @@
       | 2       | 2       | 6      |
       | 30      | 3       | 9      |
 
+  Scenario Outline: Refused callers come back when a trial may have told something
+    Then callers refused <seconds> s after a trial was due come back in <least> to <most> s
+
+    Examples:
+      | seconds | least | most |
+      | -12     | 13.5  | 15   |
+      | 0       | 1.5   | 3    |
+      | 60      | 31.5  | 63   |
+
   Scenario: A router that does not know the others tries nothing
     When a router that does not know the others gets requests for 60 s
     Then 0 of them try 0, the first after 2 s, 3 s apart or more
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -10,7 +10,12 @@
   type CrashReplayResult,
   createCrashArrivals,
 } from "./test_support/replay_crashes.ts";
-import { CrashQuarantine, type Evidence, QuarantineTrials } from "./mod.ts";
+import {
+  CrashQuarantine,
+  type Evidence,
+  getReturnMs,
+  QuarantineTrials,
+} from "./mod.ts";
 
 type World = {
   quarantine: CrashQuarantine | undefined;
@@ -262,6 +267,18 @@
   },
 );
 
+Then(
+  "callers refused {int} s after a trial was due come back in {float} to {float} s",
+  function (this: World, seconds: number, least: number, most: number) {
+    const trial = { partIds: ["part"], lastPartId: "part", dueMs: 100_000 };
+    const nowMs = trial.dueMs + seconds * 1000;
+    const returns = [0, 1].map((random) =>
+      getReturnMs(trial, { nowMs, random }) / 1000
+    );
+    assert.deepEqual(returns, [least, most]);
+  },
+);
+
 When(
   "{int} processes crash under one request each",
   function (this: World, count: number) {
--- a/packages/core/src/quarantine/quarantine_trials.ts
+++ b/packages/core/src/quarantine/quarantine_trials.ts
@@ -91,6 +91,22 @@
   return delayMs === undefined ? undefined : lastMs + delayMs;
 }
 
+/**
+ * Gets the time after which a refused caller should come back for a trial that
+ * may clear its request: when it is due and answered, later the longer it has
+ * been due, since it may tell nothing.
+ *
+ * @param random from 0 to 1, so that callers do not come back together.
+ */
+export function getReturnMs(
+  { dueMs }: Trial,
+  { nowMs, random }: { nowMs: number; random: number },
+): number {
+  const untilMs = Math.max(0, dueMs - nowMs);
+  const overdueMs = Math.max(0, nowMs - dueMs);
+  return untilMs + (turnMs + overdueMs) * (1 + random) / 2;
+}
+
 /** Times from the last crash to a trial, by the trials that have failed. */
 const trialDelaysMs = [2000, 12_000] as const;
 
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -3,6 +3,7 @@
   CrashQuarantine,
   type Evidence,
   type EvidenceNews,
+  getReturnMs,
   isRequestKey,
   type QuarantinedPart,
   QuarantineTrials,
@@ -103,6 +104,19 @@
     return this.#quarantine.find(listSuspectIds(suspect), nowMs);
   }
 
+  /**
+   * Gets the time after which the caller of a quarantined request should come
+   * back: soon if a trial may find that the request is sound.
+   */
+  getReturnMs(suspect: SuspectRequest, { leftMs }: QuarantinedPart): number {
+    const { random, timers } = this.#options;
+    const nowMs = timers.nowMs();
+    const trial = this.#quarantine.findTrial(listSuspectIds(suspect), nowMs);
+    if (trial === undefined) return leftMs;
+    const returnMs = getReturnMs(trial, { nowMs, random: random.getFloat() });
+    return Math.min(leftMs, returnMs);
+  }
+
   /**
    * Whether a request is to be sent although it is quarantined, to find out
    * whether it is sound.
--- a/packages/gateway/src/quarantine/quarantine.feature
+++ b/packages/gateway/src/quarantine/quarantine.feature
@@ -136,3 +136,9 @@
     And such requests are sent to all gateways for 8 s
     Then at most 3 of them have reached runners
     And each of them reached one runner at most
+
+  Scenario: Refused callers come back soon while trials may find the part sound
+    Given 4 gateways and 8 runners
+    When 40 sound requests have begun at runners, of which 5 crash
+    Then all gateways know of crashes and each has a part in quarantine
+    And refused requests are told to come back in 1 to 10 s
--- a/packages/gateway/src/quarantine/quarantine_test.ts
+++ b/packages/gateway/src/quarantine/quarantine_test.ts
@@ -485,3 +485,14 @@
   const begun = this.crashingAnswers.filter(({ status }) => status === 200);
   assert.equal(begun.length, reached);
 });
+
+Then(
+  "refused requests are told to come back in {int} to {int} s",
+  async function (this: World, least: number, most: number) {
+    await sendAll(this, [...this.crashingFleet.gateways.keys()], soundPrompt);
+    for (const { text } of this.crashingAnswers) {
+      const seconds = Number(/^retry-after: (\d+)/im.exec(text)?.[1]);
+      assert.ok(seconds >= least && seconds <= most, text);
+    }
+  },
+);
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -29,7 +29,8 @@
   const { admitted: { service }, answer, context, leftMs, suspect } = refused;
   const quarantined = context.crashGuard.findQuarantined(suspect);
   if (quarantined !== undefined) {
-    answer.sendError(createQuarantineError(quarantined));
+    const returnMs = context.crashGuard.getReturnMs(suspect, quarantined);
+    answer.sendError(createQuarantineError(quarantined, returnMs));
     return;
   }
   const forecastMs = context.getCapacityForecast(service).recordRefusal({
