--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -3,28 +3,24 @@
   CrashQuarantine,
   type Evidence,
   type EvidenceNews,
-  getReturnMs,
   isRequestKey,
   type QuarantinedPart,
-  QuarantineTrials,
 } from "@jasminetide/core/quarantine";
 import type { KnownRouters } from "@jasminetide/core/hashing";
 import type { RandomSource } from "@jasminetide/core/random";
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
-import { maxIdLength, maxPartCount } from "../peers/evidence_schema.ts";
-import {
-  type BegunAnswer,
-  type CallerRequest,
-  listSharedParts,
-} from "../protocol.ts";
+import { maxIdLength } from "../peers/evidence_schema.ts";
+import type { BegunAnswer } from "../protocol.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { chooseCollectors } from "./choose_collectors.ts";
 import { CrashProbe, formatProcessKey } from "./crash_probe.ts";
 import { fetchMissedEvidence } from "./evidence_catch_up.ts";
 import { EvidenceDelivery, type EvidencePeers } from "./evidence_delivery.ts";
 import { QuarantineLog } from "./quarantine_log.ts";
+import { RequestTrials } from "./request_trials.ts";
+import { listSuspectIds, type SuspectRequest } from "./suspect_request.ts";
 
 /** Options of a guard. */
 export type CrashGuardOptions = {
@@ -37,13 +33,6 @@
   getKnownRouters: () => KnownRouters;
 };
 
-/** A request as the quarantine knows it. */
-export type SuspectRequest = {
-  caller: CallerRequest;
-  /** Key that it has whenever it is sent. */
-  requestKey: string;
-};
-
 /** An attempt that has ended. */
 export type EndedAttempt = SuspectRequest & {
   upstream: Upstream;
@@ -60,7 +49,7 @@
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
   readonly #quarantine: CrashQuarantine;
-  readonly #trials = QuarantineTrials.create();
+  readonly #trials: RequestTrials;
   readonly #probe: CrashProbe;
   readonly #delivery: EvidenceDelivery;
   readonly #log: QuarantineLog;
@@ -73,6 +62,10 @@
     // further crash reaches the others before they do.
     const quarantineMs = minQuarantineMs + random.getFloat() * extraMs;
     this.#quarantine = CrashQuarantine.create({ quarantineMs });
+    this.#trials = RequestTrials.create({
+      ...options,
+      quarantine: this.#quarantine,
+    });
     this.#log = QuarantineLog.create({
       ...options,
       quarantine: this.#quarantine,
@@ -104,42 +97,9 @@
     return this.#quarantine.find(listSuspectIds(suspect), nowMs);
   }
 
-  /**
-   * Gets the time after which the caller of a quarantined request should come
-   * back: soon if a trial may find that the request is sound.
-   */
-  getReturnMs(suspect: SuspectRequest, { leftMs }: QuarantinedPart): number {
-    const { random, timers } = this.#options;
-    const nowMs = timers.nowMs();
-    const trial = this.#quarantine.findTrial(listSuspectIds(suspect), nowMs);
-    if (trial === undefined) return leftMs;
-    const returnMs = getReturnMs(trial, { nowMs, random: random.getFloat() });
-    return Math.min(leftMs, returnMs);
-  }
-
-  /**
-   * Whether a request is to be sent although it is quarantined, to find out
-   * whether it is sound.
-   */
-  isTrialDue(suspect: SuspectRequest): boolean {
-    const { getKnownRouters, timers } = this.#options;
-    const nowMs = timers.nowMs();
-    const trial = this.#quarantine.findTrial(listSuspectIds(suspect), nowMs);
-    if (trial === undefined) return false;
-    return this.#trials.isDue(trial, { nowMs, routers: getKnownRouters() });
-  }
-
-  /** Records that a quarantined request is sent to a runner on trial. */
-  recordTrial(suspect: SuspectRequest): void {
-    const nowMs = this.#options.timers.nowMs();
-    const trial = this.#quarantine.findTrial(listSuspectIds(suspect), nowMs);
-    if (trial === undefined) return;
-    this.#trials.recordSend(trial, nowMs);
-    this.#options.logger.info("sent-on-trial", {
-      attemptId: suspect.caller.attemptId,
-      partIds: trial.partIds.join(" "),
-      dueForMs: Math.round(nowMs - trial.dueMs),
-    });
+  /** Trials by which quarantined requests may be found sound. */
+  get trials(): RequestTrials {
+    return this.#trials;
   }
 
   /** Learns from the end of an attempt whether it crashed the runner. */
@@ -299,18 +259,6 @@
   }
 }
 
-/**
- * Lists the ids of the shared parts of a prompt, within the limits, and the key
- * of the request. Parts that look like such a key are left out, since callers
- * choose their ids.
- */
-function listSuspectIds({ caller, requestKey }: SuspectRequest): string[] {
-  const ids = listSharedParts(caller.prompt)
-    .map(({ id }) => id.slice(0, maxIdLength));
-  const partIds = new Set(ids.filter((id) => !isRequestKey(id)));
-  return [...[...partIds].slice(0, maxPartCount - 1), requestKey];
-}
-
 /** Time after the beginning of an answer in which its prompt is suspected. */
 const maxBegunMs = 2000;
 
--- a/packages/gateway/src/quarantine/mod.ts
+++ b/packages/gateway/src/quarantine/mod.ts
@@ -6,3 +6,5 @@
 export * from "./evidence_delivery.ts";
 export * from "./crash_guard.ts";
 export * from "./quarantine_error.ts";
+export * from "./request_trials.ts";
+export * from "./suspect_request.ts";
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -149,7 +149,7 @@
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
     const isOnTrial = quarantined !== undefined && this.#attempts === 0 &&
-      context.crashGuard.isTrialDue(this.#suspect);
+      context.crashGuard.trials.isDue(this.#suspect);
     if (quarantined !== undefined && !isOnTrial) {
       context.metrics.countQuarantineRefusal();
       return `quarantined ${quarantined.partId}`;
@@ -164,7 +164,7 @@
     if (!takeRetry({ attempts, service }, context)) {
       return "retry budget exhausted";
     }
-    if (isOnTrial) context.crashGuard.recordTrial(this.#suspect);
+    if (isOnTrial) context.crashGuard.trials.recordSend(this.#suspect);
     const running = this.#createAttempt(placement);
     this.#running.add(running);
     void running.ended.then((end) =>
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -29,7 +29,10 @@
   const { admitted: { service }, answer, context, leftMs, suspect } = refused;
   const quarantined = context.crashGuard.findQuarantined(suspect);
   if (quarantined !== undefined) {
-    const returnMs = context.crashGuard.getReturnMs(suspect, quarantined);
+    const returnMs = context.crashGuard.trials.getReturnMs(
+      suspect,
+      quarantined,
+    );
     answer.sendError(createQuarantineError(quarantined, returnMs));
     return;
   }
