--- a/packages/gateway/src/limits/limit_news.ts
+++ b/packages/gateway/src/limits/limit_news.ts
@@ -81,8 +81,8 @@
     for (const upstream of directory.listUpstreams()) {
       const { limit } = upstream.availability;
       const isStated = limit.getPerSecond(nowMs) !== undefined;
-      const heardForMs = nowMs - limit.heardAtMs;
-      if (isStated && heardForMs < reminderPeriodMs) {
+      const sinceHeardMs = nowMs - limit.heardAtMs;
+      if (isStated && sinceHeardMs < reminderPeriodMs) {
         items.set(upstream.id, upstream);
       }
     }
