--- a/packages/fault_soak/src/crash_checks.ts
+++ b/packages/fault_soak/src/crash_checks.ts
@@ -4,7 +4,11 @@
  * again.
  */
 import { isStream } from "./call_checks.ts";
-import { isGatewayDisturbed, isUnplannedBetween } from "./disturbances.ts";
+import {
+  isGatewayDisturbed,
+  isPeerLinkDisturbed,
+  isUnplannedBetween,
+} from "./disturbances.ts";
 import type { FaultSpan } from "./fault_kinds.ts";
 import {
   type CallRecord,
@@ -116,7 +120,9 @@
   const known = crashes.filter(({ event }) => event.atMs > forgottenAtMs);
   const limitAtMs = known.at(crashLimit - 1)?.event.atMs ?? Infinity;
   const interval = { gateway, fromMs: atMs - syncMs, toMs: atMs };
-  return atMs > limitAtMs + contactMs && !isGatewayDisturbed(faults, interval);
+  return atMs > limitAtMs + contactMs &&
+    !isGatewayDisturbed(faults, interval) &&
+    !isPeerLinkDisturbed(faults, interval);
 }
 
 /** Finds a time in which sound requests suffer from those that crash runners. */
@@ -179,7 +185,12 @@
     call.crashes !== true &&
     call.outcome.type !== "left" &&
     call.sentAtMs >= fromMs && call.sentAtMs <= toMs &&
-    !isUnplannedBetween(others, call.sentAtMs - contactMs, call.endedAtMs)
+    !isUnplannedBetween(others, call.sentAtMs - contactMs, call.endedAtMs) &&
+    !isPeerLinkDisturbed(faults, {
+      gateway: call.gateway,
+      fromMs: call.sentAtMs - syncMs,
+      toMs: call.endedAtMs,
+    })
   );
   if (sound.length < minimumSample) return undefined;
   const first = sound.filter((call) =>
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -1,9 +1,16 @@
-import { type FaultKind, type FaultSpan, isFleetFault } from "./fault_kinds.ts";
+import {
+  type FaultKind,
+  type FaultSpan,
+  isFleetFault,
+  peerFaultKinds,
+} from "./fault_kinds.ts";
 
 /** A time interval at one gateway. */
 export type GatewayInterval = { gateway: number; fromMs: number; toMs: number };
 
-/** Planned operations and pauses, during which no request may be lost. */
+/**
+ * Planned operations, pauses and cuts between gateways, during which no request may be lost.
+ */
 const harmlessKinds: readonly FaultKind[] = [
   "gateway-stopped",
   "gateway-reloaded",
@@ -11,6 +18,7 @@
   "runner-announcing",
   "declaration-changed",
   "runner-silent",
+  ...peerFaultKinds,
 ];
 
 /** Faults during which a runner still notices that a connection is closed. */
@@ -87,6 +95,17 @@
     );
 }
 
+/** Whether what other gateways send may not have reached a gateway. */
+export function isPeerLinkDisturbed(
+  faults: readonly FaultSpan[],
+  { fromMs, gateway, toMs }: GatewayInterval,
+): boolean {
+  return faults.some((fault) =>
+    peerFaultKinds.some((kind) => kind === fault.kind) &&
+    fault.target === gateway && isOverlapping(fault, fromMs, toMs)
+  );
+}
+
 /** Whether any runner or link to one was disturbed. */
 export function areRunnersDisturbed(
   faults: readonly FaultSpan[],
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -8,6 +8,8 @@
   hasStatedLimits: boolean;
   /** Whether some episodes send a request that crashes runners. */
   hasCrashingRequest: boolean;
+  /** Whether links between gateways fail in some episodes. */
+  hasPeerFaults: boolean;
 };
 
 /** Behaviour that episodes include unless they are run without it. */
@@ -16,4 +18,5 @@
   hasCrashingPart: true,
   hasStatedLimits: true,
   hasCrashingRequest: true,
+  hasPeerFaults: true,
 };
--- a/packages/fault_soak/src/fault_kinds.ts
+++ b/packages/fault_soak/src/fault_kinds.ts
@@ -60,6 +60,14 @@
 /** Runners that state a limit on their requests, drawn last. */
 export const limitFaultKinds = ["runner-limited"] as const;
 
+/** Faults of the link by which other gateways reach one, drawn last. */
+export const peerFaultKinds = [
+  "peer-link-delayed",
+  "peer-link-reset",
+  "peer-link-silent",
+  "peer-link-one-way",
+] as const;
+
 /** Every kind of fault. */
 export const faultKinds = [
   ...gatewayFaultKinds,
@@ -72,6 +80,7 @@
   ...crashFaultKinds,
   ...limitFaultKinds,
   ...requestFaultKinds,
+  ...peerFaultKinds,
 ] as const;
 
 /** Kind of a fault. */
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -227,6 +227,7 @@
     hasCrashingPart: true,
     hasStatedLimits: true,
     hasCrashingRequest: true,
+    hasPeerFaults: true,
   });
 }
 
--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -9,6 +9,7 @@
   gatewayFaultKinds,
   isRunnerFault,
   isServiceFault,
+  peerFaultKinds,
   type PlannedFault,
   runnerFaultKinds,
   separateFleetFaultKinds,
@@ -67,19 +68,31 @@
 const maxLimitedRunners = 2;
 const limitStarts = { smallestMs: 2500, rangeMs: 6000 };
 
+/** Chance that links between gateways fail. */
+const peerFaultChance = 0.6;
+const maxPeerFaults = 3;
+
 /** Options of the draw. */
 export type DrawOptions =
   & FleetSize
   & Pick<
     EpisodeSwitches,
-    "hasCrashingPart" | "hasCrashingRequest" | "hasStatedLimits"
+    | "hasCrashingPart"
+    | "hasCrashingRequest"
+    | "hasPeerFaults"
+    | "hasStatedLimits"
   >;
 
 /** Draws the faults of an episode, sorted by start time. */
 export function drawFaults(
   random: RandomSource,
-  { hasCrashingPart, hasCrashingRequest, hasStatedLimits, ...size }:
-    DrawOptions,
+  {
+    hasCrashingPart,
+    hasCrashingRequest,
+    hasPeerFaults,
+    hasStatedLimits,
+    ...size
+  }: DrawOptions,
 ): PlannedFault[] {
   const count = counts.smallest + random.getInteger(counts.range);
   const faults: PlannedFault[] = [];
@@ -107,6 +120,8 @@
   if (hasStatedLimits && areLimited) faults.push(...drawLimits(random, size));
   const isSent = random.getFloat() < crashingRequestChance;
   if (hasCrashingRequest && isSent) faults.push(crashingRequestFault);
+  const areCut = random.getFloat() < peerFaultChance;
+  if (hasPeerFaults && areCut) faults.push(...drawPeerFaults(random, size));
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
@@ -126,6 +141,15 @@
   };
 }
 
+/** Draws faults of links between gateways; they may overlap. */
+function drawPeerFaults(random: RandomSource, size: FleetSize): PlannedFault[] {
+  const count = 1 + random.getInteger(maxPeerFaults);
+  return Array.from(
+    { length: count },
+    () => drawFault(random, { ...size, kinds: peerFaultKinds }),
+  );
+}
+
 /** Draws runners that state a limit from about the same time on. */
 function drawLimits(random: RandomSource, size: FleetSize): PlannedFault[] {
   const count = 1 +
--- a/packages/fault_soak/src/fleet_gateway.ts
+++ b/packages/fault_soak/src/fleet_gateway.ts
@@ -6,13 +6,15 @@
 import { FaultLink } from "@jasminetide/testing/fault_link";
 import { ManagedProcess } from "./managed_process.ts";
 import { reservePort } from "./ports.ts";
-import type { SoakPrograms } from "./wire.ts";
+import type { SoakObjects, SoakPrograms } from "./wire.ts";
 
-/** A gateway with its links to callers and to the store. */
+/** A gateway with its links to callers, to the store and from other gateways. */
 export type SoakGateway = {
   index: number;
   callerLink: FaultLink;
   storeLink: FaultLink;
+  /** By which the other gateways reach it. */
+  peerLink: FaultLink;
   readinessAddress: string;
   settingsFile: string;
   process: ManagedProcess;
@@ -27,6 +29,7 @@
   /** Folder for settings and logs. */
   folder: string;
   storeAddress: string;
+  objects: SoakObjects;
 };
 
 /** Retry budget in the settings of every gateway. */
@@ -42,7 +45,7 @@
   index: number,
   options: FleetGatewayOptions,
 ): Promise<SoakGateway> {
-  const { folder, random, storeAddress } = options;
+  const { folder, objects, random, storeAddress } = options;
   const reserveAddress = async () => `127.0.0.1:${await reservePort(random)}`;
   const callerAddress = await reserveAddress();
   const readinessAddress = await reserveAddress();
@@ -51,11 +54,13 @@
     getTarget: () => callerAddress,
   });
   const storeLink = await FaultLink.create({ getTarget: () => storeAddress });
+  const peerLink = await FaultLink.create({ getTarget: () => peerAddress });
+  objects.setPeerAddress(formatName(index), peerLink.address);
   const settingsFile = join(folder, `gateway-${index}.jsonc`);
   writeFileSync(
     settingsFile,
     JSON.stringify({
-      name: `gateway-${index}`,
+      name: formatName(index),
       failureDomain: `domain-${index % 2}`,
       callerAddress,
       readinessAddress,
@@ -70,6 +75,7 @@
     index,
     callerLink,
     storeLink,
+    peerLink,
     readinessAddress,
     settingsFile,
     incarnation: 0,
@@ -83,7 +89,7 @@
   { folder, programs }: Pick<FleetGatewayOptions, "folder" | "programs">,
 ): ManagedProcess {
   const { script, settingsVariable } = programs.gateway;
-  const name = `gateway-${gateway.index}`;
+  const name = formatName(gateway.index);
   return ManagedProcess.create({
     name,
     script,
@@ -92,6 +98,10 @@
   });
 }
 
+function formatName(index: number): string {
+  return `gateway-${index}`;
+}
+
 /** Waits until a gateway reports at its address that it is ready. */
 export async function waitUntilReady(
   { index, readinessAddress }: SoakGateway,
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -21,6 +21,7 @@
 
 const linkDelayMs = 60;
 const storeLinkDelayMs = 300;
+const peerLinkDelayMs = 300;
 
 /** Injects a fault; settles when its effects have ended. */
 export async function injectFault(
@@ -77,6 +78,13 @@
   "store-link-reset": ({ gateway }) => gateway.storeLink.resetOpen(),
   "store-link-silent": (context) =>
     silenceLink(context.gateway.storeLink, bothDirections, context),
+  "peer-link-delayed": (context) =>
+    delayLink(context.gateway.peerLink, peerLinkDelayMs, context),
+  "peer-link-reset": ({ gateway }) => gateway.peerLink.resetOpen(),
+  "peer-link-silent": (context) =>
+    silenceLink(context.gateway.peerLink, bothDirections, context),
+  "peer-link-one-way": (context) =>
+    silenceLink(context.gateway.peerLink, ["answers"], context),
   "runner-paused": (context) => pauseProcess(context.runner.process, context),
   "runner-killed": ({ fleet, runner }) => {
     runner.process.sendSignal("SIGKILL");
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -142,9 +142,10 @@
     for (const { process } of [...this.gateways, ...this.runners]) {
       await process[Symbol.asyncDispose]();
     }
-    for (const { callerLink, storeLink } of this.gateways) {
-      await callerLink[Symbol.asyncDispose]();
-      await storeLink[Symbol.asyncDispose]();
+    for (const { callerLink, peerLink, storeLink } of this.gateways) {
+      for (const link of [callerLink, storeLink, peerLink]) {
+        await link[Symbol.asyncDispose]();
+      }
     }
     for (const { link } of this.runners) await link[Symbol.asyncDispose]();
     await this.store[Symbol.asyncDispose]();
@@ -152,7 +153,8 @@
 
   async #start(): Promise<void> {
     const { size } = this.#options;
-    const options = { ...this.#options, storeAddress: this.store.address };
+    const { address: storeAddress, objects } = this.store;
+    const options = { ...this.#options, objects, storeAddress };
     this.putNextDeclaration();
     for (let index = 0; index < size.runners; index++) {
       const runner = await createRunner(index, options);
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -52,6 +52,8 @@
   putRunner: (record: RunnerRecord) => void;
   removeRunner: (id: string) => void;
   listRunnerIds: () => string[];
+  /** Sets the address that gateways read for one instead of what it writes. */
+  setPeerAddress: (name: string, address: string) => void;
   /** Copies all objects; the returned function restores them. */
   copy: () => () => void;
   /** Drops the change history, so that watches from earlier revisions expire. */
