--- a/packages/fault_soak/src/mod.ts
+++ b/packages/fault_soak/src/mod.ts
@@ -1,6 +1,7 @@
 /** Runs the real programs as processes and injects faults from outside. */
 export * from "./answer_framing.ts";
 export * from "./check_history.ts";
+export * from "./coverage.ts";
 export * from "./episode_switches.ts";
 export * from "./fleet_checks.ts";
 export * from "./fault_kinds.ts";
--- a/packages/fault_soak/src/run_fault_soak.ts
+++ b/packages/fault_soak/src/run_fault_soak.ts
@@ -1,11 +1,6 @@
 /** Runs episodes for a given time and formats their reports. */
 import { rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import {
-  type FaultKind,
-  faultKinds,
-  type PlannedFault,
-} from "./fault_kinds.ts";
 import {
   type EpisodeOptions,
   type EpisodeReport,
@@ -62,28 +57,3 @@
     ...lines,
   ].join("\n");
 }
-
-/** Formats how often each kind of fault occurred, and how many pairs did. */
-export function formatCoverage(reports: readonly EpisodeReport[]): string {
-  const schedules = reports.map(({ faults }) => faults);
-  const counts = faultKinds.map((kind) => {
-    const all = schedules.flat().filter((fault) => fault.kind === kind);
-    return `${kind} ${all.length}`;
-  });
-  const pairs = new Set(schedules.flatMap(listPairs));
-  const possible = faultKinds.length * (faultKinds.length + 1) / 2;
-  return `${counts.join(", ")}; ${pairs.size} of ${possible} pairs`;
-}
-
-/** Lists the pairs of kinds whose planned times overlap. */
-function listPairs(faults: readonly PlannedFault[]): string[] {
-  return faults.flatMap((first, index) =>
-    faults.slice(index + 1)
-      .filter(({ startMs }) => startMs < first.startMs + first.durationMs)
-      .map(({ kind }) => formatPair(first.kind, kind))
-  );
-}
-
-function formatPair(first: FaultKind, second: FaultKind): string {
-  return [first, second].sort().join(" + ");
-}
