Find out whether callers have left before late requests are sent on

**Cause.** After a stall, the event loop reads the requests that have arrived, and their callers' leaving only in its next turn; by then they had been sent on. **Change.** A detector notices stalls of 250 ms or more, by ticks that come late; a request that is read then waits 10 ms, in which its caller's leaving is read.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { LatencyTracker } from "@jasminetide/core/retries";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import { type TimerService, wait } from "@jasminetide/core/timers";
+import { StallDetector } from "@jasminetide/runtime/clock";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { FleetView } from "./fleet_view.ts";
@@ -63,6 +64,7 @@
   readonly #fleet: FleetView;
   readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
+  readonly #stalls: StallDetector;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
   #peerAddress = "";
@@ -99,6 +101,11 @@
         send: sendLimits,
       },
     }));
+    this.#stalls = this.#resources.use(StallDetector.create({
+      timers: options.timers,
+      onStall: (durationMs) =>
+        options.logger.warn("stalled", { durationMs: Math.round(durationMs) }),
+    }));
     this.#context = this.#createContext();
     listener.setHandler((request, response) => {
       this.#openRequests += 1;
@@ -225,6 +232,7 @@
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
+      stalls: this.#stalls,
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -6,6 +6,7 @@
   type DeclaredWorkspace,
   type RouteTable,
 } from "@jasminetide/core/routes";
+import { wait } from "@jasminetide/core/timers";
 import { readBody } from "@jasminetide/runtime/http";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
@@ -24,6 +25,7 @@
   const trace = context.requestLog.openTrace(caller.attemptId);
   context.metrics.countRequest();
   try {
+    await deferAfterStall(context);
     await waitForState(caller, context);
     // The caller may have disconnected while the request waited.
     if (response.destroyed) return;
@@ -67,6 +69,21 @@
   trace.close({ isFailed: answer.status >= 400 || answer.isBrokenOff });
 }
 
+/**
+ * Lets a request wait that may have arrived during a stall: its caller may have
+ * left since, which is read after the request.
+ */
+async function deferAfterStall(
+  { metrics, stalls, timers }: GatewayContext,
+): Promise<void> {
+  if (!stalls.isAfterStall) return;
+  metrics.countDeferred();
+  await wait(timers, stallDeferMs);
+}
+
+/** Long enough to read all that arrived during a stall. */
+const stallDeferMs = 10;
+
 /**
  * Lets a request that arrives during the start wait until the gateway knows its
  * fleet. That takes a fraction of a second, while a refused caller has to come
--- a/packages/gateway/src/requests/stall_test.ts
+++ b/packages/gateway/src/requests/stall_test.ts
@@ -73,6 +73,16 @@
   },
 );
 
+When(
+  "each of them sends a request, one after the other",
+  async function (this: World) {
+    for (const [index, caller] of this.stallCallers.entries()) {
+      sendRequest(caller, index);
+      await caller.waitUntil(isAnswered);
+    }
+  },
+);
+
 Then(
   "at most {int} requests have reached the runner {int} ms later",
   async function (this: World, limit: number, laterMs: number) {
@@ -90,3 +100,11 @@
 function isAnswered({ text }: RawCaller): boolean {
   return text.startsWith("HTTP/1.1 200") && text.endsWith("0\r\n\r\n");
 }
+
+Then("the gateway deferred none of them", async function (this: World) {
+  const { peerAddress } = this.stalling.gateway;
+  const answer = await fetch(`http://${peerAddress}/metrics`);
+  const metrics = await answer.text();
+  assert.match(metrics, /^jasminetide_requests_total 20$/m);
+  assert.doesNotMatch(metrics, /requests_deferred/);
+});
