Find work that a paused gateway begins after its caller has left

**Cause.** The fault soak excused by a pause of its gateway whatever was done for callers that had left. **Change.** A check of its own: no request reaches a runner over 0.5 s after its caller disconnected, also at a gateway that was paused.

--- a/packages/fault_soak/src/call_checks.ts
+++ b/packages/fault_soak/src/call_checks.ts
@@ -1,6 +1,7 @@
 /** Checks of single calls; each returns a description of a violation, if any. */
 import {
   areRunnersDisturbed,
+  isCallerLinkDisturbed,
   isConnectionSilenced,
   isGatewayDisturbed,
   isGatewayKilled,
@@ -203,6 +204,29 @@
     : `${lateEvent.type} ${afterMs} ms after the caller disconnected`;
 }
 
+/**
+ * Finds a request that reaches a runner long after its caller disconnected. A
+ * gateway that was paused reads that its caller has left before it goes on.
+ */
+export function findWorkBegunLate(
+  { endedAtMs, gateway, outcome }: CallRecord,
+  events: readonly RunnerEvent[],
+  { faults }: History,
+): Finding {
+  if (outcome.type !== "left") return undefined;
+  const late = events.find(({ atMs, type }) =>
+    type === "arrived" && atMs > endedAtMs + cancelMs
+  );
+  if (late === undefined) return undefined;
+  const interval = { gateway, fromMs: endedAtMs - cancelMs, toMs: late.atMs };
+  const isExcused = isCallerLinkDisturbed(faults, interval) ||
+    areRunnersDisturbed(faults, interval.fromMs, interval.toMs);
+  const afterMs = late.atMs - endedAtMs;
+  return isExcused
+    ? undefined
+    : `begun ${afterMs} ms after the caller disconnected`;
+}
+
 /** Finds an accepted request that was lost in a planned stop. */
 export function findPlannedStopLoss(
   call: CallRecord,
--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -11,6 +11,7 @@
   findStaleVersion,
   findUncancelledRun,
   findUnrecoveredCall,
+  findWorkBegunLate,
 } from "./call_checks.ts";
 import { findLostAnswer } from "./lost_answers.ts";
 import { findRepeatedCrashes, findStarvedRequests } from "./crash_checks.ts";
@@ -65,6 +66,10 @@
       "cancellation",
       (call, events) => findUncancelledRun(call, events, history),
     ),
+    ...checkCalls(
+      "late-work",
+      (call, events) => findWorkBegunLate(call, events, history),
+    ),
     ...checkCalls(
       "planned-stops",
       (call, events) => findPlannedStopLoss(call, events, history),
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -53,6 +53,17 @@
   );
 }
 
+/** Whether a gateway's link to its callers was disturbed. */
+export function isCallerLinkDisturbed(
+  faults: readonly FaultSpan[],
+  { fromMs, gateway, toMs }: GatewayInterval,
+): boolean {
+  return faults.some((fault) =>
+    fault.kind.startsWith("caller-link-") && fault.target === gateway &&
+    isOverlapping(fault, fromMs, toMs)
+  );
+}
+
 /**
  * Whether a caller's connection was open while its link was silent; it stays
  * silent afterwards.
--- a/packages/fault_soak/src/fault_soak.feature
+++ b/packages/fault_soak/src/fault_soak.feature
@@ -87,6 +87,18 @@
       | a payout that ran and is answered 503              | true-refusals |
       | an added route that was known and is unknown later | never-back    |
 
+  Scenario Outline: A paused gateway must see that a caller has left before it goes on
+    Given callers whose requests of every kind are served
+    And a lookup that reaches a runner 600 ms after its caller disconnected
+    And a fault "<kind>" at that time
+    Then <result>
+
+    Examples:
+      | kind               | result                                |
+      | gateway-paused     | "late-work" is the only violated check |
+      | caller-link-silent | there is no violation                 |
+      | runner-paused      | there is no violation                 |
+
   Scenario: Schedules depend on the seed only, and seeds cover every kind
     Then seed 7 draws the same faults twice and seed 8 others
     And 60 seeds draw every kind of fault
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -112,6 +112,13 @@
     const call = addCall(world, "story", { outcome: { type: "left" } });
     addRun(world, call, { endedAtMs: call.endedAtMs + 600 });
   },
+  "a lookup that reaches a runner 600 ms after its caller disconnected": (
+    world,
+  ) => {
+    const call = addCall(world, "lookup", { outcome: { type: "left" } });
+    const sentAtMs = call.endedAtMs + 600;
+    addRun(world, { ...call, sentAtMs }, { endedAtMs: sentAtMs + 1 });
+  },
   "a stream that a planned stop of its gateway cuts": (world) => {
     const call = addCall(world, "summary", { outcome: failed });
     world.history.faults.push({
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -16,6 +16,7 @@
   "resting-runners",
   "stated-limits",
   "cancellation",
+  "late-work",
   "planned-stops",
   "lost-answers",
   "crashing-parts",
