--- a/packages/runtime/src/clock/stall_detector.ts
+++ b/packages/runtime/src/clock/stall_detector.ts
@@ -63,4 +63,4 @@
 const minStallMs = 250;
 
 /** Time after a stall in which what arrived meanwhile is read. */
-const readingMs = 100;
+const readingMs = 1000;
