--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -85,6 +85,25 @@
     And the parts "bad" crash runners "r9" under request "q9"
     Then the part "base" is quarantined for 300 s with 5 processes and 5 requests
 
+  @known-red
+  Scenario: Two parts that crash runners and were under way at each other's crashes
+    Given the part "worse" crashed runners "r1 r2 r3" under request "q1"
+    And the part "worse" crashed runners "r4" under request "q2"
+    And the part "worse" crashed runners "r4" under request "q3"
+    And the part "bad" crashed runners "r1" under request "q4"
+    And the part "bad" crashed runners "r2" under request "q5"
+    And the part "bad" crashed runners "r3" under request "q6"
+    Then the part "bad" is not quarantined
+    When 2 s pass
+    And the part "bad" crashes runners "r5" under request "q7"
+    And the part "bad" crashes runners "r6" under request "q8"
+    Then the part "bad" is quarantined for 300 s with 5 processes and 5 requests
+    And the part "worse" is not quarantined
+    When 2 s pass
+    And the part "worse" crashes runners "r7" under request "q9"
+    Then the part "worse" is quarantined for 300 s with 5 processes and 4 requests
+    And the part "bad" is quarantined for 298 s with 5 processes and 5 requests
+
   Scenario: The quarantine ends, and one more crash begins the next
     Given three processes crash under three requests with the part "bad"
     When 299 s pass
