Do not let two parts that crash runners release each other

**Cause.** See the test before: of two guilty parts, the one with more processes explained those of the other, and each further crash turned this round. **Change.** A part that was released so stays quarantined once a process crashes under it, 1.5 s or more after those that sufficed, which no stronger part explains. Its first such crash does not count as a failed trial. **Measured.** The scenario failed before and passes.

--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -5,7 +5,11 @@
   EvidenceNews,
   EvidenceSelection,
 } from "./evidence.ts";
-import { getTrialDueMs, type Trial } from "./quarantine_trials.ts";
+import {
+  getTrialDueMs,
+  listRepeatedCrashes,
+  type Trial,
+} from "./quarantine_trials.ts";
 import { isRequestKey } from "./request_key.ts";
 import { SoundAnswers } from "./sound_answers.ts";
 
@@ -190,11 +194,18 @@
   #createFinding(partId: string, nowMs: number): Finding | undefined {
     const part = this.#blame(partId, nowMs);
     if (part === undefined) return undefined;
+    const counted = this.#listCounted(partId, nowMs);
     const processes = this.#listUnexplained(part, nowMs);
-    if (processes.size < minProcesses) return undefined;
-    const crashes = this.#listCounted(partId, nowMs)
+    const unexplained = counted.filter(({ process }) => processes.has(process));
+    if (processes.size >= minProcesses) {
+      const failed = listRepeatedCrashes(unexplained, minProcesses).length;
+      return { part, trialDueMs: getTrialDueMs(unexplained, failed) };
+    }
+    // Released, since others explained its crashes, it may have crashed again.
+    const repeated = listRepeatedCrashes(counted, minProcesses)
       .filter(({ process }) => processes.has(process));
-    return { part, trialDueMs: getTrialDueMs(crashes, minProcesses) };
+    if (repeated.length === 0) return undefined;
+    return { part, trialDueMs: getTrialDueMs(counted, repeated.length - 1) };
   }
 
   /** Describes the evidence against a part if it suffices. */
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -85,7 +85,6 @@
     And the parts "bad" crash runners "r9" under request "q9"
     Then the part "base" is quarantined for 300 s with 5 processes and 5 requests
 
-  @known-red
   Scenario: Two parts that crash runners and were under way at each other's crashes
     Given the part "worse" crashed runners "r1 r2 r3" under request "q1"
     And the part "worse" crashed runners "r4" under request "q2"
--- a/packages/core/src/quarantine/quarantine_trials.ts
+++ b/packages/core/src/quarantine/quarantine_trials.ts
@@ -69,26 +69,37 @@
  * Gets the time at which a part may be tried next, from the crashes that speak
  * against it; undefined if trials have failed too often. All routers with the
  * same evidence agree on it.
- *
- * @param minProcesses crashed processes from which it is quarantined.
  */
 export function getTrialDueMs(
   crashes: readonly Crash[],
-  minProcesses: number,
+  failedTrials: number,
 ): number | undefined {
+  const lastMs = Math.max(...crashes.map(({ atMs }) => atMs));
+  const delayMs = trialDelaysMs.at(failedTrials);
+  return delayMs === undefined ? undefined : lastMs + delayMs;
+}
+
+/**
+ * Lists the crashes after a pause that followed those which suffice for a
+ * quarantine: of requests on trial, or while the part was released.
+ *
+ * @param minProcesses crashed processes which suffice.
+ */
+export function listRepeatedCrashes(
+  crashes: readonly Crash[],
+  minProcesses: number,
+): Crash[] {
   const sorted = crashes.toSorted((left, right) => left.atMs - right.atMs);
   const processes = new Set<string>();
-  let failedTrials = 0;
+  const repeated: Crash[] = [];
   let lastMs = Number.NEGATIVE_INFINITY;
-  for (const { atMs, process } of sorted) {
+  for (const crash of sorted) {
     const isQuarantined = processes.size >= minProcesses;
-    // In quarantine, only a request on trial crashes after such a pause.
-    if (isQuarantined && atMs - lastMs >= pauseMs) failedTrials += 1;
-    processes.add(process);
-    lastMs = atMs;
+    if (isQuarantined && crash.atMs - lastMs >= pauseMs) repeated.push(crash);
+    processes.add(crash.process);
+    lastMs = crash.atMs;
   }
-  const delayMs = trialDelaysMs.at(failedTrials);
-  return delayMs === undefined ? undefined : lastMs + delayMs;
+  return repeated;
 }
 
 /**
@@ -110,7 +121,7 @@
 /** Times from the last crash to a trial, by the trials that have failed. */
 const trialDelaysMs = [2000, 12_000] as const;
 
-/** Pause between crashes that shows a failed trial; below the first delay. */
+/** Pause between crashes that shows a repeated one; below the first delay. */
 const pauseMs = 1500;
 
 /** Time for which one router may send a trial before it is the next one's turn. */
