--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -104,20 +104,22 @@
     And the part "bad" is quarantined for 298 s with 5 processes and 5 requests
 
   @known-red
-  Scenario: A part that crashes runners while a worse one is under way there
-    Given the part "worse" crashed runners "r1 r2" under request "q1"
-    And the part "worse" crashed runners "r3" under request "q8"
-    And the part "worse" crashed runners "r4" under request "q9"
-    And the part "bad" crashed runners "r1" under request "q2"
-    And the part "bad" crashed runners "r2" under request "q3"
-    And the part "bad" crashed runners "r3" under request "q4"
-    Then the part "bad" is not quarantined
-    When 2 s pass
-    And the part "bad" crashes runners "r5" under request "q5"
-    Then the part "bad" is quarantined for 300 s with 4 processes and 4 requests
-    When the part "worse" crashes runners "r5" under request "q6"
-    And the part "worse" crashes runners "r6" under request "q7"
+  Scenario: A part in quarantine, and another that then crashes more processes
+    Given the part "bad" crashed runners "r1" under request "q1"
+    And the part "bad" crashed runners "r2" under request "q2"
+    And the part "bad" crashed runners "r3" under request "q3"
+    And the part "bad" crashed runners "r4" under request "q4"
+    And the part "worse" crashed runners "r1 r2" under request "q5"
+    And the part "worse" crashed runners "r1 r3" under request "q6"
+    And the part "worse" crashed runners "r2 r4" under request "q7"
+    And the part "worse" crashed runners "r3 r4" under request "q8"
+    And the part "worse" crashed runners "r1" under request "q9"
     Then the part "bad" is quarantined for 300 s with 4 processes and 4 requests
+    And the part "worse" is not quarantined
+    When 3 s pass
+    And the part "worse" crashes runners "r5" under request "q10"
+    Then the part "worse" is quarantined for 300 s with 5 processes and 6 requests
+    And the part "bad" is quarantined for 297 s with 4 processes and 4 requests
 
   Scenario: The quarantine ends, and one more crash begins the next
     Given three processes crash under three requests with the part "bad"
