Log the load of the event loop and the age of callers' connections

The logs could not tell requests that wait for their connection to be accepted from those that lie unread on an accepted one, nor whether the event loop was busy without stalling.

No decision depends on either.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
 import { LatencyTracker } from "@jasminetide/core/retries";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import { type TimerService, wait } from "@jasminetide/core/timers";
-import { StallDetector } from "@jasminetide/runtime/clock";
+import { EventLoopLoad, StallDetector } from "@jasminetide/runtime/clock";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { FleetView } from "./fleet_view.ts";
@@ -106,6 +106,14 @@
       onStall: (durationMs) =>
         options.logger.warn("stalled", { durationMs: Math.round(durationMs) }),
     }));
+    this.#resources.use(EventLoopLoad.create({
+      timers: options.timers,
+      onBusy: ({ busyShare, ...report }) =>
+        options.logger.warn("event-loop-busy", {
+          busyPercent: Math.round(busyShare * 100),
+          ...report,
+        }),
+    }));
     this.#context = this.#createContext();
     listener.setHandler((request, response) => {
       this.#openRequests += 1;
@@ -116,8 +124,9 @@
 
   /** Starts a gateway and its listeners. */
   static async create(options: GatewayOptions): Promise<Gateway> {
-    const { settings, logger } = options;
-    const listener = await CallerListener.create(settings.callerAddress);
+    const { settings, logger, timers } = options;
+    const address = settings.callerAddress;
+    const listener = await CallerListener.create({ address, timers });
     const gateway = new Gateway(options, listener);
     await gateway.#startInternalListeners();
     logger.info("gateway-started", { callers: listener.address });
@@ -239,6 +248,7 @@
       metrics: this.#metrics,
       logger,
       requestLog: RequestLog.create({ logger, timers, ...settings.log }),
+      getConnectionAgeMs: (socket) => this.#listener.getConnectionAgeMs(socket),
       isComplete: () => this.#fleet.isComplete,
       waitUntilComplete: (limitMs) => this.#fleet.waitUntilComplete(limitMs),
       getRoutes: () => this.#fleet.routes,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import type { KnownRouters } from "@jasminetide/core/hashing";
 import type {
   CapacityForecast,
@@ -35,6 +36,8 @@
   logger: Logger;
   /** Tells whether requests that are read may have arrived long ago. */
   stalls: StallDetector;
+  /** Time since a caller's connection was accepted. */
+  getConnectionAgeMs: (socket: Socket) => number;
   /** Whether both a declaration and the runners are known. */
   isComplete: () => boolean;
   /** Waits until that is so, or for `limitMs`. */
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -1,22 +1,35 @@
 import { once } from "node:events";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { CallerLimits } from "@jasminetide/core/routes";
+import type { TimerService } from "@jasminetide/core/timers";
 import { parseAddress } from "@jasminetide/runtime/settings";
 
+/** Options of a listener. */
+export type CallerListenerOptions = { address: string; timers: TimerService };
+
 /** HTTP server for callers. */
 export class CallerListener {
   readonly #server: Server;
+  readonly #timers: TimerService;
   readonly #closed: Promise<unknown>;
+  readonly #acceptedAtMs = new WeakMap<Socket, number>();
   #isClosingIdle = false;
 
-  private constructor(server: Server) {
+  private constructor(server: Server, timers: TimerService) {
     this.#server = server;
+    this.#timers = timers;
     this.#closed = once(server, "close");
+    server.on(
+      "connection",
+      (socket) => this.#acceptedAtMs.set(socket, timers.nowMs()),
+    );
   }
 
   /** Starts to listen at `ip:port`. */
-  static async create(address: string): Promise<CallerListener> {
+  static async create(
+    { address, timers }: CallerListenerOptions,
+  ): Promise<CallerListener> {
     const server = createServer({
       maxHeaderSize: maxHeaderBytes,
       connectionsCheckingInterval: checkPeriodMs,
@@ -27,7 +40,7 @@
       server.once("error", reject);
       server.listen({ host: ip, port, backlog: acceptBacklog }, resolve);
     });
-    return new CallerListener(server);
+    return new CallerListener(server, timers);
   }
 
   /** `ip:port` that the server is bound to. */
@@ -36,6 +49,12 @@
     return `${address}:${port}`;
   }
 
+  /** Time since a caller's connection was accepted. */
+  getConnectionAgeMs(socket: Socket): number {
+    const nowMs = this.#timers.nowMs();
+    return nowMs - (this.#acceptedAtMs.get(socket) ?? nowMs);
+  }
+
   /** Sets the handler of requests. */
   setHandler(handler: RequestListener): void {
     this.#server.on("request", (request, response) => {
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -36,6 +36,7 @@
       workspace: admission.workspace,
       version: context.getRoutes()?.declaration.version,
       limitMs: admission.limitMs,
+      connectionAgeMs: Math.round(context.getConnectionAgeMs(request.socket)),
     });
     const body = await readBody(request, admission.maxBodyBytes)
       .catch(ignoreDisconnect);
--- a/packages/runtime/src/clock/mod.ts
+++ b/packages/runtime/src/clock/mod.ts
@@ -1,4 +1,5 @@
 /** The timer service of the real clock, and time limits of calls. */
+export * from "./event_loop_load.ts";
 export * from "./real_timer_service.ts";
 export * from "./silence_limit.ts";
 export * from "./stall_detector.ts";
