--- a/packages/gateway/src/requests/stall_test.ts
+++ b/packages/gateway/src/requests/stall_test.ts
@@ -9,6 +9,8 @@
   formatStreamEnd,
   formatStreamStart,
   RawCaller,
+  refuseAsNotRun,
+  type Script,
   ScriptedRunner,
   startTestGateway,
   type TestGateway,
@@ -17,22 +19,24 @@
 type World = {
   stalling: TestGateway;
   stallRunner: ScriptedRunner;
+  secondRunner?: ScriptedRunner;
   stallCallers: RawCaller[];
 };
 
 const timers = RealTimerService.create();
 
+const answerWhole: Script = ({ attemptId, socket }) =>
+  socket.write(formatStreamStart(attemptId, [1]) + formatStreamEnd([2]));
+
 Given(
   "a gateway with one runner, and {int} callers that have connected",
   async function (this: World, count: number) {
     this.stalling = await startTestGateway();
-    const { declarations, gateway, runners } = this.stalling;
-    this.stallRunner = await ScriptedRunner.create(({ attemptId, socket }) =>
-      socket.write(formatStreamStart(attemptId, [1]) + formatStreamEnd([2]))
-    );
+    const { declarations, gateway } = this.stalling;
+    this.stallRunner = await ScriptedRunner.create(answerWhole);
     declarations.put("main", createDeclaration(1));
-    runners.put("r", createRunnerRecord("r", this.stallRunner.address));
-    while (!gateway.isReady || gateway.runnerCount === 0) await wait(timers, 1);
+    await listRunners(this.stalling, { ready: [this.stallRunner] });
+    while (!gateway.isReady) await wait(timers, 1);
     this.stallCallers = await Promise.all(
       Array.from(
         { length: count },
@@ -48,6 +52,7 @@
   if (this.stalling === undefined) return;
   for (const caller of this.stallCallers) caller[Symbol.dispose]();
   await this.stallRunner[Symbol.asyncDispose]();
+  await this.secondRunner?.[Symbol.asyncDispose]();
   await this.stalling.gateway[Symbol.asyncDispose]();
 });
 
@@ -73,6 +78,89 @@
   },
 );
 
+Given(
+  "the runner has answered all at once, and a second one has their next requests",
+  async function (this: World) {
+    const { stallCallers: callers, stallRunner: runner } = this;
+    this.secondRunner = await ScriptedRunner.create(() => {});
+    runner.script = () => {};
+    callers.forEach(sendRequest);
+    await waitForRequests(runner, callers.length);
+    runner.script = answerWhole;
+    runner.requests.forEach(answerWhole);
+    for (const caller of callers) await caller.waitUntil(isAnswered);
+    await listRunners(this.stalling, {
+      draining: [runner],
+      ready: [this.secondRunner],
+    });
+    callers.forEach(sendRequest);
+    await waitForRequests(this.secondRunner, callers.length);
+    await listRunners(this.stalling, { ready: [runner, this.secondRunner] });
+  },
+);
+
+async function waitForRequests(
+  { requests }: ScriptedRunner,
+  count: number,
+): Promise<void> {
+  while (requests.length < count) await wait(timers, 1);
+}
+
+/** Lists runners in the store and waits until the gateway knows of them. */
+async function listRunners(
+  { gateway, runners }: TestGateway,
+  { draining = [], ready }: {
+    draining?: ScriptedRunner[];
+    ready: ScriptedRunner[];
+  },
+): Promise<void> {
+  for (const { address } of [...draining, ...ready]) {
+    const isDraining = draining.some((runner) => runner.address === address);
+    const record = createRunnerRecord(address, address);
+    runners.put(address, { ...record, isDraining });
+  }
+  const countDraining = () =>
+    gateway.listRunners().filter(({ isDraining }) => isDraining).length;
+  const count = draining.length + ready.length;
+  while (
+    gateway.runnerCount !== count || countDraining() !== draining.length
+  ) {
+    await wait(timers, 1);
+  }
+}
+
+When(
+  "the second runner refuses all and the callers leave while the gateway stalls for {int} ms",
+  async function (this: World, stallMs: number) {
+    await setImmediate();
+    this.secondRunner?.requests.forEach(refuseAsNotRun);
+    for (const { socket } of this.stallCallers) socket.destroy();
+    stall(stallMs);
+  },
+);
+
+When(
+  "{int} more callers connect, send a request and leave while each turn of the event loop takes {int} ms",
+  async function (this: World, count: number, turnMs: number) {
+    const slowTurns = takeSlowTurns(2 * count, turnMs);
+    const { callerAddress } = this.stalling.gateway;
+    await Promise.all(Array.from({ length: count }, async (_, index) => {
+      const caller = await RawCaller.create(callerAddress);
+      sendRequest(caller, index);
+      caller.socket.destroy();
+    }));
+    await slowTurns;
+  },
+);
+
+/** Takes turns of the event loop that are long, though not as long as stalls. */
+async function takeSlowTurns(count: number, turnMs: number): Promise<void> {
+  for (let turn = 0; turn < count; turn += 1) {
+    stall(turnMs);
+    await setImmediate();
+  }
+}
+
 When(
   "each of them sends a request, one after the other",
   async function (this: World) {
