Read all sockets once more before a request is sent to a runner

Cause: the event loop accepts one connection in a turn and reads the end of a connection one turn after the data before it. With 100 to 200 turns a second after a start, requests waited for more than a second before they were read, and were sent on in the turn before the one in which their callers' leaving was read.

Change: every attempt at a runner, the first and each later one, waits until all sockets were read once more, in turns of the event loop and not in time, and is dropped if its caller's end was read by then. The caller's leaving is noticed when its end is read, not when its socket has closed. A connection that its runner has closed by then is not used, and nothing was sent on it.

The step 'the gateway deferred none of them' looked at a counter of the wait that is gone. Its successor demands that no timer of up to 100 ms fires while the requests are served; it fails with a wait of 10 ms.

Conclusion: a request is never sent on while the leaving of its caller lies unread. It still waits unseen until its connection is accepted.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,6 @@
   readonly #fleet: FleetView;
   readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
-  readonly #stalls: StallDetector;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
   #peerAddress = "";
@@ -101,7 +100,7 @@
         send: sendLimits,
       },
     }));
-    this.#stalls = this.#resources.use(StallDetector.create({
+    this.#resources.use(StallDetector.create({
       timers: options.timers,
       onStall: (durationMs) =>
         options.logger.warn("stalled", { durationMs: Math.round(durationMs) }),
@@ -241,7 +240,6 @@
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
-      stalls: this.#stalls,
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -10,7 +10,6 @@
 import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { StallDetector } from "@jasminetide/runtime/clock";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { LimitNews } from "./limits/mod.ts";
 import type { RequestLog } from "./request_log.ts";
@@ -34,8 +33,6 @@
   requestLog: RequestLog;
   /** Log of the process; decisions on requests go to `requestLog`. */
   logger: Logger;
-  /** Tells whether requests that are read may have arrived long ago. */
-  stalls: StallDetector;
   /** Time since a caller's connection was accepted. */
   getConnectionAgeMs: (socket: Socket) => number;
   /** Whether both a declaration and the runners are known. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -94,13 +94,6 @@
       "Requests refused, or not repeated, since they or a part of their " +
       "prompt are quarantined",
   },
-  {
-    name: "requests-deferred",
-    type: "counter",
-    unit: "requests",
-    meaning: "Requests read after a stall of the process, which waited until " +
-      "it was known whether their callers had left",
-  },
   {
     name: "answer-ms-KIND",
     type: "histogram",
@@ -174,10 +167,6 @@
     this.#metrics.count("quarantine-refused");
   }
 
-  countDeferred(): void {
-    this.#metrics.count("requests-deferred");
-  }
-
   recordAnswer(kind: RequestKind, durationMs: number): void {
     this.#metrics.record(`answer-ms-${kind}`, durationMs);
   }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
-import { normalizeError } from "@jasminetide/core/results";
+import { AppError, normalizeError } from "@jasminetide/core/results";
+import { waitForReads } from "@jasminetide/runtime/clock";
 import type { AnswerHead, RunnerAnswer, WireProtocol } from "../protocol.ts";
 import type {
   RunnerConnection,
@@ -110,15 +111,14 @@
 
   async #send(): Promise<void> {
     const { connections } = this.#options.upstream;
-    let connection = connections.takeIdle();
-    if (connection === undefined) {
-      try {
-        connection = await connections.open();
-      } catch (thrown) {
-        this.#end({ type: "unsent", reason: normalizeError(thrown).message });
-        return;
-      }
+    let connection: RunnerConnection;
+    try {
+      connection = await this.#getConnection();
+    } catch (thrown) {
+      this.#end({ type: "unsent", reason: normalizeError(thrown).message });
+      return;
     }
+    // The caller may have left, which cancels the attempt.
     if (this.#hasEnded) {
       connections.release(connection);
       return;
@@ -134,6 +134,28 @@
     });
   }
 
+  /**
+   * Gets a connection once all sockets were read, so that neither the runner's
+   * end of the connection nor the caller's leaving lies unread.
+   *
+   * @throws AppError `runnerUnreachable`.
+   */
+  async #getConnection(): Promise<RunnerConnection> {
+    const { connections } = this.#options.upstream;
+    const idle = connections.takeIdle();
+    if (idle !== undefined) {
+      await waitForReads();
+      if (idle.isOpen) return idle;
+    }
+    const opened = await connections.open();
+    await waitForReads();
+    if (opened.isOpen) return opened;
+    throw AppError.create(
+      "runnerUnreachable",
+      "The runner closed the connection before the request was sent",
+    );
+  }
+
   #isOwnAnswer(head: AnswerHead): boolean {
     this.#answer = this.#options.protocol.readRunnerAnswer(head);
     this.#options.onAnswerHead(this.#answer);
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -8,6 +8,7 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
+import { subscribeToLeaving } from "./caller_leaving.ts";
 import {
   canTakeOver,
   decideNext,
@@ -96,8 +97,11 @@
    */
   static async serve(options: ExchangeOptions): Promise<void> {
     const exchange = new Exchange(options);
-    const { admitted, context, response } = options;
-    response.once("close", () => exchange.#cancel());
+    const { admitted, context, request } = options;
+    using _leaving = subscribeToLeaving(
+      request.socket,
+      () => exchange.#cancel(),
+    );
     using _deadline = context.timers.schedule(
       admitted.deadlineMs - context.timers.nowMs(),
       () => exchange.#run(() => exchange.#expire()),
@@ -336,8 +340,7 @@
 
   /** Cancels the attempts of a caller that has disconnected. */
   #cancel(): void {
-    // A response also emits `close` once all of it was sent.
-    if (this.#hasEnded || this.#options.response.writableFinished) return;
+    if (this.#hasEnded) return;
     this.#end();
     this.#options.context.metrics.countDisconnectedCaller();
     this.#log("caller-left", { attempts: this.#attempts });
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -6,11 +6,13 @@
   type DeclaredWorkspace,
   type RouteTable,
 } from "@jasminetide/core/routes";
-import { wait } from "@jasminetide/core/timers";
+import { waitForReads } from "@jasminetide/runtime/clock";
 import { readBody } from "@jasminetide/runtime/http";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
+import type { RequestTrace } from "../request_log.ts";
 import { CallerAnswer } from "./caller_answer.ts";
+import { hasCallerLeft } from "./caller_leaving.ts";
 import { Exchange } from "./exchange.ts";
 
 /** Answers one request of a caller; never rejects. */
@@ -20,42 +22,12 @@
   context: GatewayContext,
 ): Promise<void> {
   const answer = CallerAnswer.create(response, context.isStopping);
-  const arrivedAtMs = context.timers.nowMs();
   const caller = context.protocol.readCallerRequest(request.headers);
   const trace = context.requestLog.openTrace(caller.attemptId);
   context.metrics.countRequest();
   try {
-    await deferAfterStall(context);
-    await waitForState(caller, context);
-    // The caller may have disconnected while the request waited.
-    if (response.destroyed) return;
-    const admission = admitRequest(request, caller, context);
-    trace.record("admitted", {
-      route: admission.route.name,
-      service: admission.service,
-      workspace: admission.workspace,
-      version: context.getRoutes()?.declaration.version,
-      limitMs: admission.limitMs,
-      connectionAgeMs: Math.round(context.getConnectionAgeMs(request.socket)),
-    });
-    const body = await readBody(request, admission.maxBodyBytes)
-      .catch(ignoreDisconnect);
-    if (body === undefined) return;
-    const deadlineMs = arrivedAtMs + admission.limitMs;
-    const admitted = { ...admission, deadlineMs, body, caller };
-    await Exchange.serve({
-      context,
-      admitted,
-      request,
-      response,
-      answer,
-      trace,
-    });
-    if (answer.hasBegun) {
-      const durationMs = context.timers.nowMs() - arrivedAtMs;
-      context.metrics.recordAnswer(admitted.route.kind, durationMs);
-      context.metrics.countAnswered(answer.status);
-    }
+    const read = { request, response, caller, answer, trace };
+    await readAndSend(read, context);
   } catch (thrown) {
     const error = normalizeError(thrown);
     context.metrics.countRefused(error.result);
@@ -70,20 +42,59 @@
   trace.close({ isFailed: answer.status >= 400 || answer.isBrokenOff });
 }
 
+/** A request whose head was read, and its answer. */
+type ReadRequest = {
+  request: IncomingMessage;
+  response: ServerResponse;
+  caller: CallerRequest;
+  answer: CallerAnswer;
+  trace: RequestTrace;
+};
+
 /**
- * Lets a request wait that may have arrived during a stall: its caller may have
- * left since, which is read after the request.
+ * Admits a request, reads its body and sends it to runners, unless its caller
+ * has left by then.
+ *
+ * @throws AppError if it is refused.
  */
-async function deferAfterStall(
-  { metrics, stalls, timers }: GatewayContext,
+async function readAndSend(
+  read: ReadRequest,
+  context: GatewayContext,
 ): Promise<void> {
-  if (!stalls.isAfterStall) return;
-  metrics.countDeferred();
-  await wait(timers, stallDeferMs);
+  const { answer, caller, request, trace } = read;
+  const arrivedAtMs = context.timers.nowMs();
+  await waitForState(caller, context);
+  if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
+  const admission = admitRequest(request, caller, context);
+  trace.record("admitted", {
+    route: admission.route.name,
+    service: admission.service,
+    workspace: admission.workspace,
+    version: context.getRoutes()?.declaration.version,
+    limitMs: admission.limitMs,
+    connectionAgeMs: Math.round(context.getConnectionAgeMs(request.socket)),
+  });
+  const body = await readBody(request, admission.maxBodyBytes)
+    .catch(ignoreDisconnect);
+  if (body === undefined) return;
+  await waitForReads();
+  if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
+  const deadlineMs = arrivedAtMs + admission.limitMs;
+  const admitted = { ...admission, deadlineMs, body, caller };
+  await Exchange.serve({ ...read, context, admitted });
+  if (!answer.hasBegun) return;
+  const durationMs = context.timers.nowMs() - arrivedAtMs;
+  context.metrics.recordAnswer(admitted.route.kind, durationMs);
+  context.metrics.countAnswered(answer.status);
 }
 
-/** Long enough to read all that arrived during a stall. */
-const stallDeferMs = 10;
+function recordLeft(
+  trace: RequestTrace,
+  { metrics }: GatewayContext,
+): void {
+  metrics.countDisconnectedCaller();
+  trace.record("caller-left", { attempts: 0 });
+}
 
 /**
  * Lets a request that arrives during the start wait until the gateway knows its
--- a/packages/gateway/src/requests/stall.feature
+++ b/packages/gateway/src/requests/stall.feature
@@ -7,17 +7,14 @@
     When all send a request and leave while the gateway stalls for 700 ms
     Then at most 3 requests have reached the runner 300 ms later
 
-  @known-red
   Scenario: Callers that left during a long turn of the event loop
     When all send a request and leave while the gateway stalls for 200 ms
     Then at most 3 requests have reached the runner 300 ms later
 
-  @known-red
   Scenario: Callers that left before their connections were accepted
     When 60 more callers connect, send a request and leave while each turn of the event loop takes 10 ms
     Then at most 3 requests have reached the runner 300 ms later
 
-  @known-red
   Scenario: Callers that left while a runner refused their requests
     Given the runner has answered all at once, and a second one has their next requests
     When the second runner refuses all and the callers leave while the gateway stalls for 700 ms
@@ -30,4 +27,4 @@
   Scenario: Requests without a stall are sent on at once
     When each of them sends a request, one after the other
     Then all are answered
-    And the gateway deferred none of them
+    And none of them has waited for a timer
--- a/packages/gateway/src/requests/stall_test.ts
+++ b/packages/gateway/src/requests/stall_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { setImmediate } from "node:timers/promises";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { wait } from "@jasminetide/core/timers";
+import { type TimerService, wait } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import {
   createDeclaration,
@@ -21,6 +21,8 @@
   stallRunner: ScriptedRunner;
   secondRunner?: ScriptedRunner;
   stallCallers: RawCaller[];
+  /** Delays of the gateway's timers that have fired. */
+  firedDelaysMs: number[];
 };
 
 const timers = RealTimerService.create();
@@ -31,7 +33,10 @@
 Given(
   "a gateway with one runner, and {int} callers that have connected",
   async function (this: World, count: number) {
-    this.stalling = await startTestGateway();
+    this.firedDelaysMs = [];
+    this.stalling = await startTestGateway({
+      timers: recordFired(this.firedDelaysMs),
+    });
     const { declarations, gateway } = this.stalling;
     this.stallRunner = await ScriptedRunner.create(answerWhole);
     declarations.put("main", createDeclaration(1));
@@ -164,6 +169,7 @@
 When(
   "each of them sends a request, one after the other",
   async function (this: World) {
+    this.firedDelaysMs.splice(0);
     for (const [index, caller] of this.stallCallers.entries()) {
       sendRequest(caller, index);
       await caller.waitUntil(isAnswered);
@@ -189,10 +195,24 @@
   return text.startsWith("HTTP/1.1 200") && text.endsWith("0\r\n\r\n");
 }
 
-Then("the gateway deferred none of them", async function (this: World) {
-  const { peerAddress } = this.stalling.gateway;
-  const answer = await fetch(`http://${peerAddress}/metrics`);
-  const metrics = await answer.text();
-  assert.match(metrics, /^jasminetide_requests_total 20$/m);
-  assert.doesNotMatch(metrics, /requests_deferred/);
+Then("none of them has waited for a timer", function (this: World) {
+  const short = this.firedDelaysMs.filter((delayMs) => delayMs <= shortMs);
+  assert.deepEqual(short, []);
 });
+
+/** Longest delay that a request could wait for unnoticed by its caller. */
+const shortMs = 100;
+
+/** Creates a timer service that records the delays of the timers that fire. */
+function recordFired(delaysMs: number[]): TimerService {
+  return {
+    nowMs: () => timers.nowMs(),
+    wallMs: () => timers.wallMs(),
+    subscribe: (periodMs, handler) => timers.subscribe(periodMs, handler),
+    schedule: (delayMs, handler) =>
+      timers.schedule(delayMs, (nowMs) => {
+        delaysMs.push(delayMs);
+        handler(nowMs);
+      }),
+  };
+}
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -2,6 +2,7 @@
   DeclaredRoute,
   RoutingDeclaration,
 } from "@jasminetide/core/routes";
+import type { TimerService } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import { createSilentLogger, type Logger } from "@jasminetide/runtime/logging";
 import { Gateway } from "../gateway.ts";
@@ -101,6 +102,7 @@
 export type TestGatewayOptions = {
   name?: string;
   logger?: Logger;
+  timers?: TimerService;
   sampleShare?: number;
   seedAddresses?: string[];
   /** Whether its store is unavailable from the start. */
@@ -138,7 +140,7 @@
   runners.setUnavailable(options.isStoreUnavailable === true);
   const gateway = await Gateway.create({
     settings: createTestSettings(options),
-    timers: RealTimerService.create(),
+    timers: options.timers ?? RealTimerService.create(),
     logger: options.logger ?? createSilentLogger(),
     protocol: testProtocol,
     declarations,
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -99,6 +99,11 @@
     });
   }
 
+  /** Whether neither side has closed the connection, as far as was read. */
+  get isOpen(): boolean {
+    return !this.#isClosed;
+  }
+
   /** Whether a request may be sent on this connection now. */
   isUsable(nowMs: number): boolean {
     return !this.#isClosed && this.#isReusable &&
