Read what arrived behind a body before it is acted on

Change: readBody resolves once all sockets were read again, and throws callerGone if the caller's end was read by then. read_body.feature fails without it (the body of a departed caller is passed on).

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResultName } from "@jasminetide/core/results";
 import type { LogFields } from "@jasminetide/runtime/logging";
+import { subscribeToLeaving } from "@jasminetide/runtime/http";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { SuspectRequest } from "../quarantine/mod.ts";
@@ -8,7 +9,6 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
-import { subscribeToLeaving } from "./caller_leaving.ts";
 import {
   canTakeOver,
   decideNext,
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -6,13 +6,11 @@
   type DeclaredWorkspace,
   type RouteTable,
 } from "@jasminetide/core/routes";
-import { waitForReads } from "@jasminetide/runtime/clock";
-import { readBody } from "@jasminetide/runtime/http";
+import { hasCallerLeft, readBody } from "@jasminetide/runtime/http";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
 import type { RequestTrace } from "../request_log.ts";
 import { CallerAnswer } from "./caller_answer.ts";
-import { hasCallerLeft } from "./caller_leaving.ts";
 import { Exchange } from "./exchange.ts";
 
 /** Answers one request of a caller; never rejects. */
@@ -76,9 +74,7 @@
   });
   const body = await readBody(request, admission.maxBodyBytes)
     .catch(ignoreDisconnect);
-  if (body === undefined) return;
-  await waitForReads();
-  if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
+  if (body === undefined) return recordLeft(trace, context);
   const deadlineMs = arrivedAtMs + admission.limitMs;
   const admitted = { ...admission, deadlineMs, body, caller };
   await Exchange.serve({ ...read, context, admitted });
@@ -111,9 +107,10 @@
   await context.waitUntilComplete(limitMs);
 }
 
-/** Ignores a body that breaks off: its caller has disconnected. */
+/** Ignores that a caller has disconnected, also within a body. */
 function ignoreDisconnect(thrown: unknown): undefined {
-  if (thrown instanceof AppError) throw thrown;
+  if (!(thrown instanceof AppError)) return;
+  if (thrown.result !== "callerGone") throw thrown;
 }
 
 /** Route and limits of a request that is admitted. */
--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -10,8 +10,10 @@
   resultCodes,
 } from "@jasminetide/core/results";
 import type { Logger } from "../logging/mod.ts";
+import { waitForReads } from "../clock/mod.ts";
 import { parseAddress } from "../settings/mod.ts";
 import { checkPeer, type PeerCredentials } from "../tls/mod.ts";
+import { hasCallerLeft } from "./caller_leaving.ts";
 
 /** Handles one HTTP request. */
 export type RequestHandler = (
@@ -206,11 +208,25 @@
 }
 
 /**
- * Reads a whole request body.
+ * Reads a whole request body, and what had arrived behind it by then.
  *
- * @throws AppError `bodyTooLarge` when it exceeds `limitBytes`.
+ * @throws AppError `bodyTooLarge` when it exceeds `limitBytes`, `callerGone` if
+ * the caller has closed its connection.
  */
-export function readBody(
+export async function readBody(
+  request: IncomingMessage,
+  limitBytes: number,
+): Promise<Buffer> {
+  const body = await collectBody(request, limitBytes);
+  await waitForReads();
+  if (!hasCallerLeft(request.socket)) return body;
+  throw AppError.create(
+    "callerGone",
+    "Caller left before its request was read",
+  );
+}
+
+function collectBody(
   request: IncomingMessage,
   limitBytes: number,
 ): Promise<Buffer> {
