Let callers rush to gateways without processor time in the fault soak

The soak paused gateways as a whole, so that all callers were read at once afterwards; it never had connections that wait to be accepted while a gateway runs.

--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -35,6 +35,10 @@
 const disconnectOneIn = 12;
 const disconnectDelaysMs = { smallest: 5, range: 250 };
 
+/** Callers of a rush, and the time within which they connect. */
+const rushCallers = 400;
+const rushSpreadMs = 300;
+
 /** Time between two requests that crash runners. */
 const crashingPeriodMs = 400;
 
@@ -48,6 +52,8 @@
 
 /** How a call differs from the usual one. */
 type CallVariation = {
+  /** Connections to use; those kept open to the gateway if absent. */
+  agent?: Agent;
   disconnectAfterMs?: number;
   /** Body of a request that crashes runners, the same whenever it is sent. */
   body?: string;
@@ -111,6 +117,22 @@
     await this.#sendForTime(durationMs, () => ({ kind, body }));
   }
 
+  /**
+   * Lets callers with new connections call a gateway at about the same time,
+   * and leave soon. Waits until all have left.
+   */
+  async rush(gateway: SoakGateway): Promise<void> {
+    const { random } = this.#options;
+    const agent = new Agent();
+    await Promise.all(Array.from({ length: rushCallers }, async () => {
+      await setTimeout(random.getInteger(rushSpreadMs));
+      await this.#call(gateway, "lookup", {
+        agent,
+        disconnectAfterMs: this.#drawDisconnectMs(),
+      });
+    }));
+  }
+
   /** Makes a call at a random gateway every so often. */
   async #sendForTime(
     durationMs: number,
@@ -147,8 +169,7 @@
       const kind = callKinds[random.getInteger(callKinds.length)];
       const disconnects = random.getInteger(disconnectOneIn) === 0;
       const disconnectAfterMs = disconnects
-        ? disconnectDelaysMs.smallest +
-          random.getInteger(disconnectDelaysMs.range)
+        ? this.#drawDisconnectMs()
         : undefined;
       const call: Promise<void> = this.#call(gateway, kind, {
         disconnectAfterMs,
@@ -159,6 +180,11 @@
     }
   }
 
+  #drawDisconnectMs(): number {
+    return disconnectDelaysMs.smallest +
+      this.#options.random.getInteger(disconnectDelaysMs.range);
+  }
+
   #drawPrompt(kind: CallKind): PromptPart[] {
     const isStream = streamKinds.some((known) => known === kind);
     return isStream ? drawPrompt(this.#options.random) : [];
@@ -180,7 +206,7 @@
     let connectedAtMs: number | undefined;
     const outcome = await exchange({
       address: gateway.callerLink.address,
-      agent: this.#agents[index],
+      agent: variation.agent ?? this.#agents[index],
       path: formatPath(kind, version) + (body === undefined ? "" : crashPath),
       body: body ?? `{"id":"${attemptId}"}`,
       headers: wire.formatCallerHeaders({
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -10,6 +10,8 @@
   hasCrashingRequest: boolean;
   /** Whether links between gateways fail in some episodes. */
   hasPeerFaults: boolean;
+  /** Whether callers rush to gateways without processor time in some episodes. */
+  hasRushes: boolean;
 };
 
 /** Behaviour that episodes include unless they are run without it. */
@@ -19,4 +21,5 @@
   hasStatedLimits: true,
   hasCrashingRequest: true,
   hasPeerFaults: true,
+  hasRushes: true,
 };
--- a/packages/fault_soak/src/fault_kinds.ts
+++ b/packages/fault_soak/src/fault_kinds.ts
@@ -68,6 +68,9 @@
   "peer-link-one-way",
 ] as const;
 
+/** Little processor time for a gateway while callers rush to it, drawn last. */
+export const rushFaultKinds = ["gateway-rushed"] as const;
+
 /** Every kind of fault. */
 export const faultKinds = [
   ...gatewayFaultKinds,
@@ -81,6 +84,7 @@
   ...limitFaultKinds,
   ...requestFaultKinds,
   ...peerFaultKinds,
+  ...rushFaultKinds,
 ] as const;
 
 /** Kind of a fault. */
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -235,6 +235,7 @@
     hasStatedLimits: true,
     hasCrashingRequest: true,
     hasPeerFaults: true,
+    hasRushes: true,
   });
 }
 
--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -12,6 +12,7 @@
   peerFaultKinds,
   type PlannedFault,
   runnerFaultKinds,
+  rushFaultKinds,
   separateFleetFaultKinds,
   separateRunnerFaultKinds,
   serviceFaultKinds,
@@ -72,6 +73,11 @@
 const peerFaultChance = 0.6;
 const maxPeerFaults = 3;
 
+/** Chance that callers rush to gateways that have little processor time. */
+const rushChance = 0.5;
+const maxRushes = 2;
+const rushMs = 2500;
+
 /** Options of the draw. */
 export type DrawOptions =
   & FleetSize
@@ -80,6 +86,7 @@
     | "hasCrashingPart"
     | "hasCrashingRequest"
     | "hasPeerFaults"
+    | "hasRushes"
     | "hasStatedLimits"
   >;
 
@@ -90,6 +97,7 @@
     hasCrashingPart,
     hasCrashingRequest,
     hasPeerFaults,
+    hasRushes,
     hasStatedLimits,
     ...size
   }: DrawOptions,
@@ -122,6 +130,8 @@
   if (hasCrashingRequest && isSent) faults.push(crashingRequestFault);
   const areCut = random.getFloat() < peerFaultChance;
   if (hasPeerFaults && areCut) faults.push(...drawPeerFaults(random, size));
+  const areRushed = random.getFloat() < rushChance;
+  if (hasRushes && areRushed) faults.push(...drawRushes(random, size));
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
 
@@ -150,6 +160,15 @@
   );
 }
 
+/** Draws rushes of callers; they may overlap. */
+function drawRushes(random: RandomSource, size: FleetSize): PlannedFault[] {
+  const count = 1 + random.getInteger(maxRushes);
+  return Array.from({ length: count }, () => ({
+    ...drawFault(random, { ...size, kinds: rushFaultKinds }),
+    durationMs: rushMs,
+  }));
+}
+
 /** Draws runners that state a limit from about the same time on. */
 function drawLimits(random: RandomSource, size: FleetSize): PlannedFault[] {
   const count = 1 +
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -122,6 +122,7 @@
       ...context,
       send: (durationMs) => context.callers.sendCrashingRequest(durationMs),
     }),
+  "gateway-rushed": rushGateway,
   "runner-limited": async ({ runner }) => {
     runner.process.sendSignal("SIGCHLD");
     await setTimeout(limitMs);
@@ -168,6 +169,26 @@
   await fleet.restartGateway(gateway);
 }
 
+/** Parts of a rush in which the gateway runs, and in which it does not. */
+const rushRunMs = 8;
+const rushPauseMs = 60;
+
+/** Gives a gateway little processor time while callers rush to it. */
+async function rushGateway(
+  { callers, durationMs, gateway }: FaultContext,
+): Promise<void> {
+  const rush = callers.rush(gateway);
+  const { process } = gateway;
+  const endMs = Date.now() + durationMs;
+  while (Date.now() < endMs) {
+    process.sendSignal("SIGSTOP");
+    await setTimeout(rushPauseMs);
+    process.sendSignal("SIGCONT");
+    await setTimeout(rushRunMs);
+  }
+  await rush;
+}
+
 async function delayLink(
   link: FaultLink,
   delayMs: number,
