Log the version of runners and the streams that are taken up

The logs could not tell a stream that the gateway went on with from one that a caller took up, and knew no version of a runner. No decision depends on either yet.

--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -116,6 +116,7 @@
       slots: runnerSlots,
       isDraining: state.isDraining,
       startedAtMs: runner.process.startedAtMs,
+      softwareVersion: "v1",
       heartbeat: this.#heartbeat,
     });
   }
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -14,6 +14,14 @@
   return prompt.slice(0, -1);
 }
 
+/** A stream that broke off and that its caller takes up again. */
+export type StreamTakeUp = {
+  /** Last event that the caller has. */
+  lastEventId: string;
+  /** Attempt that brought its first event; undefined if it is not named. */
+  firstAttemptId: string | undefined;
+};
+
 /** Data read from the headers of a caller's request. */
 export type CallerRequest = {
   /** Identifier of the caller's attempt; empty when the caller sent none. */
@@ -21,6 +29,8 @@
   /** How long the caller waits after sending, in milliseconds. */
   timeoutMs: number | undefined;
   apiKey: string | undefined;
+  /** The stream that the request takes up; undefined if it begins one. */
+  takeUp: StreamTakeUp | undefined;
   /** Parts of the prompt; empty for requests to plain services. */
   prompt: PromptPart[];
 };
--- a/packages/gateway/src/requests/describe_attempt.ts
+++ b/packages/gateway/src/requests/describe_attempt.ts
@@ -11,6 +11,7 @@
 ): LogFields {
   return {
     runner: upstream.id,
+    softwareVersion: upstream.record.softwareVersion,
     load: upstream.load.getEstimate(nowMs),
     limitPerSecond: upstream.availability.limit.getPerSecond(nowMs),
     failureShare: Number(upstream.health.getFailureShare(nowMs).toFixed(2)),
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -70,6 +70,8 @@
     workspace: admission.workspace,
     version: context.getRoutes()?.declaration.version,
     limitMs: admission.limitMs,
+    afterEvent: caller.takeUp?.lastEventId,
+    firstAttemptId: caller.takeUp?.firstAttemptId,
     connectionAgeMs: Math.round(context.getConnectionAgeMs(request.socket)),
   });
   const body = await readBody(request, admission.maxBodyBytes)
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -85,6 +85,7 @@
     slots: 4,
     isDraining: false,
     startedAtMs: 1,
+    softwareVersion: "v1",
     heartbeat: 0,
   };
 }
@@ -105,6 +106,8 @@
   timers?: TimerService;
   sampleShare?: number;
   seedAddresses?: string[];
+  /** Gateway whose stores it uses; it has its own if absent. */
+  sharedWith?: TestGateway;
   /** Whether its store is unavailable from the start. */
   isStoreUnavailable?: boolean;
   /** Retry budget; allows nearly every retry if absent. */
@@ -133,9 +136,11 @@
 export async function startTestGateway(
   options: TestGatewayOptions = {},
 ): Promise<TestGateway> {
-  const declarations = TestSource.create<RoutingDeclaration>();
-  const runners = TestSource.create<RunnerRecord>();
-  const peers = TestSource.create<PeerRecord>();
+  const {
+    declarations = TestSource.create<RoutingDeclaration>(),
+    runners = TestSource.create<RunnerRecord>(),
+    peers = TestSource.create<PeerRecord>(),
+  } = options.sharedWith ?? {};
   declarations.setUnavailable(options.isStoreUnavailable === true);
   runners.setUnavailable(options.isStoreUnavailable === true);
   const gateway = await Gateway.create({
--- a/packages/gateway/src/test_support/test_protocol.ts
+++ b/packages/gateway/src/test_support/test_protocol.ts
@@ -11,6 +11,7 @@
   mark: "x-mark",
   notRun: "x-not-run",
   afterEvent: "x-after-event",
+  firstAttempt: "x-first-attempt",
   cacheSource: "x-cache-source",
   leaving: "x-leaving",
   pause: "x-pause-ms",
@@ -22,10 +23,15 @@
   readCallerRequest: (headers) => {
     const timeout = headers[testHeaders.timeout];
     const prompt = headers[testHeaders.prompt];
+    const lastEventId = headers[testHeaders.afterEvent];
     return {
       attemptId: String(headers[testHeaders.attempt] ?? ""),
       timeoutMs: timeout === undefined ? undefined : Number(timeout),
       apiKey: headers[testHeaders.key] as string | undefined,
+      takeUp: lastEventId === undefined ? undefined : {
+        lastEventId: String(lastEventId),
+        firstAttemptId: headers[testHeaders.firstAttempt] as string | undefined,
+      },
       prompt: prompt === undefined
         ? []
         : String(prompt).split(",").map((id) => ({ id, tokens: 1000 })),
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -20,6 +20,8 @@
   isDraining: boolean;
   /** Start time of the runner's process; differs when an id is reused. */
   startedAtMs: number;
+  /** Version of its software; empty if its entry names none. */
+  softwareVersion: string;
   /** Number of the heartbeat with which it was written, from 0. */
   heartbeat: number;
 };
