Let streams go on only at the software version that began them

Cause: gateways knew no versions. A stream that broke off went on at any runner of its service, within one answer, and when its caller took it up it was placed like a new one. What began it was known to nobody else, so that after a kill of all gateways nothing could have told.

Change: runners' records have their version, and each gateway knows which version began the streams that it relays. A stream goes on at that version or not at all. For take-ups at other gateways, and at those that start after all were killed, each gateway writes to the store which versions serve, and while a service has several, which began which stream. The attempt that the caller names is looked up there; if only one version can have begun the stream, none needs to be known. A take-up that several versions may have begun, and of which nothing is known after two reads, is refused as not run (code 3013). A process whose version differs counts as another process.

--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -48,6 +48,12 @@
   runnerUnreachable: row(3010, 503, "no", "Runner cannot be reached"),
   chatHeldElsewhere: row(3011, 503, "no", "Another runner holds the chat"),
   routerLeaving: row(3012, 503, "no", "Router is leaving"),
+  streamVersionUnknown: row(
+    3013,
+    503,
+    "no",
+    "Version that began the stream is unknown",
+  ),
   keyReused: row(4001, 422, "no", "Key was used with another body"),
   keyRunning: row(4002, 409, "unknown", "Request with this key is running"),
   outcomeUnknown: row(4003, 502, "unknown", "Outcome is unknown"),
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -32,6 +32,8 @@
   registry: PeerRegistry;
   /** Called with each declaration that is applied. */
   onDeclaration: (declaration: RoutingDeclaration) => void;
+  /** Called with all listed runners when they have changed. */
+  onRunners: (runners: readonly RunnerRecord[]) => void;
 };
 
 /**
@@ -222,6 +224,7 @@
 
   #applyRunners(records: ReadonlyMap<string, RunnerRecord>): void {
     this.directory.apply(records);
+    this.#options.onRunners(this.directory.listRecords());
     this.#hasRunners = true;
     this.#checkReady();
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import { RequestLog } from "./request_log.ts";
 import { explainRequest, serveRequest } from "./requests/mod.ts";
 import type { GatewaySettings } from "./settings.ts";
+import { type StreamRegistry, StreamVersions } from "./stream_versions/mod.ts";
 import type { RunnerRecord } from "./upstreams/mod.ts";
 
 /** Options of a gateway. */
@@ -46,6 +47,7 @@
   declarations: ObjectSource<RoutingDeclaration>;
   runners: ObjectSource<RunnerRecord>;
   registry: PeerRegistry;
+  streams: StreamRegistry;
 };
 
 /**
@@ -64,6 +66,7 @@
   readonly #fleet: FleetView;
   readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
+  readonly #streamVersions: StreamVersions;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
   #peerAddress = "";
@@ -75,11 +78,17 @@
     this.#options = options;
     this.#settings = options.settings;
     this.#listener = this.#resources.use(listener);
+    this.#streamVersions = this.#resources.use(StreamVersions.create({
+      ...options,
+      name: options.settings.name,
+      registry: options.streams,
+    }));
     this.#fleet = this.#resources.use(FleetView.create({
       ...options,
       random: this.#random,
       metrics: this.#metrics,
       onDeclaration: ({ callerLimits }) => listener.setLimits(callerLimits),
+      onRunners: (runners) => this.#streamVersions.observeRunners(runners),
     }));
     this.#crashGuard = this.#resources.use(CrashGuard.create({
       ...options,
@@ -240,6 +249,7 @@
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
+      streamVersions: this.#streamVersions,
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -15,6 +15,7 @@
 import type { RequestLog } from "./request_log.ts";
 import type { WireProtocol } from "./protocol.ts";
 import type { CrashGuard } from "./quarantine/mod.ts";
+import type { StreamVersions } from "./stream_versions/mod.ts";
 import type { Directory } from "./upstreams/mod.ts";
 
 /** State and services of a router that are used to serve a request. */
@@ -26,6 +27,8 @@
   crashGuard: CrashGuard;
   /** Limits that runners state, shared with the other gateways. */
   limitNews: LimitNews;
+  /** Lets streams go on only at the software version that began them. */
+  streamVersions: StreamVersions;
   failureDomain: string;
   timers: TimerService;
   random: RandomSource;
--- a/packages/gateway/src/requests/admitted_request.ts
+++ b/packages/gateway/src/requests/admitted_request.ts
@@ -11,6 +11,8 @@
   /** Priority of the workspace or else of the route; 0 is served first. */
   priority: number;
   body: Buffer;
+  /** Version at which a stream that is taken up goes on. */
+  softwareVersion: string | undefined;
   /** Time by which it must be answered, on the timer service's clock. */
   deadlineMs: number;
 };
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -74,9 +74,13 @@
   #runs = 0;
   #hasEnded = false;
   #lastAnswer: WholeAnswer | undefined;
+  /** Version that began the stream, once its caller has an event of it. */
+  #softwareVersion: string | undefined;
+  #hasOrigin = false;
 
   private constructor(options: ExchangeOptions) {
     this.#options = options;
+    this.#softwareVersion = options.admitted.softwareVersion;
     this.#relay = StreamRelay.create(options.answer);
     const { admitted, context: { metrics }, request, trace } = options;
     this.#running = RunningAttempts.create({ trace, metrics });
@@ -160,7 +164,13 @@
     }
     const triedIds = this.#triedIds;
     const placement = placeAttempt(
-      { caller, service, triedIds, mayReturn },
+      {
+        caller,
+        service,
+        softwareVersion: this.#softwareVersion,
+        triedIds,
+        mayReturn,
+      },
       context,
     );
     if (placement === undefined) return "no runner available";
@@ -223,10 +233,31 @@
         timers.schedule(maxOverlapMs, () => this.#running.prefer(getRunning()));
         return false;
       },
-      onEvents: () => this.#running.prefer(getRunning()),
+      onEvents: () => {
+        this.#running.prefer(getRunning());
+        this.#recordOrigin(getRunning());
+      },
     });
   }
 
+  /** Records which version a stream is relayed from. */
+  #recordOrigin({ upstream }: RunningAttempt): void {
+    if (this.#hasOrigin) return;
+    this.#hasOrigin = true;
+    const { softwareVersion } = upstream.record;
+    this.#softwareVersion = softwareVersion;
+    const { admitted: { route, service }, context } = this.#options;
+    if (!route.isResumable) return;
+    const firstAttemptId = this.#getFirstAttemptId();
+    const origin = { firstAttemptId, service, softwareVersion };
+    context.streamVersions.recordOrigin(origin);
+  }
+
+  #getFirstAttemptId(): string {
+    const { attemptId, takeUp } = this.#options.admitted.caller;
+    return takeUp?.firstAttemptId ?? attemptId;
+  }
+
   #handleSilence(running: RunningAttempt, silence: Silence): void {
     this.#log("silent", {
       ...describeSilence(running, silence),
@@ -284,11 +315,17 @@
         answer.breakOff();
         break;
       case "none":
+        if (end.type === "relayed") this.#recordComplete();
         break;
     }
     this.#end();
   }
 
+  #recordComplete(): void {
+    const { streamVersions } = this.#options.context;
+    streamVersions.recordComplete(this.#getFirstAttemptId());
+  }
+
   /** Ends the request and cancels the attempts that are still under way. */
   #end(): void {
     this.#hasEnded = true;
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -20,6 +20,8 @@
 export type PlacementOptions = {
   caller: CallerRequest;
   service: string;
+  /** Software version that the runner must have; any if undefined. */
+  softwareVersion: string | undefined;
   /** Ids of the runners that were tried before. */
   triedIds: ReadonlySet<string>;
   /** Whether runners that were tried before may be chosen if all were. */
@@ -31,10 +33,12 @@
   options: PlacementOptions,
   context: GatewayContext,
 ): Placement | undefined {
-  const { caller, mayReturn, service, triedIds } = options;
+  const { caller, mayReturn, service, softwareVersion, triedIds } = options;
   const nowMs = context.timers.nowMs();
   const all = context.directory.listReady(service)
     .filter((upstream) =>
+      (softwareVersion === undefined ||
+        upstream.record.softwareVersion === softwareVersion) &&
       upstream.availability.isAvailable(nowMs) &&
       getLimitWaitMs(upstream, context) === 0
     );
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -77,8 +77,10 @@
   const body = await readBody(request, admission.maxBodyBytes)
     .catch(ignoreDisconnect);
   if (body === undefined) return recordLeft(trace, context);
+  const softwareVersion = await chooseVersion(read, admission, context);
+  if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
   const deadlineMs = arrivedAtMs + admission.limitMs;
-  const admitted = { ...admission, deadlineMs, body, caller };
+  const admitted = { ...admission, deadlineMs, body, caller, softwareVersion };
   await Exchange.serve({ ...read, context, admitted });
   if (!answer.hasBegun) return;
   const durationMs = context.timers.nowMs() - arrivedAtMs;
@@ -109,6 +111,31 @@
   await context.waitUntilComplete(limitMs);
 }
 
+/**
+ * Chooses the software version at which a stream that is taken up goes on.
+ *
+ * @returns undefined if it may be any.
+ * @throws AppError `streamVersionUnknown`.
+ */
+async function chooseVersion(
+  { caller: { takeUp }, trace }: ReadRequest,
+  { route, service }: Admission,
+  { streamVersions }: GatewayContext,
+): Promise<string | undefined> {
+  if (takeUp === undefined || !route.isResumable) return undefined;
+  const choice = await streamVersions.chooseVersion(takeUp, service);
+  if (choice.type === "version") {
+    trace.record("stream-version", { softwareVersion: choice.softwareVersion });
+    return choice.softwareVersion;
+  }
+  const candidates = choice.candidates.join(", ");
+  throw AppError.create(
+    "streamVersionUnknown",
+    `One of the versions ${candidates} began the stream`,
+    { retryAfterMs: unknownRetryAfterMs },
+  );
+}
+
 /** Ignores that a caller has disconnected, also within a body. */
 function ignoreDisconnect(thrown: unknown): undefined {
   if (!(thrown instanceof AppError)) return;
@@ -196,5 +223,8 @@
 /** Other routers accept the request at once. */
 const leavingRetryAfterMs = 50;
 
+/** Time in which the router that began a stream may write its version. */
+const unknownRetryAfterMs = 500;
+
 /** Time in which a newly started router loads its declaration and runners. */
 const startRetryAfterMs = 300;
--- a/packages/gateway/src/requests/stream_versions.feature
+++ b/packages/gateway/src/requests/stream_versions.feature
@@ -1,26 +1,22 @@
 Feature: Streams in a service whose runners have several software versions
 
-  @known-red
   Scenario: A stream that breaks off goes on at the version that began it
     Given a gateway, and two runners each of "v1" and "v2" that break streams off
     When 20 callers ask for streams
     Then each of them gets a whole stream of one version
 
-  @known-red
   Scenario: A stream is cut if no other runner of its version is left
     Given a gateway, and two runners each of "v1" and "v2" that break streams off
     And the runners of "v1" drain once they have begun a stream
     When 20 callers ask for streams
     Then none of them gets events of two versions
 
-  @known-red
   Scenario: Streams are taken up at another gateway
     Given a gateway, and two runners each of "v1" and "v2" that hold streams
     And another gateway
     When 20 callers whose streams have begun take them up at the other gateway
     Then each of them gets a whole stream of one version
 
-  @known-red
   Scenario: Streams are taken up at a gateway that starts after they began
     Given a gateway, and two runners each of "v1" and "v2" that hold streams
     When 20 callers whose streams have begun leave
@@ -28,7 +24,6 @@
     And they take their streams up at the other gateway
     Then each of them gets a whole stream of one version
 
-  @known-red
   Scenario: A version leaves before its streams are taken up
     Given a gateway, and two runners each of "v1" and "v2" that hold streams
     When 20 callers whose streams have begun leave
@@ -38,7 +33,6 @@
     Then none of them gets events of two versions
     And those with events of "v2" get whole streams
 
-  @known-red
   Scenario: A version takes over while no gateway runs
     Given a gateway, and two runners each of "v1" that hold streams
     When 20 callers whose streams have begun leave
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -7,6 +7,7 @@
 import { createSilentLogger, type Logger } from "@jasminetide/runtime/logging";
 import { Gateway } from "../gateway.ts";
 import { type GatewaySettings, gatewaySettingsSchema } from "../settings.ts";
+import type { StreamRecord, StreamRegistry } from "../stream_versions/mod.ts";
 import type { PeerRecord } from "../peers/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 import { testProtocol } from "./test_protocol.ts";
@@ -97,6 +98,8 @@
   runners: TestSource<RunnerRecord>;
   /** Gateways in the store's list. */
   peers: TestSource<PeerRecord>;
+  /** Records of gateways on the streams that they relay. */
+  streams: Map<string, StreamRecord>;
 };
 
 /** Options of a test gateway. */
@@ -140,6 +143,7 @@
     declarations = TestSource.create<RoutingDeclaration>(),
     runners = TestSource.create<RunnerRecord>(),
     peers = TestSource.create<PeerRecord>(),
+    streams = new Map<string, StreamRecord>(),
   } = options.sharedWith ?? {};
   declarations.setUnavailable(options.isStoreUnavailable === true);
   runners.setUnavailable(options.isStoreUnavailable === true);
@@ -155,6 +159,24 @@
       announce: () => Promise.resolve(),
       withdraw: () => Promise.resolve(),
     },
+    streams: createStreamRegistry(streams),
   });
-  return { gateway, declarations, runners, peers };
+  return { gateway, declarations, runners, peers, streams };
+}
+
+/** Creates a registry whose records tests can read. */
+function createStreamRegistry(
+  records: Map<string, StreamRecord>,
+): StreamRegistry {
+  return {
+    list: () => Promise.resolve(new Map(records)),
+    write: (name, record) => {
+      records.set(name, record);
+      return Promise.resolve();
+    },
+    remove: (name) => {
+      records.delete(name);
+      return Promise.resolve();
+    },
+  };
 }
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -141,6 +141,7 @@
 
 function isOtherProcess(left: RunnerRecord, right: RunnerRecord): boolean {
   return left.startedAtMs !== right.startedAtMs ||
+    left.softwareVersion !== right.softwareVersion ||
     left.address !== right.address || left.service !== right.service;
 }
 
