Do not take a refusal that a runner repeats for the answer to a request

A payout that a runner refused came back to it on the same connection, after the other runner could not be reached, and the earlier refusal, written once more, has the same id: it was taken for the answer while the payout ran. And an answer without an id counted as the answer to whatever was in flight.

Change: a connection never carries the same attempt twice, nor a request without an id after another one. An answer without an id counts only on a connection that has carried one request, and never as a refusal.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -141,8 +141,8 @@
    * @throws AppError `runnerUnreachable`.
    */
   async #getConnection(): Promise<RunnerConnection> {
-    const { connections } = this.#options.upstream;
-    const idle = connections.takeIdle();
+    const { attemptId, upstream: { connections } } = this.#options;
+    const idle = connections.takeIdle(attemptId);
     if (idle !== undefined) {
       await waitForReads();
       if (idle.isOpen) return idle;
@@ -159,8 +159,11 @@
   #isOwnAnswer(head: AnswerHead): boolean {
     this.#answer = this.#options.protocol.readRunnerAnswer(head);
     this.#options.onAnswerHead(this.#answer);
-    const { attemptId } = this.#answer;
-    return attemptId === undefined || attemptId === this.#options.attemptId;
+    const { attemptId, isNotRun } = this.#answer;
+    if (attemptId !== undefined) return attemptId === this.#options.attemptId;
+    // Without an id, it may be the answer to an earlier request, and only a
+    // refusal that names the request is a promise that it has not run.
+    return this.#connection?.isFirstRequest === true && !isNotRun;
   }
 
   #handleHead(head: AnswerHead): void {
--- a/packages/gateway/src/requests/format_runner_request.ts
+++ b/packages/gateway/src/requests/format_runner_request.ts
@@ -34,6 +34,7 @@
     cacheSource: placement.cacheSource,
   };
   return {
+    attemptId: admitted.caller.attemptId,
     method: request.method ?? "GET",
     target: request.url ?? "/",
     headers: protocol.formatRunnerHeaders(headers, values),
--- a/packages/gateway/src/test_support/raw_caller.ts
+++ b/packages/gateway/src/test_support/raw_caller.ts
@@ -18,6 +18,8 @@
   readonly socket: Socket;
   /** All bytes received so far, decoded as Latin-1. */
   text = "";
+  /** Attempt that was sent last; empty before the first. */
+  attemptId = "";
   #hasEnded = false;
   #onChange: () => void = () => {};
 
@@ -50,6 +52,7 @@
   /** Sends a request. */
   send(request: RawRequest): void {
     const body = request.body ?? "";
+    this.attemptId = request.attemptId;
     const headers: Record<string, string> = {
       host: testHost,
       [testHeaders.attempt]: request.attemptId,
--- a/packages/gateway/src/upstreams/connection_pool.ts
+++ b/packages/gateway/src/upstreams/connection_pool.ts
@@ -19,14 +19,22 @@
     return new ConnectionPool(options);
   }
 
-  /** Takes an idle connection from the pool if one is usable. */
-  takeIdle(): RunnerConnection | undefined {
+  /**
+   * Takes an idle connection from the pool if one is usable for a request of an
+   * attempt: one that has not carried the attempt before, since its runner may
+   * write the earlier answer once more.
+   */
+  takeIdle(attemptId: string): RunnerConnection | undefined {
     const nowMs = this.#options.timers.nowMs();
-    let connection = this.#idle.pop();
-    while (connection !== undefined && !connection.isUsable(nowMs)) {
+    const unusable = this.#idle.filter((each) => !each.isUsable(nowMs));
+    for (const connection of unusable) {
+      this.#remove(connection);
       connection.destroy();
-      connection = this.#idle.pop();
     }
+    const connection = this.#idle.findLast((each) =>
+      !each.hasCarried(attemptId)
+    );
+    if (connection !== undefined) this.#remove(connection);
     return connection;
   }
 
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -8,6 +8,8 @@
 
 /** Request to write to a runner. */
 export type RunnerRequest = {
+  /** Attempt of the caller that the request belongs to; empty if unknown. */
+  attemptId: string;
   method: string;
   target: string;
   /** Alternating names and values, without framing headers. */
@@ -46,6 +48,8 @@
   /** Whether the answer being read belongs to another request. */
   #isStray = false;
   #isHeadRequest = false;
+  /** Attempts of which a request was sent on the connection. */
+  readonly #carriedIds = new Set<string>();
   #isReusable = true;
   #idleLimitMs = defaultIdleLimitMs;
   #idleSinceMs: number;
@@ -111,6 +115,20 @@
       nowMs - this.#idleSinceMs < this.#idleLimitMs;
   }
 
+  /**
+   * Whether an answer on the connection can belong to an earlier request, since
+   * nothing in the answer tells the two apart.
+   */
+  hasCarried(attemptId: string): boolean {
+    if (attemptId === "") return this.#carriedIds.size > 0;
+    return this.#carriedIds.has(attemptId);
+  }
+
+  /** Whether only one request was sent on the connection. */
+  get isFirstRequest(): boolean {
+    return this.#carriedIds.size === 1;
+  }
+
   /** Whether the connection has been idle since a time. */
   isIdleSince(timeMs: number): boolean {
     return this.#listener === undefined && this.#idleSinceMs <= timeMs;
@@ -119,6 +137,7 @@
   /** Sends a request. The connection must be usable. */
   send(request: RunnerRequest, listener: AnswerListener): void {
     this.#listener = listener;
+    this.#carriedIds.add(request.attemptId);
     this.#isHeadRequest = request.method === "HEAD";
     this.#isStray = false;
     this.#socket.write(encodeRequest(request));
@@ -164,7 +183,8 @@
     // A runner that answers before it has read the whole request would parse
     // the rest of the body as the next request.
     const isWritten = this.#socket.writableLength === 0;
-    if (hasMore || !isWritten) this.#isReusable = false;
+    const hasCarriedAll = this.#carriedIds.size >= maxRequests;
+    if (hasMore || !isWritten || hasCarriedAll) this.#isReusable = false;
     this.#idleSinceMs = this.#options.timers.nowMs();
     if (!this.#isReusable) this.#close("not reusable");
     listener?.onComplete();
@@ -201,6 +221,9 @@
  */
 const connectTimeoutMs = 300;
 
+/** Requests that a connection carries at most. */
+const maxRequests = 1000;
+
 /** Idle time after which the system sends TCP keep-alive probes. */
 const keepAliveDelayMs = 1000;
 
