Mix software versions in the fault soak, and let callers take streams up

All runners were alike, and no caller of the soak took a stream up again.

The check software-versions is planted in fault_soak.feature.

--- a/packages/fault_soak/src/call_checks.ts
+++ b/packages/fault_soak/src/call_checks.ts
@@ -1,4 +1,5 @@
 /** Checks of single calls; each returns a description of a violation, if any. */
+import { removeVersions } from "./software_versions.ts";
 import {
   areRunnersDisturbed,
   isCallerLinkDisturbed,
@@ -59,8 +60,9 @@
 ): Finding {
   const { attemptId, endedAtMs, gateway, outcome, sentAtMs } = call;
   if (outcome.type !== "answered" || outcome.status !== 200) return undefined;
+  const body = removeVersions(outcome.body);
   const expected = isStream(call)
-    ? formatStream(attemptId)
+    ? removeVersions(formatStream(attemptId, call.takeUp?.afterEvent))
     : formatBody(attemptId);
   const interval = { gateway, fromMs: sentAtMs, toMs: endedAtMs };
   const mayLookComplete =
@@ -69,9 +71,9 @@
       event.isUnframed === true && hasExitedDuring(event, { call, exits })
     );
   if (outcome.isComplete && !mayLookComplete) {
-    return outcome.body === expected ? undefined : "wrong or incomplete answer";
+    return body === expected ? undefined : "wrong or incomplete answer";
   }
-  return expected.startsWith(outcome.body)
+  return expected.startsWith(body)
     ? undefined
     : "cut answer has foreign content";
 }
--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -8,7 +8,13 @@
 import { parseAddress } from "@jasminetide/runtime/settings";
 import { isUnframed, isWhole } from "./answer_framing.ts";
 import type { SoakGateway } from "./fleet_gateway.ts";
-import type { CallKind, CallOutcome, CallRecord } from "./history.ts";
+import type {
+  CallKind,
+  CallOutcome,
+  CallRecord,
+  SoakTakeUp,
+} from "./history.ts";
+import { countEvents, listVersions } from "./software_versions.ts";
 import { callKinds } from "./history.ts";
 import { drawCrashingPrompt, drawPrompt } from "./prompts.ts";
 import {
@@ -39,6 +45,10 @@
 const rushCallers = 400;
 const rushSpreadMs = 300;
 
+/** Times that a caller takes a stream up, and the time until it does. */
+const maxTakeUps = 3;
+const takeUpSpreadMs = 600;
+
 /** Time between two requests that crash runners. */
 const crashingPeriodMs = 400;
 
@@ -58,6 +68,8 @@
   /** Body of a request that crashes runners, the same whenever it is sent. */
   body?: string;
   prompt?: readonly PromptPart[];
+  /** Stream to take up. */
+  takeUp?: SoakTakeUp;
 };
 
 /** Time that a caller waits beyond the limit of its request. */
@@ -174,12 +186,26 @@
       const call: Promise<void> = this.#call(gateway, kind, {
         disconnectAfterMs,
       })
+        .then((record) => this.#takeUp(record))
         .then(() => void this.#open.delete(call));
       this.#open.add(call);
       await setTimeout(callPeriodMs);
     }
   }
 
+  /** Takes a stream up at any gateway, as often as it breaks off. */
+  async #takeUp(broken: CallRecord): Promise<void> {
+    const { fleet, random } = this.#options;
+    let takeUp = createTakeUp(broken);
+    for (let attempt = 0; attempt < maxTakeUps; attempt++) {
+      if (takeUp === undefined) return;
+      await setTimeout(random.getInteger(takeUpSpreadMs));
+      const gateway = fleet.gateways[random.getInteger(fleet.gateways.length)];
+      const record = await this.#call(gateway, broken.kind, { takeUp });
+      if (!isRefused(record)) takeUp = createTakeUp(record);
+    }
+  }
+
   #drawDisconnectMs(): number {
     return disconnectDelaysMs.smallest +
       this.#options.random.getInteger(disconnectDelaysMs.range);
@@ -214,6 +240,7 @@
         timeoutMs: limitMs,
         apiKey: soakKey,
         prompt,
+        takeUp: variation.takeUp,
       }),
       waitMs: limitMs + extraWaitMs,
       disconnectAfterMs,
@@ -231,6 +258,7 @@
       endedAtMs: Date.now(),
       partIds: prompt.map(({ id }) => id),
       crashes: body !== undefined,
+      takeUp: variation.takeUp,
       outcome,
     };
     calls.push(record);
@@ -238,6 +266,29 @@
   }
 }
 
+function isRefused({ outcome }: CallRecord): boolean {
+  return outcome.type === "answered" && outcome.status !== 200;
+}
+
+/** Decides from where a caller takes up a stream; undefined if it does not. */
+function createTakeUp(
+  { attemptId, kind, outcome, takeUp }: CallRecord,
+): SoakTakeUp | undefined {
+  if (kind !== "story" || outcome.type !== "answered" || outcome.isComplete) {
+    return undefined;
+  }
+  const events = outcome.status === 200 ? countEvents(outcome.body) : 0;
+  if (takeUp === undefined && events === 0) return undefined;
+  return {
+    afterEvent: (takeUp?.afterEvent ?? 0) + events,
+    firstAttemptId: takeUp?.firstAttemptId ?? attemptId,
+    softwareVersions: [
+      ...takeUp?.softwareVersions ?? [],
+      ...listVersions(outcome.body),
+    ],
+  };
+}
+
 type Exchange = {
   address: string;
   agent: Agent;
--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -24,6 +24,7 @@
   findVersionRollbacks,
   type RetryBudgetLimits,
 } from "./fleet_checks.ts";
+import { findJoinedVersions } from "./software_versions.ts";
 import { findExcessRequests } from "./limit_checks.ts";
 import type { CallRecord, History, RunnerEvent } from "./history.ts";
 import { type CheckName, formatCall, type Violation } from "./violation.ts";
@@ -53,6 +54,7 @@
       "whole-answers",
       (call, events) => findForeignAnswer(call, events, history),
     ),
+    ...checkCalls("software-versions", findJoinedVersions),
     ...checkCalls("at-most-once", findDuplicateRun),
     ...checkCalls("true-refusals", findFalseRefusal),
     ...checkCalls("attempts", findExtraAttempt),
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -10,6 +10,8 @@
   hasCrashingRequest: boolean;
   /** Whether links between gateways fail in some episodes. */
   hasPeerFaults: boolean;
+  /** Whether runners of a service have two software versions. */
+  hasSoftwareVersions: boolean;
   /** Whether callers rush to gateways without processor time in some episodes. */
   hasRushes: boolean;
 };
@@ -21,5 +23,6 @@
   hasStatedLimits: true,
   hasCrashingRequest: true,
   hasPeerFaults: true,
+  hasSoftwareVersions: true,
   hasRushes: true,
 };
--- a/packages/fault_soak/src/fault_soak.feature
+++ b/packages/fault_soak/src/fault_soak.feature
@@ -15,6 +15,8 @@
       | a stream that lacks its fifth event                      | whole-answers   |
       | a stream that breaks off after another request's event   | whole-answers   |
       | an unframed stream that ends after its fifth event       | whole-answers   |
+      | a stream whose last events are of another version        | software-versions |
+      | a stream that is taken up at another version             | software-versions |
       | a payout that runs at two runners                        | at-most-once    |
       | a payout that ran and is answered 503                    | true-refusals   |
       | a summary that runs at two runners                       | attempts        |
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -11,6 +11,7 @@
   faultKinds,
   formatBody,
   formatEvent,
+  formatStream,
 } from "./mod.ts";
 import {
   addAnswered,
@@ -59,6 +60,23 @@
     const body = formatEvent(call.attemptId, 1) + formatEvent("another", 2);
     call.outcome = { type: "answered", status: 200, body, isComplete: false };
   },
+  "a stream whose last events are of another version": (world) => {
+    const call = addCall(world, "story");
+    const [first] = formatStream(call.attemptId).split("id: 6");
+    const body = first + formatStream(call.attemptId, 5, "v2");
+    call.outcome = { type: "answered", status: 200, body, isComplete: true };
+  },
+  "a stream that is taken up at another version": (world) => {
+    const call = addCall(world, "story", {
+      takeUp: {
+        afterEvent: 5,
+        firstAttemptId: "first",
+        softwareVersions: ["v1"],
+      },
+    });
+    const body = formatStream(call.attemptId, 5, "v2");
+    call.outcome = { type: "answered", status: 200, body, isComplete: true };
+  },
   "a payout that runs at two runners": (world) => {
     const call = addCall(world, "payout");
     addRun(world, call);
--- a/packages/fault_soak/src/fleet_runner.ts
+++ b/packages/fault_soak/src/fleet_runner.ts
@@ -14,6 +14,8 @@
   link: FaultLink;
   port: number;
   service: string;
+  /** Version of the software of the current process. */
+  softwareVersion: string;
   /** Id of the current process; every restart gives a new one. */
   id: string;
   process: ManagedProcess;
@@ -49,6 +51,7 @@
     link,
     port,
     service: index % 2 === 0 ? "engine" : "desk",
+    softwareVersion: chooseSoftwareVersion({ index, incarnation: 0 }, options),
     incarnation: 0,
     isDraining: false,
     restart: undefined,
@@ -59,7 +62,10 @@
 
 /** Starts a process of a runner. */
 export function startRunner(
-  runner: Pick<SoakRunner, "id" | "index" | "port" | "service">,
+  runner: Pick<
+    SoakRunner,
+    "id" | "index" | "port" | "service" | "softwareVersion"
+  >,
   { folder, history, programs, switches }: FleetRunnerOptions,
 ): ManagedProcess {
   return ManagedProcess.create({
@@ -70,6 +76,7 @@
       runner.service,
       String(runner.port),
       String(switches.hasUnframedAnswers),
+      runner.softwareVersion,
     ],
     logFile: join(folder, `runner-${runner.index}.log`),
     onLine: (line) =>
@@ -78,6 +85,18 @@
   });
 }
 
+/**
+ * Chooses the version of a runner's next process. With several versions, half of
+ * the runners of a service begin with either, and each restart changes it.
+ */
+export function chooseSoftwareVersion(
+  { incarnation, index }: Pick<SoakRunner, "incarnation" | "index">,
+  { switches }: Pick<FleetRunnerOptions, "switches">,
+): string {
+  if (!switches.hasSoftwareVersions) return "v1";
+  return `v${1 + (Math.floor(index / 2) + incarnation) % 2}`;
+}
+
 /** Formats the id of a runner's current process. */
 export function formatRunnerId(
   { incarnation, index }: Pick<SoakRunner, "incarnation" | "index">,
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -31,6 +31,16 @@
   /** The caller disconnected. */
   | { type: "left" };
 
+/** A stream that broke off and is taken up. */
+export type SoakTakeUp = {
+  /** Last event that its caller has. */
+  afterEvent: number;
+  /** Attempt that brought the first event. */
+  firstAttemptId: string;
+  /** Versions of the runners whose events the caller has. */
+  softwareVersions: readonly string[];
+};
+
 /** A request as its caller observed it. */
 export type CallRecord = {
   attemptId: string;
@@ -48,6 +58,8 @@
   endedAtMs: number;
   /** Ids of the parts of its prompt, if it has one. */
   partIds?: readonly string[];
+  /** The stream that it takes up, if it does. */
+  takeUp?: SoakTakeUp;
   /** Whether it crashes each runner that runs it. */
   crashes?: boolean;
   outcome: CallOutcome;
--- a/packages/fault_soak/src/scripted_answers.ts
+++ b/packages/fault_soak/src/scripted_answers.ts
@@ -45,6 +45,8 @@
   headers: Record<string, string>;
   /** Last event that the caller has received; 0 if none. */
   lastEventId: number;
+  /** Version of the runner's software. */
+  softwareVersion: string;
   /** Where the runner exits, if it does. */
   crashes: CrashPoint | undefined;
   /** Nothing is sent while it lasts. */
@@ -87,11 +89,12 @@
 
 async function answerStream(run: ScriptedRun): Promise<RunEnd> {
   const { attemptId, headers, lastEventId, request, response } = run;
+  const { softwareVersion } = run;
   beginAnswer(run);
   response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
   for (let event = lastEventId + 1; event <= streamEvents; event++) {
     if (!await isOpenAfterSilence(run)) return "cut";
-    response.write(formatEvent(attemptId, event));
+    response.write(formatEvent(attemptId, event, softwareVersion));
     await setTimeout(
       run.crashes === "inAnswer" ? getCrashDelayMs(run) : eventPeriodMs,
     );
@@ -159,7 +162,11 @@
   const index = draw(run, "break-off") % BigInt(recognizable.length);
   const { isInsideEvent, isReset } = recognizable[Number(index)];
   if (isInsideEvent) {
-    const event = formatEvent(attemptId, streamEvents / 2 + 1);
+    const event = formatEvent(
+      attemptId,
+      streamEvents / 2 + 1,
+      run.softwareVersion,
+    );
     response.write(event.slice(0, event.length / 2));
     await setTimeout(flushMs);
   }
@@ -172,15 +179,24 @@
   return `answer to ${attemptId}`;
 }
 
-/** Formats one event of a stream. */
-export function formatEvent(attemptId: string, event: number): string {
-  return `id: ${event}\ndata: ${attemptId} ${event}\n\n`;
+/** Formats one event of a stream, which names its runner's version. */
+export function formatEvent(
+  attemptId: string,
+  event: number,
+  softwareVersion = "v1",
+): string {
+  return `id: ${event}\ndata: ${attemptId} ${event} ${softwareVersion}\n\n`;
 }
 
-/** Formats a complete stream. */
-export function formatStream(attemptId: string): string {
+/** Formats a stream from after an event to its end. */
+export function formatStream(
+  attemptId: string,
+  afterEvent = 0,
+  softwareVersion = "v1",
+): string {
   return Array.from(
-    { length: streamEvents },
-    (_, index) => formatEvent(attemptId, index + 1),
+    { length: streamEvents - afterEvent },
+    (_, index) =>
+      formatEvent(attemptId, afterEvent + index + 1, softwareVersion),
   ).join("");
 }
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -9,6 +9,7 @@
   waitUntilReady,
 } from "./fleet_gateway.ts";
 import {
+  chooseSoftwareVersion,
   createRunner,
   formatRunnerId,
   type SoakRunner,
@@ -100,6 +101,7 @@
     this.store.objects.removeRunner(id);
     if (this.#isDisposing) return;
     runner.id = formatRunnerId(runner);
+    runner.softwareVersion = chooseSoftwareVersion(runner, this.#options);
     runner.process = startRunner(runner, this.#options);
     this.putRunner(runner, { isDraining: false });
   }
@@ -116,7 +118,7 @@
       slots: runnerSlots,
       isDraining: state.isDraining,
       startedAtMs: runner.process.startedAtMs,
-      softwareVersion: "v1",
+      softwareVersion: runner.softwareVersion,
       heartbeat: this.#heartbeat,
     });
   }
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -21,6 +21,8 @@
 export type SoakRunnerOptions = {
   id: string;
   service: string;
+  /** Version of its software. */
+  softwareVersion: string;
   port: number;
   wire: SoakWire;
   /** Whether some answers have neither a length nor chunks. */
@@ -122,7 +124,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { hasUnframedAnswers, id } = this.#options;
+    const { hasUnframedAnswers, id, softwareVersion } = this.#options;
     this.#running += 1;
     const run = {
       request,
@@ -131,6 +133,7 @@
       runnerId: id,
       headers: this.#formatHeaders(attemptId, { isNotRun: false, pauseMs: 0 }),
       lastEventId,
+      softwareVersion,
       crashes: getCrashPoint(request, partIds),
       silence: this.#silence,
       hasUnframedAnswers,
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -4,6 +4,7 @@
 /** Names of the checks, one for each guarantee. */
 export const checkNames = [
   "whole-answers",
+  "software-versions",
   "at-most-once",
   "true-refusals",
   "attempts",
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -3,12 +3,15 @@
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import type { PromptPart } from "@jasminetide/gateway";
 import type { RunnerRecord } from "@jasminetide/gateway/upstreams";
+import type { SoakTakeUp } from "./history.ts";
 
 /** Values of the headers of a caller's request. */
 export type CallerHeaders = {
   attemptId: string;
   timeoutMs: number;
   apiKey: string;
+  /** The stream that the request takes up, if it does. */
+  takeUp: SoakTakeUp | undefined;
   /** Parts of the prompt; empty if the request has none. */
   prompt: readonly PromptPart[];
 };
