Split the version of a relayed stream from the exchange

Take-ups are answered in an outage of the store from what a gateway has seen itself, once that covers all streams. Scenarios for runners that come back with another version, for a start without the store, and for the tables of versions and origins.

--- a/packages/core/src/stream_versions/stream_origins.ts
+++ b/packages/core/src/stream_versions/stream_origins.ts
@@ -1,3 +1,5 @@
+import { streamMemoryMs } from "./version_history.ts";
+
 /** Service and software version that began a stream. */
 export type StreamOrigin = { service: string; softwareVersion: string };
 
@@ -22,7 +24,7 @@
     this.#entries.delete(origin.firstAttemptId);
     this.#entries.set(origin.firstAttemptId, {
       ...origin,
-      untilMs: nowMs + openMs,
+      untilMs: nowMs + streamMemoryMs,
     });
     this.#expire(nowMs);
   }
@@ -52,9 +54,6 @@
   }
 }
 
-/** Time after its begin in which an open stream may be taken up. */
-const openMs = 40_000;
-
 /** Time in which a caller may lack the end of a stream that was sent. */
 const completeMs = 5000;
 
--- a/packages/core/src/stream_versions/version_history.ts
+++ b/packages/core/src/stream_versions/version_history.ts
@@ -47,7 +47,7 @@
   listCandidates(service: string, nowMs: number): string[] {
     const versions = this.#services.get(service) ?? new Map();
     return [...versions]
-      .filter(([, { goneAtMs }]) => nowMs - goneAtMs < memoryMs)
+      .filter(([, { goneAtMs }]) => nowMs - goneAtMs < streamMemoryMs)
       .map(([version]) => version);
   }
 
@@ -78,4 +78,4 @@
 }
 
 /** Longer than callers take streams up after they began. */
-const memoryMs = 40_000;
+export const streamMemoryMs = 40_000;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -34,6 +34,7 @@
   observeOutcome,
 } from "./observe_end.ts";
 import { placeAttempt, type Placement } from "./place_attempt.ts";
+import { RelayedVersion } from "./relayed_version.ts";
 import { createRequestKey } from "./request_key.ts";
 import { RunningAttempt } from "./running_attempt.ts";
 import { RunningAttempts } from "./running_attempts.ts";
@@ -61,6 +62,7 @@
   /** Those of them that refused the request as not run. */
   readonly #refusedIds = new Set<string>();
   readonly #relay: StreamRelay;
+  readonly #version: RelayedVersion;
   /** The request as the quarantine knows it. */
   readonly #suspect: SuspectRequest;
   readonly #running: RunningAttempts;
@@ -74,13 +76,10 @@
   #runs = 0;
   #hasEnded = false;
   #lastAnswer: WholeAnswer | undefined;
-  /** Version that began the stream, once its caller has an event of it. */
-  #softwareVersion: string | undefined;
-  #hasOrigin = false;
 
   private constructor(options: ExchangeOptions) {
     this.#options = options;
-    this.#softwareVersion = options.admitted.softwareVersion;
+    this.#version = RelayedVersion.create(options);
     this.#relay = StreamRelay.create(options.answer);
     const { admitted, context: { metrics }, request, trace } = options;
     this.#running = RunningAttempts.create({ trace, metrics });
@@ -167,7 +166,7 @@
       {
         caller,
         service,
-        softwareVersion: this.#softwareVersion,
+        softwareVersion: this.#version.current,
         triedIds,
         mayReturn,
       },
@@ -235,29 +234,11 @@
       },
       onEvents: () => {
         this.#running.prefer(getRunning());
-        this.#recordOrigin(getRunning());
+        this.#version.recordRunner(getRunning().upstream);
       },
     });
   }
 
-  /** Records which version a stream is relayed from. */
-  #recordOrigin({ upstream }: RunningAttempt): void {
-    if (this.#hasOrigin) return;
-    this.#hasOrigin = true;
-    const { softwareVersion } = upstream.record;
-    this.#softwareVersion = softwareVersion;
-    const { admitted: { route, service }, context } = this.#options;
-    if (!route.isResumable) return;
-    const firstAttemptId = this.#getFirstAttemptId();
-    const origin = { firstAttemptId, service, softwareVersion };
-    context.streamVersions.recordOrigin(origin);
-  }
-
-  #getFirstAttemptId(): string {
-    const { attemptId, takeUp } = this.#options.admitted.caller;
-    return takeUp?.firstAttemptId ?? attemptId;
-  }
-
   #handleSilence(running: RunningAttempt, silence: Silence): void {
     this.#log("silent", {
       ...describeSilence(running, silence),
@@ -315,17 +296,12 @@
         answer.breakOff();
         break;
       case "none":
-        if (end.type === "relayed") this.#recordComplete();
+        if (end.type === "relayed") this.#version.recordComplete();
         break;
     }
     this.#end();
   }
 
-  #recordComplete(): void {
-    const { streamVersions } = this.#options.context;
-    streamVersions.recordComplete(this.#getFirstAttemptId());
-  }
-
   /** Ends the request and cancels the attempts that are still under way. */
   #end(): void {
     this.#hasEnded = true;
--- a/packages/gateway/src/requests/stream_versions.feature
+++ b/packages/gateway/src/requests/stream_versions.feature
@@ -40,6 +40,21 @@
     And they take their streams up at the other gateway
     Then each of them is refused as not run
 
+  Scenario: Runners come back under their ids with another version
+    Given a gateway, and two runners each of "v1" that hold streams
+    When 20 callers whose streams have begun leave
+    And the runners come back as "v2" under their ids
+    And the gateway stops and another one starts
+    And they take their streams up at the other gateway
+    Then none of them gets events of two versions
+
+  Scenario: A gateway starts while the store does not answer
+    Given a gateway, and two runners each of "v1" and "v2" that hold streams
+    When 20 callers whose streams have begun leave
+    And the gateway stops, and another one starts that cannot read the records of streams
+    And they take their streams up at the other gateway
+    Then none of them gets events of two versions
+
   Scenario: Streams of the only version are taken up after all gateways stopped
     Given a gateway, and two runners each of "v1" that hold streams
     When 20 callers whose streams have begun leave
--- a/packages/gateway/src/requests/stream_versions_test.ts
+++ b/packages/gateway/src/requests/stream_versions_test.ts
@@ -236,6 +236,32 @@
   },
 );
 
+When(
+  "the gateway stops, and another one starts that cannot read the records of streams",
+  async function (this: World) {
+    await this.gateways[0].gateway[Symbol.asyncDispose]();
+    this.gateways[0].streams.isUnavailable = true;
+    await startOther(this);
+  },
+);
+
+When(
+  "the runners come back as {string} under their ids",
+  async function (this: World, version: string) {
+    const [{ gateway, runners }] = this.gateways;
+    for (const each of this.versioned) {
+      each.version = version;
+      each.runner.script = createScript(version, "hold streams");
+      runners.put(each.runner.address, createVersionedRecord(each));
+    }
+    const isKnown = () =>
+      gateway.listRunners().every((record) =>
+        record.softwareVersion === version
+      );
+    while (!isKnown()) await wait(timers, 1);
+  },
+);
+
 When(
   "the runners of {string} leave",
   async function (this: World, version: string) {
--- a/packages/gateway/src/stream_versions/stream_versions.ts
+++ b/packages/gateway/src/stream_versions/stream_versions.ts
@@ -1,6 +1,7 @@
 import { normalizeError } from "@jasminetide/core/results";
 import {
   type NamedOrigin,
+  streamMemoryMs,
   type StreamOrigin,
   StreamOrigins,
   type VersionedRunner,
@@ -42,11 +43,13 @@
   readonly #origins = StreamOrigins.create();
   /** Origins of the streams of other gateways, as last read. */
   #otherOrigins: ReadonlyMap<string, StreamOrigin> = new Map();
+  readonly #startedAtMs: number;
   readonly #reader: RecordReader;
   readonly #writer: RecordWriter;
 
   private constructor(options: StreamVersionsOptions) {
     this.#options = options;
+    this.#startedAtMs = options.timers.nowMs();
     this.#reader = RecordReader.create({
       ...options,
       onRecords: (records, { isFirst }) => this.#merge(records, isFirst),
@@ -111,11 +114,17 @@
       return { type: "version", softwareVersion };
     }
     const candidates = this.#listCandidates(service);
-    return candidates.length > 1 || !this.#reader.isLoaded
+    return candidates.length > 1 || !this.#isInformed
       ? { type: "unknown", candidates }
       : { type: "version", softwareVersion: candidates.at(0) };
   }
 
+  /** Whether all versions that may have begun streams are known. */
+  get #isInformed(): boolean {
+    return this.#reader.isLoaded ||
+      this.#nowMs() - this.#startedAtMs > streamMemoryMs;
+  }
+
   #merge(records: ReadonlyMap<string, StreamRecord>, isFirst: boolean): void {
     const { logger, name, timers } = this.#options;
     const oldestMs = timers.wallMs() - maxRecordAgeMs;
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -2,6 +2,7 @@
   DeclaredRoute,
   RoutingDeclaration,
 } from "@jasminetide/core/routes";
+import { AppError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import { createSilentLogger, type Logger } from "@jasminetide/runtime/logging";
@@ -99,7 +100,13 @@
   /** Gateways in the store's list. */
   peers: TestSource<PeerRecord>;
   /** Records of gateways on the streams that they relay. */
-  streams: Map<string, StreamRecord>;
+  streams: TestStreams;
+};
+
+/** Records of streams in a store that tests control. */
+export type TestStreams = {
+  records: Map<string, StreamRecord>;
+  isUnavailable: boolean;
 };
 
 /** Options of a test gateway. */
@@ -143,7 +150,7 @@
     declarations = TestSource.create<RoutingDeclaration>(),
     runners = TestSource.create<RunnerRecord>(),
     peers = TestSource.create<PeerRecord>(),
-    streams = new Map<string, StreamRecord>(),
+    streams = { records: new Map(), isUnavailable: false },
   } = options.sharedWith ?? {};
   declarations.setUnavailable(options.isStoreUnavailable === true);
   runners.setUnavailable(options.isStoreUnavailable === true);
@@ -164,19 +171,14 @@
   return { gateway, declarations, runners, peers, streams };
 }
 
-/** Creates a registry whose records tests can read. */
-function createStreamRegistry(
-  records: Map<string, StreamRecord>,
-): StreamRegistry {
+function createStreamRegistry(streams: TestStreams): StreamRegistry {
+  const call = <Result>(run: () => Result): Promise<Result> =>
+    streams.isUnavailable
+      ? Promise.reject(AppError.create("platformUnavailable", "Test outage"))
+      : Promise.resolve(run());
   return {
-    list: () => Promise.resolve(new Map(records)),
-    write: (name, record) => {
-      records.set(name, record);
-      return Promise.resolve();
-    },
-    remove: (name) => {
-      records.delete(name);
-      return Promise.resolve();
-    },
+    list: () => call(() => new Map(streams.records)),
+    write: (name, record) => call(() => void streams.records.set(name, record)),
+    remove: (name) => call(() => void streams.records.delete(name)),
   };
 }
