Take the pause that a runner asks for from the answer to the request only

That a runner leaves is still taken from any answer. The new scenario failed before: the runner got no request after the pause.

--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -55,19 +55,22 @@
   logger.info(`runner-${type}`, { runner: upstream.id, outcome, ...inputs });
 }
 
-/**
- * Records what an answer states about whether its runner accepts requests, and
- * logs a change.
- */
-export function observeAvailability(
-  upstream: Upstream,
+/** Records that an answer states that its runner leaves, and logs a change. */
+export function observeLeaving(
+  { availability, id }: Upstream,
+  { isLeaving }: RunnerAnswer,
+  { logger }: Pick<GatewayContext, "logger">,
+): void {
+  if (!isLeaving || !availability.recordLeaving()) return;
+  logger.info("runner-leaving", { runner: id });
+}
+
+/** Records and logs the pause that the answer to a request asks for. */
+export function observePause(
+  { availability, id }: Upstream,
   answer: RunnerAnswer,
   { logger, timers }: Pick<GatewayContext, "logger" | "timers">,
 ): void {
-  const { availability, id } = upstream;
-  if (answer.isLeaving && availability.recordLeaving()) {
-    logger.info("runner-leaving", { runner: id });
-  }
   if (answer.pauseMs === undefined) return;
   const pauseMs = availability.recordPause(answer.pauseMs, timers.nowMs());
   logger.info("runner-paused", {
--- a/packages/gateway/src/requests/repeated_refusals_test.ts
+++ b/packages/gateway/src/requests/repeated_refusals_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout } from "node:timers/promises";
 import { Given, Then, When } from "@cucumber/cucumber";
 import {
   createRunnerRecord,
@@ -57,6 +57,29 @@
   },
 );
 
+Given(
+  "it refuses the first payout for {int} ms, and repeats that before each answer",
+  function (this: RefusalWorld, pauseMs: number) {
+    let refusal = "";
+    this.ran = new Set();
+    getFirst(this).script = ({ attemptId, socket }) => {
+      if (refusal === "") {
+        refusal = `HTTP/1.1 503 Busy\r\n${testHeaders.attempt}: ${attemptId}` +
+          `\r\n${testHeaders.notRun}: 1\r\n${testHeaders.pause}: ${pauseMs}` +
+          "\r\nContent-Length: 0\r\n\r\n";
+        socket.write(refusal);
+        return;
+      }
+      socket.write(refusal);
+      run(this, attemptId, socket);
+    };
+  },
+);
+
+When("the runner is left alone for {int} ms", async (durationMs: number) => {
+  await setTimeout(durationMs);
+});
+
 function getFirst({ scriptedRunners }: RequestWorld): ScriptedRunner {
   const runner = scriptedRunners.get("first");
   assert.ok(runner);
@@ -65,7 +88,8 @@
 
 function run({ ran }: RefusalWorld, attemptId: string, socket: Socket): void {
   ran.add(attemptId);
-  setTimeout(() => socket.write(formatAnswer(attemptId, "paid")), runMs);
+  void setTimeout(runMs)
+    .then(() => socket.write(formatAnswer(attemptId, "paid")));
 }
 
 Given(
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -5,7 +5,7 @@
 import type { RunnerRequest, Upstream } from "../upstreams/mod.ts";
 import { AnswerSilence } from "./answer_silence.ts";
 import { Attempt, type AttemptEnd } from "./attempt.ts";
-import { observeAvailability, observeRunner } from "./observe_end.ts";
+import { observeLeaving, observePause, observeRunner } from "./observe_end.ts";
 import type { AttemptStream } from "./stream_relay.ts";
 
 /** Options of a running attempt. */
@@ -58,7 +58,7 @@
         this.#silence.recordSent(options.isReplaceable);
       },
       onAnswerHead: (answer) =>
-        observeAvailability(options.upstream, answer, options.context),
+        observeLeaving(options.upstream, answer, options.context),
       onAnswer: (answer, head) => this.#handleAnswer(answer, head),
       onBytes: () => this.#recordBytes(),
       onPause: (isPaused) => this.#silence.setPaused(isPaused),
@@ -113,6 +113,7 @@
 
   #handleAnswer(answer: RunnerAnswer, head: AnswerHead): void {
     const { context, onNotRun, upstream } = this.#options;
+    observePause(upstream, answer, context);
     if (head.status < 300 && answer.isGenuine) {
       const atMs = context.timers.nowMs();
       this.#begun = { atMs, isFramed: head.isFramed };
