Repeat refusals and write odd entries in the fault soak

A runner writes its last refusal on a connection once more before the answer to the next request that it runs there. Entries of another writer lie among those of the runners from the start and after a restore: nested, with ports, hosts and slots out of range, and a text.

--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -138,6 +138,7 @@
     for (const id of objects.listRunnerIds()) {
       if (!ids.has(id)) objects.removeRunner(id);
     }
+    for (const { service } of this.runners) objects.putOddEntries(service);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -163,6 +164,7 @@
       const runner = await createRunner(index, options);
       this.runners.push(runner);
       this.putRunner(runner, runner);
+      objects.putOddEntries(runner.service);
     }
     for (let index = 0; index < size.gateways; index++) {
       this.gateways.push(await createGateway(index, options));
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -4,6 +4,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import process from "node:process";
 import type { RunnerEvent } from "./history.ts";
 import { hasCrashingPart } from "./prompts.ts";
@@ -58,6 +59,17 @@
   server.listen(options.port, "127.0.0.1");
 }
 
+function formatRefusal(
+  status: number,
+  headers: Record<string, string>,
+): string {
+  const lines = Object.entries(headers).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  return `HTTP/1.1 ${status} Refused\r\n${lines.join("")}` +
+    "Content-Length: 0\r\n\r\n";
+}
+
 function getCrashPoint(
   { url }: IncomingMessage,
   partIds: readonly string[],
@@ -70,6 +82,8 @@
 class SoakRunnerProgram {
   readonly #options: SoakRunnerOptions;
   readonly #silence = SilentPeriod.create();
+  /** The last refusal on each connection, until it is written once more. */
+  readonly #refusals = new WeakMap<Socket, string>();
   #running = 0;
   #failsUntilMs = 0;
   #restsUntilMs = 0;
@@ -117,6 +131,17 @@
     if (pauseMs > 0) this.#report("refused", attemptId);
     const headers = this.#formatHeaders(attemptId, { isNotRun: true, pauseMs });
     response.writeHead(status, headers).end();
+    const { socket } = response;
+    if (socket !== null) {
+      this.#refusals.set(socket, formatRefusal(status, headers));
+    }
+  }
+
+  /** Writes an earlier refusal once more, before the answer to a request. */
+  #repeatRefusal({ socket }: IncomingMessage): void {
+    const refusal = this.#refusals.get(socket);
+    this.#refusals.delete(socket);
+    if (refusal !== undefined) socket.write(refusal);
   }
 
   async #run(
@@ -139,6 +164,7 @@
       hasUnframedAnswers,
     };
     this.#report("ran", attemptId, isUnframedRun(run));
+    this.#repeatRefusal(request);
     const isFailing = Date.now() < this.#failsUntilMs;
     const end = await (isFailing ? answerFailure(run) : answerRun(run));
     this.#running -= 1;
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -54,6 +54,8 @@
   putDeclaration: (declaration: RoutingDeclaration) => void;
   putRunner: (record: RunnerRecord) => void;
   removeRunner: (id: string) => void;
+  /** Writes odd entries of another writer among those of the runners. */
+  putOddEntries: (service: string) => void;
   listRunnerIds: () => string[];
   /** Sets the address that gateways read for one instead of what it writes. */
   setPeerAddress: (name: string, address: string) => void;
