Log the lines of soak processes that are read after their exit

Cause: the log of a process was ended with its exit, which may be seen before its last lines are read, when another process exits at the same moment.

Change: the log ends when the outputs are closed.

--- a/packages/fault_soak/src/managed_process.ts
+++ b/packages/fault_soak/src/managed_process.ts
@@ -67,11 +67,12 @@
       options.onLine?.(line);
     });
     running.add(child);
-    child.on("exit", (code, signal) => {
+    child.on("exit", () => {
       running.delete(child);
-      log.end(`exit ${code} ${signal}\n`);
       options.onExit?.();
     });
+    // After the exit, unless its last lines were read by then.
+    child.on("close", (code, signal) => log.end(`exit ${code} ${signal}\n`));
     return new ManagedProcess(name, child);
   }
 
