Write the version of a stream before its request is sent

Cause: the versions of streams were written up to 0.2 s late. Those that began in that time were refused as unknown and came back again and again, until they were most of what was taken up at gateways in touch.

Change: a request for a resumable stream waits until the version of its runner is in the store, for 0.15 s at most, while a service has several versions; writes are 0.1 s apart. Attempts beside a silent runner keep to its version, since either may begin the stream. A connection remembers its last 100 attempts.

--- a/packages/core/src/stream_versions/stream_origins.ts
+++ b/packages/core/src/stream_versions/stream_origins.ts
@@ -6,7 +6,13 @@
 /** Origin of a stream, by the caller's attempt that brought its first event. */
 export type NamedOrigin = StreamOrigin & { firstAttemptId: string };
 
-type Entry = NamedOrigin & { untilMs: number };
+/** Origin of a stream that this router relays. */
+export type OwnOrigin = NamedOrigin & {
+  /** Request for a write by which other routers learn of it, if there is one. */
+  request?: number;
+};
+
+type Entry = OwnOrigin & { untilMs: number };
 
 /** Origins of streams that may still be taken up; the oldest are forgotten. */
 export class StreamOrigins {
@@ -20,7 +26,7 @@
   }
 
   /** Records the origin of a stream that has begun or goes on. */
-  record(origin: NamedOrigin, nowMs: number): void {
+  record(origin: OwnOrigin, nowMs: number): void {
     this.#entries.delete(origin.firstAttemptId);
     this.#entries.set(origin.firstAttemptId, {
       ...origin,
@@ -36,7 +42,7 @@
   }
 
   /** Finds the origin of a stream. */
-  find(firstAttemptId: string): StreamOrigin | undefined {
+  find(firstAttemptId: string): OwnOrigin | undefined {
     return this.#entries.get(firstAttemptId);
   }
 
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -63,6 +63,8 @@
   onAnswerHead: (answer: RunnerAnswer) => void;
   /** Called with the data read from the headers of the request's answer. */
   onAnswer: (answer: RunnerAnswer, head: AnswerHead) => void;
+  /** Called before a connection is taken; the attempt waits for the promise. */
+  prepareSend: () => Promise<void> | undefined;
   /** Called whenever bytes of the answer arrive. */
   onBytes: () => void;
   /** Called when reading pauses, since the caller must read first. */
@@ -110,7 +112,9 @@
   }
 
   async #send(): Promise<void> {
-    const { connections } = this.#options.upstream;
+    const { prepareSend, upstream: { connections } } = this.#options;
+    await prepareSend();
+    if (this.#hasEnded) return;
     let connection: RunnerConnection;
     try {
       connection = await this.#getConnection();
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -166,7 +166,7 @@
       {
         caller,
         service,
-        softwareVersion: this.#version.current,
+        softwareVersion: this.#getRequiredVersion(),
         triedIds,
         mayReturn,
       },
@@ -186,6 +186,15 @@
     return undefined;
   }
 
+  /** Gets the version that the next attempt must have; any if undefined. */
+  #getRequiredVersion(): string | undefined {
+    const { current } = this.#version;
+    if (current !== undefined) return current;
+    if (!this.#options.admitted.route.isResumable) return undefined;
+    // Either of several attempts may begin the stream.
+    return this.#running.first?.upstream.record.softwareVersion;
+  }
+
   #createAttempt(placement: Placement): RunningAttempt {
     const { admitted, context } = this.#options;
     const { upstream } = placement;
@@ -209,6 +218,7 @@
       isReplaceable: isRepeatable(admitted.route),
       onSent: () => this.#runs += 1,
       onNotRun: () => this.#runs -= 1,
+      prepareSend: () => this.#version.prepareSend(upstream),
       onSilence: (silence) =>
         this.#run(() => this.#handleSilence(running, silence)),
     });
--- a/packages/gateway/src/requests/relayed_version.ts
+++ b/packages/gateway/src/requests/relayed_version.ts
@@ -29,16 +29,24 @@
     return this.#softwareVersion;
   }
 
+  /**
+   * Waits until the other gateways can know the version of a runner that may
+   * begin the stream; undefined if they can already.
+   */
+  prepareSend(
+    { record: { softwareVersion } }: Upstream,
+  ): Promise<void> | undefined {
+    const { admitted: { route, service }, context } = this.#options;
+    if (this.#hasEvents || !route.isResumable) return undefined;
+    const firstAttemptId = this.#getFirstAttemptId();
+    const origin = { firstAttemptId, service, softwareVersion };
+    return context.streamVersions.publishOrigin(origin);
+  }
+
   /** Records the runner of the events that are relayed next. */
   recordRunner({ record: { softwareVersion } }: Upstream): void {
-    if (this.#hasEvents) return;
     this.#hasEvents = true;
     this.#softwareVersion = softwareVersion;
-    const { admitted: { route, service }, context } = this.#options;
-    if (!route.isResumable) return;
-    const firstAttemptId = this.#getFirstAttemptId();
-    const origin = { firstAttemptId, service, softwareVersion };
-    context.streamVersions.recordOrigin(origin);
   }
 
   /** Records that the stream was relayed to its end. */
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -25,6 +25,8 @@
   onSent: () => void;
   /** Called when the runner states that it has not run the request. */
   onNotRun: () => void;
+  /** Called before the request is sent, which waits for the promise. */
+  prepareSend: () => Promise<void> | undefined;
   /** Called each time the runner was silent for its limit. */
   onSilence: (silence: Silence) => void;
 };
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -131,7 +131,7 @@
   const candidates = choice.candidates.join(", ");
   throw AppError.create(
     "streamVersionUnknown",
-    `One of the versions ${candidates} began the stream`,
+    `No record of the stream was found; it may be of versions ${candidates}`,
     { retryAfterMs: unknownRetryAfterMs },
   );
 }
--- a/packages/gateway/src/stream_versions/record_writer.ts
+++ b/packages/gateway/src/stream_versions/record_writer.ts
@@ -22,7 +22,11 @@
   readonly #options: RecordWriterOptions;
   readonly #refresh: TimerSubscription;
   #writtenAtMs: number | undefined;
-  #isRequested = false;
+  /** Numbers of the last request, and of the last that was written. */
+  #lastRequest = 0;
+  #writtenRequest = 0;
+  #hasFailed = false;
+  #nextWrite: Promise<void> = Promise.resolve();
   #isWriting = false;
   #isDisposed = false;
 
@@ -39,10 +43,27 @@
     return new RecordWriter(options);
   }
 
-  /** Requests a write; several requests within a short time share one. */
-  requestWrite(): void {
-    this.#isRequested = true;
+  /**
+   * Requests a write; several requests within a short time share one.
+   *
+   * @returns number of the request.
+   */
+  requestWrite(): number {
+    this.#lastRequest += 1;
     if (!this.#isWriting) void this.#writeRequested();
+    return this.#lastRequest;
+  }
+
+  /** Whether the store has what a request was for. */
+  isWritten(request: number): boolean {
+    return this.#writtenRequest >= request;
+  }
+
+  /** Waits until the store has what a request was for, or writes fail. */
+  async waitUntilWritten(request: number): Promise<void> {
+    while (!this.isWritten(request) && !this.#hasFailed && !this.#isDisposed) {
+      await this.#nextWrite;
+    }
   }
 
   /** Requests a write if the store lacks the record that was written last. */
@@ -60,10 +81,12 @@
   async #writeRequested(): Promise<void> {
     const { timers } = this.#options;
     this.#isWriting = true;
-    while (this.#isRequested && !this.#isDisposed) {
-      this.#isRequested = false;
-      await this.#write();
-      await wait(timers, minPeriodMs);
+    while (this.#lastRequest > this.#writtenRequest && !this.#isDisposed) {
+      this.#nextWrite = this.#write();
+      await this.#nextWrite;
+      const pauseMs = this.#hasFailed ? retryPeriodMs : minPeriodMs;
+      this.#nextWrite = wait(timers, pauseMs);
+      await this.#nextWrite;
     }
     this.#isWriting = false;
   }
@@ -71,11 +94,14 @@
   async #write(): Promise<void> {
     const { createRecord, logger, name, registry } = this.#options;
     const record = createRecord();
+    const request = this.#lastRequest;
     try {
       await registry.write(name, record);
       this.#writtenAtMs = record.writtenAtMs;
+      this.#writtenRequest = request;
+      this.#hasFailed = false;
     } catch (thrown) {
-      this.#isRequested = true;
+      this.#hasFailed = true;
       const detail = normalizeError(thrown).message;
       logger.warn("stream-record-unwritten", { detail });
     }
@@ -83,7 +109,10 @@
 }
 
 /** Least time between two writes. */
-const minPeriodMs = 200;
+const minPeriodMs = 100;
+
+/** Pause after a write that failed. */
+const retryPeriodMs = 1000;
 
 /** Time after which a record is written again, so that it does not look old. */
 const refreshPeriodMs = 30_000;
--- a/packages/gateway/src/stream_versions/stream_versions.ts
+++ b/packages/gateway/src/stream_versions/stream_versions.ts
@@ -46,6 +46,8 @@
   readonly #startedAtMs: number;
   readonly #reader: RecordReader;
   readonly #writer: RecordWriter;
+  /** Last request for a write since the versions that serve have changed. */
+  #versionsRequest = 0;
 
   private constructor(options: StreamVersionsOptions) {
     this.#options = options;
@@ -58,8 +60,7 @@
       ...options,
       createRecord: () => this.#createRecord(),
     });
-    // Before the records were read, this gateway's own would be lost.
-    void this.#reader.loaded.then(() => this.#writer.requestWrite());
+    void this.#reader.loaded.then(() => this.#writeVersions());
   }
 
   /** Starts to read what gateways know of streams. */
@@ -70,14 +71,34 @@
   /** Records all listed runners. */
   observeRunners(runners: Iterable<VersionedRunner>): void {
     const hasChanged = this.#history.observe(runners, this.#nowMs());
-    if (hasChanged) this.#requestWrite();
+    if (hasChanged) this.#writeVersions();
   }
 
-  /** Records which version began a stream, or goes on with it. */
-  recordOrigin(origin: NamedOrigin): void {
-    const isKnown = this.#origins.find(origin.firstAttemptId) !== undefined;
-    this.#origins.record(origin, this.#nowMs());
-    if (!isKnown && this.#isMixed(origin.service)) this.#requestWrite();
+  /**
+   * Records which version is asked for a stream, and waits for a limited time
+   * until the other gateways can know it; undefined if they can already.
+   */
+  publishOrigin(origin: NamedOrigin): Promise<void> | undefined {
+    this.#recordOrigin(origin);
+    const own = this.#origins.find(origin.firstAttemptId)?.request ?? 0;
+    const request = Math.max(own, this.#versionsRequest);
+    const { timers } = this.#options;
+    if (this.#writer.isWritten(request)) return;
+    return Promise.race([
+      this.#writer.waitUntilWritten(request),
+      wait(timers, maxPublishWaitMs),
+    ]);
+  }
+
+  /** Records which version is asked for a stream. */
+  #recordOrigin(origin: NamedOrigin): void {
+    const { firstAttemptId, service, softwareVersion } = origin;
+    const known = this.#origins.find(firstAttemptId);
+    const isKnown = known?.softwareVersion === softwareVersion;
+    const request = !isKnown && this.#isMixed(service)
+      ? this.#requestWrite()
+      : known?.request;
+    this.#origins.record({ ...origin, request }, this.#nowMs());
   }
 
   /** Records that a stream was sent to its end. */
@@ -205,8 +226,18 @@
     return this.#history.listCandidates(service, this.#nowMs());
   }
 
-  #requestWrite(): void {
-    if (this.#reader.isLoaded) this.#writer.requestWrite();
+  /** Requests a write of the versions that serve, once some are known. */
+  #writeVersions(): void {
+    if (this.#history.listServices().length === 0) return;
+    this.#versionsRequest = this.#requestWrite() ?? this.#versionsRequest;
+  }
+
+  /**
+   * Requests a write, if it can be made by now: before the records were read,
+   * this gateway's own of before its start would be lost.
+   */
+  #requestWrite(): number | undefined {
+    return this.#reader.isLoaded ? this.#writer.requestWrite() : undefined;
   }
 
   #nowMs(): number {
@@ -235,6 +266,9 @@
 /** Age at which a record is removed from the store. */
 const removalAgeMs = 600_000;
 
+/** Time for which a stream waits at most for a write of its version. */
+const maxPublishWaitMs = 150;
+
 /** Time for which a take-up waits for the records of the start. */
 const maxLoadWaitMs = 1000;
 
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -48,8 +48,9 @@
   /** Whether the answer being read belongs to another request. */
   #isStray = false;
   #isHeadRequest = false;
-  /** Attempts of which a request was sent on the connection. */
+  /** The last attempts of which a request was sent on the connection. */
   readonly #carriedIds = new Set<string>();
+  #requests = 0;
   #isReusable = true;
   #idleLimitMs = defaultIdleLimitMs;
   #idleSinceMs: number;
@@ -120,13 +121,13 @@
    * nothing in the answer tells the two apart.
    */
   hasCarried(attemptId: string): boolean {
-    if (attemptId === "") return this.#carriedIds.size > 0;
+    if (attemptId === "") return this.#requests > 0;
     return this.#carriedIds.has(attemptId);
   }
 
   /** Whether only one request was sent on the connection. */
   get isFirstRequest(): boolean {
-    return this.#carriedIds.size === 1;
+    return this.#requests === 1;
   }
 
   /** Whether the connection has been idle since a time. */
@@ -137,7 +138,7 @@
   /** Sends a request. The connection must be usable. */
   send(request: RunnerRequest, listener: AnswerListener): void {
     this.#listener = listener;
-    this.#carriedIds.add(request.attemptId);
+    this.#recordCarried(request.attemptId);
     this.#isHeadRequest = request.method === "HEAD";
     this.#isStray = false;
     this.#socket.write(encodeRequest(request));
@@ -155,6 +156,14 @@
     this.#close("destroyed");
   }
 
+  #recordCarried(attemptId: string): void {
+    this.#requests += 1;
+    this.#carriedIds.add(attemptId);
+    if (this.#carriedIds.size <= maxCarriedIds) return;
+    const [first] = this.#carriedIds;
+    this.#carriedIds.delete(first);
+  }
+
   #read(bytes: Buffer): void {
     if (this.#listener === undefined) {
       this.#close("received bytes without a request in flight");
@@ -183,8 +192,7 @@
     // A runner that answers before it has read the whole request would parse
     // the rest of the body as the next request.
     const isWritten = this.#socket.writableLength === 0;
-    const hasCarriedAll = this.#carriedIds.size >= maxRequests;
-    if (hasMore || !isWritten || hasCarriedAll) this.#isReusable = false;
+    if (hasMore || !isWritten) this.#isReusable = false;
     this.#idleSinceMs = this.#options.timers.nowMs();
     if (!this.#isReusable) this.#close("not reusable");
     listener?.onComplete();
@@ -221,8 +229,8 @@
  */
 const connectTimeoutMs = 300;
 
-/** Requests that a connection carries at most. */
-const maxRequests = 1000;
+/** Attempts that are remembered: more than follow before one comes again. */
+const maxCarriedIds = 100;
 
 /** Idle time after which the system sends TCP keep-alive probes. */
 const keepAliveDelayMs = 1000;
