Bound the writes of stream records by the store's rate and the fleet's size

With 390 gateways, ten writes a second each would be more than the store accepts from all. Together they take a quarter of it at most now; the rate is a setting, filled in by the platform. Nothing changes for the deployments that we know: 100 ms with 68 gateways and 3,200 writes a second.

--- a/packages/core/src/stream_versions/mod.ts
+++ b/packages/core/src/stream_versions/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./stream_origins.ts";
 export * from "./version_history.ts";
+export * from "./write_period.ts";
--- a/packages/core/src/stream_versions/stream_versions.feature
+++ b/packages/core/src/stream_versions/stream_versions.feature
@@ -24,3 +24,12 @@
     Then the origins at 6 s are "a b"
     And the origins at 8 s are "b"
     And the origins at 41 s are ""
+
+  Scenario Outline: Records take a quarter of the store's writes at most
+    Then <routers> routers of a store with <writes> writes a second write every <period> ms
+
+    Examples:
+      | routers | writes | period |
+      | 5       | 400    | 100    |
+      | 68      | 3200   | 100    |
+      | 390     | 400    | 3900   |
--- a/packages/core/src/stream_versions/stream_versions_test.ts
+++ b/packages/core/src/stream_versions/stream_versions_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { StreamOrigins, VersionHistory } from "./mod.ts";
+import { getWritePeriodMs, StreamOrigins, VersionHistory } from "./mod.ts";
 
 type World = { versions: VersionHistory; origins: StreamOrigins };
 
@@ -70,3 +70,10 @@
     assert.deepEqual(found, splitNames(expected));
   },
 );
+
+Then(
+  "{int} routers of a store with {int} writes a second write every {int} ms",
+  (routers: number, writesPerSecond: number, periodMs: number) => {
+    assert.equal(getWritePeriodMs({ routers, writesPerSecond }), periodMs);
+  },
+);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,6 +82,8 @@
       ...options,
       name: options.settings.name,
       registry: options.streams,
+      writesPerSecond: options.settings.platform.writesPerSecond,
+      countRouters: () => this.#fleet.gatewayCount,
     }));
     this.#fleet = this.#resources.use(FleetView.create({
       ...options,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -18,6 +18,8 @@
   seedAddresses: z.array(addressSchema).default([]),
   platform: z.strictObject({
     address: addressSchema,
+    /** Writes a second that it accepts from all processes together. */
+    writesPerSecond: z.number().positive().default(400),
     /** Time within which a silent connection must be detected. */
     noticeSilenceMs: durationMs.default(3000),
     /** Time within which every gateway must know a runner that leaves. */
--- a/packages/gateway/src/stream_versions/record_writer.ts
+++ b/packages/gateway/src/stream_versions/record_writer.ts
@@ -15,6 +15,8 @@
   timers: TimerService;
   logger: Logger;
   createRecord: () => StreamRecord;
+  /** Gets the least time between two writes. */
+  getPeriodMs: () => number;
 };
 
 /** Writes this gateway's record when it has changed, and now and then. */
@@ -79,13 +81,13 @@
   }
 
   async #writeRequested(): Promise<void> {
-    const { timers } = this.#options;
+    const { getPeriodMs, timers } = this.#options;
     this.#isWriting = true;
     while (this.#lastRequest > this.#writtenRequest && !this.#isDisposed) {
       this.#nextWrite = this.#write();
       await this.#nextWrite;
-      const pauseMs = this.#hasFailed ? retryPeriodMs : minPeriodMs;
-      this.#nextWrite = wait(timers, pauseMs);
+      const retryMs = this.#hasFailed ? retryPeriodMs : 0;
+      this.#nextWrite = wait(timers, Math.max(getPeriodMs(), retryMs));
       await this.#nextWrite;
     }
     this.#isWriting = false;
@@ -108,10 +110,7 @@
   }
 }
 
-/** Least time between two writes. */
-const minPeriodMs = 100;
-
-/** Pause after a write that failed. */
+/** Least pause after a write that failed. */
 const retryPeriodMs = 1000;
 
 /** Time after which a record is written again, so that it does not look old. */
--- a/packages/gateway/src/stream_versions/stream_versions.ts
+++ b/packages/gateway/src/stream_versions/stream_versions.ts
@@ -1,5 +1,6 @@
 import { normalizeError } from "@jasminetide/core/results";
 import {
+  getWritePeriodMs,
   type NamedOrigin,
   streamMemoryMs,
   type StreamOrigin,
@@ -19,6 +20,9 @@
   /** Name of this gateway. */
   name: string;
   registry: StreamRegistry;
+  /** Writes a second that the store accepts from all processes together. */
+  writesPerSecond: number;
+  countRouters: () => number;
   timers: TimerService;
   logger: Logger;
 };
@@ -59,6 +63,11 @@
     this.#writer = RecordWriter.create({
       ...options,
       createRecord: () => this.#createRecord(),
+      getPeriodMs: () =>
+        getWritePeriodMs({
+          routers: options.countRouters(),
+          writesPerSecond: options.writesPerSecond,
+        }),
     });
     void this.#reader.loaded.then(() => this.#writeVersions());
   }
