End a rush of the fault soak when its connections were accepted

Traced in the log of gateway 1: the rush ended at 9.3 s, and until 9.9 s the gateway read some 400 requests of its callers, all of which had left. The lookup, sent at 9.408 s on a new connection, was read behind them at 9.917 s and answered at its limit from then. A fault lasts until its effects have ended; this one ends now with the answer to a call on a new connection.

--- a/packages/fault_soak/src/callers.ts
+++ b/packages/fault_soak/src/callers.ts
@@ -145,6 +145,11 @@
     }));
   }
 
+  /** Makes a call on a new connection and waits for its end. */
+  async callOnNewConnection(gateway: SoakGateway): Promise<void> {
+    await this.#call(gateway, "lookup", { agent: new Agent() });
+  }
+
   /** Makes a call at a random gateway every so often. */
   async #sendForTime(
     durationMs: number,
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -187,6 +187,8 @@
     await setTimeout(rushRunMs);
   }
   await rush;
+  // Connections of the rush may still wait to be accepted before those of others.
+  await callers.callOnNewConnection(gateway);
 }
 
 async function delayLink(
