Keep a stream's request to the version of its first attempt

A version that was published may have been read, so it must not change.

Change: all attempts of one request for a resumable stream have the version of the first, also if none of them has sent an event. The rule for attempts beside a silent runner, a part of this one, is gone.

The new scenario failed before (v1 and v2).

--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -166,7 +166,7 @@
       {
         caller,
         service,
-        softwareVersion: this.#getRequiredVersion(),
+        softwareVersion: this.#version.current,
         triedIds,
         mayReturn,
       },
@@ -186,15 +186,6 @@
     return undefined;
   }
 
-  /** Gets the version that the next attempt must have; any if undefined. */
-  #getRequiredVersion(): string | undefined {
-    const { current } = this.#version;
-    if (current !== undefined) return current;
-    if (!this.#options.admitted.route.isResumable) return undefined;
-    // Either of several attempts may begin the stream.
-    return this.#running.first?.upstream.record.softwareVersion;
-  }
-
   #createAttempt(placement: Placement): RunningAttempt {
     const { admitted, context } = this.#options;
     const { upstream } = placement;
@@ -242,10 +233,7 @@
         timers.schedule(maxOverlapMs, () => this.#running.prefer(getRunning()));
         return false;
       },
-      onEvents: () => {
-        this.#running.prefer(getRunning());
-        this.#version.recordRunner(getRunning().upstream);
-      },
+      onEvents: () => this.#running.prefer(getRunning()),
     });
   }
 
--- a/packages/gateway/src/requests/relayed_version.ts
+++ b/packages/gateway/src/requests/relayed_version.ts
@@ -8,18 +8,21 @@
   context: Pick<GatewayContext, "streamVersions">;
 };
 
-/** Software version of the runners whose events one request has relayed. */
+/**
+ * Software version of the runners that one request for a stream is sent to. It
+ * stays that of the first attempt, whatever became of it: other gateways may
+ * have read it by then.
+ */
 export class RelayedVersion {
   readonly #options: RelayedVersionOptions;
   #softwareVersion: string | undefined;
-  #hasEvents = false;
 
   private constructor(options: RelayedVersionOptions) {
     this.#options = options;
     this.#softwareVersion = options.admitted.softwareVersion;
   }
 
-  /** Creates the version of a request that has relayed nothing yet. */
+  /** Creates the version of a request that was sent to no runner yet. */
   static create(options: RelayedVersionOptions): RelayedVersion {
     return new RelayedVersion(options);
   }
@@ -30,25 +33,20 @@
   }
 
   /**
-   * Waits until the other gateways can know the version of a runner that may
-   * begin the stream; undefined if they can already.
+   * Records the version of a runner that may begin the stream, and waits until
+   * the other gateways can know it; undefined if they can already.
    */
   prepareSend(
     { record: { softwareVersion } }: Upstream,
   ): Promise<void> | undefined {
     const { admitted: { route, service }, context } = this.#options;
-    if (this.#hasEvents || !route.isResumable) return undefined;
+    if (!route.isResumable) return undefined;
+    this.#softwareVersion = softwareVersion;
     const firstAttemptId = this.#getFirstAttemptId();
     const origin = { firstAttemptId, service, softwareVersion };
     return context.streamVersions.publishOrigin(origin);
   }
 
-  /** Records the runner of the events that are relayed next. */
-  recordRunner({ record: { softwareVersion } }: Upstream): void {
-    this.#hasEvents = true;
-    this.#softwareVersion = softwareVersion;
-  }
-
   /** Records that the stream was relayed to its end. */
   recordComplete(): void {
     const { streamVersions } = this.#options.context;
--- a/packages/gateway/src/requests/stream_versions.feature
+++ b/packages/gateway/src/requests/stream_versions.feature
@@ -40,6 +40,12 @@
     And they take their streams up at the other gateway
     Then each of them is refused as not run
 
+  Scenario: A request that broke off before its first event keeps to its version
+    Given a gateway, and two runners each of "v1" and "v2" that hold streams
+    And each request without events breaks off once
+    When 20 callers ask for streams that are held
+    Then all attempts at a stream went to one version
+
   Scenario: Runners come back under their ids with another version
     Given a gateway, and two runners each of "v1" that hold streams
     When 20 callers whose streams have begun leave
--- a/packages/gateway/src/requests/stream_versions_test.ts
+++ b/packages/gateway/src/requests/stream_versions_test.ts
@@ -258,6 +258,42 @@
   },
 );
 
+Given(
+  "each request without events breaks off once",
+  function (this: World) {
+    const brokenOff = new Set<string>();
+    for (const { runner } of this.versioned) {
+      const answer = runner.script;
+      runner.script = (request) => {
+        if (brokenOff.has(request.attemptId)) return answer(request);
+        brokenOff.add(request.attemptId);
+        request.socket.destroy();
+      };
+    }
+  },
+);
+
+When(
+  "{int} callers ask for streams that are held",
+  async function (this: World, count: number) {
+    await beginStreams(this, count);
+    for (const { callers: [caller] } of this.streams) {
+      await caller.waitUntil(({ text }) => text.includes("id: 2"));
+    }
+  },
+);
+
+Then("all attempts at a stream went to one version", function (this: World) {
+  for (const { attemptId } of this.streams) {
+    const versions = this.versioned.flatMap(({ runner, version }) =>
+      runner.requests.filter((each) => each.attemptId === attemptId)
+        .map(() => version)
+    );
+    assert.equal(versions.length, 2);
+    assert.equal(new Set(versions).size, 1, versions.join(" and "));
+  }
+});
+
 When(
   "the runners of {string} leave",
   async function (this: World, version: string) {
