Run the links of the fault soak in a process of their own

While that process was busy they passed requests on late: a runner got one 0.45 s after its gateway had cancelled it, and the check 'late-work' took the soak's delay for the gateway's.

Change: LinkHost starts one process that holds all links and answers when a fault is in force. No check and no time limit is changed, nothing is excused.

--- a/packages/fault_soak/src/fleet_gateway.ts
+++ b/packages/fault_soak/src/fleet_gateway.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
-import { FaultLink } from "@jasminetide/testing/fault_link";
+import type { HostedLink, LinkHost } from "./link_host.ts";
 import { ManagedProcess } from "./managed_process.ts";
 import { reservePort } from "./ports.ts";
 import type { SoakObjects, SoakPrograms } from "./wire.ts";
@@ -11,10 +11,10 @@
 /** A gateway with its links to callers, to the store and from other gateways. */
 export type SoakGateway = {
   index: number;
-  callerLink: FaultLink;
-  storeLink: FaultLink;
+  callerLink: HostedLink;
+  storeLink: HostedLink;
   /** By which the other gateways reach it. */
-  peerLink: FaultLink;
+  peerLink: HostedLink;
   readinessAddress: string;
   settingsFile: string;
   process: ManagedProcess;
@@ -25,6 +25,7 @@
 /** Options of a gateway. */
 export type FleetGatewayOptions = {
   programs: SoakPrograms;
+  links: LinkHost;
   random: RandomSource;
   /** Folder for settings and logs. */
   folder: string;
@@ -45,16 +46,14 @@
   index: number,
   options: FleetGatewayOptions,
 ): Promise<SoakGateway> {
-  const { folder, objects, random, storeAddress } = options;
+  const { folder, links, objects, random, storeAddress } = options;
   const reserveAddress = async () => `127.0.0.1:${await reservePort(random)}`;
   const callerAddress = await reserveAddress();
   const readinessAddress = await reserveAddress();
   const peerAddress = await reserveAddress();
-  const callerLink = await FaultLink.create({
-    getTarget: () => callerAddress,
-  });
-  const storeLink = await FaultLink.create({ getTarget: () => storeAddress });
-  const peerLink = await FaultLink.create({ getTarget: () => peerAddress });
+  const callerLink = await links.createLink(callerAddress);
+  const storeLink = await links.createLink(storeAddress);
+  const peerLink = await links.createLink(peerAddress);
   objects.setPeerAddress(formatName(index), peerLink.address);
   const settingsFile = join(folder, `gateway-${index}.jsonc`);
   writeFileSync(
--- a/packages/fault_soak/src/fleet_runner.ts
+++ b/packages/fault_soak/src/fleet_runner.ts
@@ -1,8 +1,8 @@
 /** Runners of a fleet under test: their links and processes. */
 import { join } from "node:path";
 import type { RandomSource } from "@jasminetide/core/random";
-import { FaultLink } from "@jasminetide/testing/fault_link";
 import type { History, RunnerEvent } from "./history.ts";
+import type { HostedLink, LinkHost } from "./link_host.ts";
 import { ManagedProcess } from "./managed_process.ts";
 import { reservePort } from "./ports.ts";
 import type { EpisodeSwitches } from "./episode_switches.ts";
@@ -11,7 +11,7 @@
 /** A runner with the link between gateways and its process. */
 export type SoakRunner = {
   index: number;
-  link: FaultLink;
+  link: HostedLink;
   port: number;
   service: string;
   /** Version of the software of the current process. */
@@ -30,6 +30,7 @@
 /** Options of a runner. */
 export type FleetRunnerOptions = {
   programs: SoakPrograms;
+  links: LinkHost;
   random: RandomSource;
   history: History;
   switches: EpisodeSwitches;
@@ -43,9 +44,7 @@
   options: FleetRunnerOptions,
 ): Promise<SoakRunner> {
   const port = await reservePort(options.random);
-  const link = await FaultLink.create({
-    getTarget: () => `127.0.0.1:${port}`,
-  });
+  const link = await options.links.createLink(`127.0.0.1:${port}`);
   const base = {
     index,
     link,
@@ -66,7 +65,7 @@
     SoakRunner,
     "id" | "index" | "port" | "service" | "softwareVersion"
   >,
-  { folder, history, programs, switches }: FleetRunnerOptions,
+  { folder, history, programs, switches }: Omit<FleetRunnerOptions, "links">,
 ): ManagedProcess {
   return ManagedProcess.create({
     name: runner.id,
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -1,12 +1,13 @@
 /** Injects each kind of fault into a fleet under test and ends it. */
 import { setTimeout } from "node:timers/promises";
-import type { FaultLink, LinkDirection } from "@jasminetide/testing/fault_link";
+import type { LinkDirection } from "@jasminetide/testing/fault_link";
 import type { FaultKind, FaultSpan, PlannedFault } from "./fault_kinds.ts";
 import type { Callers } from "./callers.ts";
 import { injectCrashes } from "./inject_crashes.ts";
 import type { SoakGateway } from "./fleet_gateway.ts";
 import type { SoakRunner } from "./fleet_runner.ts";
 import type { History } from "./history.ts";
+import type { HostedLink } from "./link_host.ts";
 import type { ManagedProcess } from "./managed_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import { failureMs, limitMs, restMs } from "./soak_runner.ts";
@@ -192,23 +193,23 @@
 }
 
 async function delayLink(
-  link: FaultLink,
+  link: HostedLink,
   delayMs: number,
   { durationMs }: FaultContext,
 ): Promise<void> {
-  link.setDelay(delayMs);
+  await link.setDelay(delayMs);
   await setTimeout(durationMs);
-  link.setDelay(0);
+  await link.setDelay(0);
 }
 
 async function silenceLink(
-  link: FaultLink,
+  link: HostedLink,
   directions: readonly LinkDirection[],
   { durationMs }: FaultContext,
 ): Promise<void> {
-  link.setSilentDirections(directions);
+  await link.setSilentDirections(directions);
   await setTimeout(durationMs);
-  link.setSilentDirections([]);
+  await link.setSilentDirections([]);
 }
 
 /** Time from when a runner is marked as draining until it is killed. */
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -16,6 +16,7 @@
   startRunner,
 } from "./fleet_runner.ts";
 import type { History } from "./history.ts";
+import { LinkHost } from "./link_host.ts";
 import { createSoakDeclaration } from "./soak_declaration.ts";
 import { runnerSlots } from "./soak_runner.ts";
 import type { EpisodeSwitches } from "./episode_switches.ts";
@@ -41,6 +42,7 @@
   readonly gateways: SoakGateway[] = [];
   readonly runners: SoakRunner[] = [];
   readonly store: StoreServer;
+  readonly #links = LinkHost.create();
   readonly #options: SoakFleetOptions;
   #version = 0;
   #heartbeat = 0;
@@ -146,19 +148,15 @@
     for (const { process } of [...this.gateways, ...this.runners]) {
       await process[Symbol.asyncDispose]();
     }
-    for (const { callerLink, peerLink, storeLink } of this.gateways) {
-      for (const link of [callerLink, storeLink, peerLink]) {
-        await link[Symbol.asyncDispose]();
-      }
-    }
-    for (const { link } of this.runners) await link[Symbol.asyncDispose]();
+    await this.#links[Symbol.asyncDispose]();
     await this.store[Symbol.asyncDispose]();
   }
 
   async #start(): Promise<void> {
     const { size } = this.#options;
     const { address: storeAddress, objects } = this.store;
-    const options = { ...this.#options, objects, storeAddress };
+    const links = this.#links;
+    const options = { ...this.#options, links, objects, storeAddress };
     this.putNextDeclaration();
     for (let index = 0; index < size.runners; index++) {
       const runner = await createRunner(index, options);
