Count only crashes on trial as failed trials of a quarantined part

Crashes 1.5 s apart counted as failed trials, so that its first was due 12 s after the last one and not 2 s, and after one more there would have been none for five minutes.

Change: a crash names the parts for which its request was on trial; only those of a part count as its failed trials. Gateways that do not know the new field drop it.

Tests: 'Later crashes under requests that were not sent on trial' (12 s before, 2 s now). Two scenarios about trials now say of their crashes that they were on trial, with the same times. A gateway's scenario sees that a trial's crash reaches all gateways; it fails when the guard does not pass the parts on.

--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -198,14 +198,13 @@
     const processes = this.#listUnexplained(part, nowMs);
     const unexplained = counted.filter(({ process }) => processes.has(process));
     if (processes.size >= minProcesses) {
-      const failed = listRepeatedCrashes(unexplained, minProcesses).length;
-      return { part, trialDueMs: getTrialDueMs(unexplained, failed) };
+      return { part, trialDueMs: getTrialDueMs(unexplained, partId) };
     }
     // Released, since others explained its crashes, it may have crashed again.
     const repeated = listRepeatedCrashes(counted, minProcesses)
       .filter(({ process }) => processes.has(process));
     if (repeated.length === 0) return undefined;
-    return { part, trialDueMs: getTrialDueMs(counted, repeated.length - 1) };
+    return { part, trialDueMs: getTrialDueMs(counted, partId) };
   }
 
   /** Describes the evidence against a part if it suffices. */
--- a/packages/core/src/quarantine/crash_table.ts
+++ b/packages/core/src/quarantine/crash_table.ts
@@ -108,7 +108,12 @@
 function mergeCrashes(left: Crash, right: Crash): Crash {
   return {
     ...left,
-    partIds: [...new Set([...left.partIds, ...right.partIds])],
+    partIds: mergeIds(left.partIds, right.partIds),
+    triedPartIds: mergeIds(left.triedPartIds ?? [], right.triedPartIds ?? []),
     atMs: Math.min(left.atMs, right.atMs),
   };
 }
+
+function mergeIds(left: readonly string[], right: readonly string[]): string[] {
+  return [...new Set([...left, ...right])];
+}
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -9,6 +9,8 @@
    * had begun, and the key of the request as a whole.
    */
   partIds: readonly string[];
+  /** Those for which the request was sent on trial, if it was. */
+  triedPartIds?: readonly string[];
   atMs: number;
 };
 
--- a/packages/core/src/quarantine/quarantine.feature
+++ b/packages/core/src/quarantine/quarantine.feature
@@ -134,12 +134,21 @@
     Given three processes crash under three requests with the part "bad"
     Then a request with the parts "bad new" is tried in 2 s
     When 2 s pass
-    And the part "bad" crashes runners "r4" under request "q4"
+    And the part "bad" crashes runners "r4" under request "q4" on trial
     Then a request with the parts "bad new" is tried in 12 s
     When 12 s pass
-    And the part "bad" crashes runners "r5" under request "q5"
+    And the part "bad" crashes runners "r5" under request "q5" on trial
     Then a request with the parts "bad new" is not tried
 
+  Scenario: Later crashes under requests that were not sent on trial
+    Given three processes crash under three requests with the part "base"
+    When 2 s pass
+    And the part "base" crashes runners "r4" under request "q4"
+    Then a request with the parts "base" is tried in 2 s
+    When 2 s pass
+    And the part "base" crashes runners "r5" under request "q5"
+    Then a request with the parts "base" is tried in 2 s
+
   Scenario: A request with fewer suspected parts is tried first
     Given the parts "base bad" crashed runners "r1" under request "q1"
     And the parts "base bad" crashed runners "r2" under request "q2"
@@ -153,8 +162,8 @@
     And the part "bad" crashed runners "p4" under request "q5"
     And the part "bad" crashed runners "p5" under request "q6"
     When 2 s pass
-    And the part "base" crashes runners "p6" under request "q7"
-    And the part "bad" crashes runners "p6" under request "q8"
+    And the part "base" crashes runners "p6" under request "q7" on trial
+    And the part "bad" crashes runners "p6" under request "q8" on trial
     Then a request with the parts "base" is tried in 0 s
     And a request with the parts "bad" is tried in 12 s
 
--- a/packages/core/src/quarantine/quarantine_test.ts
+++ b/packages/core/src/quarantine/quarantine_test.ts
@@ -38,20 +38,35 @@
 function recordCrashes(
   world: World,
   partIds: string[],
-  { request, runners }: { request: string; runners: string[] },
+  { request, runners, triedPartIds }: {
+    request: string;
+    runners: string[];
+    triedPartIds?: string[];
+  },
 ): void {
   const quarantine = getQuarantine(world);
   const atMs = world.quarantineNowMs;
   for (const process of runners) {
-    quarantine.recordCrash({ process, request, partIds, atMs }, atMs);
+    quarantine.recordCrash(
+      { process, request, partIds, triedPartIds, atMs },
+      atMs,
+    );
   }
 }
 
 Given(
-  /^the parts? "(.+)" crash(?:ed|es)? runners "(.+)" under request "(.+)"$/,
-  function (this: World, ids: string, runners: string, request: string) {
-    const crash = { request, runners: runners.split(" ") };
-    recordCrashes(this, ids.split(" "), crash);
+  /^the parts? "(.+)" crash(?:ed|es)? runners "(.+)" under request "([^"]+)"( on trial)?$/,
+  function (
+    this: World,
+    ids: string,
+    runners: string,
+    request: string,
+    onTrial: string | null,
+  ) {
+    const partIds = ids.split(" ");
+    const triedPartIds = onTrial === null ? undefined : partIds;
+    const crash = { request, runners: runners.split(" "), triedPartIds };
+    recordCrashes(this, partIds, crash);
   },
 );
 
@@ -144,6 +159,7 @@
   process: fc.constantFrom("r1", "r2", "r3", "r4"),
   request: fc.constantFrom("q1", "q2", "q3", "q4"),
   partIds: fc.subarray(partIds, { minLength: 1 }),
+  triedPartIds: fc.subarray(partIds),
   ageMs: fc.integer({ min: 0, max: 200_000 }),
 });
 
@@ -167,6 +183,7 @@
     ...crashes.map((crash) => ({
       ...crash,
       partIds: crash.partIds.toSorted(),
+      triedPartIds: crash.triedPartIds?.toSorted(),
     })),
     ...sound,
     ...quarantine.listQuarantined(nowMs),
--- a/packages/core/src/quarantine/quarantine_trials.ts
+++ b/packages/core/src/quarantine/quarantine_trials.ts
@@ -67,15 +67,18 @@
 
 /**
  * Gets the time at which a part may be tried next, from the crashes that speak
- * against it; undefined if trials have failed too often. All routers with the
- * same evidence agree on it.
+ * against it; undefined if trials of it have failed too often. All routers with
+ * the same evidence agree on it.
  */
 export function getTrialDueMs(
   crashes: readonly Crash[],
-  failedTrials: number,
+  partId: string,
 ): number | undefined {
   const lastMs = Math.max(...crashes.map(({ atMs }) => atMs));
-  const delayMs = trialDelaysMs.at(failedTrials);
+  const failed = crashes.filter(({ triedPartIds }) =>
+    triedPartIds?.includes(partId)
+  );
+  const delayMs = trialDelaysMs.at(failed.length);
   return delayMs === undefined ? undefined : lastMs + delayMs;
 }
 
--- a/packages/core/src/quarantine/test_support/replay_crashes.ts
+++ b/packages/core/src/quarantine/test_support/replay_crashes.ts
@@ -43,7 +43,12 @@
   soundAnswered: number;
 };
 
-type Request = CrashArrival & { id: string; gateway: Gateway; runs: number };
+type Request = CrashArrival & {
+  id: string;
+  gateway: Gateway;
+  runs: number;
+  triedPartIds?: readonly string[];
+};
 
 type Run = { request: Request; begunAtMs: number | undefined };
 
@@ -138,7 +143,8 @@
   }
 
   /** Sends a first request with quarantined parts on trial, if one is due. */
-  #tryTrial({ gateway, partIds, runs }: Request): boolean {
+  #tryTrial(request: Request): boolean {
+    const { gateway, partIds, runs } = request;
     const { quarantine, routers, trials } = gateway;
     const nowMs = this.#timers.nowMs();
     const trial = quarantine.findTrial(partIds, nowMs);
@@ -146,6 +152,7 @@
     if (trial === undefined || runs > 0 || !hasRunner) return false;
     if (!trials.isDue(trial, { nowMs, routers })) return false;
     trials.recordSend(trial, nowMs);
+    request.triedPartIds = trial.partIds;
     return true;
   }
 
@@ -187,11 +194,18 @@
     }
   }
 
-  #recordCrash({ process }: Runner, { gateway, id, partIds }: Request): void {
+  #recordCrash({ process }: Runner, request: Request): void {
+    const { gateway, id, partIds, triedPartIds } = request;
     const atMs = this.#timers.nowMs();
     const suspects = gateway.quarantine.listSuspects(partIds, atMs);
     if (suspects.length === 0) return;
-    const crash = { process, request: id, partIds: suspects, atMs };
+    const crash = {
+      process,
+      request: id,
+      partIds: suspects,
+      triedPartIds,
+      atMs,
+    };
     gateway.quarantine.recordCrash(crash, atMs);
     this.#sendEvidence(gateway, [crash], suspects);
   }
--- a/packages/gateway/src/peers/evidence_schema.ts
+++ b/packages/gateway/src/peers/evidence_schema.ts
@@ -20,6 +20,7 @@
     process: idSchema,
     request: idSchema,
     partIds: z.array(idSchema).min(1).max(maxPartCount),
+    triedPartIds: z.array(idSchema).max(maxPartCount).optional(),
     ageMs: ageMsSchema,
   })).max(maxItems),
   sound: z.array(z.object({ partId: idSchema, ageMs: ageMsSchema }))
--- a/packages/gateway/src/quarantine/crash_guard.ts
+++ b/packages/gateway/src/quarantine/crash_guard.ts
@@ -137,9 +137,14 @@
   /** State as written to a dump. */
   getSnapshot() {
     const nowMs = this.#options.timers.nowMs();
+    const { crashes } = this.#quarantine.getEvidence(nowMs);
     return {
       parts: this.#quarantine.listQuarantined(nowMs),
-      crashes: this.#quarantine.getEvidence(nowMs).crashes.length,
+      crashes: crashes.length,
+      /** Those under requests that were sent on trial. */
+      trialCrashes:
+        crashes.filter(({ triedPartIds = [] }) => triedPartIds.length > 0)
+          .length,
       pendingGateways: this.#delivery.pendingGateways,
     };
   }
@@ -161,7 +166,7 @@
 
   /** Records a crash if the runner's process is gone. */
   async #checkCrash(
-    { caller, isWhole, upstream }: EndedAttempt,
+    { caller, isWhole, triedPartIds, upstream }: EndedAttempt,
     { begunForMs, partIds }: { begunForMs?: number; partIds: string[] },
   ): Promise<void> {
     const { logger, timers } = this.#options;
@@ -183,7 +188,13 @@
       (!isWhole || await this.#hasBrokenOff(process, atMs)));
     if (!isCrash) return;
     const request = caller.attemptId.slice(0, maxIdLength);
-    this.#recordCrash({ process, request, partIds: suspects, atMs });
+    this.#recordCrash({
+      process,
+      request,
+      partIds: suspects,
+      triedPartIds,
+      atMs,
+    });
   }
 
   /**
--- a/packages/gateway/src/quarantine/quarantine.feature
+++ b/packages/gateway/src/quarantine/quarantine.feature
@@ -136,6 +136,7 @@
     And such requests are sent to all gateways for 8 s
     Then at most 3 of them have reached runners
     And each of them reached one runner at most
+    And of further ones, all gateways learn that one on trial crashed a runner
 
   Scenario: Refused callers come back soon while trials may find the part sound
     Given 4 gateways and 8 runners
--- a/packages/gateway/src/quarantine/quarantine_test.ts
+++ b/packages/gateway/src/quarantine/quarantine_test.ts
@@ -474,6 +474,20 @@
   },
 );
 
+Then(
+  "of further ones, all gateways learn that one on trial crashed a runner",
+  { timeout: -1 },
+  async function (this: World) {
+    const fleet = this.crashingFleet;
+    const endMs = timers.nowMs() + maxTrialMs;
+    for (let sent = 0; timers.nowMs() < endMs; sent++) {
+      await fleet.request(sent, { prompt: crashingPrompt });
+      if (!(await fleet.listKnownTrialCrashes()).includes(0)) return;
+    }
+    assert.fail("No trial that crashed a runner is known");
+  },
+);
+
 Then("each of them reached one runner at most", function (this: World) {
   const reached = this.crashingFleet.countReceived(crashingPart) -
     this.receivedBefore;
--- a/packages/gateway/src/quarantine/request_trials.ts
+++ b/packages/gateway/src/quarantine/request_trials.ts
@@ -44,11 +44,15 @@
     return this.#trials.isDue(trial, { nowMs, routers: getKnownRouters() });
   }
 
-  /** Records that a quarantined request is sent to a runner on trial. */
-  recordSend(suspect: SuspectRequest): void {
+  /**
+   * Records that a quarantined request is sent to a runner on trial.
+   *
+   * @returns its quarantined parts and key.
+   */
+  recordSend(suspect: SuspectRequest): readonly string[] {
     const { logger, timers } = this.#options;
     const trial = this.#find(suspect);
-    if (trial === undefined) return;
+    if (trial === undefined) return [];
     const nowMs = timers.nowMs();
     this.#trials.recordSend(trial, nowMs);
     logger.info("sent-on-trial", {
@@ -56,6 +60,7 @@
       partIds: trial.partIds.join(" "),
       dueForMs: Math.round(nowMs - trial.dueMs),
     });
+    return trial.partIds;
   }
 
   /** Forgets the trials of parts that turned out to be sound. */
--- a/packages/gateway/src/quarantine/suspect_request.ts
+++ b/packages/gateway/src/quarantine/suspect_request.ts
@@ -7,6 +7,8 @@
   caller: CallerRequest;
   /** Key that it has whenever it is sent. */
   requestKey: string;
+  /** Its quarantined parts and key, if it was sent on trial. */
+  triedPartIds?: readonly string[];
 };
 
 /**
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -64,7 +64,7 @@
   readonly #relay: StreamRelay;
   readonly #version: RelayedVersion;
   /** The request as the quarantine knows it. */
-  readonly #suspect: SuspectRequest;
+  #suspect: SuspectRequest;
   readonly #running: RunningAttempts;
   readonly #finished: Promise<void>;
   #finish: () => void = () => {};
@@ -177,7 +177,10 @@
     if (!takeRetry({ attempts, service }, context)) {
       return "retry budget exhausted";
     }
-    if (isOnTrial) context.crashGuard.trials.recordSend(this.#suspect);
+    if (isOnTrial) {
+      const triedPartIds = context.crashGuard.trials.recordSend(this.#suspect);
+      this.#suspect = { ...this.#suspect, triedPartIds };
+    }
     const running = this.#createAttempt(placement);
     this.#running.add(running);
     void running.ended.then((end) =>
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -83,12 +83,12 @@
 /** Learns from the end of an attempt whether its request crashes runners. */
 export function observeCrash(
   { begun, upstream }: Pick<EndedAttempt, "begun" | "upstream">,
-  { caller, end, requestKey }: SuspectRequest & { end: AttemptEnd },
+  { end, ...suspect }: SuspectRequest & { end: AttemptEnd },
   { crashGuard }: Pick<GatewayContext, "crashGuard">,
 ): void {
   const isWhole = end.type === "relayed" || end.type === "answered";
   if (!isWhole && end.type !== "broken") return;
-  crashGuard.observeEnd({ begun, upstream, caller, isWhole, requestKey });
+  crashGuard.observeEnd({ ...suspect, begun, upstream, isWhole });
 }
 
 /** Describes the end of an attempt for a log line. */
--- a/packages/gateway/src/test_support/crashing_fleet.ts
+++ b/packages/gateway/src/test_support/crashing_fleet.ts
@@ -176,6 +176,12 @@
     return states.map(({ crashes }) => crashes);
   }
 
+  /** Counts the crashes under requests on trial that each gateway knows of. */
+  async listKnownTrialCrashes(): Promise<number[]> {
+    const states = await Promise.all(this.gateways.map(loadQuarantine));
+    return states.map(({ trialCrashes }) => trialCrashes);
+  }
+
   /** Counts the requests with a part that runners have received. */
   countReceived(part: string): number {
     return this.runners.flatMap(({ requests }) => requests)
@@ -281,6 +287,7 @@
 type QuarantineState = {
   parts: { partId: string }[];
   crashes: number;
+  trialCrashes: number;
   pendingGateways: number;
 };
 
