Refuse prompts at once while all engines are full

Change: the first attempt of a prompt goes to no engine that holds as many requests as it has slots; if all do, it is refused at once as not run, with the time to come back. A full engine does not take a silent request over while the silent one has reported a queue within 2 s. What may have run may still queue.

--- a/packages/core/src/pools/choose_runner.ts
+++ b/packages/core/src/pools/choose_runner.ts
@@ -73,6 +73,8 @@
   sharedTokens: number;
   /** Runners whose cache probably holds the shared prefix. */
   holders: ReadonlySet<string>;
+  /** Whether a full engine may be chosen if all are full. */
+  mayQueue: boolean;
 };
 
 /** A chosen engine. */
@@ -87,6 +89,7 @@
   /** Place in rendezvous order; the highest is the home of the prefix. */
   weight: number;
   load: number;
+  isFull: boolean;
   failureShare: number;
 };
 
@@ -96,7 +99,7 @@
  * in rendezvous order (Thaler and Ravishankar, 1998), so that all routers choose
  * the same one. The bound is that of consistent hashing with bounded loads
  * (Mirrokni, Thorup and Zadimoghaddam, 2018). If no engine qualifies, chooses
- * the least loaded.
+ * the least loaded that is not full; full ones only if the request may queue.
  */
 export function chooseEngine<Runner extends PoolRunner>(
   runners: readonly Runner[],
@@ -107,14 +110,14 @@
   const loadBound = getLoadBound(candidates, context.sharedTokens);
   let first: Candidate<Runner> | undefined;
   for (const candidate of candidates) {
-    const isQualified =
-      candidate.load < Math.min(loadBound, candidate.runner.slots) &&
+    const isQualified = !candidate.isFull && candidate.load < loadBound &&
       candidate.failureShare < maxHomeFailureShare;
     if (isQualified && isRankedBefore(candidate, first)) first = candidate;
   }
+  const free = candidates.filter(({ isFull }) => !isFull);
   return first ??
     chooseLeastLoaded(
-      candidates,
+      free.length > 0 || !context.mayQueue ? free : candidates,
       ({ failureShare, load, runner }) =>
         load / runner.slots + failureShare * failurePenalty,
     );
@@ -126,13 +129,17 @@
 ): Candidate<Runner>[] {
   const { holders, nowMs, prefixId } = context;
   const key = hash32(prefixId);
-  return runners.map((runner) => ({
-    runner,
-    isHolder: holders.has(runner.id),
-    weight: mix32(key, runner.idHash),
-    load: runner.load.getEstimate(nowMs),
-    failureShare: runner.health.getFailureShare(nowMs),
-  }));
+  return runners.map((runner) => {
+    const load = runner.load.getEstimate(nowMs);
+    return {
+      runner,
+      isHolder: holders.has(runner.id),
+      weight: mix32(key, runner.idHash),
+      load,
+      isFull: load >= runner.slots,
+      failureShare: runner.health.getFailureShare(nowMs),
+    };
+  });
 }
 
 /** Holders come first, then the order of the weights. */
--- a/packages/core/src/pools/pools.feature
+++ b/packages/core/src/pools/pools.feature
@@ -21,6 +21,28 @@
     Then a prompt with 10000 shared tokens stays at its home
     And a prompt with 200 shared tokens leaves its home, which is a copy source
 
+  Scenario Outline: Only requests that may queue are placed while all engines are full
+    Given 4 engines with <own> requests each
+    When all engines report <others> requests more of other routers
+    Then a request that must not queue is <outcome>
+    And a request that may queue is placed
+    When 2001 ms pass at the pool
+    Then a request that must not queue is <later>
+
+    Examples:
+      | own | others | outcome | later   |
+      | 95  | 0      | placed  | placed  |
+      | 96  | 0      | refused | refused |
+      | 10  | 86     | refused | placed  |
+
+  Scenario: Whether requests wait at a runner is known for two seconds
+    Given a runner that reports 96 running requests, 2 of them by this router
+    Then no requests are known to wait there
+    When it reports 1 waiting request
+    Then requests are known to wait there
+    When 2001 ms pass without reports
+    Then no requests are known to wait there
+
   Scenario: A runner that loses requests is avoided for a while
     Given 4 plain runners
     When runner 2 loses 2 requests in a row
--- a/packages/core/src/pools/pools_test.ts
+++ b/packages/core/src/pools/pools_test.ts
@@ -62,6 +62,7 @@
     prefixId,
     sharedTokens,
     holders,
+    mayQueue: true,
   });
   assert.ok(choice);
   return choice;
@@ -86,6 +87,48 @@
   },
 );
 
+When(
+  "all engines report {int} requests more of other routers",
+  function (this: World, others: number) {
+    for (const { load } of this.pool) {
+      const running = load.ownOutstanding + others;
+      load.observe({ running, waiting: 0, slots: 96 }, this.poolNowMs);
+    }
+  },
+);
+
+When(
+  "it reports {int} waiting request",
+  function (this: World, waiting: number) {
+    this.load.observe({ running: 96, waiting, slots: 96 }, this.poolNowMs);
+  },
+);
+
+Then(
+  /^(no )?requests are known to wait there$/,
+  function (this: World, none: string | null) {
+    assert.equal(this.load.isWaiting(this.poolNowMs), none === null);
+  },
+);
+
+When("{int} ms pass at the pool", function (this: World, durationMs: number) {
+  this.poolNowMs += durationMs;
+});
+
+Then(
+  /^a request that (may|must not) queue is (placed|refused)$/,
+  function (this: World, right: string, outcome: string) {
+    const choice = chooseEngine(this.pool, {
+      nowMs: this.poolNowMs,
+      prefixId: "p",
+      sharedTokens: 0,
+      holders: new Set(),
+      mayQueue: right === "may",
+    });
+    assert.equal(choice !== undefined, outcome === "placed");
+  },
+);
+
 When("{int} engines are added", function (this: World, count: number) {
   for (let index = 0; index < count; index++) {
     this.pool.unshift(createRunner(`added${index}`));
--- a/packages/core/src/pools/runner_load.ts
+++ b/packages/core/src/pools/runner_load.ts
@@ -9,6 +9,7 @@
   /** Requests of this router that the runner has not answered in full. */
   ownOutstanding = 0;
   #reported = 0;
+  #reportedWaiting = 0;
   #ownAtReport = 0;
   #reportedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -22,16 +23,26 @@
   /** Records the load that an answer reported. */
   observe(load: ReportedLoad, nowMs: number): void {
     this.#reported = load.running + load.waiting;
+    this.#reportedWaiting = load.waiting;
     this.#ownAtReport = this.ownOutstanding;
     this.#reportedAtMs = nowMs;
   }
 
+  /** Whether the runner reported lately that requests wait there. */
+  isWaiting(nowMs: number): boolean {
+    return this.#reportedWaiting > 0 && this.#isReportValid(nowMs);
+  }
+
   /** Gets the estimated number of requests that the runner holds. */
   getEstimate(nowMs: number): number {
-    if (nowMs - this.#reportedAtMs > maxReportAgeMs) return this.ownOutstanding;
+    if (!this.#isReportValid(nowMs)) return this.ownOutstanding;
     const others = Math.max(0, this.#reported - this.#ownAtReport);
     return this.ownOutstanding + others;
   }
+
+  #isReportValid(nowMs: number): boolean {
+    return nowMs - this.#reportedAtMs <= maxReportAgeMs;
+  }
 }
 
 /** Age from which a report is ignored, about the duration of a stream. */
--- a/packages/core/src/pools/test_support/replay_prompts.ts
+++ b/packages/core/src/pools/test_support/replay_prompts.ts
@@ -153,6 +153,7 @@
       sharedTokens,
       holders,
       nowMs,
+      mayQueue: true,
     });
   }
 
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -33,7 +33,11 @@
   observeCrash,
   observeOutcome,
 } from "./observe_end.ts";
-import { placeAttempt, type Placement } from "./place_attempt.ts";
+import {
+  placeAttempt,
+  type Placement,
+  type PlacementOptions,
+} from "./place_attempt.ts";
 import { RelayedVersion } from "./relayed_version.ts";
 import { createRequestKey } from "./request_key.ts";
 import { RunningAttempt } from "./running_attempt.ts";
@@ -138,21 +142,29 @@
   /** Starts the next attempt, or ends the request if there is none to start. */
   #tryNext(): void {
     // A runner that has just refused has no capacity a moment later either.
-    const reason = this.#startAttempt({ mayReturn: !this.#wasRefused });
+    const reason = this.#startAttempt({
+      mayReturn: !this.#wasRefused,
+      mayQueue: this.#runs > 0,
+    });
     if (reason !== undefined) this.#endWithoutRunner(reason);
   }
 
   /** Tries another runner while all that were tried are silent. */
   #tryTakeover(): void {
     if (!this.#running.areSilent) return;
+    // A runner where requests wait and that answers others is not lost.
+    const { timers } = this.#options.context;
+    const mayQueue = !this.#running.hasQueue(timers.nowMs());
     const reason = canTakeOver(this.#getProgress())
-      ? this.#startAttempt({ mayReturn: false })
+      ? this.#startAttempt({ mayReturn: false, mayQueue })
       : "no attempt left";
     if (reason !== undefined) this.#log("kept-waiting", { reason });
   }
 
   /** Starts an attempt; returns the reason if none can be started. */
-  #startAttempt({ mayReturn }: { mayReturn: boolean }): string | undefined {
+  #startAttempt(
+    { mayQueue, mayReturn }: Pick<PlacementOptions, "mayQueue" | "mayReturn">,
+  ): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
     const isOnTrial = quarantined !== undefined && this.#attempts === 0 &&
@@ -169,6 +181,7 @@
         softwareVersion: this.#version.current,
         triedIds,
         mayReturn,
+        mayQueue,
       },
       context,
     );
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -26,6 +26,8 @@
   triedIds: ReadonlySet<string>;
   /** Whether runners that were tried before may be chosen if all were. */
   mayReturn: boolean;
+  /** Whether a full engine may be chosen if all are full. */
+  mayQueue: boolean;
 };
 
 /** Chooses a runner for an attempt; undefined when there is none to try. */
@@ -107,7 +109,7 @@
   context: GatewayContext,
   options: PlacementOptions & { home: Home },
 ): Placement | undefined {
-  const { home, service, triedIds } = options;
+  const { home, mayQueue, service, triedIds } = options;
   const { directory, holders, timers } = context;
   const nowMs = timers.nowMs();
   const held = holders.getHolders(home.prefixId, nowMs);
@@ -115,6 +117,7 @@
     ...home,
     nowMs,
     holders: held,
+    mayQueue,
   });
   if (choice === undefined) return undefined;
   const source = choice.isHolder ? undefined : findLiveHolder(held, context) ??
--- a/packages/gateway/src/requests/running_attempts.ts
+++ b/packages/gateway/src/requests/running_attempts.ts
@@ -41,6 +41,13 @@
     return [...this.#attempts].every(({ isSilent }) => isSilent);
   }
 
+  /** Whether requests wait at the runner of one, by a report of late. */
+  hasQueue(nowMs: number): boolean {
+    return [...this.#attempts].some(({ upstream }) =>
+      upstream.load.isWaiting(nowMs)
+    );
+  }
+
   add(attempt: RunningAttempt): void {
     this.#attempts.add(attempt);
   }
--- a/packages/gateway/src/test_support/scripted_runner.ts
+++ b/packages/gateway/src/test_support/scripted_runner.ts
@@ -151,19 +151,24 @@
   status?: string;
   /** Limit that the runner states, in requests a second. */
   perSecond?: number;
+  /** Requests that wait at the runner, all of whose 8 slots run some if any do. */
+  waiting?: number;
 };
 
 /** Formats a whole genuine answer with its length. */
 export function formatAnswer(
   attemptId: string,
   body: string,
-  { perSecond, status = "200 OK" }: AnswerVariation = {},
+  { perSecond, status = "200 OK", waiting }: AnswerVariation = {},
 ): string {
   const limit = perSecond === undefined
     ? ""
     : `${testHeaders.limit}: ${perSecond}\r\n`;
+  const load = waiting === undefined
+    ? ""
+    : `${testHeaders.load}: ${waiting > 0 ? 8 : 2},${waiting},8\r\n`;
   return `${
     formatHead(attemptId, status)
-  }${limit}Content-Length: ${body.length}` +
+  }${limit}${load}Content-Length: ${body.length}` +
     `\r\n\r\n${body}`;
 }
--- a/packages/gateway/src/test_support/test_protocol.ts
+++ b/packages/gateway/src/test_support/test_protocol.ts
@@ -16,6 +16,7 @@
   leaving: "x-leaving",
   pause: "x-pause-ms",
   limit: "x-limit",
+  load: "x-load",
 } as const;
 
 /** Header format for tests; its names differ from those of any deployment. */
@@ -66,10 +67,16 @@
     isLeaving: find(testHeaders.leaving) !== undefined,
     pauseMs: parseCount(find(testHeaders.pause)),
     limitPerSecond: parseCount(find(testHeaders.limit)),
-    load: undefined,
+    load: parseLoad(find(testHeaders.load)),
   };
 }
 
+function parseLoad(text: string | undefined): RunnerAnswer["load"] {
+  if (text === undefined) return undefined;
+  const [running, waiting, slots] = text.split(",").map(Number);
+  return { running, waiting, slots };
+}
+
 function parseCount(text: string | undefined): number | undefined {
   return text === undefined ? undefined : Number(text);
 }
--- a/packages/load/src/measure/engine_choice_bench.ts
+++ b/packages/load/src/measure/engine_choice_bench.ts
@@ -42,6 +42,7 @@
       sharedTokens,
       holders: holders.getHolders(prefix, 0),
       nowMs: 0,
+      mayQueue: true,
     });
     if (choice !== undefined) holders.record(prefix, choice.runner.id, 0);
   };
