Let the gateway catch up before its timers are looked at

A gateway without others asks every 100 ms for what it missed while it was away (evidence_catch_up.ts), for 30 s; that fires in the step if its requests take over 100 ms, and has nothing to do with them. The bound stays; the gateway learns from another one first, and the step begins once no short timer has fired for 500 ms.

--- a/packages/gateway/src/requests/stall.feature
+++ b/packages/gateway/src/requests/stall.feature
@@ -25,6 +25,7 @@
     Then all are answered
 
   Scenario: Requests without a stall are sent on at once
+    Given the gateway has learned from another one what it missed
     When each of them sends a request, one after the other
     Then all are answered
     And none of them has waited for a timer
--- a/packages/gateway/src/requests/stall_test.ts
+++ b/packages/gateway/src/requests/stall_test.ts
@@ -20,6 +20,7 @@
   stalling: TestGateway;
   stallRunner: ScriptedRunner;
   secondRunner?: ScriptedRunner;
+  otherGateway?: TestGateway;
   stallCallers: RawCaller[];
   /** Delays of the gateway's timers that have fired. */
   firedDelaysMs: number[];
@@ -58,9 +59,24 @@
   for (const caller of this.stallCallers) caller[Symbol.dispose]();
   await this.stallRunner[Symbol.asyncDispose]();
   await this.secondRunner?.[Symbol.asyncDispose]();
+  await this.otherGateway?.gateway[Symbol.asyncDispose]();
   await this.stalling.gateway[Symbol.asyncDispose]();
 });
 
+Given(
+  "the gateway has learned from another one what it missed",
+  async function (this: World) {
+    this.otherGateway = await startTestGateway();
+    const address = this.otherGateway.gateway.peerAddress;
+    this.stalling.peers.put("other", { address, capacity: 1 });
+    // It asks every 100 ms until one has answered, whatever its callers do.
+    do {
+      this.firedDelaysMs.splice(0);
+      await wait(timers, restMs);
+    } while (this.firedDelaysMs.some((delayMs) => delayMs <= shortMs));
+  },
+);
+
 function sendRequest(caller: RawCaller, index: number): void {
   caller.send({ path: "/story/1", attemptId: `stalled-${index}` });
 }
@@ -200,6 +216,9 @@
   assert.deepEqual(short, []);
 });
 
+/** Time without a short timer after which none is due any more. */
+const restMs = 500;
+
 /** Longest delay that a request could wait for unnoticed by its caller. */
 const shortMs = 100;
 
