Compare sound requests anew after all gateways forgot what crashes runners

All gateways were killed between the fourth and the sixth crash; the check counted its fifth crash across that, and judged a time in which both engines were down for crashes that nobody could know of. Now it counts crashes from then on, as the check of late arrivals does, and judges from there if there are none. The planted scenario is red before; its other half is found as before.

--- a/packages/fault_soak/src/crash_checks.feature
+++ b/packages/fault_soak/src/crash_checks.feature
@@ -51,6 +51,19 @@
     And sound requests of which 100 % begin at first attempt before and 40 % after 5800 ms
     Then there is no violation
 
+  Scenario Outline: Sound requests suffer anew from gateways that forgot the part
+    Given callers whose requests of every kind are served
+    And five runners that crashed under one part of a prompt
+    And the fault "all-killed" 500 ms after the fifth crash
+    And one more runner that crashes under it 4000 ms after the fifth crash
+    And sound requests of which 100 % begin at first attempt before and 40 % after <delay> ms
+    Then <result>
+
+    Examples:
+      | delay | result                                      |
+      | 6100  | there is no violation                       |
+      | 10100 | "sound-requests" is the only violated check |
+
   Scenario Outline: A request that crashed three runners reaches runners <count> times more
     Given callers whose requests of every kind are served
     And three runners that crashed under one request
--- a/packages/fault_soak/src/crash_checks.ts
+++ b/packages/fault_soak/src/crash_checks.ts
@@ -111,12 +111,7 @@
   { call: { gateway }, event: { atMs } }: CrashingEvent,
   { crashes, crashLimit, history: { faults } }: KnownCrashes,
 ): boolean {
-  const forgottenAtMs = Math.max(
-    0,
-    ...faults.filter(({ kind, startMs }) =>
-      kind === "all-killed" && startMs <= atMs
-    ).map(({ startMs }) => startMs),
-  );
+  const forgottenAtMs = getForgottenMs(faults, atMs);
   const known = crashes.filter(({ event }) => event.atMs > forgottenAtMs);
   const limitAtMs = known.at(crashLimit - 1)?.event.atMs ?? Infinity;
   const interval = { gateway, fromMs: atMs - syncMs, toMs: atMs };
@@ -125,6 +120,16 @@
     !isPeerLinkDisturbed(faults, interval);
 }
 
+/** Gets the time at which all gateways last forgot what crashes runners. */
+function getForgottenMs(faults: readonly FaultSpan[], untilMs: number): number {
+  return Math.max(
+    0,
+    ...faults.filter(({ kind, startMs }) =>
+      kind === "all-killed" && startMs <= untilMs
+    ).map(({ startMs }) => startMs),
+  );
+}
+
 /** Finds a time in which sound requests suffer from those that crash runners. */
 export function findStarvedRequests(history: History): Violation[] {
   return history.faults
@@ -152,16 +157,21 @@
 
 /** Gets the time from when the crashes are known to the last such request. */
 function getAfterCrashes(span: FaultSpan, history: History): Interval {
+  // Gateways that were all killed have to learn again.
+  const learnFromMs = Math.max(
+    span.startMs,
+    getForgottenMs(history.faults, span.endMs),
+  );
   const events = listCrashingEvents(crashingParts, history).filter((
     { event },
-  ) => event.atMs >= span.startMs && event.atMs <= span.endMs);
+  ) => event.atMs >= learnFromMs && event.atMs <= span.endMs);
   const crashes = events.filter(({ event }) => event.type === "crashed");
   const last = crashes.at(crashingParts.crashLimit - 1) ?? crashes.at(-1);
   const sentAtMs = history.calls
     .filter(({ partIds }) => hasCrashingPart(partIds))
     .map((call) => call.sentAtMs);
   return {
-    fromMs: (last?.event.atMs ?? Infinity) + 2 * contactMs,
+    fromMs: (last?.event.atMs ?? learnFromMs) + 2 * contactMs,
     toMs: Math.max(0, ...sentAtMs),
   };
 }
--- a/packages/fault_soak/src/crash_checks_test.ts
+++ b/packages/fault_soak/src/crash_checks_test.ts
@@ -85,6 +85,17 @@
   },
 );
 
+Given(
+  "one more runner that crashes under it {int} ms after the fifth crash",
+  function (this: World, delayMs: number) {
+    const atMs = fifthCrashMs + delayMs;
+    const call = addCrashingCall(this, atMs - 100);
+    const runner = "runner-5-5";
+    addRun(this, call, { runner, end: "crashed", endedAtMs: atMs });
+    this.history.exits.push({ runner, atMs });
+  },
+);
+
 /** Adds a call of the request that crashes runners, and its run. */
 function addCrashingRun(
   world: World,
