Drop the special case for released parts that crash runners again

Cause: mended at the wrong depth. A part that was released and crashed a runner again 1.5 s later was kept by a rule of its own, beside the explanation of crashes. Since what others crash later only makes a trial due, parts aren't released in turn any more, and the rule decides nothing that a test or a soak shows.

Change: the rule, its pause and its list of repeated crashes go. The part's type and the comparison of evidence are in a file of their own, unchanged.

Measured: all 33 scenarios of quarantine.feature pass without it.

--- a/packages/core/src/quarantine/crash_quarantine.ts
+++ b/packages/core/src/quarantine/crash_quarantine.ts
@@ -5,11 +5,12 @@
   EvidenceNews,
   EvidenceSelection,
 } from "./evidence.ts";
+import { getTrialDueMs, type Trial } from "./quarantine_trials.ts";
 import {
-  getTrialDueMs,
-  listRepeatedCrashes,
-  type Trial,
-} from "./quarantine_trials.ts";
+  isStronger,
+  listProcesses,
+  type QuarantinedPart,
+} from "./quarantined_part.ts";
 import { isRequestKey } from "./request_key.ts";
 import { SoundAnswers } from "./sound_answers.ts";
 
@@ -19,18 +20,6 @@
   quarantineMs: number;
 };
 
-/** Prompt part or request that is quarantined, and the evidence for it. */
-export type QuarantinedPart = {
-  /** Id of the part or key of the request. */
-  partId: string;
-  /** Time until requests with it are admitted again. */
-  leftMs: number;
-  /** Runner processes that crashed. */
-  processes: number;
-  /** Requests under which they crashed. */
-  requests: number;
-};
-
 /** A quarantined part, and when a request with it may be sent on trial. */
 type Finding = { part: QuarantinedPart; trialDueMs: number | undefined };
 
@@ -200,13 +189,10 @@
     if (processes.size >= minProcesses) {
       return { part, trialDueMs: getTrialDueMs(unexplained, partId) };
     }
-    // Released, since others explained its crashes, it may have crashed again.
-    const repeated = listRepeatedCrashes(counted, minProcesses)
-      .filter(({ process }) => processes.has(process));
     // What others crashed after its last crash may explain it: a trial tells.
     const lastMs = Math.max(...counted.map(({ atMs }) => atMs));
     const before = this.#listUnexplained(part, nowMs, lastMs + sameEndMs);
-    if (repeated.length === 0 && before.size < minProcesses) return undefined;
+    if (before.size < minProcesses) return undefined;
     return { part, trialDueMs: getTrialDueMs(counted, partId) };
   }
 
@@ -290,27 +276,11 @@
   }
 }
 
-/**
- * Whether the evidence against a part is stronger. Of parts that crashed as many
- * processes, the one in fewer requests is to blame: a sound part that many
- * requests share is under way several times where a process crashes.
- */
-function isStronger(left: QuarantinedPart, right: QuarantinedPart): boolean {
-  if (left.processes !== right.processes) {
-    return left.processes > right.processes;
-  }
-  return left.requests < right.requests;
-}
-
 /** Gets the time of the next trial; infinite if there is none. */
 function getDueMs({ trialDueMs }: Finding): number {
   return trialDueMs ?? Number.POSITIVE_INFINITY;
 }
 
-function listProcesses(crashes: readonly Crash[]): Set<string> {
-  return new Set(crashes.map(({ process }) => process));
-}
-
 /** Time by which a trial waits for each further part that is suspected. */
 const extraPartMs = 1000;
 
--- a/packages/core/src/quarantine/mod.ts
+++ b/packages/core/src/quarantine/mod.ts
@@ -7,4 +7,5 @@
 export * from "./evidence.ts";
 export * from "./crash_quarantine.ts";
 export * from "./quarantine_trials.ts";
+export type * from "./quarantined_part.ts";
 export * from "./request_key.ts";
--- a/packages/core/src/quarantine/quarantine_trials.ts
+++ b/packages/core/src/quarantine/quarantine_trials.ts
@@ -82,29 +82,6 @@
   return delayMs === undefined ? undefined : lastMs + delayMs;
 }
 
-/**
- * Lists the crashes after a pause that followed those which suffice for a
- * quarantine: of requests on trial, or while the part was released.
- *
- * @param minProcesses crashed processes which suffice.
- */
-export function listRepeatedCrashes(
-  crashes: readonly Crash[],
-  minProcesses: number,
-): Crash[] {
-  const sorted = crashes.toSorted((left, right) => left.atMs - right.atMs);
-  const processes = new Set<string>();
-  const repeated: Crash[] = [];
-  let lastMs = Number.NEGATIVE_INFINITY;
-  for (const crash of sorted) {
-    const isQuarantined = processes.size >= minProcesses;
-    if (isQuarantined && crash.atMs - lastMs >= pauseMs) repeated.push(crash);
-    processes.add(crash.process);
-    lastMs = crash.atMs;
-  }
-  return repeated;
-}
-
 /**
  * Gets the time after which a refused caller should come back for a trial that
  * may clear its request: when it is due and answered, later the longer it has
@@ -124,9 +101,6 @@
 /** Times from the last crash to a trial, by the trials that have failed. */
 const trialDelaysMs = [2000, 12_000] as const;
 
-/** Pause between crashes that shows a repeated one; below the first delay. */
-const pauseMs = 1500;
-
 /** Time for which one router may send a trial before it is the next one's turn. */
 const turnMs = 3000;
 
