--- a/review/stand_ins/runner.mjs
+++ b/review/stand_ins/runner.mjs
@@ -1,6 +1,7 @@
 /** Stand-in of a runner that answers as a case tells it to. */
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
+import { Link } from "./link.mjs";
 import { listen } from "./net_tools.mjs";
 
 /** A runner with its entry in the store. */
@@ -17,7 +18,8 @@
    * @param options.run answers a request that names this runner; gets the
    * request, its whole body, the response and the headers of the answer.
    */
-  static async create({ record, run, service, slots, store, zone }) {
+  static async create(options) {
+    const { isBehindLink, record, run, service, slots, store, zone } = options;
     const runner = new Runner();
     runner.id = `i-${randomBytes(5).toString("hex")}`;
     runner.#server = createServer(async (request, response) => {
@@ -33,16 +35,19 @@
         return;
       }
       record({ event: "run", runner: runner.id, attemptId });
-      runner.runs.push({ attemptId });
+      runner.runs.push({ attemptId, atMs: Date.now() });
       const seal = randomBytes(8).toString("hex");
       run(request, chunks, response, { ...headers, "Server-Seal": seal });
     });
     runner.#server.keepAliveTimeout = 20_000;
     runner.address = await listen(runner.#server);
+    if (isBehindLink) {
+      runner.link = await Link.create({ record, target: runner.address });
+    }
     runner.#store = store;
     runner.entry = {
       Service: service,
-      Address: runner.address,
+      Address: runner.link?.address ?? runner.address,
       Zone: zone,
       Version: "v1",
       Slots: slots,
@@ -60,6 +65,13 @@
     this.#store.put("servers", this.id, this.entry);
   }
 
+  /** Reports that it drains, and serves on. */
+  drain() {
+    this.#isLeaving = true;
+    this.entry = { ...this.entry, State: "draining", Seq: this.entry.Seq + 1 };
+    this.register();
+  }
+
   /**
    * Leaves without reporting that it drains: its entry is removed, and it
    * serves on.
