--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -81,10 +81,12 @@
         record,
       };
       while (!isOver) {
-        const { attemptId, status } = await consumer.send(options);
-        // The channel has ended; the gateway may be gone.
-        if (status === 0) unanswered.push(attemptId);
-        if (status === 0) break;
+        const { attemptId, hasLeft, status } = await consumer.send(options);
+        // The channel has ended by itself; the gateway may be gone.
+        if (status === 0 && !hasLeft) {
+          unanswered.push(attemptId);
+          break;
+        }
         await setTimeout(Math.random() * longestPauseMs);
       }
       consumer.close();
--- a/review/stand_ins/consumer.mjs
+++ b/review/stand_ins/consumer.mjs
@@ -17,7 +17,8 @@
   }
 
   /**
-   * Sends a request; resolves with the status, 0 if there is no answer.
+   * Sends a request; resolves with the status, 0 if there is no answer, and
+   * whether the consumer itself has left.
    *
    * @param options.patienceMs longest time without a byte of the body.
    */
@@ -25,9 +26,14 @@
     const attemptId = randomBytes(8).toString("hex");
     record({ event: "sent", attemptId, method, path });
     return new Promise((resolve) => {
+      let hasLeft = false;
       const end = (status, detail) => {
         record({ event: "answered", attemptId, status, detail });
-        resolve({ attemptId, status });
+        resolve({ attemptId, hasLeft, status });
+      };
+      const leave = (reason) => {
+        hasLeft = true;
+        sent.destroy(new Error(reason));
       };
       const sent = request({
         ...this.#address,
@@ -49,11 +55,11 @@
         );
       });
       const patience = setTimeout(
-        () => sent.destroy(new Error("left")),
+        () => leave("left: no byte of a body came in time"),
         patienceMs,
       );
       sent.on("close", () => clearTimeout(patience));
-      sent.on("timeout", () => sent.destroy(new Error("time limit")));
+      sent.on("timeout", () => leave("left: time limit"));
       sent.on("error", (error) => end(0, error.message));
       sent.end();
     });
