Parse answers in bounded work and limit their framing

Cause: the limit on bytes beside a body began anew with each byte of a body. The library's expressions for header lines take time that grows with the square of the blanks in a line. Each chunk was a call through all layers.

Change: framing is counted over the whole answer and limited by the bytes of its body; lines of headers and interim answers are limited in number; header lines are parsed in linear time; chunks are read by a reader of our own, and what a read holds of a body is handed over once.

--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -231,15 +231,21 @@
     And the connection to the runner is closed before 64 MiB were sent
 
     Examples:
-      | bytes                |
-      | a header             |
-      | headers              |
-      | interim answers      |
-      | a chunk size         |
-      | trailers             |
-      | a body with a length |
-      | a body in chunks     |
-      | no HTTP              |
+      | bytes                                 |
+      | a header                              |
+      | headers                               |
+      | interim answers                       |
+      | a chunk size                          |
+      | trailers                              |
+      | a body with a length                  |
+      | a body in chunks                      |
+      | no HTTP                               |
+      | headers of two bytes                  |
+      | trailers of two bytes                 |
+      | blanks in a header                    |
+      | blanks in a trailer                   |
+      | chunks of one byte with an extension  |
+      | a body without length                 |
 
   Scenario: An event without end is not kept
     Given a runner that sends an event without end
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import process from "node:process";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { wait } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
@@ -26,6 +27,9 @@
 /** State that the steps on requests share. */
 export type RequestWorld = {
   gatewayUnderTest: TestGateway;
+  /** Heap in use before and at most while a runner sends without end. */
+  startHeapBytes: number;
+  largestHeapBytes: number;
   scriptedRunners: Map<string, ScriptedRunner>;
   rawCallers: RawCaller[];
   answers: string[];
@@ -717,6 +721,45 @@
     begin: (id) => `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\n`,
     repeated: formatChunk("a".repeat(1024)),
   },
+  "headers of two bytes": { begin: formatHead, repeated: "a:\r\n" },
+  "trailers of two bytes": {
+    begin: (id) => `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+    repeated: "a:\r\n",
+  },
+  "blanks in a header": {
+    begin: (id) => `${formatHead(id)}a: b\r\n`,
+    repeated: `${" ".repeat(60_000)}\r\n`,
+  },
+  "blanks in a trailer": {
+    begin: (id) =>
+      `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\n0\r\na: b\r\n`,
+    repeated: `${" ".repeat(60_000)}\r\n`,
+  },
+  "chunks of one byte with an extension": {
+    begin: (id) => `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\n`,
+    repeated: `1;${"x".repeat(4096)}\r\na\r\n`,
+  },
+  "a body without length": {
+    begin: (id) => `${formatHead(id)}\r\n`,
+    repeated: "a".repeat(1024),
+  },
+  "answers to other requests": {
+    begin: () => "",
+    repeated: formatAnswer("another", "a"),
+  },
+  "a body for another request": {
+    begin: () => `${formatHead("another")}Content-Length: 999999999999\r\n\r\n`,
+    repeated: "a".repeat(1024),
+  },
+  "an error in chunks of one byte": {
+    begin: (id) =>
+      `${formatHead(id, "500 Trouble")}Transfer-Encoding: chunked\r\n\r\n`,
+    repeated: formatChunk("a"),
+  },
+  "a whole body in chunks of one byte": {
+    begin: (id) => `${formatHead(id)}Transfer-Encoding: chunked\r\n\r\n`,
+    repeated: formatChunk("a"),
+  },
   "no HTTP": { begin: () => "", repeated: "a".repeat(1024) },
   "an event": {
     begin: (id) =>
@@ -727,10 +770,15 @@
 };
 
 /** Writes until the connection closes, as fast as it is read. */
-function sendEndlessly(socket: ReceivedRequest["socket"], bytes: string): void {
+function sendEndlessly(
+  socket: ReceivedRequest["socket"],
+  bytes: string,
+  onSend: () => void = () => {},
+): void {
   const part = bytes.repeat(Math.ceil(65_536 / bytes.length));
   const send = () => {
     while (!socket.destroyed && socket.write(part));
+    onSend();
   };
   socket.on("drain", send);
   send();
@@ -743,8 +791,13 @@
     assert.ok(answer, what);
     setScript(this, ({ attemptId, socket }) => {
       socket.write(answer.begin(attemptId));
-      sendEndlessly(socket, answer.repeated);
+      sendEndlessly(socket, answer.repeated, () => {
+        const { heapUsed } = process.memoryUsage();
+        this.largestHeapBytes = Math.max(this.largestHeapBytes, heapUsed);
+      });
     });
+    this.largestHeapBytes = 0;
+    this.startHeapBytes = process.memoryUsage().heapUsed;
   },
 );
 
@@ -757,6 +810,14 @@
   },
 );
 
+Then(
+  "the heap grew by less than {int} MiB meanwhile",
+  function (this: World, limitMib: number) {
+    const grownBytes = this.largestHeapBytes - this.startHeapBytes;
+    assert.ok(grownBytes < limitMib * 1024 * 1024, `${grownBytes} bytes`);
+  },
+);
+
 When("an endless body is sent", async function (this: World) {
   const { callerAddress } = this.gatewayUnderTest.gateway;
   const caller = await RawCaller.create(callerAddress);
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -1,13 +1,17 @@
 import type { Buffer } from "node:buffer";
 import { validateHeaderName, validateHeaderValue } from "node:http";
 import { AppError } from "@jasminetide/core/results";
+import { ByteCollector } from "@jasminetide/runtime/streams";
 import { HTTPParser } from "http-parser-js";
 import type { AnswerHead } from "../protocol.ts";
+import { ChunkedBody } from "./chunked_body.ts";
+import { parseHeaderLine } from "./parse_header_line.ts";
 
 /** Callbacks of a parser for the answers that it reads. */
 export type AnswerEvents = {
   /** @param isReusable whether the runner keeps the connection open. */
   onHead: (head: AnswerHead, isReusable: boolean) => void;
+  /** Called once at most for each answer in the bytes that were read. */
   onBody: (bytes: Buffer) => void;
   /** @param hasMore whether bytes follow the end of the answer. */
   onComplete: (hasMore: boolean) => void;
@@ -15,29 +19,41 @@
 
 /** Fields of the library's parser that its type declarations omit. */
 type ParserState = {
+  chunk: Buffer;
   offset: number;
   end: number;
-  consumeLine(): string | undefined;
-  body_bytes: number;
   state: string;
+  parseHeader: (line: string, headers: string[]) => void;
   BODY_CHUNKHEAD: () => void;
 };
 
 /**
  * Parses the HTTP/1.1 answers of one connection, more strictly than the library
- * it is based on.
+ * it is based on. The work and the memory for an answer grow with its bytes and
+ * are limited, whatever the pieces that it is made of.
  */
 export class AnswerParser {
+  readonly #events: AnswerEvents;
   readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
+  readonly #state = this.#parser as unknown as ParserState;
+  /** Part of a body in the bytes that are being read. */
+  readonly #body = ByteCollector.create();
+  #chunks = this.#createChunks();
   /** Whether the current answer is an interim one (1xx). */
   #isInterim = false;
-  /** Bytes read since the last byte of a body or the last whole answer. */
+  /** Bytes of the current answer, with interim ones before it. */
+  #bodyBytes = 0;
   #framingBytes = 0;
+  /** Lines of its head and trailers. */
+  #headerLines = 0;
+  #interimAnswers = 0;
 
   private constructor(events: AnswerEvents, isHeadRequest: () => boolean) {
+    this.#events = events;
     const parser = this.#parser;
-    const state = parser as unknown as ParserState;
-    state.BODY_CHUNKHEAD = () => readChunkHead(state);
+    this.#state.parseHeader = (line, headers) =>
+      this.#parseHeader(line, headers);
+    this.#state.BODY_CHUNKHEAD = () => this.#readChunks();
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const isFramed = checkFraming(info.headers) ||
         statusesWithoutBody.has(info.statusCode) || isHeadRequest();
@@ -50,15 +66,8 @@
       );
       return isHeadRequest() ? 1 : 0;
     };
-    parser[HTTPParser.kOnBody] = (bytes) => {
-      this.#framingBytes = 0;
-      events.onBody(bytes);
-    };
-    parser[HTTPParser.kOnMessageComplete] = () => {
-      if (this.#isInterim) return;
-      this.#framingBytes = 0;
-      events.onComplete(state.offset < state.end);
-    };
+    parser[HTTPParser.kOnBody] = (bytes) => this.#appendBody(bytes);
+    parser[HTTPParser.kOnMessageComplete] = () => this.#complete();
   }
 
   /**
@@ -79,11 +88,12 @@
     try {
       this.#framingBytes += bytes.length;
       const result = this.#parser.execute(bytes);
+      this.#flushBody();
       if (result instanceof Error) return result;
-      return this.#framingBytes > maxFramingBytes
-        ? createEndlessError()
-        : undefined;
+      this.#checkFramingBytes();
+      return undefined;
     } catch (error) {
+      this.#flushBody();
       return error as Error;
     }
   }
@@ -92,33 +102,85 @@
   end(): Error | undefined {
     return this.#parser.finish() ?? undefined;
   }
+
+  #createChunks(): ChunkedBody {
+    return ChunkedBody.create((bytes) => this.#appendBody(bytes));
+  }
+
+  #parseHeader(line: string, headers: string[]): void {
+    this.#headerLines += 1;
+    if (this.#headerLines > maxHeaderLines) {
+      throw createEndlessError(`${maxHeaderLines} lines of headers`);
+    }
+    if (line.includes("\r")) {
+      throw AppError.create(
+        "runnerFailed",
+        "A header contains a carriage return",
+      );
+    }
+    parseHeaderLine(line, headers);
+  }
+
+  #readChunks(): void {
+    const state = this.#state;
+    state.offset = this.#chunks.read(state.chunk, state.offset);
+    if (!this.#chunks.isComplete) return;
+    this.#chunks = this.#createChunks();
+    state.state = "BODY_CHUNKTRAILERS";
+  }
+
+  #appendBody(bytes: Buffer): void {
+    this.#framingBytes -= bytes.length;
+    this.#bodyBytes += bytes.length;
+    this.#body.append(bytes);
+  }
+
+  #flushBody(): void {
+    if (this.#body.sizeBytes > 0) this.#events.onBody(this.#body.take());
+  }
+
+  #complete(): void {
+    if (this.#isInterim) {
+      this.#interimAnswers += 1;
+      if (this.#interimAnswers <= maxInterimAnswers) return;
+      throw createEndlessError(`${maxInterimAnswers} interim answers`);
+    }
+    this.#bodyBytes = 0;
+    this.#framingBytes = 0;
+    this.#headerLines = 0;
+    this.#interimAnswers = 0;
+    this.#flushBody();
+    this.#events.onComplete(this.#state.offset < this.#state.end);
+  }
+
+  /** Limits what an answer contains beside its body. */
+  #checkFramingBytes(): void {
+    const limitBytes = maxFramingBytes +
+      maxFramingPerBodyByte * this.#bodyBytes;
+    if (this.#framingBytes <= limitBytes) return;
+    throw createEndlessError(
+      `${this.#framingBytes} bytes of framing for ${this.#bodyBytes} of a body`,
+    );
+  }
 }
 
 /**
- * Limit on the bytes of heads, interim answers, chunk sizes and trailers that
- * are read in a row. The library limits heads only.
+ * Limit on the bytes of an answer's head, chunk sizes and trailers and of the
+ * interim answers before it.
  */
 const maxFramingBytes = 128 * 1024;
 
-function createEndlessError(): AppError {
-  return AppError.create(
-    "runnerFailed",
-    `The answer has ${maxFramingBytes} bytes without a part of its body`,
-  );
-}
+/** Addition to this limit; a chunk of one byte has five bytes of framing. */
+const maxFramingPerBodyByte = 8;
 
-/** Rejects malformed chunk sizes, which the library reads as the last chunk. */
-function readChunkHead(state: ParserState): void {
-  const line = state.consumeLine();
-  if (line === undefined) return;
-  if (!/^[0-9a-f]{1,8}[ \t]*(;.*)?$/i.test(line)) {
-    throw AppError.create(
-      "runnerFailed",
-      "The chunk size is not a hexadecimal number",
-    );
-  }
-  state.body_bytes = parseInt(line, 16);
-  state.state = state.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
+/** Limit on the lines of headers and trailers, interim answers included. */
+const maxHeaderLines = 2000;
+
+/** Limit on the interim answers before an answer. */
+const maxInterimAnswers = 32;
+
+function createEndlessError(contents: string): AppError {
+  return AppError.create("runnerFailed", `The answer has ${contents}`);
 }
 
 /** Rejects headers that cannot be sent on, such as control characters. */
--- a/packages/runtime/src/streams/mod.ts
+++ b/packages/runtime/src/streams/mod.ts
@@ -1,4 +1,5 @@
-/** Parsing of event streams and detection of silent connections. */
+/** Collecting and parsing of streams and detection of silent connections. */
+export * from "./byte_collector.ts";
 export * from "./event_cutter.ts";
 export * from "./event_tracker.ts";
 export * from "./silence_watch.ts";
