Keep buffered answers by bytes, not by pieces

Cause (H1): an answer that is buffered was kept as a list of the pieces that the parser handed over, and its limit of 4 MiB counted their bytes. Four million pieces of one byte are four million objects. The status doesn't matter: answers of routes that are no streams are all buffered.

Change: pieces are copied into shared blocks.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,6 +1,7 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import { waitForReads } from "@jasminetide/runtime/clock";
+import { ByteCollector } from "@jasminetide/runtime/streams";
 import type { AnswerHead, RunnerAnswer, WireProtocol } from "../protocol.ts";
 import type {
   RunnerConnection,
@@ -81,8 +82,7 @@
   #head: AnswerHead | undefined;
   #answer: RunnerAnswer | undefined;
   #isRelayed = false;
-  #body: Buffer[] = [];
-  #bodyBytes = 0;
+  readonly #body = ByteCollector.create();
 
   private constructor(options: AttemptOptions) {
     this.#options = options;
@@ -210,9 +210,9 @@
   }
 
   #buffer(bytes: Buffer): void {
-    this.#bodyBytes += bytes.length;
-    if (this.#bodyBytes <= maxBufferedBytes) this.#body.push(bytes);
-    else this.#breakOff(`the answer exceeds ${maxBufferedBytes} bytes`);
+    this.#body.append(bytes);
+    if (this.#body.sizeBytes <= maxBufferedBytes) return;
+    this.#breakOff(`the answer exceeds ${maxBufferedBytes} bytes`);
   }
 
   #complete(): void {
@@ -227,7 +227,7 @@
       return;
     }
     const type = this.#answer?.isNotRun === true ? "notRun" : "answered";
-    this.#end({ type, head: this.#head, body: Buffer.concat(this.#body) });
+    this.#end({ type, head: this.#head, body: this.#body.take() });
   }
 
   #breakOff(reason: string): void {
@@ -238,6 +238,7 @@
   #end(end: AttemptEnd): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
+    this.#body.clear();
     this.#options.upstream.load.ownOutstanding -= 1;
     this.#resolve(end);
   }
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -247,6 +247,20 @@
       | chunks of one byte with an extension  |
       | a body without length                 |
 
+  # Guards against an answer in tiny pieces that is kept as one object a piece
+  # until the process reaches its heap limit (review/1).
+  Scenario Outline: An answer without end in pieces of one byte fits in memory
+    Given a runner that sends <bytes> without end
+    When a caller sends "<path>"
+    Then the caller gets status 502
+    And the heap grew by less than 100 MiB meanwhile
+
+    Examples:
+      | path       | bytes                               |
+      | /summary/1 | an error in chunks of one byte      |
+      | /payout/1  | a whole body in chunks of one byte  |
+      | /lookup/1  | a whole body in chunks of one byte  |
+
   Scenario: An event without end is not kept
     Given a runner that sends an event without end
     When a caller sends "/summary/1"
