Limit answers to other requests on a connection

Callers saw: a request waited for its time limit, and others with it for the processor, while its runner sent answers with other ids without end.

Change: a connection is closed after 16 such answers, or 4 MiB of their bodies, before the answer to its request.

Measured: the rows "answers to other requests" and "a body for another request" of "Bytes without end from a runner end with a typed failure" failed before (no answer within the step's 5 s) and pass now.

--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -246,6 +246,8 @@
       | blanks in a trailer                   |
       | chunks of one byte with an extension  |
       | a body without length                 |
+      | answers to other requests             |
+      | a body for another request            |
 
   # Guards against an answer in tiny pieces that is kept as one object a piece
   # until the process reaches its heap limit (review/1).
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -47,6 +47,9 @@
   #listener: AnswerListener | undefined;
   /** Whether the answer being read belongs to another request. */
   #isStray = false;
+  /** Answers to other requests since the last request, and their bodies. */
+  #strayAnswers = 0;
+  #strayBytes = 0;
   #isHeadRequest = false;
   /** The last attempts of which a request was sent on the connection. */
   readonly #carriedIds = new Set<string>();
@@ -63,7 +66,8 @@
     this.#parser = AnswerParser.create({
       onHead: (head, isReusable) => this.#handleHead(head, isReusable),
       onBody: (bytes) => {
-        if (!this.#isStray) this.#listener?.onBody(bytes);
+        if (this.#isStray) this.#skip(bytes);
+        else this.#listener?.onBody(bytes);
       },
       onComplete: (hasMore) => this.#complete(hasMore),
     }, () => this.#isHeadRequest);
@@ -141,6 +145,8 @@
     this.#recordCarried(request.attemptId);
     this.#isHeadRequest = request.method === "HEAD";
     this.#isStray = false;
+    this.#strayAnswers = 0;
+    this.#strayBytes = 0;
     this.#socket.write(encodeRequest(request));
   }
 
@@ -179,7 +185,20 @@
     this.#idleLimitMs = getIdleLimitMs(head.rawHeaders);
     if (listener === undefined) return;
     this.#isStray = !listener.isOwnAnswer(head);
-    if (!this.#isStray) listener.onHead(head);
+    if (!this.#isStray) {
+      listener.onHead(head);
+      return;
+    }
+    this.#strayAnswers += 1;
+    if (this.#strayAnswers <= maxStrayAnswers) return;
+    this.#close(`received ${this.#strayAnswers} answers to other requests`);
+  }
+
+  /** Skips a part of the body of an answer to another request. */
+  #skip(bytes: Buffer): void {
+    this.#strayBytes += bytes.length;
+    if (this.#strayBytes <= maxStrayBytes) return;
+    this.#close(`received ${this.#strayBytes} bytes for other requests`);
   }
 
   #complete(hasMore: boolean): void {
@@ -232,6 +251,10 @@
 /** Attempts that are remembered: more than follow before one comes again. */
 const maxCarriedIds = 100;
 
+/** Limits on answers to other requests before the answer to a request. */
+const maxStrayAnswers = 16;
+const maxStrayBytes = 4 * 1024 * 1024;
+
 /** Idle time after which the system sends TCP keep-alive probes. */
 const keepAliveDelayMs = 1000;
 
