Bound the work for runners' answers in a turn of the event loop

Change: the connections to all runners share a budget of work per turn. Bytes beyond it are parsed in a later turn, in order, and the socket isn't read meanwhile. Small pieces count as more than their bytes, so that usual answers of a stall of some seconds still fit in a turn.

--- a/packages/gateway/src/quarantine/crash_probe_test.ts
+++ b/packages/gateway/src/quarantine/crash_probe_test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { RealTimerService } from "@jasminetide/runtime/clock";
+import { ReadScheduler, RealTimerService } from "@jasminetide/runtime/clock";
 import { createRunnerRecord } from "../test_support/mod.ts";
 import { Upstream } from "../upstreams/mod.ts";
 import { CrashProbe, type ProcessState } from "./crash_probe.ts";
@@ -41,7 +41,8 @@
     if (what === "refuses connections") server.close();
     this.portServer = server;
     const record = createRunnerRecord("probed", `127.0.0.1:${port}`);
-    this.probed = Upstream.create(record, { timers });
+    const reads = ReadScheduler.create();
+    this.probed = Upstream.create(record, { timers, reads });
   },
 );
 
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -47,6 +47,8 @@
   /** Lines of its head and trailers. */
   #headerLines = 0;
   #interimAnswers = 0;
+  /** Parts of answers that were parsed, such as chunks and header lines. */
+  #pieceCount = 0;
 
   private constructor(events: AnswerEvents, isHeadRequest: () => boolean) {
     this.#events = events;
@@ -103,12 +105,20 @@
     return this.#parser.finish() ?? undefined;
   }
 
+  /** Counts the parts of answers that were parsed since the last call. */
+  takePieceCount(): number {
+    const count = this.#pieceCount;
+    this.#pieceCount = 0;
+    return count;
+  }
+
   #createChunks(): ChunkedBody {
     return ChunkedBody.create((bytes) => this.#appendBody(bytes));
   }
 
   #parseHeader(line: string, headers: string[]): void {
     this.#headerLines += 1;
+    this.#pieceCount += 1;
     if (this.#headerLines > maxHeaderLines) {
       throw createEndlessError(`${maxHeaderLines} lines of headers`);
     }
@@ -132,6 +142,7 @@
   #appendBody(bytes: Buffer): void {
     this.#framingBytes -= bytes.length;
     this.#bodyBytes += bytes.length;
+    this.#pieceCount += 1;
     this.#body.append(bytes);
   }
 
--- a/packages/gateway/src/upstreams/connection_pool.ts
+++ b/packages/gateway/src/upstreams/connection_pool.ts
@@ -1,8 +1,13 @@
 import type { TimerService } from "@jasminetide/core/timers";
+import type { ReadScheduler } from "@jasminetide/runtime/clock";
 import { RunnerConnection } from "./runner_connection.ts";
 
 /** Options of a pool of connections to one runner. */
-export type ConnectionPoolOptions = { address: string; timers: TimerService };
+export type ConnectionPoolOptions = {
+  address: string;
+  timers: TimerService;
+  reads: ReadScheduler;
+};
 
 /** Connections to one runner; the most recently used one is reused first. */
 export class ConnectionPool {
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -3,6 +3,7 @@
   type RunnerAvailability,
 } from "@jasminetide/core/pools";
 import type { TimerService } from "@jasminetide/core/timers";
+import { ReadScheduler } from "@jasminetide/runtime/clock";
 import type { Logger } from "@jasminetide/runtime/logging";
 import { type RunnerRecord, Upstream } from "./upstream.ts";
 
@@ -21,6 +22,7 @@
 /** Runners that the platform lists, indexed by service. */
 export class Directory {
   readonly #options: DirectoryOptions;
+  readonly #reads = ReadScheduler.create();
   readonly #upstreams = new Map<string, Upstream>();
   readonly #departed = new Map<string, DepartedRunner>();
   readonly #readyByService = new Map<string, Upstream[]>();
@@ -108,7 +110,8 @@
     const isSameProcess = departed !== undefined &&
       !isOtherProcess(record, departed.record);
     const availability = isSameProcess ? departed.availability : undefined;
-    return Upstream.create(record, { timers, availability });
+    const reads = this.#reads;
+    return Upstream.create(record, { timers, reads, availability });
   }
 
   #remove(id: string, upstream: Upstream): void {
--- /dev/null
+++ b/packages/gateway/src/upstreams/runner_connection.feature
@@ -0,0 +1,23 @@
+Feature: Connections to runners share the event loop
+
+  # Guards against answers without end from forty runners that keep the event
+  # loop from all other connections.
+  Scenario: An answer waits while the work of a turn is used up
+    Given a connection to a runner, in a turn whose work is used up
+    When the runner sends the answer "late"
+    Then nothing of it is read in this turn
+    And the answer "late" is complete in the next turn
+
+  Scenario: An answer that waited is not lost when the runner resets
+    Given a connection to a runner, in a turn whose work is used up
+    When the runner sends the answer "late"
+    Then nothing of it is read in this turn
+    When the runner resets the connection
+    Then the answer "late" is complete
+
+  Scenario: A slow caller is not sent more after a turn
+    Given a connection to a runner, in a turn whose work is used up
+    When the runner sends the answer "late" in two parts while the caller is slow
+    Then only the part that had arrived before is read in the next turn
+    When the caller has read what it was sent
+    Then the answer "late" is complete
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -2,6 +2,7 @@
 import { createConnection, type Socket } from "node:net";
 import { AppError } from "@jasminetide/core/results";
 import type { TimerService } from "@jasminetide/core/timers";
+import { getReadCost, type ReadScheduler } from "@jasminetide/runtime/clock";
 import { parseAddress } from "@jasminetide/runtime/settings";
 import type { AnswerHead } from "../protocol.ts";
 import { AnswerParser } from "./answer_parser.ts";
@@ -35,6 +36,8 @@
 export type RunnerConnectionOptions = {
   address: string;
   timers: TimerService;
+  /** Shares the event loop among the connections to all runners. */
+  reads: ReadScheduler;
   /** Called once when the connection can no longer be used. */
   onClosed: (connection: RunnerConnection) => void;
 };
@@ -58,6 +61,10 @@
   #idleLimitMs = defaultIdleLimitMs;
   #idleSinceMs: number;
   #isClosed = false;
+  /** Whether the caller of the request in flight reads slowly. */
+  #isCallerSlow = false;
+  /** Received bytes whose parsing was put off. */
+  #unread: Buffer | undefined;
 
   private constructor(socket: Socket, options: RunnerConnectionOptions) {
     this.#socket = socket;
@@ -73,8 +80,8 @@
     }, () => this.#isHeadRequest);
     socket.on("data", (bytes) => this.#read(bytes));
     socket.on("end", () => this.#handleEnd());
-    socket.on("error", (error) => this.#close(error.message));
-    socket.on("close", () => this.#close("connection closed"));
+    socket.on("error", (error) => this.#handleLoss(error.message));
+    socket.on("close", () => this.#handleLoss("connection closed"));
   }
 
   /**
@@ -145,6 +152,7 @@
     this.#recordCarried(request.attemptId);
     this.#isHeadRequest = request.method === "HEAD";
     this.#isStray = false;
+    this.#isCallerSlow = false;
     this.#strayAnswers = 0;
     this.#strayBytes = 0;
     this.#socket.write(encodeRequest(request));
@@ -152,8 +160,8 @@
 
   /** Pauses or resumes reading, for a caller that reads slowly. */
   setPaused(isPaused: boolean): void {
-    if (isPaused) this.#socket.pause();
-    else this.#socket.resume();
+    this.#isCallerSlow = isPaused;
+    this.#updatePaused();
   }
 
   /** Closes the connection at once; the listener is not called again. */
@@ -175,10 +183,43 @@
       this.#close("received bytes without a request in flight");
       return;
     }
+    const { reads } = this.#options;
+    if (reads.hasCapacity) {
+      this.#parse(bytes);
+      return;
+    }
+    this.#unread = bytes;
+    this.#updatePaused();
+    reads.defer({ cost: 0, run: () => this.#parseUnread() });
+  }
+
+  #parse(bytes: Buffer): void {
     const error = this.#parser.read(bytes);
+    const cost = getReadCost(bytes.length, this.#parser.takePieceCount());
+    this.#options.reads.recordWork(cost);
     if (error !== undefined) this.#close(error.message);
   }
 
+  /** Parses the bytes that were put off, if there are any. */
+  #parseUnread(): void {
+    const bytes = this.#unread;
+    this.#unread = undefined;
+    if (bytes === undefined || this.#isClosed) return;
+    this.#parse(bytes);
+    this.#updatePaused();
+  }
+
+  #updatePaused(): void {
+    if (this.#isCallerSlow || this.#unread !== undefined) this.#socket.pause();
+    else this.#socket.resume();
+  }
+
+  /** Handles an irregular end, after what was received before it. */
+  #handleLoss(reason: string): void {
+    this.#parseUnread();
+    this.#close(reason);
+  }
+
   #handleHead(head: AnswerHead, isReusable: boolean): void {
     const listener = this.#listener;
     this.#isReusable &&= isReusable;
@@ -219,6 +260,7 @@
 
   /** Handles the runner's end of data, which ends an answer without framing. */
   #handleEnd(): void {
+    this.#parseUnread();
     this.#isReusable = false;
     // The event loop reports a reset that directly follows data as a regular
     // end, but a socket that was reset has no remote port any more.
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -5,6 +5,7 @@
   RunnerLoad,
 } from "@jasminetide/core/pools";
 import type { TimerService } from "@jasminetide/core/timers";
+import type { ReadScheduler } from "@jasminetide/runtime/clock";
 import { ConnectionPool } from "./connection_pool.ts";
 
 /** The platform's record of one runner. */
@@ -29,6 +30,8 @@
 /** Options of an upstream. */
 export type UpstreamOptions = {
   timers: TimerService;
+  /** Shares the event loop among the connections to all runners. */
+  reads: ReadScheduler;
   /** What the same process has stated before; new if absent. */
   availability?: RunnerAvailability;
 };
@@ -44,7 +47,8 @@
   record: RunnerRecord;
 
   private constructor(record: RunnerRecord, options: UpstreamOptions) {
-    const { availability = RunnerAvailability.create(), timers } = options;
+    const { availability = RunnerAvailability.create(), reads, timers } =
+      options;
     this.record = record;
     this.idHash = hash32(record.id);
     this.listedAtMs = timers.nowMs();
@@ -52,6 +56,7 @@
     this.connections = ConnectionPool.create({
       address: record.address,
       timers,
+      reads,
     });
   }
 
