Limit the memory of incomplete answers together

Cause (H2): an answer that is buffered may have 4 MiB and an event 1 MiB; nothing limited how many are kept at once.

Change: attempts hold their part of one budget of 48 MiB. When it is exceeded, the largest are broken off; an ordinary answer is never among them. Framing of an answer in tiny chunks is limited further, so that forty of them end in seconds.

--- a/packages/core/src/limits/mod.ts
+++ b/packages/core/src/limits/mod.ts
@@ -1,5 +1,6 @@
 /** Limits that all routers share: quotas of workspaces, limits of runners. */
 export * from "./limit_share.ts";
+export * from "./memory_budget.ts";
 export * from "./quota.ts";
 export * from "./quota_bucket.ts";
 export * from "./quota_holder.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
   startReadinessListener,
 } from "./listening/mod.ts";
 import { LimitNews } from "./limits/mod.ts";
+import { createMemoryBudgets } from "./memory_budgets.ts";
 import {
   createNewsHandler,
   createPeerHandler,
@@ -252,6 +253,7 @@
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
       streamVersions: this.#streamVersions,
+      ...createMemoryBudgets(),
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -13,13 +13,14 @@
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { LimitNews } from "./limits/mod.ts";
 import type { RequestLog } from "./request_log.ts";
+import type { MemoryBudgets } from "./memory_budgets.ts";
 import type { WireProtocol } from "./protocol.ts";
 import type { CrashGuard } from "./quarantine/mod.ts";
 import type { StreamVersions } from "./stream_versions/mod.ts";
 import type { Directory } from "./upstreams/mod.ts";
 
 /** State and services of a router that are used to serve a request. */
-export type GatewayContext = {
+export type GatewayContext = MemoryBudgets & {
   protocol: WireProtocol;
   directory: Directory;
   holders: PrefixHolders;
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import type { MemoryBudget, MemoryShare } from "@jasminetide/core/limits";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import { waitForReads } from "@jasminetide/runtime/clock";
 import { ByteCollector } from "@jasminetide/runtime/streams";
@@ -37,6 +38,8 @@
   /** Whether the answer is relayed; otherwise it is buffered. */
   accepts(head: AnswerHead): boolean;
   begin(head: AnswerHead): void;
+  /** Bytes that are kept until more arrive. */
+  readonly keptBytes: number;
   write(bytes: Buffer): WriteResult;
   /** Calls the handler when reading may continue. */
   onceWritable(handler: () => void): void;
@@ -54,6 +57,8 @@
   request: RunnerRequest;
   attemptId: string;
   protocol: WireProtocol;
+  /** Memory that incomplete answers share. */
+  memory: MemoryBudget;
   sink: AnswerSink;
   /** Called just before the request is written. */
   onSent: () => void;
@@ -83,9 +88,13 @@
   #answer: RunnerAnswer | undefined;
   #isRelayed = false;
   readonly #body = ByteCollector.create();
+  readonly #memory: MemoryShare;
 
   private constructor(options: AttemptOptions) {
     this.#options = options;
+    this.#memory = options.memory.hold(() =>
+      this.#breakOff("the answers that are incomplete exceed their memory")
+    );
     this.#ended = new Promise((resolve) => {
       this.#resolve = resolve;
     });
@@ -188,6 +197,8 @@
   #handleBody(bytes: Buffer): void {
     if (this.#isRelayed) this.#relay(bytes);
     else this.#buffer(bytes);
+    if (this.#hasEnded) return;
+    this.#memory.set(this.#options.sink.keptBytes + this.#body.sizeBytes);
     if (!this.#hasEnded) this.#options.onBytes();
   }
 
@@ -239,6 +250,7 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#body.clear();
+    this.#memory[Symbol.dispose]();
     this.#options.upstream.load.ownOutstanding -= 1;
     this.#resolve(end);
   }
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -263,6 +263,23 @@
       | /payout/1  | a whole body in chunks of one byte  |
       | /lookup/1  | a whole body in chunks of one byte  |
 
+  # Guards against answers, each within its own limit, that use up the memory of
+  # the process together.
+  Scenario: Forty long answers that do not end fit in memory
+    Given a runner that sends 3 MiB of a body and then nothing
+    And each runner has 100 slots
+    When 40 callers send "/payout/1" at once
+    Then all that runners sent is read or refused
+    And 40 requests reached runners
+    And less than 80 MiB are kept
+
+  Scenario: Forty answers without end in chunks of one byte end
+    Given a runner that sends a whole body in chunks of one byte without end
+    And each runner has 100 slots
+    When 40 callers send "/payout/1" at once
+    Then all their requests end
+    And 40 requests reached runners
+
   Scenario: An event without end is not kept
     Given a runner that sends an event without end
     When a caller sends "/summary/1"
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
-import process from "node:process";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { wait } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
+import { MemoryPeak } from "@jasminetide/testing/memory_peak";
 import {
   createDeclaration,
   createRunnerRecord,
@@ -27,9 +27,8 @@
 /** State that the steps on requests share. */
 export type RequestWorld = {
   gatewayUnderTest: TestGateway;
-  /** Heap in use before and at most while a runner sends without end. */
-  startHeapBytes: number;
-  largestHeapBytes: number;
+  /** Memory that is used while a runner sends without end. */
+  memory: MemoryPeak;
   scriptedRunners: Map<string, ScriptedRunner>;
   rawCallers: RawCaller[];
   answers: string[];
@@ -792,12 +791,10 @@
     setScript(this, ({ attemptId, socket }) => {
       socket.write(answer.begin(attemptId));
       sendEndlessly(socket, answer.repeated, () => {
-        const { heapUsed } = process.memoryUsage();
-        this.largestHeapBytes = Math.max(this.largestHeapBytes, heapUsed);
+        this.memory.observe();
       });
     });
-    this.largestHeapBytes = 0;
-    this.startHeapBytes = process.memoryUsage().heapUsed;
+    this.memory = MemoryPeak.create();
   },
 );
 
@@ -813,8 +810,69 @@
 Then(
   "the heap grew by less than {int} MiB meanwhile",
   function (this: World, limitMib: number) {
-    const grownBytes = this.largestHeapBytes - this.startHeapBytes;
-    assert.ok(grownBytes < limitMib * 1024 * 1024, `${grownBytes} bytes`);
+    this.memory.assertHeapBelow(limitMib);
+  },
+);
+
+Given("each runner has {int} slots", function (this: World, slots: number) {
+  const { runners } = this.gatewayUnderTest;
+  for (const [id, { address }] of this.scriptedRunners) {
+    runners.put(id, { ...createRunnerRecord(id, address), slots });
+  }
+});
+
+When(
+  "{int} callers send {string} at once",
+  async function (this: World, count: number, path: string) {
+    await wait(timers, 20);
+    const sent = Array.from({ length: count }, () => sendRequest(this, path));
+    await Promise.all(sent);
+  },
+);
+
+Then(
+  "all their requests end",
+  { timeout: 30_000 },
+  async function (this: World) {
+    await Promise.all(
+      this.rawCallers.map((each) => each.waitUntil(hasCompleteAnswer)),
+    );
+  },
+);
+
+Given(
+  "a runner that sends {int} MiB of a body and then nothing",
+  function (this: World, sizeMib: number) {
+    const contents = "a".repeat(sizeMib * 1024 * 1024);
+    this.memory = MemoryPeak.create();
+    setScript(
+      this,
+      ({ attemptId, socket }) =>
+        socket.write(
+          `${formatHead(attemptId)}Content-Length: 999999999\r\n\r\n` +
+            contents,
+        ),
+    );
+  },
+);
+
+Then("all that runners sent is read or refused", async function (this: World) {
+  const isRead = ({ socket }: ReceivedRequest) =>
+    socket.destroyed || (socket.bytesWritten > 0 && !socket.writableLength);
+  const isAllRead = () => {
+    const received = listReceived(this);
+    return received.length === this.rawCallers.length &&
+      received.every(isRead);
+  };
+  while (!isAllRead()) await wait(timers, 1);
+  await wait(timers, 100);
+});
+
+Then(
+  "less than {int} MiB are kept",
+  function (this: World, limitMib: number) {
+    this.memory.observeLive();
+    this.memory.assertMemoryBelow(limitMib);
   },
 );
 
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -55,6 +55,7 @@
       ...options,
       sink: options.stream,
       protocol: options.context.protocol,
+      memory: options.context.answerMemory,
       onSent: () => {
         options.onSent();
         this.#silence.recordSent(options.isReplaceable);
--- a/packages/gateway/src/requests/stream_relay.ts
+++ b/packages/gateway/src/requests/stream_relay.ts
@@ -94,6 +94,10 @@
     return hasProgressed;
   }
 
+  get keptBytes(): number {
+    return this.#splitter.partialBytes;
+  }
+
   accepts(head: AnswerHead): boolean {
     return this.#options.accepts(head);
   }
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -166,9 +166,7 @@
 
   /** Limits what an answer contains beside its body. */
   #checkFramingBytes(): void {
-    const limitBytes = maxFramingBytes +
-      maxFramingPerBodyByte * this.#bodyBytes;
-    if (this.#framingBytes <= limitBytes) return;
+    if (this.#framingBytes <= getFramingLimit(this.#bodyBytes)) return;
     throw createEndlessError(
       `${this.#framingBytes} bytes of framing for ${this.#bodyBytes} of a body`,
     );
@@ -177,12 +175,16 @@
 
 /**
  * Limit on the bytes of an answer's head, chunk sizes and trailers and of the
- * interim answers before it.
+ * interim answers before it: as many as its body has, and more for a body that
+ * is not large. A chunk of one byte has five bytes of framing.
  */
-const maxFramingBytes = 128 * 1024;
+function getFramingLimit(bodyBytes: number): number {
+  const addition = Math.min(8 * bodyBytes, maxAddedFramingBytes);
+  return minFramingBytes + bodyBytes + addition;
+}
 
-/** Addition to this limit; a chunk of one byte has five bytes of framing. */
-const maxFramingPerBodyByte = 8;
+const minFramingBytes = 128 * 1024;
+const maxAddedFramingBytes = 2 * 1024 * 1024;
 
 /** Limit on the lines of headers and trailers, interim answers included. */
 const maxHeaderLines = 2000;
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -190,7 +190,7 @@
     }
     this.#unread = bytes;
     this.#updatePaused();
-    reads.defer({ cost: 0, run: () => this.#parseUnread() });
+    reads.defer(() => this.#parseUnread());
   }
 
   #parse(bytes: Buffer): void {
--- a/packages/runtime/src/clock/read_scheduler.ts
+++ b/packages/runtime/src/clock/read_scheduler.ts
@@ -6,13 +6,6 @@
   onNextTurn: (handler: () => void) => void;
 };
 
-/** Work for received bytes that was put off. */
-export type DeferredRead = {
-  /** Cost that is known before it is done. */
-  cost: number;
-  run: () => void;
-};
-
 /**
  * Bounds the work for received bytes in a turn of the event loop. What exceeds
  * it waits for a later turn, in order, so that peers that send as fast as they
@@ -20,7 +13,7 @@
  */
 export class ReadScheduler {
   readonly #options: ReadSchedulerOptions;
-  #waiting: DeferredRead[] = [];
+  #waiting: (() => void)[] = [];
   #spentCost = 0;
   #isTurnAwaited = false;
 
@@ -50,8 +43,11 @@
     if (this.#spentCost * 2 >= this.#options.turnCost) this.#awaitTurn();
   }
 
-  /** Does work in a later turn, after what was put off before. */
-  defer(read: DeferredRead): void {
+  /**
+   * Does work in a later turn, after what was put off before. The work records
+   * its cost.
+   */
+  defer(read: () => void): void {
     this.#waiting.push(read);
     this.#awaitTurn();
   }
@@ -72,10 +68,9 @@
       while (
         done < waiting.length && this.#spentCost < this.#options.turnCost
       ) {
-        const { cost, run } = waiting[done];
+        const read = waiting[done];
         done += 1;
-        this.recordWork(cost);
-        run();
+        read();
       }
     } finally {
       this.#waiting = [...waiting.slice(done), ...this.#waiting];
--- a/packages/runtime/src/clock/read_scheduler_test.ts
+++ b/packages/runtime/src/clock/read_scheduler_test.ts
@@ -52,7 +52,7 @@
           continue;
         }
         isDeferred[peer] = true;
-        scheduler.defer({ cost: 0, run: () => read(peer) });
+        scheduler.defer(() => read(peer));
       }
       this.turnCosts.push(turnCost);
       turnCost = 0;
@@ -86,7 +86,10 @@
     const done: number[] = [];
     this.doneInTurns = [];
     for (const [index, cost] of [first, second, third].entries()) {
-      this.scheduler.defer({ cost, run: () => done.push(index + 1) });
+      this.scheduler.defer(() => {
+        this.scheduler.recordWork(cost);
+        done.push(index + 1);
+      });
     }
     while (this.awaitedTurns.length > 0) {
       beginTurn(this);
@@ -113,9 +116,9 @@
     const fail = () => {
       throw new Error("Failed on purpose");
     };
-    this.scheduler.defer({ cost: 0, run: fail });
+    this.scheduler.defer(fail);
     const count = () => void (this.readCounts[0] += 1);
-    this.scheduler.defer({ cost: 0, run: count });
+    this.scheduler.defer(count);
     assert.throws(() => beginTurn(this));
   },
 );
--- a/packages/runtime/src/streams/byte_collector_test.ts
+++ b/packages/runtime/src/streams/byte_collector_test.ts
@@ -1,28 +1,16 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
-import process from "node:process";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { Then, When } from "@cucumber/cucumber";
+import { MemoryPeak } from "@jasminetide/testing/memory_peak";
 import fc from "fast-check";
 import { ByteCollector } from "./mod.ts";
 
 type World = {
   randomSeed: number;
   collector: ByteCollector;
-  usedBytes: number;
+  collected: MemoryPeak;
 };
 
-setFlagsFromString("--expose-gc");
-const collectGarbage = runInNewContext("gc") as () => void;
-
-/** Gets the memory for objects and for the contents of buffers. */
-function getUsedBytes(): number {
-  collectGarbage();
-  const { arrayBuffers, heapUsed } = process.memoryUsage();
-  return heapUsed + arrayBuffers;
-}
-
 const pieces = fc.array(
   fc.oneof(
     fc.uint8Array({ maxLength: 3 }),
@@ -55,19 +43,19 @@
   "{int} MiB are collected in pieces of one byte",
   function (this: World, sizeMib: number) {
     const source = Buffer.alloc(64 * 1024);
-    const usedBytes = getUsedBytes();
+    this.collected = MemoryPeak.create();
     this.collector = ByteCollector.create();
     for (let count = 0; count < sizeMib * 1024 * 1024; count++) {
       const begin = count % source.length;
       this.collector.append(source.subarray(begin, begin + 1));
     }
-    this.usedBytes = getUsedBytes() - usedBytes;
+    this.collected.observeLive();
   },
 );
 
 Then(
   "they occupy at most {int} MiB",
   function (this: World, limitMib: number) {
-    assert.ok(this.usedBytes <= limitMib * 1024 * 1024, `${this.usedBytes}`);
+    this.collected.assertMemoryBelow(limitMib);
   },
 );
