Read bodies in tiny pieces in bounded memory and turns

Callers could see: a request body, or an answer of the store, of 4 MiB in chunks of one byte, within all declared limits, used up the heap of the process.

Each piece of an answer also started a timer. Interim answers of the store were not limited, nor how much of a body a turn of the event loop handles.

Change: both collect bodies with the same code, in blocks; sockets are paused while the work of a turn is used up; the bodies of all callers' requests share 48 MiB, of which the largest that is still being read is refused with 503 (memoryLimited, not run).

--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -36,6 +36,7 @@
   overLoadCap: row(2006, 503, "no", "Runner is at its load cap"),
   promptQuarantined: row(2007, 503, "no", "Prompt crashes runners"),
   requestQuarantined: row(2008, 503, "no", "Request crashes runners"),
+  memoryLimited: row(2009, 503, "no", "Too many large request bodies"),
   noRunner: row(3001, 503, "no", "No live runner"),
   runnerLeaving: row(3002, 503, "no", "Runner is leaving"),
   epochMismatch: row(3003, 409, "no", "Runner was restarted"),
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -74,8 +74,15 @@
     firstAttemptId: caller.takeUp?.firstAttemptId,
     connectionAgeMs: Math.round(context.getConnectionAgeMs(request.socket)),
   });
-  const body = await readBody(request, admission.maxBodyBytes)
-    .catch(ignoreDisconnect);
+  let discard: (error: AppError) => void = () => {};
+  using memory = context.bodyMemory.hold(() => discard(createMemoryError()));
+  const body = await readBody(request, admission.maxBodyBytes, {
+    onReading: (discardBody) => {
+      discard = discardBody;
+    },
+    onSize: (bytes) => memory.set(bytes),
+  }).catch(ignoreDisconnect);
+  memory.retain();
   if (body === undefined) return recordLeft(trace, context);
   const softwareVersion = await chooseVersion(read, admission, context);
   if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
@@ -88,6 +95,14 @@
   context.metrics.countAnswered(answer.status);
 }
 
+function createMemoryError(): AppError {
+  return AppError.create(
+    "memoryLimited",
+    "The bodies of requests in flight exceed their memory",
+    { retryAfterMs: memoryRetryAfterMs },
+  );
+}
+
 function recordLeft(
   trace: RequestTrace,
   { metrics }: GatewayContext,
@@ -226,5 +241,8 @@
 /** Time in which the router that began a stream may write its version. */
 const unknownRetryAfterMs = 500;
 
+/** Time in which bodies of other requests have been sent on. */
+const memoryRetryAfterMs = 500;
+
 /** Time in which a newly started router loads its declaration and runners. */
 const startRetryAfterMs = 300;
--- a/packages/runtime/src/clock/silence_limit.ts
+++ b/packages/runtime/src/clock/silence_limit.ts
@@ -19,6 +19,8 @@
   readonly #options: SilenceLimitOptions;
   readonly #totalTimer: Disposable;
   #pauseTimer: Disposable;
+  /** Time of the last chunk; undefined before the answer has begun. */
+  #progressAtMs: number | undefined;
 
   private constructor(options: SilenceLimitOptions) {
     this.#options = options;
@@ -36,10 +38,16 @@
     return this.#abort.signal;
   }
 
-  /** Records that the answer has begun or that a chunk of it has arrived. */
+  /**
+   * Records that the answer has begun or that a chunk of it has arrived. Only
+   * the first call starts a timer, since there may be very many chunks.
+   */
   recordProgress(): void {
+    const isFirst = this.#progressAtMs === undefined;
+    this.#progressAtMs = performance.now();
+    if (!isFirst) return;
     this.#pauseTimer[Symbol.dispose]();
-    this.#pauseTimer = this.#schedule(this.#options.pauseMs);
+    this.#pauseTimer = this.#schedulePause(this.#options.pauseMs);
   }
 
   [Symbol.dispose](): void {
@@ -47,10 +55,22 @@
     this.#totalTimer[Symbol.dispose]();
   }
 
-  #schedule(delayMs: number): Disposable {
+  #schedulePause(delayMs: number): Disposable {
     return startTimeout(delayMs, () => {
-      const message = `Answer timed out after ${delayMs} ms`;
-      this.#abort.abort(new DOMException(message, "TimeoutError"));
+      const progressAtMs = this.#progressAtMs ?? 0;
+      const { pauseMs } = this.#options;
+      const leftMs = progressAtMs + pauseMs - performance.now();
+      if (leftMs <= 0) this.#expire(pauseMs);
+      else this.#pauseTimer = this.#schedulePause(leftMs);
     });
   }
+
+  #schedule(delayMs: number): Disposable {
+    return startTimeout(delayMs, () => this.#expire(delayMs));
+  }
+
+  #expire(limitMs: number): void {
+    const message = `Answer timed out after ${limitMs} ms`;
+    this.#abort.abort(new DOMException(message, "TimeoutError"));
+  }
 }
--- a/packages/runtime/src/http/mod.ts
+++ b/packages/runtime/src/http/mod.ts
@@ -1,5 +1,7 @@
 /** HTTP servers, request bodies and JSON answers. */
 export * from "./caller_leaving.ts";
+export * from "./collect_body.ts";
 export * from "./json.ts";
+export * from "./pace_reads.ts";
 export * from "./send_request.ts";
 export * from "./server.ts";
--- a/packages/runtime/src/http/send_request.ts
+++ b/packages/runtime/src/http/send_request.ts
@@ -1,7 +1,7 @@
-import { Buffer } from "node:buffer";
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { SilenceLimit, type SilenceLimitOptions } from "../clock/mod.ts";
 import { parseAddress } from "../settings/mod.ts";
+import { collectBody } from "./collect_body.ts";
 
 /** One HTTP call whose answer is read whole. */
 export type HttpCall = {
@@ -40,27 +40,32 @@
     const agent = call.agent === "shared" ? sharedAgent : call.agent;
     const { method, path } = call;
     const options = { host: ip, port, method, path, headers, agent };
+    const { maxBytes } = call.limits;
     const sent = request({ ...options, signal: limit.signal }, (response) => {
-      const chunks: Buffer[] = [];
-      let sizeBytes = 0;
-      response.on("error", reject);
       try {
         call.onHead?.(response.headers);
       } catch (thrown) {
+        response.on("error", reject);
         sent.destroy(thrown as Error);
         return;
       }
-      response.on("data", (chunk: Buffer) => {
-        limit.recordProgress();
-        sizeBytes += chunk.length;
-        if (sizeBytes <= call.limits.maxBytes) chunks.push(chunk);
-        else sent.destroy(createSizeError(call.limits.maxBytes));
-      });
-      response.on("end", () =>
-        resolve({
-          status: response.statusCode ?? 0,
-          text: Buffer.concat(chunks).toString("utf8"),
-        }));
+      const { statusCode: status = 0 } = response;
+      collectBody(response, maxBytes, {
+        onSize: () => limit.recordProgress(),
+      }).then(
+        (body) => resolve({ status, text: body.toString("utf8") }),
+        (error) => {
+          reject(error);
+          sent.destroy();
+        },
+      );
+    });
+    let interimAnswers = 0;
+    sent.on("information", () => {
+      interimAnswers += 1;
+      if (interimAnswers > maxInterimAnswers) {
+        sent.destroy(createInterimError());
+      }
     });
     sent.on("error", reject);
     call.onWaiting?.((error) => sent.destroy(error));
@@ -68,6 +73,9 @@
   });
 }
 
-function createSizeError(maxBytes: number): Error {
-  return new Error(`Answer exceeds ${maxBytes} bytes`);
+/** Limit on the interim answers (1xx) before an answer. */
+const maxInterimAnswers = 32;
+
+function createInterimError(): Error {
+  return new Error(`Answer has over ${maxInterimAnswers} interim answers`);
 }
--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -14,6 +14,7 @@
 import { parseAddress } from "../settings/mod.ts";
 import { checkPeer, type PeerCredentials } from "../tls/mod.ts";
 import { hasCallerLeft } from "./caller_leaving.ts";
+import { collectBody, type CollectBodyOptions } from "./collect_body.ts";
 
 /** Handles one HTTP request. */
 export type RequestHandler = (
@@ -216,8 +217,9 @@
 export async function readBody(
   request: IncomingMessage,
   limitBytes: number,
+  options?: CollectBodyOptions,
 ): Promise<Buffer> {
-  const body = await collectBody(request, limitBytes);
+  const body = await collectBody(request, limitBytes, options);
   await waitForReads();
   if (!hasCallerLeft(request.socket)) return body;
   throw AppError.create(
@@ -226,31 +228,6 @@
   );
 }
 
-function collectBody(
-  request: IncomingMessage,
-  limitBytes: number,
-): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    request.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      // The rest of an oversized body is read and discarded, so that the
-      // caller can receive the answer.
-      if (sizeBytes <= limitBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      chunks.length = 0;
-      reject(
-        AppError.create("bodyTooLarge", `Body exceeds ${limitBytes} bytes`),
-      );
-    });
-    request.on("end", () => resolve(Buffer.concat(chunks)));
-    request.on("error", reject);
-  });
-}
-
 /** Sends a JSON answer. */
 export function sendJson(
   response: ServerResponse,
