Pause callers' connections while the work of a turn is used up

Callers could see: while others sent bodies in tiny pieces, within the declared limits, their own requests waited for turns of the event loop that grew with the number of such bodies.

All readable sockets had their turn before others.

Change: a pacer pauses all connections of the servers, those without a body too, as soon as the work of a turn is used up, and resumes those that had most of it last, one a turn. It replaces the pausing of single sockets. Lines of news between gateways are collected in blocks, too.

A read of 64 kB in such pieces still takes some 30 ms in the library.

--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -3,6 +3,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { CallerLimits } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
+import { paceConnections } from "@jasminetide/runtime/http";
 import { parseAddress } from "@jasminetide/runtime/settings";
 
 /** Options of a listener. */
@@ -35,6 +36,7 @@
       connectionsCheckingInterval: checkPeriodMs,
       noDelay: true,
     });
+    paceConnections(server);
     const { ip, port } = parseAddress(address);
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
--- a/packages/gateway/src/peers/news_connection.ts
+++ b/packages/gateway/src/peers/news_connection.ts
@@ -1,5 +1,5 @@
 /** The stream of changes between two gateways: one JSON line for each message. */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import {
   type IncomingMessage,
   request,
@@ -8,6 +8,7 @@
 } from "node:http";
 import { SilenceLimit } from "@jasminetide/runtime/clock";
 import { parseAddress } from "@jasminetide/runtime/settings";
+import { ByteCollector } from "@jasminetide/runtime/streams";
 import {
   type NewsLine,
   type NewsPositions,
@@ -113,8 +114,7 @@
 
 /** Splits bytes into lines. */
 class LineSplitter {
-  #parts: Buffer[] = [];
-  #sizeBytes = 0;
+  readonly #line = ByteCollector.create();
 
   private constructor() {}
 
@@ -128,16 +128,13 @@
     let rest = bytes;
     let end = rest.indexOf(lineEnd);
     while (end >= 0) {
-      this.#parts.push(rest.subarray(0, end));
-      lines.push(Buffer.concat(this.#parts).toString("utf8"));
-      this.#parts = [];
-      this.#sizeBytes = 0;
+      this.#line.append(rest.subarray(0, end));
+      lines.push(this.#line.take().toString("utf8"));
       rest = rest.subarray(end + 1);
       end = rest.indexOf(lineEnd);
     }
-    this.#parts.push(rest);
-    this.#sizeBytes += rest.length;
-    if (this.#sizeBytes > maxLineBytes) {
+    this.#line.append(rest);
+    if (this.#line.sizeBytes > maxLineBytes) {
       throw new Error(`Line exceeds ${maxLineBytes} bytes`);
     }
     return lines;
--- a/packages/runtime/src/http/collect_body.ts
+++ b/packages/runtime/src/http/collect_body.ts
@@ -2,10 +2,12 @@
 import type { IncomingMessage } from "node:http";
 import { AppError } from "@jasminetide/core/results";
 import { ByteCollector } from "../streams/mod.ts";
-import { paceReads } from "./pace_reads.ts";
+import type { ReadPacer } from "./read_pacer.ts";
 
 /** What is called while a body arrives. */
 export type CollectBodyOptions = {
+  /** Shares the event loop among the connections of this process. */
+  pacer?: ReadPacer;
   /** Called with the size of what is kept so far. */
   onSize?: (bytes: number) => void;
   /** Called with a function that fails the call and discards the body. */
@@ -22,9 +24,10 @@
 export function collectBody(
   message: IncomingMessage,
   limitBytes: number,
-  { onReading, onSize }: CollectBodyOptions = {},
+  { onReading, onSize, pacer }: CollectBodyOptions = {},
 ): Promise<Buffer> {
-  paceReads(message);
+  const { socket } = message;
+  pacer?.add(socket);
   return new Promise((resolve, reject) => {
     const body = ByteCollector.create();
     let isDiscarded = false;
@@ -34,6 +37,7 @@
       reject(error);
     };
     message.on("data", (piece: Buffer) => {
+      pacer?.recordPiece(socket, piece.length);
       if (isDiscarded) return;
       body.append(piece);
       if (body.sizeBytes <= limitBytes) onSize?.(body.sizeBytes);
--- a/packages/runtime/src/http/mod.ts
+++ b/packages/runtime/src/http/mod.ts
@@ -2,6 +2,6 @@
 export * from "./caller_leaving.ts";
 export * from "./collect_body.ts";
 export * from "./json.ts";
-export * from "./pace_reads.ts";
+export * from "./read_pacer.ts";
 export * from "./send_request.ts";
 export * from "./server.ts";
--- a/packages/runtime/src/http/send_request.ts
+++ b/packages/runtime/src/http/send_request.ts
@@ -2,6 +2,7 @@
 import { SilenceLimit, type SilenceLimitOptions } from "../clock/mod.ts";
 import { parseAddress } from "../settings/mod.ts";
 import { collectBody } from "./collect_body.ts";
+import { ReadPacer } from "./read_pacer.ts";
 
 /** One HTTP call whose answer is read whole. */
 export type HttpCall = {
@@ -25,6 +26,8 @@
 
 const sharedAgent = new Agent({ keepAlive: true });
 
+const answerPacer = ReadPacer.create();
+
 /**
  * Sends a request with the HTTP client of Node.js, which servers load in any
  * case. Rejects when the connection breaks, a limit is exceeded or `onHead`
@@ -51,6 +54,7 @@
       }
       const { statusCode: status = 0 } = response;
       collectBody(response, maxBytes, {
+        pacer: answerPacer,
         onSize: () => limit.recordProgress(),
       }).then(
         (body) => resolve({ status, text: body.toString("utf8") }),
--- a/packages/runtime/src/http/server.ts
+++ b/packages/runtime/src/http/server.ts
@@ -15,6 +15,7 @@
 import { checkPeer, type PeerCredentials } from "../tls/mod.ts";
 import { hasCallerLeft } from "./caller_leaving.ts";
 import { collectBody, type CollectBodyOptions } from "./collect_body.ts";
+import { ReadPacer } from "./read_pacer.ts";
 
 /** Handles one HTTP request. */
 export type RequestHandler = (
@@ -62,6 +63,7 @@
       logger: secure.logger,
       isClosing: () => isClosing,
     });
+  paceConnections(server);
   await listen(server, address);
   const unused = trackUnusedSockets(server);
   // Idle connections stay open until the server closes, since a request may
@@ -86,6 +88,9 @@
   };
 }
 
+/** Shares the event loop among the connections to all servers. */
+const requestPacer = ReadPacer.create();
+
 /** Time after which idle connections are closed; clients close theirs first. */
 const keepAliveMs = 65_000;
 
@@ -119,6 +124,11 @@
   return server;
 }
 
+/** Lets a server share the event loop with all others; see `readBody`. */
+export function paceConnections(server: Server): void {
+  server.on("connection", (socket: Socket) => requestPacer.add(socket));
+}
+
 /** Period at which idle connections are closed while a server stops. */
 const closePeriodMs = 100;
 
@@ -219,7 +229,8 @@
   limitBytes: number,
   options?: CollectBodyOptions,
 ): Promise<Buffer> {
-  const body = await collectBody(request, limitBytes, options);
+  const pacer = requestPacer;
+  const body = await collectBody(request, limitBytes, { pacer, ...options });
   await waitForReads();
   if (!hasCallerLeft(request.socket)) return body;
   throw AppError.create(
--- a/packages/runtime/src/http/tiny_pieces.feature
+++ b/packages/runtime/src/http/tiny_pieces.feature
@@ -14,6 +14,13 @@
       | a server |
       | a client |
 
+  # Guards against bodies in tiny pieces that keep the event loop from all other
+  # connections (review/2 on related paths).
+  Scenario: Twenty bodies in chunks of one byte leave the event loop to others
+    Given a server that accepts 4 MiB
+    When 20 callers send 128 KiB each in chunks of one byte at once
+    Then at most 64 KiB were handled in a turn of the event loop
+
   Scenario: A body that is discarded while it arrives is not kept
     Given a server that accepts 4 MiB
     When a body is discarded after 1 MiB
--- a/packages/runtime/src/http/tiny_pieces_test.ts
+++ b/packages/runtime/src/http/tiny_pieces_test.ts
@@ -7,6 +7,7 @@
   type Server,
   type Socket,
 } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { AppError } from "@jasminetide/core/results";
 import { MemoryPeak } from "@jasminetide/testing/memory_peak";
@@ -31,8 +32,12 @@
   pieceSender: Socket | undefined;
   /** Size of the body that was read. */
   bodyBytes: Promise<number>;
-  /** Size of what has been read so far. */
+  /** Size of what has been read so far of the last body. */
   readBytes: number;
+  /** Pieces that were read so far of all bodies. */
+  readPieces: number;
+  /** Most of them in a turn of the event loop. */
+  mostPiecesInTurn: number;
   discardAtBytes: number;
   pieceMemory: MemoryPeak;
 };
@@ -64,6 +69,7 @@
   "a server that accepts {int} MiB",
   async function (this: World, sizeMib: number) {
     this.discardAtBytes = Infinity;
+    this.readPieces = 0;
     this.firstLines = "POST / HTTP/1.1\r\nHost: a\r\n";
     let resolveBytes: (bytes: Promise<number>) => void;
     this.bodyBytes = new Promise((resolve) => {
@@ -77,6 +83,7 @@
         },
         onSize: (bytes) => {
           this.readBytes = bytes;
+          this.readPieces += 1;
           if (bytes < this.discardAtBytes) return;
           discard(AppError.create("memoryLimited", "Discarded"));
         },
@@ -84,12 +91,9 @@
       resolveBytes(body);
       void body.catch(() => {}).then(() => response.end("done"));
     });
-    const { ip, port } = parseAddress(this.pieceServer.address);
     this.sendPieces = async (getPiece) => {
-      const sender = connect(port, ip);
-      this.pieceSender = sender;
-      await once(sender, "connect");
-      writeAll(sender, getPiece);
+      this.pieceSender = await connectCaller(this);
+      writeAll(this.pieceSender, getPiece);
     };
   },
 );
@@ -174,6 +178,52 @@
   },
 );
 
+/** Connects a caller to the server. */
+async function connectCaller({ pieceServer }: World): Promise<Socket> {
+  const { ip, port } = parseAddress((pieceServer as ListeningServer).address);
+  const socket = connect(port, ip);
+  await once(socket, "connect");
+  return socket;
+}
+
+/** Counts the pieces that are read in each turn of the event loop. */
+async function countPieces(world: World, untilPieces: number): Promise<void> {
+  world.mostPiecesInTurn = 0;
+  let before = world.readPieces;
+  while (world.readPieces < untilPieces) {
+    await setImmediate();
+    const inTurn = world.readPieces - before;
+    before = world.readPieces;
+    world.mostPiecesInTurn = Math.max(world.mostPiecesInTurn, inTurn);
+  }
+}
+
+When(
+  "{int} callers send {int} KiB each in chunks of one byte at once",
+  { timeout: 60_000 },
+  async function (this: World, count: number, sizeKib: number) {
+    const sizeBytes = sizeKib * 1024;
+    const message = `${this.firstLines}${headers}` +
+      `${"1\r\na\r\n".repeat(sizeBytes)}0\r\n\r\n`;
+    const callers = await Promise.all(
+      Array.from({ length: count }, () => connectCaller(this)),
+    );
+    for (const each of callers) each.write(message);
+    await countPieces(this, count * sizeBytes);
+    for (const each of callers) each.destroy();
+  },
+);
+
+Then(
+  "at most {int} KiB were handled in a turn of the event loop",
+  function (this: World, limitKib: number) {
+    assert.ok(
+      this.mostPiecesInTurn <= limitKib * 1024,
+      `${this.mostPiecesInTurn} pieces`,
+    );
+  },
+);
+
 When(
   "a body is discarded after {int} MiB",
   async function (this: World, sizeMib: number) {
