Refuse requests whose body arrives while a gateway closes

Cause (P1): admission was checked when the head had arrived, and not again once the body had.

Change: it is checked again before the request is passed on; the caller is told that the request has not run and may come back at once.

Measured: "A request whose body arrives only after the listener has closed" failed before (the request was passed on) and passes now.

--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -86,6 +86,7 @@
   if (body === undefined) return recordLeft(trace, context);
   const softwareVersion = await chooseVersion(read, admission, context);
   if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
+  assertOpen(context);
   const deadlineMs = arrivedAtMs + admission.limitMs;
   const admitted = { ...admission, deadlineMs, body, caller, softwareVersion };
   await Exchange.serve({ ...read, context, admitted });
@@ -181,12 +182,7 @@
   caller: CallerRequest,
   context: GatewayContext,
 ): Admission {
-  // The request arrived on a connection that was being closed.
-  if (context.isClosing()) {
-    throw AppError.create("routerLeaving", "The router is shutting down", {
-      retryAfterMs: leavingRetryAfterMs,
-    });
-  }
+  assertOpen(context);
   const routes = context.getRoutes();
   if (routes === undefined) {
     throw AppError.create("noDeclaration", "No declaration received yet", {
@@ -216,6 +212,19 @@
   };
 }
 
+/**
+ * Checks that a request can still be completed: it may have arrived on a
+ * connection that was being closed, or its body long after its head.
+ *
+ * @throws AppError `routerLeaving`.
+ */
+function assertOpen(context: GatewayContext): void {
+  if (!context.isClosing()) return;
+  throw AppError.create("routerLeaving", "The router is shutting down", {
+    retryAfterMs: leavingRetryAfterMs,
+  });
+}
+
 /** Finds the workspace of a key; undefined where no keys are declared. */
 function authenticate(
   apiKey: string | undefined,
--- a/packages/gateway/src/stopping.feature
+++ b/packages/gateway/src/stopping.feature
@@ -22,3 +22,16 @@
     And the runner has received no third request
     When the runner ends the second stream
     Then the gateway has stopped
+
+  # Guards against requests whose body arrives late in the grace, which were
+  # passed on and cut at its end.
+  Scenario: A request whose body arrives only after the listener has closed
+    Given a caller that has sent a request but for the end of its body
+    When the gateway starts to stop
+    Then the idle connection is closed
+    When the end of its body arrives
+    Then it is refused as not run
+    And the runner has received no third request
+    When the runner ends the first stream
+    And the runner ends the second stream
+    Then the gateway has stopped
--- a/packages/gateway/src/stopping_test.ts
+++ b/packages/gateway/src/stopping_test.ts
@@ -5,6 +5,8 @@
 import {
   createDeclaration,
   createRunnerRecord,
+  createTestSettings,
+  formatAnswer,
   formatHead,
   RawCaller,
   ScriptedRunner,
@@ -17,9 +19,15 @@
   streamRunner: ScriptedRunner;
   streamCallers: RawCaller[];
   idleCaller: RawCaller;
+  /** Caller of a request that the stop concerns. */
+  lateCaller: RawCaller;
+  /** Size of the answer that it gets if it reads slowly. */
+  slowAnswerBytes: number;
   stopped: Promise<void>;
 };
 
+const timers = RealTimerService.create();
+
 Given(
   "a gateway with two callers whose streams have begun",
   async function (this: World) {
@@ -33,7 +41,6 @@
     const { declarations, gateway, runners } = this.stoppingGateway;
     declarations.put("main", createDeclaration(1));
     runners.put("r", createRunnerRecord("r", this.streamRunner.address));
-    const timers = RealTimerService.create();
     while (!gateway.isReady) await wait(timers, 1);
     this.streamCallers = [];
     for (const attemptId of ["a", "b"]) {
@@ -55,6 +62,7 @@
 After(async function (this: World) {
   for (const caller of this.streamCallers ?? []) caller[Symbol.dispose]();
   this.idleCaller?.[Symbol.dispose]();
+  this.lateCaller?.[Symbol.dispose]();
   await this.streamRunner?.[Symbol.asyncDispose]();
 });
 
@@ -110,7 +118,7 @@
   async function (this: World) {
     const [first] = this.streamCallers;
     // Longer than `noticeMs` (1 ms), in which requests are still accepted.
-    await wait(RealTimerService.create(), 20);
+    await wait(timers, 20);
     endStream(this, 0);
     await waitForStreamEnd(first);
     first.text = "";
@@ -132,3 +140,105 @@
 Then("the runner has received no third request", function (this: World) {
   assert.equal(this.streamRunner.requests.length, 2);
 });
+
+/** Connects another caller, whose request the stop concerns. */
+async function connectLateCaller(world: World): Promise<RawCaller> {
+  const { callerAddress } = world.stoppingGateway.gateway;
+  world.lateCaller = await RawCaller.create(callerAddress);
+  return world.lateCaller;
+}
+
+Given(
+  "a caller that has sent a request but for the end of its body",
+  async function (this: World) {
+    const caller = await connectLateCaller(this);
+    const headers = { "content-length": "8" };
+    caller.send({
+      path: "/payout/1",
+      attemptId: "late",
+      body: "body",
+      headers,
+    });
+    await wait(timers, 20);
+  },
+);
+
+When("the end of its body arrives", async function (this: World) {
+  // Longer than `noticeMs` (1 ms), in which requests are still accepted.
+  await wait(timers, 20);
+  this.lateCaller.socket.write("ends");
+});
+
+Then("it is refused as not run", async function (this: World) {
+  await this.lateCaller.waitUntil(({ hasEnded }) => hasEnded);
+  assert.match(this.lateCaller.text, /^HTTP\/1.1 503 .*"executed":"no"/s);
+});
+
+Given(
+  "a caller whose request runs without end",
+  async function (this: World) {
+    this.streamRunner.script = () => {};
+    const received = this.streamRunner.waitForRequest();
+    const caller = await connectLateCaller(this);
+    caller.send({ path: "/payout/1", attemptId: "long" });
+    await received;
+  },
+);
+
+When(
+  "the gateway starts to stop with a grace of {int} s",
+  function (this: World, graceSeconds: number) {
+    const settings = createTestSettings({});
+    const { gateway } = this.stoppingGateway;
+    gateway.applySettings({ ...settings, stop: { noticeMs: 1, graceSeconds } });
+    this.stopped = gateway[Symbol.asyncDispose]();
+  },
+);
+
+Then(
+  "it is answered with {int} as {string}",
+  async function (this: World, status: number, executed: string) {
+    await this.lateCaller.waitUntil(({ hasEnded }) => hasEnded);
+    const pattern = `^HTTP/1.1 ${status} .*"executed":"${executed}"`;
+    assert.match(this.lateCaller.text, new RegExp(pattern, "s"));
+  },
+);
+
+Then("the streams have no proper end", async function (this: World) {
+  for (const caller of this.streamCallers) {
+    await caller.waitUntil(({ hasEnded }) => hasEnded);
+    assert.ok(!caller.text.endsWith("0\r\n\r\n"));
+  }
+});
+
+Given(
+  "a caller that has not read any of its answer of {int} KiB",
+  async function (this: World, sizeKib: number) {
+    this.slowAnswerBytes = sizeKib * 1024;
+    const body = "a".repeat(this.slowAnswerBytes);
+    this.streamRunner.script = ({ attemptId, socket }) =>
+      socket.write(formatAnswer(attemptId, body));
+    const received = this.streamRunner.waitForRequest();
+    const caller = await connectLateCaller(this);
+    caller.socket.pause();
+    caller.send({ path: "/payout/1", attemptId: "slow" });
+    const { socket } = await received;
+    while (socket.writableLength > 0) await wait(timers, 1);
+    await wait(timers, 100);
+  },
+);
+
+When(
+  "the caller reads after {int} ms",
+  async function (this: World, ms: number) {
+    await wait(timers, ms);
+    this.lateCaller.socket.resume();
+  },
+);
+
+Then("it gets the whole answer", async function (this: World) {
+  await this.lateCaller.waitUntil(({ hasEnded }) => hasEnded);
+  const { text } = this.lateCaller;
+  const bodyBytes = text.length - text.indexOf("\r\n\r\n") - 4;
+  assert.equal(bodyBytes, this.slowAnswerBytes);
+});
