Let slow callers receive their answers in a planned stop

Change: requests are open until their answer is sent; the listener decides by itself which connections are idle.

Measured: "Callers that read slowly get their whole answers" failed before and passes now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
   formatMetrics,
   startControlListener,
   startReadinessListener,
+  waitForClose,
 } from "./listening/mod.ts";
 import { LimitNews } from "./limits/mod.ts";
 import { createMemoryBudgets } from "./memory_budgets.ts";
@@ -73,6 +74,7 @@
   #peerAddress = "";
   #isStopping = false;
   #isClosing = false;
+  /** Requests whose answers are not sent yet. */
   #openRequests = 0;
 
   private constructor(options: GatewayOptions, listener: CallerListener) {
@@ -128,7 +130,8 @@
     this.#context = this.#createContext();
     listener.setHandler((request, response) => {
       this.#openRequests += 1;
-      void serveRequest(request, response, this.#context)
+      const served = serveRequest(request, response, this.#context);
+      void Promise.all([served, waitForClose(response)])
         .finally(() => this.#openRequests -= 1);
     });
   }
@@ -201,13 +204,19 @@
     await wait(timers, stop.noticeMs);
     this.#isClosing = true;
     this.#listener.closeIdle();
+    await this.#waitForRequests(endMs);
+    logger.info("left", { openRequests: this.#openRequests });
+    await this.#resources[Symbol.asyncDispose]();
+  }
+
+  /** Waits until all answers are sent, or until a time. */
+  async #waitForRequests(endMs: number): Promise<void> {
+    const { timers } = this.#options;
     while (this.#openRequests > 0 && timers.nowMs() < endMs) {
       await wait(timers, stopCheckPeriodMs);
       // Answers that began before the stop lack the header that announces it.
       this.#listener.closeIdle();
     }
-    logger.info("left", { openRequests: this.#openRequests });
-    await this.#resources[Symbol.asyncDispose]();
   }
 
   async #startInternalListeners(): Promise<void> {
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -5,6 +5,7 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import { paceConnections } from "@jasminetide/runtime/http";
 import { parseAddress } from "@jasminetide/runtime/settings";
+import { CallerConnections } from "./caller_connections.ts";
 
 /** Options of a listener. */
 export type CallerListenerOptions = { address: string; timers: TimerService };
@@ -12,19 +13,17 @@
 /** HTTP server for callers. */
 export class CallerListener {
   readonly #server: Server;
-  readonly #timers: TimerService;
   readonly #closed: Promise<unknown>;
-  readonly #acceptedAtMs = new WeakMap<Socket, number>();
+  readonly #connections: CallerConnections;
   #isClosingIdle = false;
 
   private constructor(server: Server, timers: TimerService) {
     this.#server = server;
-    this.#timers = timers;
     this.#closed = once(server, "close");
-    server.on(
-      "connection",
-      (socket) => this.#acceptedAtMs.set(socket, timers.nowMs()),
-    );
+    this.#connections = CallerConnections.create(timers);
+    server.on("connection", (socket) => this.#connections.add(socket));
+    // The library would close connections whose answer isn't sent yet.
+    server.closeIdleConnections = () => this.#connections.closeIdle();
   }
 
   /** Starts to listen at `ip:port`. */
@@ -53,13 +52,13 @@
 
   /** Time since a caller's connection was accepted. */
   getConnectionAgeMs(socket: Socket): number {
-    const nowMs = this.#timers.nowMs();
-    return nowMs - (this.#acceptedAtMs.get(socket) ?? nowMs);
+    return this.#connections.getAgeMs(socket);
   }
 
   /** Sets the handler of requests. */
   setHandler(handler: RequestListener): void {
     this.#server.on("request", (request, response) => {
+      this.#connections.recordRequest(request, response);
       response.once("finish", () => {
         // Close before the caller sends another request, which would be lost.
         if (this.#isClosingIdle) request.socket.destroySoon();
--- a/packages/gateway/src/listening/mod.ts
+++ b/packages/gateway/src/listening/mod.ts
@@ -3,3 +3,4 @@
 export * from "./control_listener.ts";
 export * from "./format_metrics.ts";
 export * from "./readiness_listener.ts";
+export * from "./wait_for_close.ts";
--- a/packages/gateway/src/stopping.feature
+++ b/packages/gateway/src/stopping.feature
@@ -35,3 +35,15 @@
     When the runner ends the first stream
     And the runner ends the second stream
     Then the gateway has stopped
+
+  # Guards against answers that are cut since they were written but not sent
+  # (review/3).
+  Scenario: Callers that read slowly get their whole answers
+    Given a caller that has not read any of its answer of 4000 KiB
+    When the gateway starts to stop
+    Then the idle connection is closed
+    When the runner ends the first stream
+    And the runner ends the second stream
+    And the caller reads after 300 ms
+    Then it gets the whole answer
+    And the gateway has stopped
