Answer requests at the end of a planned stop's grace

Change: requests in flight get the final answer that they get at their time limit: 504, or 503 if they were not sent; streams that have begun are broken off. Connections are closed once that is sent, 250 ms before the platform's limit at the latest.

Measured: "Requests that outlast the grace get a final answer" failed before (no answer) and passes now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { FleetView } from "./fleet_view.ts";
 import type { ObjectSource } from "./following/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { GraceEnd } from "./grace_end.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   CallerListener,
@@ -76,6 +77,7 @@
   #isClosing = false;
   /** Requests whose answers are not sent yet. */
   #openRequests = 0;
+  readonly #graceEnd = GraceEnd.create();
 
   private constructor(options: GatewayOptions, listener: CallerListener) {
     this.#options = options;
@@ -205,6 +207,8 @@
     this.#isClosing = true;
     this.#listener.closeIdle();
     await this.#waitForRequests(endMs);
+    this.#graceEnd.reach();
+    await this.#waitForRequests(endMs + finalAnswersMs);
     logger.info("left", { openRequests: this.#openRequests });
     await this.#resources[Symbol.asyncDispose]();
   }
@@ -279,6 +283,7 @@
         this.#getFirstByteTimes(`${service} ${kind}`),
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
       getKnownRouters: () => this.#fleet.knownRouters,
+      graceEnd: this.#graceEnd,
       isStopping: () => this.#isStopping,
       isClosing: () => this.#isClosing,
     };
@@ -326,6 +331,9 @@
 /** Period at which a stopping gateway checks for requests in flight. */
 const stopCheckPeriodMs = 50;
 
+/** Time in which the final answers at the end of the grace are sent. */
+const finalAnswersMs = 150;
+
 /** Time reserved for closing before the platform kills the process. */
 const stopMarginMs = 400;
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,6 +9,7 @@
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
+import type { GraceEnd } from "./grace_end.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { LimitNews } from "./limits/mod.ts";
@@ -55,6 +56,8 @@
   countRouters: () => number;
   /** All routers; replaced when they change. */
   getKnownRouters: () => KnownRouters;
+  /** End of the grace of a planned stop. */
+  graceEnd: GraceEnd;
   /** Whether answers should tell callers to close their connections. */
   isStopping: () => boolean;
   /** Whether a new request could no longer be completed. */
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -113,6 +113,9 @@
       admitted.deadlineMs - context.timers.nowMs(),
       () => exchange.#run(() => exchange.#expire()),
     );
+    using _graceEnd = context.graceEnd.subscribe(
+      () => exchange.#run(() => exchange.#expire()),
+    );
     exchange.#run(() => exchange.#tryNext());
     await exchange.#finished;
   }
@@ -348,7 +351,7 @@
     failRequest(this.#options.answer, { message, result, last });
   }
 
-  /** Sends the final answer when the deadline is reached. */
+  /** Sends the final answer when the deadline or the end of a stop is reached. */
   #expire(): void {
     if (this.#hasEnded) return;
     const { answer } = this.#options;
@@ -360,8 +363,8 @@
     if (wasSilent && first?.isSilent === false) first.recordLoss();
     if (answer.hasBegun) answer.breakOff();
     else if (mayHaveRun) {
-      this.#fail("No answer within the time limit", "deadlineExceeded");
-    } else this.#refuse("Not sent within the time limit");
+      this.#fail("No answer in time", "deadlineExceeded");
+    } else this.#refuse("Not sent in time");
     this.#end();
   }
 
--- a/packages/gateway/src/stopping.feature
+++ b/packages/gateway/src/stopping.feature
@@ -36,6 +36,14 @@
     And the runner ends the second stream
     Then the gateway has stopped
 
+  # Guards against requests in flight that get no answer at the end of the grace.
+  Scenario: Requests that outlast the grace get a final answer
+    Given a caller whose request runs without end
+    When the gateway starts to stop with a grace of 1 s
+    Then it is answered with 504 as "unknown"
+    And the gateway has stopped
+    And the streams have no proper end
+
   # Guards against answers that are cut since they were written but not sent
   # (review/3).
   Scenario: Callers that read slowly get their whole answers
