Ask who began a stream while only one version is known

Cause (O1): a gateway that knew one version only let streams of others go on there without reading the records that say who began them. O2: versions that records name counted at the start only.

Change: the records are read for each stream of unknown origin. It goes on at the only known version if they could be read and name no version that the gateway has never seen; otherwise it is refused as not run.

Ruled out: that streams of two versions come from stale reads, the records are read consistently.

--- a/packages/core/src/stream_versions/stream_versions.feature
+++ b/packages/core/src/stream_versions/stream_versions.feature
@@ -33,3 +33,12 @@
       | 5       | 400    | 100    |
       | 68      | 3200   | 100    |
       | 390     | 400    | 3900   |
+
+  # What other gateways say of a version that has left must not make streams of
+  # the one that followed it unknown.
+  Scenario: A version that left long ago is no candidate, but was seen
+    Given runners of versions "v1" are listed at 0 s
+    And runners of versions "v2" are listed at 10 s
+    Then the candidates at 51 s are "v2"
+    And version "v1" was seen
+    And version "v3" was not seen
--- a/packages/core/src/stream_versions/stream_versions_test.ts
+++ b/packages/core/src/stream_versions/stream_versions_test.ts
@@ -77,3 +77,11 @@
     assert.equal(getWritePeriodMs({ routers, writesPerSecond }), periodMs);
   },
 );
+
+Then(
+  /^version "(.+)" was (seen|not seen)$/,
+  function (this: World, softwareVersion: string, what: string) {
+    const isSeen = this.versions.has({ service, softwareVersion });
+    assert.equal(isSeen, what === "seen");
+  },
+);
--- a/packages/core/src/stream_versions/version_history.ts
+++ b/packages/core/src/stream_versions/version_history.ts
@@ -43,6 +43,11 @@
     entry.goneAtMs = Math.max(entry.goneAtMs, goneAtMs);
   }
 
+  /** Whether a version was ever listed or added. */
+  has({ service, softwareVersion }: VersionedRunner): boolean {
+    return this.#services.get(service)?.has(softwareVersion) === true;
+  }
+
   /** Lists the versions that may have begun a stream of a service. */
   listCandidates(service: string, nowMs: number): string[] {
     const versions = this.#services.get(service) ?? new Map();
--- a/packages/gateway/src/requests/stream_versions.feature
+++ b/packages/gateway/src/requests/stream_versions.feature
@@ -67,3 +67,30 @@
     And the gateway stops and another one starts
     And they take their streams up at the other gateway
     Then each of them gets a whole stream of one version
+
+  # Guards against a gateway that was cut off or stood still while runners of
+  # another version joined, and that takes a stream of theirs to be of the only
+  # version that it knows.
+  Scenario: Streams are taken up at a gateway that does not know their version
+    Given a gateway, and two runners each of "v1" that hold streams
+    And another gateway that is told of no more runners
+    And two runners of "v2" join
+    When 20 callers whose streams have begun take them up at the other gateway
+    Then none of them gets events of two versions
+    And those with events of "v1" get whole streams
+
+  Scenario: A stream of unknown origin is refused where its version may be unknown
+    Given a gateway, and two runners each of "v1" that hold streams
+    And another gateway that is told of no more runners
+    And two runners of "v2" join
+    And the records name no streams from now on
+    When 20 callers whose streams have begun take them up at the other gateway
+    Then none of them gets events of two versions
+
+  Scenario: A gateway that cannot ask who began a stream does not guess
+    Given a gateway, and two runners each of "v1" that hold streams
+    And another gateway that is told of no more runners
+    And two runners of "v2" join
+    And the records of streams can no longer be read
+    When 20 callers whose streams have begun take them up at the other gateway
+    Then none of them gets events of two versions
--- a/packages/gateway/src/requests/stream_versions_test.ts
+++ b/packages/gateway/src/requests/stream_versions_test.ts
@@ -13,7 +13,9 @@
   startTestGateway,
   type TestGateway,
   testHeaders,
+  TestSource,
 } from "../test_support/mod.ts";
+import type { RunnerRecord } from "../upstreams/mod.ts";
 
 /** A runner, the version of its software, and how its streams go. */
 type VersionedRunner = { runner: ScriptedRunner; version: string };
@@ -119,6 +121,54 @@
   await waitForFleet(world);
 }
 
+Given(
+  "another gateway that is told of no more runners",
+  async function (this: World) {
+    const [first] = this.gateways;
+    const runners = TestSource.create<RunnerRecord>();
+    for (const each of this.versioned) {
+      runners.put(each.runner.address, createVersionedRecord(each));
+    }
+    this.gateways.push(
+      await startTestGateway({
+        name: "gateway-2",
+        sharedWith: { ...first, runners },
+      }),
+    );
+    await waitForFleet(this);
+  },
+);
+
+Given(
+  "two runners of {string} join",
+  async function (this: World, version: string) {
+    await addRunners(this, version, "hold streams");
+    const [{ gateway }] = this.gateways;
+    while (gateway.runnerCount < this.versioned.length) await wait(timers, 1);
+  },
+);
+
+Given(
+  "the records name no streams from now on",
+  function (this: World) {
+    const { records } = this.gateways[0].streams;
+    const set = records.set.bind(records);
+    records.set = (name, record) => {
+      const services = Object.entries(record.services).map((
+        [service, { versions }],
+      ) => [service, { versions, streams: {} }]);
+      return set(name, { ...record, services: Object.fromEntries(services) });
+    };
+  },
+);
+
+Given(
+  "the records of streams can no longer be read",
+  function (this: World) {
+    this.gateways[0].streams.isUnavailable = true;
+  },
+);
+
 Given(
   "the runners of {string} drain once they have begun a stream",
   function (this: World, version: string) {
--- a/packages/gateway/src/stream_versions/record_reader.ts
+++ b/packages/gateway/src/stream_versions/record_reader.ts
@@ -23,8 +23,8 @@
   #isLoaded = false;
   #isDisposed = false;
   #startedAtMs = Number.NEGATIVE_INFINITY;
-  #current: Promise<void> = Promise.resolve();
-  #next: Promise<void> | undefined;
+  #current: Promise<boolean> = Promise.resolve(false);
+  #next: Promise<boolean> | undefined;
 
   private constructor(options: RecordReaderOptions) {
     this.#options = options;
@@ -49,8 +49,13 @@
     return this.#loaded;
   }
 
-  /** Reads the records from now on; calls share a read that has not begun. */
-  read(): Promise<void> {
+  /**
+   * Reads the records as they are from now on; calls share a read that has not
+   * begun.
+   *
+   * @returns whether they were read.
+   */
+  read(): Promise<boolean> {
     this.#next ??= this.#startNext();
     return this.#next;
   }
@@ -66,7 +71,7 @@
     }
   }
 
-  async #startNext(): Promise<void> {
+  async #startNext(): Promise<boolean> {
     const { timers } = this.#options;
     await this.#current;
     const waitMs = this.#startedAtMs + minPeriodMs - timers.nowMs();
@@ -74,20 +79,22 @@
     this.#next = undefined;
     this.#startedAtMs = timers.nowMs();
     this.#current = this.#readOnce();
-    await this.#current;
+    return await this.#current;
   }
 
-  async #readOnce(): Promise<void> {
+  async #readOnce(): Promise<boolean> {
     const { logger, onRecords, registry } = this.#options;
-    if (this.#isDisposed) return;
+    if (this.#isDisposed) return false;
     try {
       const records = await registry.list();
       onRecords(records, { isFirst: !this.#isLoaded });
       this.#isLoaded = true;
       this.#resolveLoaded();
+      return true;
     } catch (thrown) {
       const detail = normalizeError(thrown).message;
       logger.warn("stream-records-unread", { detail });
+      return false;
     }
   }
 }
--- a/packages/gateway/src/stream_versions/stream_versions.ts
+++ b/packages/gateway/src/stream_versions/stream_versions.ts
@@ -2,7 +2,6 @@
 import {
   getWritePeriodMs,
   type NamedOrigin,
-  streamMemoryMs,
   type StreamOrigin,
   StreamOrigins,
   type VersionedRunner,
@@ -47,7 +46,8 @@
   readonly #origins = StreamOrigins.create();
   /** Origins of the streams of other gateways, as last read. */
   #otherOrigins: ReadonlyMap<string, StreamOrigin> = new Map();
-  readonly #startedAtMs: number;
+  /** Versions that gateways know, as last read. */
+  #recordedVersions: readonly VersionedRunner[] = [];
   readonly #reader: RecordReader;
   readonly #writer: RecordWriter;
   /** Last request for a write since the versions that serve have changed. */
@@ -55,7 +55,6 @@
 
   private constructor(options: StreamVersionsOptions) {
     this.#options = options;
-    this.#startedAtMs = options.timers.nowMs();
     this.#reader = RecordReader.create({
       ...options,
       onRecords: (records, { isFirst }) => this.#merge(records, isFirst),
@@ -115,20 +114,27 @@
     this.#origins.complete(firstAttemptId, this.#nowMs());
   }
 
-  /** Chooses the version at which a stream that is taken up goes on. */
+  /**
+   * Chooses the version at which a stream that is taken up goes on. If its origin
+   * is not known, the records are read first, also while only one version is
+   * known: this gateway may not have seen the others yet.
+   */
   async chooseVersion(
     { firstAttemptId }: StreamTakeUp,
     service: string,
   ): Promise<VersionChoice> {
     const { timers } = this.#options;
     await Promise.race([this.#reader.loaded, wait(timers, maxLoadWaitMs)]);
+    const origin = this.#findOrigin(firstAttemptId, service);
+    if (origin !== undefined) return origin;
     for (const pauseMs of readPausesMs) {
-      const choice = this.#decide(firstAttemptId, service);
-      if (choice.type === "version") return choice;
       await wait(timers, pauseMs);
-      await this.#reader.read();
+      const hasRead = await this.#reader.read();
+      const choice = this.#findOrigin(firstAttemptId, service) ??
+        this.#findOnly(service);
+      if (hasRead && choice !== undefined) return choice;
     }
-    return this.#decide(firstAttemptId, service);
+    return { type: "unknown", candidates: this.#listAllCandidates(service) };
   }
 
   [Symbol.dispose](): void {
@@ -136,23 +142,22 @@
     this.#writer[Symbol.dispose]();
   }
 
-  #decide(firstAttemptId: string | undefined, service: string): VersionChoice {
-    const id = firstAttemptId ?? "";
-    const origin = this.#origins.find(id) ?? this.#otherOrigins.get(id);
-    if (origin?.service === service) {
-      const { softwareVersion } = origin;
-      return { type: "version", softwareVersion };
-    }
-    const candidates = this.#listCandidates(service);
-    return candidates.length > 1 || !this.#isInformed
-      ? { type: "unknown", candidates }
-      : { type: "version", softwareVersion: candidates.at(0) };
+  /** Finds the version that began a stream, if that is known. */
+  #findOrigin(
+    firstAttemptId = "",
+    service: string,
+  ): VersionChoice | undefined {
+    const origin = this.#origins.find(firstAttemptId) ??
+      this.#otherOrigins.get(firstAttemptId);
+    if (origin?.service !== service) return undefined;
+    return { type: "version", softwareVersion: origin.softwareVersion };
   }
 
-  /** Whether all versions that may have begun streams are known. */
-  get #isInformed(): boolean {
-    return this.#reader.isLoaded ||
-      this.#nowMs() - this.#startedAtMs > streamMemoryMs;
+  /** Finds the only version that may have begun a stream, if there is one. */
+  #findOnly(service: string): VersionChoice | undefined {
+    const candidates = this.#listAllCandidates(service);
+    if (candidates.length > 1) return undefined;
+    return { type: "version", softwareVersion: candidates.at(0) };
   }
 
   #merge(records: ReadonlyMap<string, StreamRecord>, isFirst: boolean): void {
@@ -170,10 +175,15 @@
           this.#origins.record({ firstAttemptId, ...origin }, this.#nowMs());
         }
       }
-      if (isFirst) this.#addVersions(record);
     }
     this.#otherOrigins = others;
+    this.#recordedVersions = current.flatMap(([, record]) =>
+      listVersions(record)
+    );
     if (isFirst) {
+      for (const version of this.#recordedVersions) {
+        this.#history.add(version, this.#nowMs());
+      }
       logger.info("stream-records-read", {
         records: current.length,
         streams: others.size,
@@ -182,15 +192,6 @@
     } else this.#writer.checkWritten(records);
   }
 
-  /** Adds versions that were in service when this gateway started. */
-  #addVersions({ services }: StreamRecord): void {
-    for (const [service, { versions }] of Object.entries(services)) {
-      for (const softwareVersion of versions) {
-        this.#history.add({ service, softwareVersion }, this.#nowMs());
-      }
-    }
-  }
-
   /** Removes the records of gateways that are long gone. */
   #removeOld(records: ReadonlyMap<string, StreamRecord>): void {
     const { logger, registry, timers } = this.#options;
@@ -235,6 +236,17 @@
     return this.#history.listCandidates(service, this.#nowMs());
   }
 
+  /**
+   * Lists the versions that may have begun a stream: those that this gateway
+   * knows, and those that others know and it has never seen.
+   */
+  #listAllCandidates(service: string): string[] {
+    const unseen = this.#recordedVersions
+      .filter((each) => each.service === service && !this.#history.has(each))
+      .map(({ softwareVersion }) => softwareVersion);
+    return [...this.#listCandidates(service), ...new Set(unseen)];
+  }
+
   /** Requests a write of the versions that serve, once some are known. */
   #writeVersions(): void {
     if (this.#history.listServices().length === 0) return;
@@ -254,6 +266,12 @@
   }
 }
 
+function listVersions({ services }: StreamRecord): VersionedRunner[] {
+  return Object.entries(services).flatMap(([service, { versions }]) =>
+    versions.map((softwareVersion) => ({ service, softwareVersion }))
+  );
+}
+
 function listOrigins({ services }: StreamRecord): NamedOrigin[] {
   return Object.entries(services).flatMap(([service, { streams }]) =>
     Object.entries(streams).flatMap(([softwareVersion, ids]) =>
