Compare each list of a restored store with what is known

Cause: only the first list of an epoch was compared with what is known of the runners; a later one replaced the table as it was, with entries of the copy.

An entry with a later heartbeat still wins.

--- a/packages/gateway/src/following/following.feature
+++ b/packages/gateway/src/following/following.feature
@@ -64,6 +64,19 @@
     When runners "a b" write their entries again with a later heartbeat
     Then runners "a b" are ready
 
+  # Guards against a list after the first one of a restored store that brings back
+  # a runner which has left (review/5).
+  Scenario: A runner that left before a restore does not return by a later list
+    Given a gateway with the runners "a b"
+    And a copy of its store
+    When runner "a" drains and runner "b" is removed
+    And its store is restored from the copy
+    And its store forgets its history
+    Then runner "a" drains and runner "b" is not known
+    When runners "a b" write their entries again with a later heartbeat
+    And its store forgets its history
+    Then runners "a b" are ready
+
   Scenario: A restore during an outage is noticed
     Given a gateway with the runners "a b"
     And a copy of its store
--- a/packages/gateway/src/following/following_test.ts
+++ b/packages/gateway/src/following/following_test.ts
@@ -221,6 +221,17 @@
   await waitForRunners(this);
 });
 
+When("its store forgets its history", async function (this: World) {
+  const { runners } = this.versionedGateway;
+  const calls = runners.calls;
+  runners.setHistoryLost(true);
+  // The gateway notices it and reads the list.
+  const timers = RealTimerService.create();
+  while (runners.calls < calls + 2) await wait(timers, 1);
+  runners.setHistoryLost(false);
+  await waitForRunners(this);
+});
+
 When(
   "its store is restored from the copy while it is unavailable",
   async function (this: World) {
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -58,6 +58,8 @@
   #position: StorePosition | undefined;
   /** Epoch of the store that was read last. */
   #epoch: number | undefined;
+  /** Whether the store was restored while it was followed. */
+  #wasRestored = false;
   #hasAnswered = false;
   #failures = 0;
   /** Watches in a row that have expired. */
@@ -235,27 +237,36 @@
 
   #applyList(objects: Map<string, Value>, position: StorePosition): void {
     if (this.#epoch !== undefined && this.#epoch !== position.epoch) {
-      this.#replaceRestored(objects, position.epoch);
-    } else this.#table.replace(objects);
+      this.#recordRestore(position.epoch);
+    }
+    this.#table.replace(this.#wasRestored ? this.#resolve(objects) : objects);
     this.#epoch = position.epoch;
     this.#position = position;
     this.#log.restart(position);
     this.#publish();
   }
 
-  /** Applies the objects of a store that was restored from an older copy. */
-  #replaceRestored(objects: Map<string, Value>, epoch: number): void {
-    const { keepMissingMs, logger, name, resolveRestored } = this.#options;
+  /** Records that the store was restored from an older copy. */
+  #recordRestore(epoch: number): void {
+    const { keepMissingMs, logger, name } = this.#options;
     logger.warn("store-restored", { kind: name, before: this.#epoch, epoch });
+    this.#wasRestored = true;
     this.#table.keepMissingFor(keepMissingMs);
+  }
+
+  /**
+   * Chooses between the objects of a restored store and what is known. Each list
+   * may still have entries of the copy, not only the first one.
+   */
+  #resolve(objects: Map<string, Value>): Map<string, Value> {
+    const { resolveRestored } = this.#options;
+    if (resolveRestored === undefined) return objects;
     const resolved = new Map<string, Value>();
     for (const [key, restored] of objects) {
-      const value = resolveRestored === undefined
-        ? restored
-        : resolveRestored(key, restored);
+      const value = resolveRestored(key, restored);
       if (value !== undefined) resolved.set(key, value);
     }
-    this.#table.replace(resolved);
+    return resolved;
   }
 
   #publish(): void {
