Reset the connection of a request that is given up

Cause: a cancelled attempt closed its connection regularly, so that what the network held up was still delivered.

Change: a connection with a request in flight is reset, which drops it. The library's own function isn't used: it waits for unsent bytes.

--- a/packages/gateway/src/upstreams/runner_connection.feature
+++ b/packages/gateway/src/upstreams/runner_connection.feature
@@ -21,3 +21,10 @@
     Then only the part that had arrived before is read in the next turn
     When the caller has read what it was sent
     Then the answer "late" is complete
+
+  # Guards against a request that runs long after it was given up, when the
+  # network delivers what it held up (review/4).
+  Scenario: A connection with a request in flight is reset when it is destroyed
+    Given a connection to a runner, in a turn whose work is used up
+    When the connection is destroyed
+    Then the runner notices a reset
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -164,8 +164,13 @@
     this.#updatePaused();
   }
 
-  /** Closes the connection at once; the listener is not called again. */
+  /**
+   * Closes the connection at once; the listener is not called again. With a
+   * request in flight the connection is reset: what the network has not delivered
+   * yet would otherwise arrive, and run, after the request was given up.
+   */
   destroy(): void {
+    if (this.#listener !== undefined) markForReset(this.#socket);
     this.#listener = undefined;
     this.#close("destroyed");
   }
@@ -284,6 +289,14 @@
   }
 }
 
+/**
+ * Lets `destroy` reset a socket. The library's `resetAndDestroy` waits until all
+ * was written and closes the connection regularly first.
+ */
+function markForReset(socket: Socket): void {
+  Object.assign(socket, { resetAndClosing: true });
+}
+
 /**
  * Timeout for opening a connection. A lost first packet is retransmitted only
  * after a second, so another attempt is quicker.
--- a/packages/gateway/src/upstreams/runner_connection_test.ts
+++ b/packages/gateway/src/upstreams/runner_connection_test.ts
@@ -138,3 +138,15 @@
     assert.equal(this.body, "la");
   },
 );
+
+When("the connection is destroyed", function (this: World) {
+  this.received.socket.once("error", ({ message }) => {
+    this.brokenReason = message;
+  });
+  this.connection.destroy();
+});
+
+Then("the runner notices a reset", async function (this: World) {
+  await this.received.closed;
+  assert.match(this.brokenReason ?? "", /ECONNRESET/);
+});
