Send nothing to evacuated failure domains; share the limit of cold runners

Cause: nothing in the product read evacuations, and a cold runner was an empty one to each gateway.

Change: entries of evacuated failure domains are followed like declarations and runners where the settings name a limit for them, and sent among gateways. The directory leaves their runners out for all attempts and copies; an attempt that waits for a connection is withdrawn if its runner may get none any more. Cold runners get a whole number of requests a second from each gateway, which add up to the declared rate.

--- a/packages/core/src/limits/limit_share.ts
+++ b/packages/core/src/limits/limit_share.ts
@@ -24,6 +24,24 @@
   return rank < sharers ? 1 / sharers : 0;
 }
 
+/**
+ * Gets this router's share of a limit as a whole number of requests in a second.
+ * The shares of all routers add up to the limit if they know the same routers;
+ * those that rank first for the runner get what does not divide evenly. A router
+ * that does not know the others has none: many may have started at once.
+ */
+export function getRequestShare(
+  { perSecond, runnerHash }: SharedLimit,
+  routers: KnownRouters,
+): number {
+  const rank = getRouterRank(runnerHash, routers);
+  if (rank === undefined) return 0;
+  const requests = Math.floor(perSecond);
+  const count = (routers.otherHashes?.length ?? 0) + 1;
+  const evenShare = Math.floor(requests / count);
+  return evenShare + (rank < requests % count ? 1 : 0);
+}
+
 /** Routers that are assumed while the others are not known. */
 const minAssumedRouters = 4;
 
--- a/packages/core/src/limits/mod.ts
+++ b/packages/core/src/limits/mod.ts
@@ -1,4 +1,5 @@
 /** Limits that all routers share: quotas of workspaces, limits of runners. */
+export * from "./cold_limit.ts";
 export * from "./limit_share.ts";
 export * from "./memory_budget.ts";
 export * from "./quota.ts";
--- a/packages/core/src/pools/runner_availability.ts
+++ b/packages/core/src/pools/runner_availability.ts
@@ -1,4 +1,4 @@
-import { StatedLimit } from "../limits/mod.ts";
+import { ColdLimit, type ColdLimitUse, StatedLimit } from "../limits/mod.ts";
 
 /**
  * Whether a runner process accepts new requests of this router, by what its
@@ -8,6 +8,8 @@
 export class RunnerAvailability {
   /** Limit on the requests of all routers together. */
   readonly limit = StatedLimit.create();
+  /** Limit on these while the process is cold. */
+  readonly cold = ColdLimit.create();
   #isLeaving = false;
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -45,6 +47,20 @@
     return durationMs;
   }
 
+  /**
+   * Gets the time until the limits of the process allow a request of this router;
+   * 0 if they do now, infinite if it has no share.
+   */
+  getLimitWaitMs(use: ColdLimitUse): number {
+    return Math.max(this.limit.getWaitMs(use), this.cold.getWaitMs(use));
+  }
+
+  /** Records that this router sends a request. */
+  recordSend(nowMs: number): void {
+    this.limit.recordSend();
+    this.cold.recordSend(nowMs);
+  }
+
   /** Gets how long the process still wants no requests; 0 if it accepts them. */
   getPauseLeftMs(nowMs: number): number {
     return Math.max(0, this.#pausedUntilMs - nowMs);
--- a/packages/core/src/routes/route_table.ts
+++ b/packages/core/src/routes/route_table.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from "../random/mod.ts";
 import type {
   DeclaredRoute,
+  DeclaredService,
   DeclaredWorkspace,
   RoutingDeclaration,
 } from "./types.ts";
@@ -10,6 +11,7 @@
   readonly declaration: RoutingDeclaration;
   readonly #routesByHost = new Map<string, DeclaredRoute[]>();
   readonly #workspacesByKey = new Map<string, DeclaredWorkspace>();
+  readonly #services = new Map<string, DeclaredService>();
 
   private constructor(declaration: RoutingDeclaration) {
     this.declaration = declaration;
@@ -22,6 +24,9 @@
         this.#workspacesByKey.set(key, workspace);
       }
     }
+    for (const service of declaration.services ?? []) {
+      this.#services.set(service.name, service);
+    }
   }
 
   /** Indexes a declaration. */
@@ -45,6 +50,11 @@
     return this.#workspacesByKey.get(apiKey);
   }
 
+  /** Finds what is declared of a service. */
+  findService(name: string): DeclaredService | undefined {
+    return this.#services.get(name);
+  }
+
   #addRoute(route: DeclaredRoute): void {
     const host = normalizeHost(route.host);
     const routes = this.#routesByHost.get(host);
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -41,6 +41,15 @@
   priority: number | undefined;
 };
 
+/** A service and what its runners tolerate. */
+export type DeclaredService = {
+  name: string;
+  /** Time for which a runner is cold after its start, in milliseconds. */
+  coldStartMs: number;
+  /** Requests a second that a cold runner tolerates; unlimited if undefined. */
+  coldPerSecond: number | undefined;
+};
+
 /** Size and time limits on callers' requests. */
 export type CallerLimits = {
   maxBodyBytes: number;
@@ -57,4 +66,6 @@
   /** Absent when no request needs an API key. */
   workspaces: DeclaredWorkspace[] | undefined;
   callerLimits: CallerLimits;
+  /** Services whose runners have limits; absent if none are declared. */
+  services?: DeclaredService[];
 };
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -4,6 +4,7 @@
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { type Evacuation, listEvacuatedDomains } from "./evacuations/mod.ts";
 import { ObjectFollower, type ObjectSource } from "./following/mod.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
@@ -29,6 +30,7 @@
   metrics: GatewayMetrics;
   declarations: ObjectSource<RoutingDeclaration>;
   runners: ObjectSource<RunnerRecord>;
+  evacuations: ObjectSource<Evacuation>;
   registry: PeerRegistry;
   /** Called with each declaration that is applied. */
   onDeclaration: (declaration: RoutingDeclaration) => void;
@@ -51,6 +53,7 @@
   #peers: ReadonlyMap<string, PeerRecord> = new Map();
   #knownRouters: KnownRouters;
   #hasRunners = false;
+  #hasEvacuations: boolean;
   #wasReady = false;
   #complete: () => void = () => {};
   readonly #completed = new Promise<void>((resolve) => {
@@ -60,6 +63,7 @@
   private constructor(options: FleetViewOptions) {
     const { registry, settings } = options;
     this.#options = options;
+    this.#hasEvacuations = settings.platform.evacuationLimitMs === undefined;
     const selfHash = hash32(settings.name);
     this.#knownRouters = { selfHash, otherHashes: undefined };
     this.directory = Directory.create(options);
@@ -69,6 +73,7 @@
       resolveRunner: (record) => this.directory.resolveRestored(record),
       onDeclarations: (declarations) => this.#applyDeclarations(declarations),
       onRunners: (records) => this.#applyRunners(records),
+      onEvacuations: (evacuations) => this.#applyEvacuations(evacuations),
     }));
     this.#registration = this.#resources.use(GatewayRegistration.create({
       ...options,
@@ -97,9 +102,10 @@
     return this.#routes?.declaration.version ?? 0;
   }
 
-  /** Whether both a declaration and the runners are known. */
+  /** Whether the declaration, the runners and the evacuations are known. */
   get isComplete(): boolean {
-    return this.#routes !== undefined && this.#hasRunners;
+    return this.#routes !== undefined && this.#hasRunners &&
+      this.#hasEvacuations;
   }
 
   /** Waits until the view is complete, or for `limitMs`. */
@@ -130,6 +136,7 @@
     return {
       declaration: this.#routes?.declaration,
       ...this.#sync.listRunners(),
+      evacuations: this.#sync.listEvacuations(),
     };
   }
 
@@ -149,6 +156,7 @@
       declarationVersion: this.declarationVersion,
       runnersPosition: this.#sync.runnersPosition,
       gateways: [...this.#peers.keys()],
+      evacuatedDomains: [...this.directory.evacuatedDomains],
       runners: this.directory.listRecords(),
     };
   }
@@ -179,6 +187,7 @@
       getVersions: () => ({
         version: this.declarationVersion,
         position: this.#sync.runnersPosition,
+        evacuations: this.#sync.evacuationsPosition,
       }),
       listPeers: () => this.listPeerAddresses(),
       fetchState: fetchNewerState,
@@ -229,8 +238,28 @@
     this.#checkReady();
   }
 
+  #applyEvacuations(evacuations: Iterable<Evacuation>): void {
+    const { logger } = this.#options;
+    const before = this.directory.evacuatedDomains;
+    const domains = listEvacuatedDomains(evacuations);
+    this.directory.setEvacuated(
+      domains,
+      (service) => this.#routes?.findService(service)?.coldStartMs ?? 0,
+    );
+    for (const domain of domains) {
+      if (!before.has(domain)) logger.info("domain-evacuated", { domain });
+    }
+    for (const domain of before) {
+      if (!domains.has(domain)) logger.info("domain-returned", { domain });
+    }
+    this.#hasEvacuations = true;
+    this.#checkReady();
+  }
+
   #applyPeerState(state: Partial<GatewayState>): void {
-    const { declaration, keepMissingMs = 0, position, runners } = state;
+    const { declaration, evacuations, keepMissingMs = 0, position, runners } =
+      state;
+    if (evacuations !== undefined) this.#sync.applyEvacuations(evacuations);
     if (declaration !== undefined) this.#applyDeclarations([declaration]);
     if (runners === undefined || position === undefined) return;
     this.#sync.applyRunners({ position, runners, keepMissingMs });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { EventLoopLoad, StallDetector } from "@jasminetide/runtime/clock";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
+import type { Evacuation } from "./evacuations/mod.ts";
 import { FleetView } from "./fleet_view.ts";
 import type { ObjectSource } from "./following/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -49,6 +50,8 @@
   protocol: WireProtocol;
   declarations: ObjectSource<RoutingDeclaration>;
   runners: ObjectSource<RunnerRecord>;
+  /** Followed only if the settings have a limit for evacuations. */
+  evacuations: ObjectSource<Evacuation>;
   registry: PeerRegistry;
   streams: StreamRegistry;
 };
@@ -176,6 +179,11 @@
     return this.#fleet.directory.listRecords();
   }
 
+  /** Failure domains whose runners get nothing. */
+  get evacuatedDomains(): ReadonlySet<string> {
+    return this.#fleet.directory.evacuatedDomains;
+  }
+
   /** Version of the current declaration, 0 before the first. */
   get declarationVersion(): number {
     return this.#fleet.declarationVersion;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -46,7 +46,8 @@
     unit: "attempts",
     meaning: "Attempts at runners by outcome: relayed and answered are " +
       "answers, notRun is a refusal for lack of capacity, unsent and broken " +
-      "are lost connections, cancelled means that the caller disconnected",
+      "are lost connections, withdrawn were not sent, since the runner may " +
+      "get none any more, cancelled means that the caller disconnected",
   },
   {
     name: "repeats",
@@ -61,6 +62,14 @@
     unit: "requests",
     meaning: "Requests not retried because the retry budget was used up",
   },
+  {
+    name: "kept-from-cold",
+    type: "counter",
+    unit: "attempts",
+    meaning:
+      "Times that a cold runner got no attempt, since this gateway's share " +
+      "of its limit was used up",
+  },
   {
     name: "store-lost-KIND",
     type: "counter",
@@ -150,6 +159,10 @@
     this.#metrics.count("repeats-refused");
   }
 
+  countKeptFromCold(): void {
+    this.#metrics.count("kept-from-cold");
+  }
+
   /** @param kind kind of object that the failed calls were for. */
   countStoreLost(kind: string): void {
     this.#metrics.count(`store-lost-${kind}`);
--- a/packages/gateway/src/peers/gateway_state.ts
+++ b/packages/gateway/src/peers/gateway_state.ts
@@ -1,6 +1,12 @@
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
-import { isLaterPosition, type StorePosition } from "@jasminetide/core/store";
+import {
+  initialPosition,
+  isLaterPosition,
+  type StorePosition,
+} from "@jasminetide/core/store";
 import * as z from "zod";
+import type { Evacuation } from "../evacuations/mod.ts";
+import type { ObjectNews } from "../following/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 
 /** Newest state that a gateway has read from the store. */
@@ -11,14 +17,20 @@
   runners: RunnerRecord[];
   /** Time for which runners that are gone are still kept, after an outage. */
   keepMissingMs: number;
+  /** Absent where the deployment has no evacuations. */
+  evacuations?: ObjectNews<Evacuation>;
 };
 
+const positionSchema = z.object({ epoch: z.number(), revision: z.number() });
+
 /** Schema of the versions of the state that the calling gateway has. */
 export const stateVersionsSchema = z.object({
   /** Version of its declaration; 0 if it has none. */
   version: z.number(),
   /** Position of its list of runners; the initial one if it has none. */
-  position: z.object({ epoch: z.number(), revision: z.number() }),
+  position: positionSchema,
+  /** Position of its evacuations. */
+  evacuations: positionSchema.optional(),
 });
 
 /** Versions of the state that the calling gateway has. */
@@ -30,7 +42,7 @@
   versions: StateVersions,
 ): Partial<GatewayState> {
   if (state === undefined) return {};
-  const { declaration, keepMissingMs, position, runners } = state;
+  const { declaration, evacuations, keepMissingMs, position, runners } = state;
   return {
     ...(declaration !== undefined && declaration.version > versions.version
       ? { declaration }
@@ -38,5 +50,12 @@
     ...(isLaterPosition(position, versions.position)
       ? { position, runners, keepMissingMs }
       : {}),
+    ...(evacuations !== undefined &&
+        isLaterPosition(
+          evacuations.position,
+          versions.evacuations ?? initialPosition,
+        )
+      ? { evacuations }
+      : {}),
   };
 }
--- a/packages/gateway/src/peers/news.ts
+++ b/packages/gateway/src/peers/news.ts
@@ -3,6 +3,7 @@
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import type { StorePosition } from "@jasminetide/core/store";
 import * as z from "zod";
+import type { Evacuation } from "../evacuations/mod.ts";
 import type { ObjectNews } from "../following/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 
@@ -10,6 +11,8 @@
 export type NewsPositions = {
   declarations: StorePosition;
   runners: StorePosition;
+  /** Absent where the deployment has no evacuations. */
+  evacuations?: StorePosition;
 };
 
 const positionSchema = z.object({ epoch: z.number(), revision: z.number() });
@@ -18,13 +21,15 @@
 export const newsPositionsSchema: z.ZodType<NewsPositions> = z.object({
   declarations: positionSchema,
   runners: positionSchema,
+  evacuations: positionSchema.optional(),
 });
 
 /** Changes of the objects that gateways follow. */
 export type News = {
-  /** Absent if nothing has changed; the same holds for `runners`. */
+  /** Absent if nothing has changed; the same holds for the others. */
   declarations?: ObjectNews<RoutingDeclaration>;
   runners?: ObjectNews<RunnerRecord>;
+  evacuations?: ObjectNews<Evacuation>;
 };
 
 /** Changes as they are sent: as they are, or as compressed text. */
--- a/packages/gateway/src/peers/news_publisher.ts
+++ b/packages/gateway/src/peers/news_publisher.ts
@@ -93,6 +93,7 @@
       positions: {
         declarations: news.declarations?.position ?? positions.declarations,
         runners: news.runners?.position ?? positions.runners,
+        evacuations: news.evacuations?.position ?? positions.evacuations,
       },
     };
   }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -14,6 +14,8 @@
 export type AttemptEnd =
   /** No connection could be opened, so the request was not sent. */
   | { type: "unsent"; reason: string }
+  /** The request was not sent, since the runner may get none any more. */
+  | { type: "withdrawn" }
   /** The runner states that it has not run the request. */
   | { type: "notRun"; head: AnswerHead; body: Buffer }
   /** The whole answer was received and has not been relayed yet. */
@@ -71,6 +73,8 @@
   onAnswer: (answer: RunnerAnswer, head: AnswerHead) => void;
   /** Called before a connection is taken; the attempt waits for the promise. */
   prepareSend: () => Promise<void> | undefined;
+  /** Whether the runner may still get the request, just before it is sent. */
+  maySend: () => boolean;
   /** Called whenever bytes of the answer arrive. */
   onBytes: () => void;
   /** Called when reading pauses, since the caller must read first. */
@@ -132,8 +136,9 @@
       return;
     }
     // The caller may have left, which cancels the attempt.
-    if (this.#hasEnded) {
+    if (this.#hasEnded || !this.#options.maySend()) {
       connections.release(connection);
+      this.#end({ type: "withdrawn" });
       return;
     }
     this.#connection = connection;
--- a/packages/gateway/src/requests/decide_next.ts
+++ b/packages/gateway/src/requests/decide_next.ts
@@ -46,6 +46,7 @@
     case "relayed":
       return "none";
     case "unsent":
+    case "withdrawn":
     case "notRun":
       return hasAttemptsLeft ? "repeat" : decideAfterLastAttempt(progress);
     case "answered":
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -210,7 +210,7 @@
     const { upstream } = placement;
     this.#attempts += 1;
     this.#triedIds.add(upstream.id);
-    upstream.availability.limit.recordSend();
+    upstream.availability.recordSend(context.timers.nowMs());
     const running: RunningAttempt = RunningAttempt.create({
       upstream,
       number: this.#attempts,
@@ -229,6 +229,7 @@
       onSent: () => this.#runs += 1,
       onNotRun: () => this.#runs -= 1,
       prepareSend: () => this.#version.prepareSend(upstream),
+      maySend: () => context.directory.isReady(upstream),
       onSilence: (silence) =>
         this.#run(() => this.#handleSilence(running, silence)),
     });
--- a/packages/gateway/src/requests/explain_request.ts
+++ b/packages/gateway/src/requests/explain_request.ts
@@ -1,7 +1,7 @@
 import type { DeclaredRoute, RouteTable } from "@jasminetide/core/routes";
 import * as z from "zod";
 import type { GatewayContext } from "../gateway_context.ts";
-import type { Upstream } from "../upstreams/mod.ts";
+import type { Directory, Upstream } from "../upstreams/mod.ts";
 
 /** Schema of a query for the explanation of a request. */
 export const explanationQuerySchema = z.object({
@@ -32,6 +32,8 @@
   failureShare: number;
   /** Whether new requests go to other runners if there are any. */
   isAvoided: boolean;
+  /** How long it is still cold, if it is. */
+  coldLeftMs?: number;
   /** Requests a second that it accepts from all routers, if it states so. */
   limitPerSecond?: number;
 };
@@ -48,7 +50,15 @@
   /** Priority of the workspace or else of the route; 0 is served first. */
   priority?: number;
   /** Runners that accept new requests, by service of the route. */
-  services: { service: string; runners: RunnerExplanation[] }[];
+  services: ServiceExplanation[];
+};
+
+/** Runners of a service that accept new requests, and failure domains. */
+export type ServiceExplanation = {
+  service: string;
+  runners: RunnerExplanation[];
+  /** Failure domains with runners of the service that are evacuated. */
+  evacuatedDomains: string[];
 };
 
 /** Explains how this router would handle a request now. */
@@ -71,10 +81,18 @@
     services: route.services.map(({ service }) => ({
       service,
       runners: explainRunners(context.directory.listReady(service), nowMs),
+      evacuatedDomains: listEvacuatedDomains(service, context.directory),
     })),
   };
 }
 
+function listEvacuatedDomains(service: string, directory: Directory): string[] {
+  const domains = directory.listAll(service)
+    .filter((upstream) => directory.isEvacuated(upstream))
+    .map(({ failureDomain }) => failureDomain);
+  return [...new Set(domains)];
+}
+
 function explainRunners(
   upstreams: readonly Upstream[],
   nowMs: number,
@@ -102,6 +120,7 @@
 function explainRunner(upstream: Upstream, nowMs: number): RunnerExplanation {
   const { availability, health, id, load, record, slots } = upstream;
   const limitPerSecond = availability.limit.getPerSecond(nowMs);
+  const coldLeftMs = availability.cold.getLeftMs(nowMs);
   return {
     id,
     address: record.address,
@@ -110,6 +129,7 @@
     load: load.getEstimate(nowMs),
     failureShare: health.getFailureShare(nowMs),
     isAvoided: health.isAvoided(nowMs),
+    ...(coldLeftMs > 0 ? { coldLeftMs } : {}),
     ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
   };
 }
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -22,6 +22,7 @@
     case "unsent":
     case "broken":
       return "lost";
+    case "withdrawn":
     case "cancelled":
       return undefined;
   }
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -42,7 +42,7 @@
       (softwareVersion === undefined ||
         upstream.record.softwareVersion === softwareVersion) &&
       upstream.availability.isAvailable(nowMs) &&
-      getLimitWaitMs(upstream, context) === 0
+      isWithinLimits(upstream, context)
     );
   const untried = all.filter(({ id }) => !triedIds.has(id));
   if (untried.length === 0 && !mayReturn) return undefined;
@@ -76,17 +76,30 @@
 }
 
 /** Parts of the context on which the limits of runners depend. */
-type LimitContext = Pick<GatewayContext, "getKnownRouters" | "timers">;
+type LimitContext = Pick<
+  GatewayContext,
+  "getKnownRouters" | "getRoutes" | "timers"
+>;
 
-/** Gets the time until the limit of a runner allows a request; 0 if it does. */
+/** Whether the limits of a runner allow a request; counts it if it is cold. */
+function isWithinLimits(upstream: Upstream, context: GatewayContext): boolean {
+  if (getLimitWaitMs(upstream, context) === 0) return true;
+  const { cold } = upstream.availability;
+  const isCold = cold.getLeftMs(context.timers.nowMs()) > 0;
+  if (isCold) context.metrics.countKeptFromCold();
+  return false;
+}
+
+/** Gets the time until the limits of a runner allow a request; 0 if they do. */
 function getLimitWaitMs(
-  { availability, idHash }: Upstream,
-  { getKnownRouters, timers }: LimitContext,
+  { availability, idHash, record }: Upstream,
+  { getKnownRouters, getRoutes, timers }: LimitContext,
 ): number {
-  return availability.limit.getWaitMs({
+  return availability.getLimitWaitMs({
     nowMs: timers.nowMs(),
     runnerHash: idHash,
     sharers: getKnownRouters(),
+    perSecond: getRoutes()?.findService(record.service)?.coldPerSecond,
   });
 }
 
@@ -122,7 +135,7 @@
   if (choice === undefined) return undefined;
   const source = choice.isHolder ? undefined : findLiveHolder(held, context) ??
     chooseCopySource(
-      directory.listAll(service).filter(({ id }) => !triedIds.has(id)),
+      directory.listSources(service).filter(({ id }) => !triedIds.has(id)),
       { nowMs, prefixId: home.prefixId, copierId: choice.runner.id },
     );
   holders.record(home.prefixId, choice.runner.id, nowMs);
@@ -140,7 +153,8 @@
 ): Upstream | undefined {
   for (const id of held) {
     const upstream = directory.find(id);
-    if (upstream?.health.isAvoided(timers.nowMs()) === false) return upstream;
+    if (upstream === undefined || directory.isEvacuated(upstream)) continue;
+    if (!upstream.health.isAvoided(timers.nowMs())) return upstream;
   }
   return undefined;
 }
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -27,6 +27,8 @@
   onNotRun: () => void;
   /** Called before the request is sent, which waits for the promise. */
   prepareSend: () => Promise<void> | undefined;
+  /** Whether the runner may still get the request, just before it is sent. */
+  maySend: () => boolean;
   /** Called each time the runner was silent for its limit. */
   onSilence: (silence: Silence) => void;
 };
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -26,6 +26,11 @@
     leavingLimitMs: durationMs.default(2000),
     /** Time within which every gateway must apply a declaration. */
     declarationLimitMs: durationMs.default(2000),
+    /**
+     * Time within which no gateway sends anything more to the runners of a
+     * failure domain that is evacuated; absent where none ever is.
+     */
+    evacuationLimitMs: durationMs.optional(),
     /**
      * Time after an outage for which missing runners are kept. Runners that
      * are still alive register again within two seconds.
--- a/packages/gateway/src/state_sync.ts
+++ b/packages/gateway/src/state_sync.ts
@@ -4,7 +4,12 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
-import { ObjectFollower, type ObjectSource } from "./following/mod.ts";
+import type { Evacuation } from "./evacuations/mod.ts";
+import {
+  ObjectFollower,
+  type ObjectNews,
+  type ObjectSource,
+} from "./following/mod.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   type GatewayState,
@@ -30,6 +35,8 @@
   metrics: GatewayMetrics;
   declarations: ObjectSource<RoutingDeclaration>;
   runners: ObjectSource<RunnerRecord>;
+  /** Followed only if the settings have a limit for evacuations. */
+  evacuations: ObjectSource<Evacuation>;
   /** Other gateways by name; empty before the first list. */
   listGateways: () => ReadonlyMap<string, PeerRecord>;
   /** Chooses between a record of a restored store and what is known. */
@@ -38,14 +45,16 @@
   onDeclarations: (declarations: Iterable<RoutingDeclaration>) => void;
   /** Called with all runners after each change. */
   onRunners: (records: ReadonlyMap<string, RunnerRecord>) => void;
+  /** Called with all evacuations after each change. */
+  onEvacuations: (evacuations: Iterable<Evacuation>) => void;
 };
 
 /** Runners that one gateway lists for another. */
-export type RunnerList = Omit<GatewayState, "declaration">;
+export type RunnerList = Omit<GatewayState, "declaration" | "evacuations">;
 
 /**
- * Keeps the declarations and runners of a gateway up to date: from the store, or
- * from another gateway that reads the store for several.
+ * Keeps the declarations, runners and evacuations of a gateway up to date: from
+ * the store, or from another gateway that reads the store for several.
  */
 export class StateSync {
   /** Sends the changes to the gateways that follow this one. */
@@ -55,6 +64,7 @@
   readonly #limits: NewsLimits;
   readonly #declarations: ObjectFollower<RoutingDeclaration>;
   readonly #runners: ObjectFollower<RunnerRecord>;
+  readonly #evacuations: ObjectFollower<Evacuation> | undefined;
   readonly #news: NewsFollower;
 
   private constructor(options: StateSyncOptions) {
@@ -87,6 +97,7 @@
         this.publisher.notify();
       },
     }));
+    this.#evacuations = this.#createEvacuations();
     this.#news = this.#resources.use(this.#createFollower());
   }
 
@@ -97,7 +108,8 @@
 
   /** Whether the store answered this gateway's last calls. */
   get isConnected(): boolean {
-    return this.#declarations.isConnected && this.#runners.isConnected;
+    return this.#declarations.isConnected && this.#runners.isConnected &&
+      this.#evacuations?.isConnected !== false;
   }
 
   /** Whether the state is recent enough for other gateways. */
@@ -116,6 +128,21 @@
     return this.#runners.position;
   }
 
+  /** Position of the store up to which evacuations are known, if any are. */
+  get evacuationsPosition(): StorePosition | undefined {
+    return this.#evacuations?.position;
+  }
+
+  /** Lists the evacuations for another gateway. */
+  listEvacuations(): ObjectNews<Evacuation> | undefined {
+    return this.#evacuations?.listAll();
+  }
+
+  /** Applies the evacuations that another gateway has listed. */
+  applyEvacuations(news: ObjectNews<Evacuation>): void {
+    this.#evacuations?.applyNews(news);
+  }
+
   /** Lists the runners for another gateway. */
   listRunners(): RunnerList {
     const { changes, keepMissingMs, position } = this.#runners.listAll();
@@ -149,6 +176,24 @@
     return this.#resources[Symbol.asyncDispose]();
   }
 
+  #createEvacuations(): ObjectFollower<Evacuation> | undefined {
+    const { settings: { platform } } = this.#options;
+    if (platform.evacuationLimitMs === undefined) return undefined;
+    return this.#resources.use(ObjectFollower.create({
+      ...this.#options,
+      name: "evacuations",
+      source: this.#options.evacuations,
+      getWatchMs: () => this.#getWatchMs(),
+      getMaxBackoffMs: () => this.#getMaxBackoffMs(),
+      // A restored store may lack an entry until its operator writes it again.
+      keepMissingMs: platform.keepMissingMs,
+      onObjects: (objects) => {
+        this.#options.onEvacuations(objects.values());
+        this.publisher.notify();
+      },
+    }));
+  }
+
   /**
    * Gets how long a watch may wait: briefly where other gateways depend on it,
    * else as long as a dead connection may go unnoticed.
@@ -196,6 +241,7 @@
           positions: {
             declarations: this.#declarations.position,
             runners: this.#runners.position,
+            evacuations: this.#evacuations?.position,
           },
           silenceMs: this.#limits.silenceMs,
         }),
@@ -203,6 +249,7 @@
       onReadingChange: (isReading) => {
         this.#declarations.setPaused(!isReading);
         this.#runners.setPaused(!isReading);
+        this.#evacuations?.setPaused(!isReading);
       },
     });
   }
@@ -212,21 +259,30 @@
       this.#declarations.applyNews(news.declarations);
     }
     if (news.runners !== undefined) this.#runners.applyNews(news.runners);
+    if (news.evacuations !== undefined) this.applyEvacuations(news.evacuations);
     this.#declarations.confirm(ageMs);
     this.#runners.confirm(ageMs);
+    this.#evacuations?.confirm(ageMs);
   }
 
   #selectNews(positions: NewsPositions): News {
     const declarations = this.#declarations.selectNews(positions.declarations);
     const runners = this.#runners.selectNews(positions.runners);
+    const evacuations = positions.evacuations &&
+      this.#evacuations?.selectNews(positions.evacuations);
     return {
       ...(declarations === undefined ? {} : { declarations }),
       ...(runners === undefined ? {} : { runners }),
+      ...(evacuations === undefined ? {} : { evacuations }),
     };
   }
 
   #getAgeMs(): number {
-    return Math.max(this.#declarations.getAgeMs(), this.#runners.getAgeMs());
+    return Math.max(
+      this.#declarations.getAgeMs(),
+      this.#runners.getAgeMs(),
+      this.#evacuations?.getAgeMs() ?? 0,
+    );
   }
 }
 
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -10,6 +10,7 @@
 import { type GatewaySettings, gatewaySettingsSchema } from "../settings.ts";
 import type { StreamRecord, StreamRegistry } from "../stream_versions/mod.ts";
 import type { PeerRecord } from "../peers/mod.ts";
+import type { Evacuation } from "../evacuations/mod.ts";
 import type { RunnerRecord } from "../upstreams/mod.ts";
 import { testProtocol } from "./test_protocol.ts";
 import { TestSource } from "./test_source.ts";
@@ -97,6 +98,7 @@
   gateway: Gateway;
   declarations: TestSource<RoutingDeclaration>;
   runners: TestSource<RunnerRecord>;
+  evacuations: TestSource<Evacuation>;
   /** Gateways in the store's list. */
   peers: TestSource<PeerRecord>;
   /** Records of gateways on the streams that they relay. */
@@ -122,6 +124,8 @@
   isStoreUnavailable?: boolean;
   /** Retry budget; allows nearly every retry if absent. */
   repeats?: { ratio: number; slack: number };
+  /** Whether it follows evacuations. */
+  hasEvacuations?: boolean;
 };
 
 /** Creates the settings of a test gateway. */
@@ -135,7 +139,10 @@
     readinessAddress: "127.0.0.1:0",
     peerAddress: "127.0.0.1:0",
     seedAddresses: options.seedAddresses ?? [],
-    platform: { address: "127.0.0.1:1" },
+    platform: {
+      address: "127.0.0.1:1",
+      ...(options.hasEvacuations ? { evacuationLimitMs: 5000 } : {}),
+    },
     stop: { noticeMs: 1, graceSeconds: 5 },
     repeats: options.repeats ?? { ratio: 1, slack: 1000 },
     log: { sampleShare: options.sampleShare ?? 0 },
@@ -149,11 +156,13 @@
   const {
     declarations = TestSource.create<RoutingDeclaration>(),
     runners = TestSource.create<RunnerRecord>(),
+    evacuations = TestSource.create<Evacuation>(),
     peers = TestSource.create<PeerRecord>(),
     streams = { records: new Map(), isUnavailable: false },
   } = options.sharedWith ?? {};
   declarations.setUnavailable(options.isStoreUnavailable === true);
   runners.setUnavailable(options.isStoreUnavailable === true);
+  evacuations.setUnavailable(options.isStoreUnavailable === true);
   const gateway = await Gateway.create({
     settings: createTestSettings(options),
     timers: options.timers ?? RealTimerService.create(),
@@ -161,6 +170,7 @@
     protocol: testProtocol,
     declarations,
     runners,
+    evacuations,
     registry: {
       peers,
       announce: () => Promise.resolve(),
@@ -168,7 +178,7 @@
     },
     streams: createStreamRegistry(streams),
   });
-  return { gateway, declarations, runners, peers, streams };
+  return { gateway, declarations, runners, evacuations, peers, streams };
 }
 
 function createStreamRegistry(streams: TestStreams): StreamRegistry {
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -27,6 +27,8 @@
   readonly #departed = new Map<string, DepartedRunner>();
   readonly #readyByService = new Map<string, Upstream[]>();
   readonly #allByService = new Map<string, Upstream[]>();
+  readonly #sourcesByService = new Map<string, Upstream[]>();
+  #evacuated: ReadonlySet<string> = new Set();
 
   private constructor(options: DirectoryOptions) {
     this.#options = options;
@@ -37,7 +39,10 @@
     return new Directory(options);
   }
 
-  /** Runners of a service that are listed and not draining. */
+  /**
+   * Runners of a service that may get new requests by what the platform states:
+   * those that do not drain, outside evacuated failure domains.
+   */
   listReady(service: string): readonly Upstream[] {
     return this.#readyByService.get(service) ?? [];
   }
@@ -47,6 +52,50 @@
     return this.#allByService.get(service) ?? [];
   }
 
+  /**
+   * Runners of a service from which others may copy their caches: all, including
+   * draining ones, outside evacuated failure domains.
+   */
+  listSources(service: string): readonly Upstream[] {
+    return this.#sourcesByService.get(service) ?? [];
+  }
+
+  /** Failure domains whose runners get nothing. */
+  get evacuatedDomains(): ReadonlySet<string> {
+    return this.#evacuated;
+  }
+
+  /** Whether a runner is in a failure domain that is evacuated. */
+  isEvacuated({ failureDomain }: Upstream): boolean {
+    return this.#evacuated.has(failureDomain);
+  }
+
+  /** Whether a runner may get new requests, see `listReady`. */
+  isReady(upstream: Upstream): boolean {
+    return this.#upstreams.get(upstream.id) === upstream &&
+      !upstream.record.isDraining && !this.isEvacuated(upstream);
+  }
+
+  /**
+   * Replaces the failure domains whose runners get nothing. The runners of those
+   * that return count as cold, since their entries may be older than that.
+   *
+   * @param getColdMs how long the runners of a service may be cold.
+   */
+  setEvacuated(
+    domains: ReadonlySet<string>,
+    getColdMs: (service: string) => number,
+  ): void {
+    const nowMs = this.#options.timers.nowMs();
+    for (const upstream of this.#upstreams.values()) {
+      const { availability, failureDomain, record: { service } } = upstream;
+      const returns = this.isEvacuated(upstream) && !domains.has(failureDomain);
+      if (returns) availability.cold.record(getColdMs(service), nowMs);
+    }
+    this.#evacuated = domains;
+    this.#index();
+  }
+
   /** All runners of all services, including draining ones. */
   listUpstreams(): Upstream[] {
     return [...this.#upstreams.values()];
@@ -92,14 +141,29 @@
   #put(record: RunnerRecord): void {
     const known = this.#upstreams.get(record.id);
     if (known === undefined) {
-      this.#upstreams.set(record.id, this.#createUpstream(record));
+      const upstream = this.#createUpstream(record);
+      this.#upstreams.set(record.id, upstream);
       this.#log("runner-added", record);
+      this.#recordCold(upstream);
       return;
     }
     if (known.record.isDraining !== record.isDraining) {
       this.#log(record.isDraining ? "runner-draining" : "runner-ready", record);
     }
+    const isNews = known.record.heartbeat !== record.heartbeat ||
+      known.record.coldLeftMs !== record.coldLeftMs;
     known.record = record;
+    if (isNews) this.#recordCold(known);
+  }
+
+  /** Records how long a runner is cold by its entry, which has just come. */
+  #recordCold({ availability: { cold }, record }: Upstream): void {
+    const { coldLeftMs = 0 } = record;
+    const nowMs = this.#options.timers.nowMs();
+    if (coldLeftMs > 0 && cold.getLeftMs(nowMs) === 0) {
+      this.#log("runner-cold", record);
+    }
+    cold.record(coldLeftMs, nowMs);
   }
 
   /** Creates the entry of a runner, which may have been listed before. */
@@ -129,9 +193,12 @@
   #index(): void {
     this.#readyByService.clear();
     this.#allByService.clear();
+    this.#sourcesByService.clear();
     for (const upstream of this.#upstreams.values()) {
       const { isDraining, service } = upstream.record;
       addTo(this.#allByService, service, upstream);
+      if (this.isEvacuated(upstream)) continue;
+      addTo(this.#sourcesByService, service, upstream);
       if (!isDraining) addTo(this.#readyByService, service, upstream);
     }
   }
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -25,6 +25,8 @@
   softwareVersion: string;
   /** Number of the heartbeat with which it was written, from 0. */
   heartbeat: number;
+  /** Time for which it was still cold when the entry was written. */
+  coldLeftMs?: number;
 };
 
 /** Options of an upstream. */
--- a/packages/operator/src/gateways/load_gateway_status.ts
+++ b/packages/operator/src/gateways/load_gateway_status.ts
@@ -32,6 +32,7 @@
     readsStore: z.boolean(),
     declarationVersion: z.number(),
     gateways: z.array(z.string()),
+    evacuatedDomains: z.array(z.string()).default([]),
     runners: z.array(z.object({ isDraining: z.boolean() })),
   }),
 });
--- a/packages/operator/src/gateways/report_gateway_status.ts
+++ b/packages/operator/src/gateways/report_gateway_status.ts
@@ -30,6 +30,7 @@
         "store",
         "runners",
         "draining",
+        "evacuated",
         "gateways",
         "open requests",
         "state",
@@ -51,7 +52,7 @@
   const fault = findFault(gateway, status);
   const verdict = fault === undefined ? style.green("ok") : style.red(fault);
   if (state === undefined) {
-    return ["-", address, "-", "-", "-", "-", "-", "-", verdict];
+    return ["-", address, "-", "-", "-", "-", "-", "-", "-", verdict];
   }
   const { fleet, openRequests, process } = state;
   const draining = fleet.runners.filter(({ isDraining }) => isDraining);
@@ -62,6 +63,7 @@
     formatStoreAccess(fleet),
     String(fleet.runners.length),
     String(draining.length),
+    fleet.evacuatedDomains.join(" ") || "-",
     String(fleet.gateways.length),
     String(openRequests),
     verdict,
--- a/packages/operator/src/gateways/report_request_explanation.ts
+++ b/packages/operator/src/gateways/report_request_explanation.ts
@@ -27,6 +27,9 @@
     ? style.green("The request is served.")
     : style.red(`The request is refused: ${refusal}.`);
   if (route === undefined) return `By version ${version}:\n${verdict}`;
+  const evacuated = new Set(
+    explanation.services.flatMap(({ evacuatedDomains }) => evacuatedDomains),
+  );
   const rows = explanation.services.flatMap(({ runners, service }) =>
     runners.map((runner) => formatRunner(service, runner))
   );
@@ -39,6 +42,7 @@
         .join(", ")
     }`,
     `Workspace: ${workspace ?? "none"}`,
+    `Evacuated failure domains: ${[...evacuated].join(", ") || "none"}`,
     verdict,
     "",
     formatTable(rows, {
@@ -52,6 +56,7 @@
         "failed",
         "avoided",
         "limit",
+        "cold for",
       ],
       style,
     }),
@@ -78,5 +83,8 @@
     `${Math.round(runner.failureShare * 100)} %`,
     runner.isAvoided ? "yes" : "no",
     runner.limitPerSecond === undefined ? "" : `${runner.limitPerSecond}/s`,
+    runner.coldLeftMs === undefined
+      ? ""
+      : `${Math.round(runner.coldLeftMs)} ms`,
   ];
 }
