--- a/packages/core/src/pools/choose_runner.ts
+++ b/packages/core/src/pools/choose_runner.ts
@@ -38,7 +38,8 @@
   return chooseLeastLoaded(
     selectUsableRunners(runners, nowMs),
     (runner) => {
-      const load = runner.load.getEstimate(nowMs) / runner.slots;
+      const load = runner.load.getEstimate(nowMs) / runner.slots *
+        runner.load.getSlowness(nowMs);
       const failureShare = runner.health.getFailureShare(nowMs);
       const domainPenalty = runner.failureDomain === context.failureDomain
         ? 0
--- a/packages/core/src/pools/runner_load.ts
+++ b/packages/core/src/pools/runner_load.ts
@@ -1,5 +1,11 @@
 /** Load that a runner reports in an answer. */
-export type ReportedLoad = { running: number; waiting: number; slots: number };
+export type ReportedLoad = {
+  running: number;
+  waiting: number;
+  slots: number;
+  /** How long work takes on its host now, 1 as usual; 1 if it isn't reported. */
+  slowness?: number;
+};
 
 /**
  * Estimates how many requests of all routers a runner holds: the last reported
@@ -12,6 +18,7 @@
   #reportedWaiting = 0;
   #ownAtReport = 0;
   #reportedAtMs = Number.NEGATIVE_INFINITY;
+  #slowness = 1;
 
   private constructor() {}
 
@@ -20,12 +27,22 @@
     return new RunnerLoad();
   }
 
-  /** Records the load that an answer reported. */
-  observe(load: ReportedLoad, nowMs: number): void {
+  /** Time of the last report. */
+  get reportedAtMs(): number {
+    return this.#reportedAtMs;
+  }
+
+  /**
+   * Records the load that an answer reported, to this router or to another one,
+   * unless a later report is known.
+   */
+  observe(load: ReportedLoad, atMs: number): void {
+    if (atMs < this.#reportedAtMs) return;
+    this.#slowness = load.slowness ?? 1;
     this.#reported = load.running + load.waiting;
     this.#reportedWaiting = load.waiting;
     this.#ownAtReport = this.ownOutstanding;
-    this.#reportedAtMs = nowMs;
+    this.#reportedAtMs = atMs;
   }
 
   /** Whether the runner reported lately that requests wait there. */
@@ -40,10 +57,22 @@
     return this.ownOutstanding + others;
   }
 
+  /**
+   * Gets how long work takes on the runner's host, 1 as usual. It changes many
+   * times a second, so that a report counts less with each moment.
+   */
+  getSlowness(nowMs: number): number {
+    const ageMs = Math.max(0, nowMs - this.#reportedAtMs);
+    return 1 + (this.#slowness - 1) * 0.5 ** (ageMs / slownessHalfLifeMs);
+  }
+
   #isReportValid(nowMs: number): boolean {
     return nowMs - this.#reportedAtMs <= maxReportAgeMs;
   }
 }
 
+/** Time in which the difference of a reported slowness from 1 halves. */
+const slownessHalfLifeMs = 300;
+
 /** Age from which a report is ignored, about the duration of a stream. */
 const maxReportAgeMs = 2000;
