Tell other gateways of runners' loads; refuse plain requests that wait too long

Cause: in a fleet of dozens of gateways each gets an answer of a runner every few seconds; reports older than two seconds are dropped, so loads are not known, and a service with few places was crowded at the runners' queues.

Change: each gateway sends the loads that answers report to three others as datagrams (settings loadReports), and refuses plain requests whose expected wait is too long for their goal (settings admission).

--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -52,6 +52,7 @@
   #routes: RouteTable | undefined;
   #peers: ReadonlyMap<string, PeerRecord> = new Map();
   #knownRouters: KnownRouters;
+  #reportAddresses: readonly string[] = [];
   #hasRunners = false;
   #hasEvacuations: boolean;
   #wasReady = false;
@@ -81,6 +82,7 @@
       record: {
         address: settings.peerAddress,
         capacity: getHostCapacity(settings.host),
+        reportAddress: settings.loadReports?.address,
       },
       registry,
     }));
@@ -149,6 +151,11 @@
     return [...addresses];
   }
 
+  /** Addresses for reports of loads of the other gateways. */
+  listReportAddresses(): readonly string[] {
+    return this.#reportAddresses;
+  }
+
   /** State as written to a dump. */
   getSnapshot() {
     return {
@@ -226,6 +233,10 @@
     const before = this.#peers.size;
     this.#peers = new Map(peers);
     this.#knownRouters = createKnownRouters(peers, this.#options.settings.name);
+    this.#reportAddresses = listReportAddresses(
+      peers,
+      this.#options.settings.name,
+    );
     this.#registration.checkList(peers);
     if (before === peers.size) return;
     this.#options.logger.info("gateways-known", { before, now: peers.size });
@@ -266,6 +277,15 @@
   }
 }
 
+function listReportAddresses(
+  peers: ReadonlyMap<string, PeerRecord>,
+  self: string,
+): string[] {
+  return [...peers].flatMap(([name, { reportAddress }]) =>
+    name === self || reportAddress === undefined ? [] : [reportAddress]
+  );
+}
+
 function createKnownRouters(
   peers: ReadonlyMap<string, PeerRecord>,
   self: string,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
   CapacityForecast,
   PrefixHolders,
   type RetryLimits,
+  ServiceTime,
   WindowedRetryBudget,
 } from "@jasminetide/core/pools";
 import { createSystemRandom } from "@jasminetide/core/random";
@@ -25,6 +26,11 @@
   waitForClose,
 } from "./listening/mod.ts";
 import { LimitNews } from "./limits/mod.ts";
+import {
+  type DatagramPort,
+  LoadReports,
+  openDatagramPort,
+} from "./load_reports/mod.ts";
 import { createMemoryBudgets } from "./memory_budgets.ts";
 import {
   createNewsHandler,
@@ -67,11 +73,14 @@
   readonly #random = createSystemRandom();
   readonly #firstByteTimes = new Map<string, LatencyTracker>();
   readonly #retryBudgets = new Map<string, WindowedRetryBudget>();
+  readonly #serviceTimes = new Map<string, ServiceTime>();
   readonly #capacityForecasts = new Map<string, CapacityForecast>();
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
   readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
+  readonly #loadReports: LoadReports;
+  #reportPort: DatagramPort | undefined;
   readonly #streamVersions: StreamVersions;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
@@ -121,6 +130,15 @@
         send: sendLimits,
       },
     }));
+    this.#loadReports = this.#resources.use(LoadReports.create({
+      ...options,
+      random: this.#random,
+      metrics: this.#metrics,
+      directory: this.#fleet.directory,
+      fanout: options.settings.loadReports?.fanout ?? 0,
+      listPeers: () => this.#fleet.listReportAddresses(),
+      send: (text, address) => this.#reportPort?.send(text, address),
+    }));
     this.#resources.use(StallDetector.create({
       timers: options.timers,
       onStall: (durationMs) =>
@@ -254,6 +272,13 @@
       getDump: () => this.#getDump(),
     });
     this.#peerAddress = this.#resources.use(control).address;
+    if (settings.loadReports === undefined) return;
+    this.#reportPort = this.#resources.use(
+      await openDatagramPort(
+        settings.loadReports.address,
+        (bytes) => this.#loadReports.receive(bytes),
+      ),
+    );
   }
 
   #getDump() {
@@ -275,6 +300,8 @@
       holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
+      loadReports: this.#loadReports,
+      limitsWait: settings.admission.limitsWait,
       streamVersions: this.#streamVersions,
       ...createMemoryBudgets(),
       failureDomain: settings.failureDomain,
@@ -288,7 +315,14 @@
       waitUntilComplete: (limitMs) => this.#fleet.waitUntilComplete(limitMs),
       getRoutes: () => this.#fleet.routes,
       getRetryBudget: (service) => this.#getRetryBudget(service),
-      getCapacityForecast: (service) => this.#getCapacityForecast(service),
+      getCapacityForecast: (service) =>
+        getOrCreate(
+          this.#capacityForecasts,
+          service,
+          () => CapacityForecast.create(),
+        ),
+      getServiceTime: (service) =>
+        getOrCreate(this.#serviceTimes, service, () => ServiceTime.create()),
       getFirstByteTimes: (service, kind) =>
         this.#getFirstByteTimes(`${service} ${kind}`),
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
@@ -300,21 +334,11 @@
   }
 
   #getFirstByteTimes(name: string): LatencyTracker {
-    let times = this.#firstByteTimes.get(name);
-    if (times === undefined) {
-      times = LatencyTracker.create({ windowMs: firstByteWindowMs });
-      this.#firstByteTimes.set(name, times);
-    }
-    return times;
-  }
-
-  #getCapacityForecast(service: string): CapacityForecast {
-    let forecast = this.#capacityForecasts.get(service);
-    if (forecast === undefined) {
-      forecast = CapacityForecast.create();
-      this.#capacityForecasts.set(service, forecast);
-    }
-    return forecast;
+    return getOrCreate(
+      this.#firstByteTimes,
+      name,
+      () => LatencyTracker.create({ windowMs: firstByteWindowMs }),
+    );
   }
 
   #getRetryLimits(): RetryLimits {
@@ -323,18 +347,30 @@
   }
 
   #getRetryBudget(service: string): WindowedRetryBudget {
-    let budget = this.#retryBudgets.get(service);
-    if (budget === undefined) {
-      budget = WindowedRetryBudget.create({
-        ...this.#getRetryLimits(),
-        startedAtMs: this.#startedAtMs,
-      });
-      this.#retryBudgets.set(service, budget);
-    }
-    return budget;
+    return getOrCreate(
+      this.#retryBudgets,
+      service,
+      () =>
+        WindowedRetryBudget.create({
+          ...this.#getRetryLimits(),
+          startedAtMs: this.#startedAtMs,
+        }),
+    );
   }
 }
 
+function getOrCreate<Value>(
+  values: Map<string, Value>,
+  key: string,
+  create: () => Value,
+): Value {
+  const known = values.get(key);
+  if (known !== undefined) return known;
+  const created = create();
+  values.set(key, created);
+  return created;
+}
+
 /**
  * Window of the times to the first byte; short, because overload shows in them
  * within seconds.
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -3,6 +3,7 @@
 import type {
   CapacityForecast,
   PrefixHolders,
+  ServiceTime,
   WindowedRetryBudget,
 } from "@jasminetide/core/pools";
 import type { RandomSource } from "@jasminetide/core/random";
@@ -13,6 +14,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { LimitNews } from "./limits/mod.ts";
+import type { LoadReports } from "./load_reports/mod.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { MemoryBudgets } from "./memory_budgets.ts";
 import type { WireProtocol } from "./protocol.ts";
@@ -29,6 +31,10 @@
   crashGuard: CrashGuard;
   /** Limits that runners state, shared with the other gateways. */
   limitNews: LimitNews;
+  /** Loads of runners, shared with some other gateways. */
+  loadReports: LoadReports;
+  /** Whether plain requests that would wait past their goal are refused. */
+  limitsWait: boolean;
   /** Lets streams go on only at the software version that began them. */
   streamVersions: StreamVersions;
   failureDomain: string;
@@ -50,6 +56,8 @@
   getRetryBudget: (service: string) => WindowedRetryBudget;
   /** Forecast of when runners of a service will have capacity. */
   getCapacityForecast: (service: string) => CapacityForecast;
+  /** Time that runners of a service take for a plain request. */
+  getServiceTime: (service: string) => ServiceTime;
   /** Times to the first byte of a service's answers, by kind of request. */
   getFirstByteTimes: (service: string, kind: RequestKind) => LatencyTracker;
   /** Number of routers that share the retry budgets, including this one. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -6,7 +6,14 @@
 export type MetricDescription = {
   name: string;
   type: "counter" | "histogram";
-  unit: "requests" | "attempts" | "outages" | "crashes" | "parts" | "ms";
+  unit:
+    | "reports"
+    | "requests"
+    | "attempts"
+    | "outages"
+    | "crashes"
+    | "parts"
+    | "ms";
   meaning: string;
 };
 
@@ -70,6 +77,26 @@
       "Times that a cold runner got no attempt, since this gateway's share " +
       "of its limit was used up",
   },
+  {
+    name: "kept-from-queues",
+    type: "counter",
+    unit: "attempts",
+    meaning:
+      "Attempts at plain services that were not sent, since each runner's " +
+      "queue was too long for the goal of their route",
+  },
+  {
+    name: "load-reports",
+    type: "counter",
+    unit: "reports",
+    meaning: "Loads of runners that other gateways have told this one",
+  },
+  {
+    name: "load-reports-malformed",
+    type: "counter",
+    unit: "reports",
+    meaning: "Datagrams for reports of loads that could not be read",
+  },
   {
     name: "store-lost-KIND",
     type: "counter",
@@ -159,6 +186,18 @@
     this.#metrics.count("repeats-refused");
   }
 
+  countKeptFromQueues(): void {
+    this.#metrics.count("kept-from-queues");
+  }
+
+  countLoadReports(count: number): void {
+    this.#metrics.count("load-reports", count);
+  }
+
+  countMalformedReport(): void {
+    this.#metrics.count("load-reports-malformed");
+  }
+
   countKeptFromCold(): void {
     this.#metrics.count("kept-from-cold");
   }
--- /dev/null
+++ b/packages/gateway/src/load_reports/load_reports.feature
@@ -0,0 +1,39 @@
+Feature: Gateways tell each other what runners report of their load
+
+  Background:
+    Given a gateway that tells 2 of 5 others of the loads of runners "r1" and "r2"
+
+  Scenario: Reports of a moment are sent together to a few others
+    When answers of "r1" and "r2" report 7 and 9 requests
+    And 20 ms pass for the reports
+    Then 2 different gateways got one datagram with 7 and 9 requests
+
+  Scenario: Another gateway's report counts with its age
+    When another gateway tells that "r1" held 30 requests 100 ms ago
+    Then "r1" is known to hold 30 requests
+
+  Scenario: A later report is not replaced by an earlier one
+    When answers of "r1" and "r2" report 7 and 9 requests
+    And another gateway tells that "r1" held 30 requests 100 ms ago
+    Then "r1" is known to hold 7 requests
+
+  Scenario: A report of a process that was restarted does not count
+    When another gateway tells of an earlier process that "r1" held 30 requests
+    Then "r1" is known to hold 0 requests
+
+  Scenario Outline: A datagram in another format is counted and ignored
+    When a datagram with '<text>' comes
+    Then "r1" is known to hold 0 requests
+    And 1 malformed datagram is counted
+
+    Examples:
+      | text                    |
+      |                         |
+      | {"r1":30}               |
+      | [["r1",1,0,30,-4,8,1]]  |
+      | [["r1",1,0,30]          |
+
+  Scenario: Reports cross between two gateways by UDP
+    Given a port for datagrams that hands them to the gateway
+    When a datagram is sent to it that "r2" held 12 requests
+    Then "r2" is known to hold 12 requests soon
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -168,7 +168,7 @@
   #startAttempt(
     { mayQueue, mayReturn }: Pick<PlacementOptions, "mayQueue" | "mayReturn">,
   ): string | undefined {
-    const { admitted: { caller, service }, context } = this.#options;
+    const { admitted: { caller, route, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
     const isOnTrial = quarantined !== undefined && this.#attempts === 0 &&
       context.crashGuard.trials.isDue(this.#suspect);
@@ -181,6 +181,7 @@
       {
         caller,
         service,
+        goalMs: route.goalMs,
         softwareVersion: this.#version.current,
         triedIds,
         mayReturn,
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -2,6 +2,7 @@
   chooseCopySource,
   chooseEngine,
   choosePlainRunner,
+  chooseRunnerInTime,
 } from "@jasminetide/core/pools";
 import type { GatewayContext } from "../gateway_context.ts";
 import { type CallerRequest, listSharedParts } from "../protocol.ts";
@@ -20,13 +21,15 @@
 export type PlacementOptions = {
   caller: CallerRequest;
   service: string;
+  /** Time aimed at for the answer, or for a stream's first event. */
+  goalMs: number;
   /** Software version that the runner must have; any if undefined. */
   softwareVersion: string | undefined;
   /** Ids of the runners that were tried before. */
   triedIds: ReadonlySet<string>;
   /** Whether runners that were tried before may be chosen if all were. */
   mayReturn: boolean;
-  /** Whether a full engine may be chosen if all are full. */
+  /** Whether a runner may be chosen where the request waits, if all are full. */
   mayQueue: boolean;
 };
 
@@ -49,7 +52,7 @@
   const runners = untried.length > 0 ? untried : all;
   const home = getHome(caller);
   return home === undefined
-    ? placePlain(runners, context)
+    ? placePlain(runners, context, options)
     : placeOnEngine(runners, context, { ...options, home });
 }
 
@@ -106,13 +109,18 @@
 function placePlain(
   runners: readonly Upstream[],
   context: GatewayContext,
+  { goalMs, mayQueue, service }: PlacementOptions,
 ): Placement | undefined {
   const { failureDomain, random, timers } = context;
-  const upstream = choosePlainRunner(runners, {
-    nowMs: timers.nowMs(),
-    random,
-    failureDomain,
-  });
+  const nowMs = timers.nowMs();
+  const choice = { nowMs, random, failureDomain };
+  const serviceMs = context.getServiceTime(service).getMs({ goalMs, nowMs });
+  const upstream = mayQueue || !context.limitsWait
+    ? choosePlainRunner(runners, choice)
+    : chooseRunnerInTime(runners, { ...choice, goalMs, serviceMs });
+  if (upstream === undefined && runners.length > 0) {
+    context.metrics.countKeptFromQueues();
+  }
   return upstream &&
     { upstream, cacheSource: undefined, prefixId: undefined };
 }
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -1,3 +1,4 @@
+import type { ReportedLoad } from "@jasminetide/core/pools";
 import type { DeclaredRoute } from "@jasminetide/core/routes";
 import type { Silence } from "@jasminetide/runtime/streams";
 import type { GatewayContext } from "../gateway_context.ts";
@@ -129,7 +130,17 @@
     }
     if (answer.isNotRun) onNotRun();
     if (answer.load === undefined) return;
-    upstream.load.observe(answer.load, context.timers.nowMs());
+    this.#observeLoad(answer.load, head);
+  }
+
+  /** Records a reported load, and how long the answer took if it is plain. */
+  #observeLoad(load: ReportedLoad, { status }: AnswerHead): void {
+    const { context, route, service, upstream } = this.#options;
+    context.loadReports.observe(upstream, load);
+    if (route.kind === "stream" || status >= 300) return;
+    const nowMs = context.timers.nowMs();
+    const durationMs = nowMs - this.#startedAtMs;
+    context.getServiceTime(service).observe(durationMs, { load, nowMs });
   }
 
   #recordBytes(): void {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,17 @@
      */
     keepMissingMs: durationMs.default(2500),
   }),
+  /** What gateways tell each other of loads; absent if they tell nothing. */
+  loadReports: z.strictObject({
+    /** Address for datagrams of the other gateways. */
+    address: addressSchema,
+    /** Gateways to which each report is sent. */
+    fanout: z.number().int().positive().default(3),
+  }).optional(),
+  admission: z.strictObject({
+    /** Whether plain requests that would wait past their goal are refused. */
+    limitsWait: z.boolean().default(false),
+  }).prefault({}),
   /** The process's share of its host. */
   host: z.strictObject({
     cores: z.number().positive().default(1),
