--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -137,7 +137,7 @@
       directory: this.#fleet.directory,
       fanout: options.settings.loadReports?.fanout ?? 0,
       listPeers: () => this.#fleet.listReportAddresses(),
-      send: (text, address) => this.#reportPort?.send(text, address),
+      send: (bytes, address) => this.#reportPort?.send(bytes, address),
     }));
     this.#resources.use(StallDetector.create({
       timers: options.timers,
--- a/packages/gateway/src/load_reports/datagram_port.ts
+++ b/packages/gateway/src/load_reports/datagram_port.ts
@@ -8,7 +8,7 @@
   /** `ip:port` that it is bound to. */
   readonly address: string;
   /** Sends without waiting; what cannot be sent is dropped. */
-  send: (text: string, address: string) => void;
+  send: (bytes: Buffer, address: string) => void;
 };
 
 /**
@@ -35,9 +35,9 @@
   const { address, port } = socket.address();
   return {
     address: `${address}:${port}`,
-    send: (text, to) => {
+    send: (bytes, to) => {
       const target = parseAddress(to);
-      socket.send(text, target.port, target.ip, () => {});
+      socket.send(bytes, target.port, target.ip, () => {});
     },
     [Symbol.asyncDispose]: async () => {
       const closed = once(socket, "close");
--- a/packages/gateway/src/load_reports/load_reports.feature
+++ b/packages/gateway/src/load_reports/load_reports.feature
@@ -21,17 +21,25 @@
     When another gateway tells of an earlier process that "r1" held 30 requests
     Then "r1" is known to hold 0 requests
 
+  Scenario: What another gateway told is told on with the next report
+    When another gateway tells that "r1" held 30 requests 100 ms ago
+    And an answer of "r2" reports 9 requests
+    And 20 ms pass for the reports
+    Then 2 different gateways got one datagram with 9 and 30 requests
+
   Scenario Outline: A datagram in another format is counted and ignored
-    When a datagram with '<text>' comes
+    When a datagram with "<hex>" comes
     Then "r1" is known to hold 0 requests
     And 1 malformed datagram is counted
 
     Examples:
-      | text                    |
-      |                         |
-      | {"r1":30}               |
-      | [["r1",1,0,30,-4,8,1]]  |
-      | [["r1",1,0,30]          |
+      | hex                      | what                   |
+      |                          | nothing                |
+      | ff00ff00                 | not CBOR               |
+      | a1617801                 | an object              |
+      | 8201f6                   | a list of other values |
+      | 87010000002020200000     | negative numbers       |
+      | 83010203                 | an incomplete report   |
 
   Scenario: Reports cross between two gateways by UDP
     Given a port for datagrams that hands them to the gateway
--- a/packages/gateway/src/load_reports/load_reports.ts
+++ b/packages/gateway/src/load_reports/load_reports.ts
@@ -4,7 +4,12 @@
 import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { Directory, Upstream } from "../upstreams/mod.ts";
-import { decodeReports, encodeReports } from "./report_codec.ts";
+import {
+  decodeReports,
+  encodeReports,
+  getProcessTag,
+  type LoadReport,
+} from "./report_codec.ts";
 
 /** Options of the reports of loads. */
 export type LoadReportsOptions = {
@@ -12,24 +17,28 @@
   random: RandomSource;
   directory: Directory;
   metrics: Pick<GatewayMetrics, "countLoadReports" | "countMalformedReport">;
-  /** Gateways to which each report is sent. */
+  /** Gateways to which each report is sent; none are sent if it is 0. */
   fanout: number;
   /** Addresses for reports of the other gateways. */
   listPeers: () => readonly string[];
   /** Sends a datagram that may be lost. */
-  send: (text: string, address: string) => void;
+  send: (bytes: Buffer, address: string) => void;
 };
 
-/** A load that a runner has reported to this gateway. */
-type OwnReport = { upstream: Upstream; load: ReportedLoad; atMs: number };
+/** A load that a runner reported at a time, to this gateway or another one. */
+type KnownReport = { upstream: Upstream; load: ReportedLoad; atMs: number };
 
 /**
- * Tells a few other gateways what runners report of their load. In a large fleet
- * each gateway gets few answers, and its own view of a runner is seconds old.
+ * Tells a few other gateways what runners report of their load, and what others
+ * have told this one lately. In a large fleet each gateway gets few answers, and
+ * its own view of a runner is seconds old.
  */
 export class LoadReports {
   readonly #options: LoadReportsOptions;
-  readonly #collected = new Map<string, OwnReport>();
+  /** Reports of this gateway that no other one has been told. */
+  #collected = new Map<string, KnownReport>();
+  /** Last reports of others by runner, the latest last. */
+  readonly #heard = new Map<string, KnownReport>();
   #timer: TimerSubscription | undefined;
 
   private constructor(options: LoadReportsOptions) {
@@ -47,13 +56,14 @@
     const atMs = timers.nowMs();
     upstream.load.observe(load, atMs);
     if (fanout === 0) return;
+    this.#heard.delete(upstream.id);
     this.#collected.set(upstream.id, { upstream, load, atMs });
     this.#timer ??= timers.schedule(collectMs, () => this.#flush());
   }
 
   /** Takes in a datagram of another gateway. */
   receive(bytes: Buffer): void {
-    const { directory, metrics, timers } = this.#options;
+    const { metrics, timers } = this.#options;
     const reports = decodeReports(bytes);
     if (reports === undefined) {
       metrics.countMalformedReport();
@@ -61,35 +71,59 @@
     }
     metrics.countLoadReports(reports.length);
     const nowMs = timers.nowMs();
-    for (const { ageMs, load, runnerId, startedAtMs } of reports) {
-      const upstream = directory.find(runnerId);
-      if (upstream?.record.startedAtMs !== startedAtMs) continue;
-      upstream.load.observe(load, nowMs - ageMs);
-    }
+    for (const report of reports) this.#receiveReport(report, nowMs);
   }
 
   [Symbol.dispose](): void {
     this.#timer?.[Symbol.dispose]();
   }
 
+  #receiveReport(
+    { ageMs, load, processTag, runnerHash }: LoadReport,
+    nowMs: number,
+  ): void {
+    const upstream = this.#options.directory.findByHash(runnerHash);
+    if (upstream === undefined) return;
+    if (getProcessTag(upstream.record.startedAtMs) !== processTag) return;
+    const atMs = nowMs - ageMs;
+    if (atMs <= upstream.load.reportedAtMs) return;
+    upstream.load.observe(load, atMs);
+    this.#heard.delete(upstream.id);
+    this.#heard.set(upstream.id, { upstream, load, atMs });
+    if (this.#heard.size <= maxRelayed) return;
+    const [earliest] = this.#heard.keys();
+    this.#heard.delete(earliest);
+  }
+
   #flush(): void {
     this.#timer = undefined;
     const { fanout, listPeers, random, send, timers } = this.#options;
     const nowMs = timers.nowMs();
-    const reports = [...this.#collected.values()].map((report) => ({
-      runnerId: report.upstream.id,
-      startedAtMs: report.upstream.record.startedAtMs,
-      ageMs: nowMs - report.atMs,
-      load: report.load,
-    }));
-    this.#collected.clear();
-    const text = encodeReports(reports);
+    const heard = [...this.#heard.values()]
+      .filter(({ atMs }) => nowMs - atMs < maxRelayAgeMs);
+    const reports = [...this.#collected.values(), ...heard];
+    this.#collected = new Map();
+    const bytes = encodeReports(
+      reports.map((report) => describeReport(report, nowMs)),
+    );
     for (const address of drawPeers(listPeers(), { fanout, random })) {
-      send(text, address);
+      send(bytes, address);
     }
   }
 }
 
+function describeReport(
+  { atMs, load, upstream: { idHash, record } }: KnownReport,
+  nowMs: number,
+): LoadReport {
+  return {
+    runnerHash: idHash,
+    processTag: getProcessTag(record.startedAtMs),
+    ageMs: nowMs - atMs,
+    load,
+  };
+}
+
 /** Draws some peers at random, all if they are few. */
 function drawPeers(
   peers: readonly string[],
@@ -105,3 +139,9 @@
 
 /** Time for which reports are collected before they are sent together. */
 const collectMs = 20;
+
+/** Reports of others that are sent on with each datagram. */
+const maxRelayed = 12;
+
+/** Age from which a report of another gateway is not sent on. */
+const maxRelayAgeMs = 700;
--- a/packages/gateway/src/load_reports/load_reports_test.ts
+++ b/packages/gateway/src/load_reports/load_reports_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { After, Given, Then, When } from "@cucumber/cucumber";
+import { hash32 } from "@jasminetide/core/hashing";
 import { createSeededRandom } from "@jasminetide/core/random";
 import { VirtualTimerService, wait } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
@@ -11,6 +12,7 @@
   type DatagramPort,
   decodeReports,
   encodeReports,
+  getProcessTag,
   LoadReports,
   openDatagramPort,
 } from "./mod.ts";
@@ -19,7 +21,7 @@
   reportTimers: VirtualTimerService;
   reportDirectory: Directory;
   loadReports: LoadReports;
-  sentReports: { text: string; address: string }[];
+  sentReports: { bytes: Buffer; address: string }[];
   malformed: number;
   reportPort: DatagramPort | undefined;
 };
@@ -40,9 +42,11 @@
   runnerId: string,
   held: number,
   { ageMs = 0, startedAtMs = 1 } = {},
-): string {
+): Buffer {
+  const runnerHash = hash32(runnerId);
+  const processTag = getProcessTag(startedAtMs);
   return encodeReports([
-    { runnerId, startedAtMs, ageMs, load: createLoad(held) },
+    { runnerHash, processTag, ageMs, load: createLoad(held) },
   ]);
 }
 
@@ -77,7 +81,7 @@
       fanout,
       listPeers: () =>
         Array.from({ length: others }, (_, index) => `127.0.0.1:${index + 1}`),
-      send: (text, address) => this.sentReports.push({ text, address }),
+      send: (bytes, address) => this.sentReports.push({ bytes, address }),
     });
   },
 );
@@ -108,8 +112,8 @@
     const addresses = this.sentReports.map(({ address }) => address);
     assert.equal(addresses.length, count);
     assert.equal(new Set(addresses).size, count);
-    for (const { text } of this.sentReports) {
-      const reports = decodeReports(Buffer.from(text));
+    for (const { bytes } of this.sentReports) {
+      const reports = decodeReports(bytes);
       const held = reports?.map(({ load }) => load.running);
       assert.deepEqual(held, [first, second]);
     }
@@ -119,22 +123,28 @@
 When(
   "another gateway tells that {string} held {int} requests {int} ms ago",
   function (this: World, id: string, held: number, ageMs: number) {
-    this.loadReports.receive(Buffer.from(encodeHeld(id, held, { ageMs })));
+    this.loadReports.receive(encodeHeld(id, held, { ageMs }));
   },
 );
 
 When(
   "another gateway tells of an earlier process that {string} held {int} requests",
   function (this: World, id: string, held: number) {
-    const text = encodeHeld(id, held, { startedAtMs: 0 });
-    this.loadReports.receive(Buffer.from(text));
+    this.loadReports.receive(encodeHeld(id, held, { startedAtMs: 0 }));
   },
 );
 
-When("a datagram with {string} comes", function (this: World, text: string) {
-  this.loadReports.receive(Buffer.from(text));
+When("a datagram with {string} comes", function (this: World, hex: string) {
+  this.loadReports.receive(Buffer.from(hex, "hex"));
 });
 
+When(
+  "an answer of {string} reports {int} requests",
+  function (this: World, id: string, held: number) {
+    this.loadReports.observe(findRunner(this, id), createLoad(held));
+  },
+);
+
 function getHeld(world: World, id: string): number {
   return findRunner(world, id).load.getEstimate(world.reportTimers.nowMs());
 }
--- a/packages/gateway/src/load_reports/report_codec.ts
+++ b/packages/gateway/src/load_reports/report_codec.ts
@@ -1,59 +1,80 @@
 import type { Buffer } from "node:buffer";
 import type { ReportedLoad } from "@jasminetide/core/pools";
-import * as z from "zod";
+import { Encoder } from "cbor-x/encode";
 
 /** Load that a runner has reported to a gateway, as it is sent to others. */
 export type LoadReport = {
-  runnerId: string;
-  /** Start of the runner's process, in Unix milliseconds. */
-  startedAtMs: number;
-  /** Age at the time of sending. */
+  /** `hash32` of the runner's id. */
+  runnerHash: number;
+  /** Tells processes of one runner apart, see `getProcessTag`. */
+  processTag: number;
+  /** Age at the time of sending, in milliseconds. */
   ageMs: number;
   load: ReportedLoad;
 };
 
-const count = z.number().nonnegative();
-
-/** Reports as arrays without names, since many are sent. */
-const wireSchema = z.array(z.tuple([
-  z.string(),
-  count,
-  count,
-  count,
-  count,
-  count,
-  count,
-])).max(100);
-
-/** Encodes reports as one datagram. */
-export function encodeReports(reports: readonly LoadReport[]): string {
-  const rows: z.input<typeof wireSchema> = reports.map((report) => [
-    report.runnerId,
-    report.startedAtMs,
-    Math.round(report.ageMs),
-    report.load.running,
-    report.load.waiting,
-    report.load.slots,
-    report.load.slowness ?? 1,
+/** Gets a short number that differs between a runner's processes. */
+export function getProcessTag(startedAtMs: number): number {
+  return startedAtMs % processTags;
+}
+
+/** Encodes reports as one datagram: a list of numbers, some for each report. */
+export function encodeReports(reports: readonly LoadReport[]): Buffer {
+  const numbers = reports.flatMap(({ ageMs, load, processTag, runnerHash }) => [
+    runnerHash,
+    processTag,
+    Math.round(ageMs),
+    load.running,
+    load.waiting,
+    load.slots,
+    Math.round((load.slowness ?? 1) * slownessUnits),
   ]);
-  return JSON.stringify(rows);
+  return encoder.encode(numbers);
 }
 
 /** Decodes a datagram; undefined if it has no reports in this format. */
 export function decodeReports(bytes: Buffer): LoadReport[] | undefined {
+  const numbers = decodeNumbers(bytes);
+  if (numbers === undefined) return undefined;
+  const reports: LoadReport[] = [];
+  for (let at = 0; at < numbers.length; at += numbersPerReport) {
+    const [runnerHash, processTag, ageMs, running, waiting, slots, slowness] =
+      numbers.slice(at, at + numbersPerReport);
+    const load = {
+      running,
+      waiting,
+      slots,
+      slowness: slowness / slownessUnits,
+    };
+    reports.push({ runnerHash, processTag, ageMs, load });
+  }
+  return reports;
+}
+
+function decodeNumbers(bytes: Buffer): number[] | undefined {
   let value: unknown;
   try {
-    value = JSON.parse(bytes.toString("utf8"));
+    value = encoder.decode(bytes);
   } catch {
-    // Not JSON; the caller counts it as malformed.
+    // Not CBOR; the caller counts it as malformed.
+    return undefined;
+  }
+  if (!Array.isArray(value) || value.length % numbersPerReport !== 0) {
     return undefined;
   }
-  return wireSchema.safeParse(value).data?.map(
-    ([runnerId, startedAtMs, ageMs, running, waiting, slots, slowness]) => ({
-      runnerId,
-      startedAtMs,
-      ageMs,
-      load: { running, waiting, slots, slowness },
-    }),
-  );
+  const isValid = value.length <= maxReports * numbersPerReport &&
+    value.every((each) => Number.isInteger(each) && each >= 0);
+  return isValid ? value : undefined;
 }
+
+const encoder = new Encoder();
+
+const numbersPerReport = 7;
+
+/** Limit on the reports that are read from one datagram. */
+const maxReports = 100;
+
+/** Slowness is sent in hundredths. */
+const slownessUnits = 100;
+
+const processTags = 65_536;
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -27,6 +27,7 @@
   readonly #departed = new Map<string, DepartedRunner>();
   readonly #readyByService = new Map<string, Upstream[]>();
   readonly #allByService = new Map<string, Upstream[]>();
+  readonly #byHash = new Map<number, Upstream>();
   readonly #sourcesByService = new Map<string, Upstream[]>();
   #evacuated: ReadonlySet<string> = new Set();
 
@@ -111,6 +112,11 @@
     return this.#upstreams.get(id);
   }
 
+  /** Finds a runner by the hash of its id, including draining ones. */
+  findByHash(idHash: number): Upstream | undefined {
+    return this.#byHash.get(idHash);
+  }
+
   /** Replaces the directory's contents with the platform's records. */
   apply(records: ReadonlyMap<string, RunnerRecord>): void {
     for (const [id, upstream] of this.#upstreams) {
@@ -194,8 +200,10 @@
     this.#readyByService.clear();
     this.#allByService.clear();
     this.#sourcesByService.clear();
+    this.#byHash.clear();
     for (const upstream of this.#upstreams.values()) {
       const { isDraining, service } = upstream.record;
+      this.#byHash.set(upstream.idHash, upstream);
       addTo(this.#allByService, service, upstream);
       if (this.isEvacuated(upstream)) continue;
       addTo(this.#sourcesByService, service, upstream);
