Let idempotent requests return once to runners that failed them

Cause: a lookup that two runners fail is lost although the route's limit is on runners, not on attempts.

--- a/packages/gateway/src/requests/decide_next.ts
+++ b/packages/gateway/src/requests/decide_next.ts
@@ -11,6 +11,10 @@
   runs: number;
   /** Limit on the attempts in which the request may run. */
   maxRuns: number;
+  /**
+   * Runs beyond that for an idempotent request, at runners that have failed it.
+   */
+  maxReturns: number;
   /** Attempts so far, including unsent and refused ones. */
   attempts: number;
 };
@@ -67,8 +71,9 @@
 
 /** Whether a request that may have run may be sent to another runner. */
 export function canRunAgain(progress: RequestProgress): boolean {
-  const { hasBegun, runs, maxRuns } = progress;
-  if (runs >= maxRuns) return false;
+  const { hasBegun, kind, maxReturns, maxRuns, runs } = progress;
+  const returns = kind === "idempotent" ? maxReturns : 0;
+  if (runs >= maxRuns + returns) return false;
   return progress.isResumable || (isRepeatable(progress) && !hasBegun);
 }
 
