--- a/packages/core/src/pools/admit_call.ts
+++ b/packages/core/src/pools/admit_call.ts
@@ -30,6 +30,16 @@
   return waitMs <= getMaxWaitMs(context) ? chosen : undefined;
 }
 
+/**
+ * Gets the longest delay after which a refused request can still meet its goal,
+ * if it then waits no longer than others.
+ */
+export function getReturnWithinMs(
+  { goalMs, serviceMs }: { goalMs: number; serviceMs: number },
+): number {
+  return Math.max(0, goalMs - serviceMs - getMaxWaitMs({ goalMs, serviceMs }));
+}
+
 /** Gets how long one more request would wait for a slot of a runner. */
 export function getExpectedWaitMs(
   { load, slots }: PoolRunner,
--- a/packages/core/src/pools/capacity_forecast.ts
+++ b/packages/core/src/pools/capacity_forecast.ts
@@ -3,6 +3,11 @@
   nowMs: number;
   /** Time left until the caller's deadline. */
   leftMs: number;
+  /**
+   * Longest delay after which the caller can still be answered within its goal;
+   * undefined if it cannot.
+   */
+  returnWithinMs?: number;
   /** Random number from 0 to 1; spreads callers that were refused together. */
   random: number;
 };
@@ -11,7 +16,8 @@
  * Forecasts when a service has capacity for its refused callers, from the rates
  * at which this router's requests end and at which it refuses requests. Callers
  * that retry before capacity is free are refused again; those that retry late
- * leave it unused.
+ * leave it unused. While more requests are served than refused, one that is soon
+ * sent again is probably served, and then within its goal.
  */
 export class CapacityForecast {
   #completedAtMs: number[] = [];
@@ -31,11 +37,17 @@
   }
 
   /** Records a refusal and gets the delay before the caller should retry. */
-  recordRefusal({ leftMs, nowMs, random }: RetryAfterOptions): number {
+  recordRefusal(options: RetryAfterOptions): number {
+    const { leftMs, nowMs, random, returnWithinMs = 0 } = options;
     this.#refusedAtMs.push(nowMs);
     this.#refusedAtMs = selectRecent(this.#refusedAtMs, nowMs);
     const completions = selectRecent(this.#completedAtMs, nowMs).length;
     const refusals = this.#refusedAtMs.length;
+    if (
+      returnWithinMs > 0 && refusals <= Math.max(minCompletions, completions)
+    ) {
+      return returnWithinMs * (minReturnShare + returnShareSpread * random);
+    }
     const expectedMs = windowMs * refusals /
       Math.max(minCompletions, completions);
     const spreadMs = expectedMs * (minSpread + random);
@@ -57,6 +69,10 @@
  */
 const minCompletions = 4;
 
+/** Shares of the longest delay within the goal: 0.2 to 0.8. */
+const minReturnShare = 0.2;
+const returnShareSpread = 0.6;
+
 /** Lower end of the spread: 0.5 to 1.5 times the expected delay. */
 const minSpread = 0.5;
 
--- a/packages/core/src/pools/crowded_service.feature
+++ b/packages/core/src/pools/crowded_service.feature
@@ -4,17 +4,17 @@
   of them comes back once after a refusal. Routers see few answers each.
 
   Scenario Outline: Requests that would wait for too long are refused
-    When <routers> routers that tell 3 others of loads get <demand> times what a service can do, for 6 seconds
+    When <routers> routers that tell 3 others of loads get <demand> times what a service can do, for 20 seconds
     Then with refusals at least <gain> more of 100 are answered in time
     And at most 3 more of 100 are refused for good, as many as would wait in the end
 
     Examples:
       | routers | demand | gain |
-      | 6       | 1.15   | 15   |
-      | 6       | 1.3    | 15   |
-      | 24      | 1.15   | 15   |
-      | 24      | 1.3    | 15   |
-      | 68      | 1.3    | 15   |
+      | 6       | 1.15   | 25   |
+      | 6       | 1.3    | 25   |
+      | 24      | 1.15   | 25   |
+      | 24      | 1.3    | 25   |
+      | 68      | 1.3    | 25   |
 
   Scenario: Nothing is refused while there is room
     When 24 routers that tell 3 others of loads get 0.7 times what a service can do, for 6 seconds
--- a/packages/core/src/pools/test_support/replay_crowded_service.ts
+++ b/packages/core/src/pools/test_support/replay_crowded_service.ts
@@ -5,6 +5,7 @@
   CapacityForecast,
   choosePlainRunner,
   chooseRunnerInTime,
+  getReturnWithinMs,
   type PoolRunner,
   type ReportedLoad,
   RunnerHealth,
@@ -181,11 +182,15 @@
   }
 
   /** Refuses a call; its caller comes back once. */
-  #refuse({ forecast }: Router, call: Call): void {
+  #refuse({ forecast, service }: Router, call: Call): void {
     const nowMs = this.#timers.nowMs();
+    const serviceMs = service.getMs({ goalMs, nowMs });
     const delayMs = forecast.recordRefusal({
       nowMs,
       leftMs: call.startMs + 2 * timeoutMs - nowMs,
+      returnWithinMs: this.#options.isAdmitted
+        ? getReturnWithinMs({ goalMs, serviceMs })
+        : undefined,
       random: this.#random.getFloat(),
     });
     if (call.isRepeated) {
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -1,4 +1,5 @@
 /** Final answers of this router to requests that no runner has answered. */
+import { getReturnWithinMs } from "@jasminetide/core/pools";
 import { AppError, type ResultName } from "@jasminetide/core/results";
 import type { GatewayContext } from "../gateway_context.ts";
 import {
@@ -26,7 +27,8 @@
 
 /** Refuses a request that has not run and states when to come back. */
 export function refuseRequest(message: string, refused: RefusedRequest): void {
-  const { admitted: { service }, answer, context, leftMs, suspect } = refused;
+  const { admitted, answer, context, leftMs, suspect } = refused;
+  const { service } = admitted;
   const quarantined = context.crashGuard.findQuarantined(suspect);
   if (quarantined !== undefined) {
     const returnMs = context.crashGuard.trials.getReturnMs(
@@ -39,12 +41,28 @@
   const forecastMs = context.getCapacityForecast(service).recordRefusal({
     nowMs: context.timers.nowMs(),
     leftMs: Math.max(0, leftMs),
+    returnWithinMs: getReturnMs(admitted, context),
     random: context.random.getFloat(),
   });
   const retryAfterMs = forecastMs + getRunnerWaitMs(service, context);
   answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
 }
 
+/** Gets how soon a plain request has to come back to meet its goal, if it can. */
+function getReturnMs(
+  { route, service }: AdmittedRequest,
+  context: GatewayContext,
+): number | undefined {
+  const isServed = context.directory.listReady(service).length > 0;
+  if (!context.limitsWait || !isServed || route.kind === "stream") {
+    return undefined;
+  }
+  const { goalMs } = route;
+  const nowMs = context.timers.nowMs();
+  const serviceMs = context.getServiceTime(service).getMs({ goalMs, nowMs });
+  return getReturnWithinMs({ goalMs, serviceMs });
+}
+
 /** How a request that may have run has failed. */
 export type RequestFailure = {
   result: ResultName;
