Read the store in time for the limit of evacuations too

Cause: the age from which a gateway reads the store itself comes from the limits of leaving runners and declarations alone. With a shorter limit of evacuations a follower whose reader is lost would learn of one too late.

Change: the shortest of the three counts.

Measured: the new rows of news.feature, the second of which failed before (1200 instead of 600 ms).

--- a/packages/gateway/src/peers/news.feature
+++ b/packages/gateway/src/peers/news.feature
@@ -82,3 +82,11 @@
       | a line without end |
       | no JSON            |
       | silence            |
+
+  Scenario Outline: The shortest limit of changes decides when a gateway reads the store
+    Then with limits of <leaving>, <declaration> and <evacuation> ms its state is too old after <age> ms
+
+    Examples:
+      | leaving | declaration | evacuation | age  |
+      | 3000    | 2000        | 5000       | 1200 |
+      | 3000    | 2000        | 1000       | 600  |
--- a/packages/gateway/src/peers/news_limits.ts
+++ b/packages/gateway/src/peers/news_limits.ts
@@ -4,6 +4,8 @@
   leavingLimitMs: number;
   /** For a declaration. */
   declarationLimitMs: number;
+  /** For a failure domain that is evacuated; absent where none ever is. */
+  evacuationLimitMs?: number | undefined;
 };
 
 /** Times by which gateways take changes from each other. */
@@ -20,8 +22,12 @@
 
 /** Derives the times from the limits that changes must keep. */
 export function getNewsLimits(limits: ChangeLimits): NewsLimits {
-  const { declarationLimitMs, leavingLimitMs } = limits;
-  const limitMs = Math.min(declarationLimitMs, leavingLimitMs);
+  const { declarationLimitMs, evacuationLimitMs, leavingLimitMs } = limits;
+  const limitMs = Math.min(
+    declarationLimitMs,
+    leavingLimitMs,
+    evacuationLimitMs ?? Number.POSITIVE_INFINITY,
+  );
   const linePeriodMs = Math.round(limitMs * linePeriodShare);
   return {
     watchMs: Math.round(limitMs * readerWatchShare),
--- a/packages/gateway/src/peers/news_test.ts
+++ b/packages/gateway/src/peers/news_test.ts
@@ -15,6 +15,7 @@
 } from "../test_support/mod.ts";
 import {
   createNewsHandler,
+  getNewsLimits,
   type News,
   NewsFollower,
   type NewsLine,
@@ -392,3 +393,16 @@
     await settle();
   },
 );
+
+Then(
+  "with limits of {int}, {int} and {int} ms its state is too old after {int} ms",
+  function (
+    leavingLimitMs: number,
+    declarationLimitMs: number,
+    evacuationLimitMs: number,
+    maxAgeMs: number,
+  ) {
+    const limits = { leavingLimitMs, declarationLimitMs, evacuationLimitMs };
+    assert.equal(getNewsLimits(limits).maxAgeMs, maxAgeMs);
+  },
+);
