Keep routers that no list has yet from cold runners

Cause: a router that has joined, or that a restored list lacks, knows the others but not the others that joined with it, and took a share beside theirs. 22 beside 24 could send 43 requests a second where 23 are tolerated.

Change: a router whose own name the list lacks has no share. One that is listed knows all that were listed before it.

Measured: cold_limit.feature, "Routers that no list has yet send nothing", failed before; the same on a gateway in evacuations.feature.

--- a/packages/core/src/hashing/router_rank.ts
+++ b/packages/core/src/hashing/router_rank.ts
@@ -6,6 +6,8 @@
   selfHash: number;
   /** `hash32` of the other routers' names; undefined if these are not known. */
   otherHashes: readonly number[] | undefined;
+  /** Whether the list of routers lacks this one, so that others may as well. */
+  isUnlisted?: boolean;
 };
 
 /**
--- a/packages/core/src/limits/cold_limit.feature
+++ b/packages/core/src/limits/cold_limit.feature
@@ -27,6 +27,11 @@
     When 24 routers send all they may for 2 seconds to a runner that is cold for 3000 ms and tolerates 23 requests a second
     Then the runner gets no request
 
+  Scenario: Routers that no list has yet send nothing
+    Given 22 of the routers are in no list yet, and know 24 others
+    When 46 routers send all they may for 3 seconds to a runner that is cold for 3000 ms and tolerates 23 requests a second
+    Then no second has more than 23 requests
+
   Scenario: A runner that is no longer cold has no limit
     When 24 routers send all they may for 2 seconds to a runner that is cold for 1000 ms and tolerates 23 requests a second
     Then the runner gets at least 1000 requests
--- a/packages/core/src/limits/cold_limit_test.ts
+++ b/packages/core/src/limits/cold_limit_test.ts
@@ -13,12 +13,15 @@
   areKnown: boolean;
   /** Routers, the last ones, that only each of them knows. */
   joined?: number;
+  /** Whether each of these knows the others but not those that joined. */
+  isUnlisted?: boolean;
   hasRequest: (nowMs: number) => boolean;
 };
 
 type World = {
   areUnknown?: boolean;
   joined?: number;
+  isUnlisted?: boolean;
   sentAtMs: number[];
   cold: ColdLimit;
 };
@@ -52,16 +55,20 @@
   return sentAtMs;
 }
 
-function listSharers({ areKnown, joined = 0, routers }: Run): KnownRouters[] {
+function listSharers(
+  { areKnown, isUnlisted = false, joined = 0, routers }: Run,
+): KnownRouters[] {
   const hashes = Array.from(
     { length: routers },
     (_, index) => hash32(`gateway-${index}`),
   );
   const before = hashes.slice(0, routers - joined);
   return hashes.map((selfHash, index) => {
-    const known = index < before.length ? before : hashes;
+    const isJoined = index >= before.length;
+    const known = isJoined && !isUnlisted ? hashes : before;
     return {
       selfHash,
+      isUnlisted: isJoined && isUnlisted,
       otherHashes: areKnown
         ? known.filter((hash) => hash !== selfHash)
         : undefined,
@@ -94,6 +101,14 @@
   },
 );
 
+Given(
+  "{int} of the routers are in no list yet, and know {int} others",
+  function (this: World, joined: number, _others: number) {
+    this.joined = joined;
+    this.isUnlisted = true;
+  },
+);
+
 When(
   "{int} routers send all they may for {int} seconds to a runner that is cold for {int} ms and tolerates {int} requests a second",
   function (
@@ -110,6 +125,7 @@
       perSecond,
       areKnown: this.areUnknown !== true,
       joined: this.joined,
+      isUnlisted: this.isUnlisted,
       hasRequest: () => true,
     });
   },
--- a/packages/core/src/limits/limit_share.ts
+++ b/packages/core/src/limits/limit_share.ts
@@ -28,14 +28,15 @@
  * Gets this router's share of a limit as a whole number of requests in a second.
  * The shares of all routers add up to the limit if they know the same routers;
  * those that rank first for the runner get what does not divide evenly. A router
- * that does not know the others has none: many may have started at once.
+ * that does not know the others has none: many may have started at once. So has
+ * one that its list lacks, since the others may count without it.
  */
 export function getRequestShare(
   { perSecond, runnerHash }: SharedLimit,
   routers: KnownRouters,
 ): number {
   const rank = getRouterRank(runnerHash, routers);
-  if (rank === undefined) return 0;
+  if (rank === undefined || routers.isUnlisted === true) return 0;
   const requests = Math.floor(perSecond);
   const count = (routers.otherHashes?.length ?? 0) + 1;
   const evenShare = Math.floor(requests / count);
--- a/packages/gateway/src/evacuations/evacuations.feature
+++ b/packages/gateway/src/evacuations/evacuations.feature
@@ -41,6 +41,16 @@
     Then "a1" has seen at most 3 of them
     And "a2" has seen at most 3 of them
 
+  Scenario: A gateway that the list of gateways lacks sends nothing to cold runners
+    Given a gateway that follows evacuations, and runners "a1" in "a" and "a2" in "a"
+    And cold runners tolerate 3 requests a second
+    And the list of gateways has another one only
+    When "a" is evacuated
+    And the evacuation of "a" ends
+    And 5 lookups are sent to it
+    Then they are refused as not run, with a time to come back
+    And no runner has seen one of them
+
   Scenario: A restored store lacks the entry until its operator writes it again
     Given a gateway that follows evacuations, and runners "a1" in "a" and "b1" in "b"
     When the evacuations are copied
--- a/packages/gateway/src/evacuations/evacuations_test.ts
+++ b/packages/gateway/src/evacuations/evacuations_test.ts
@@ -115,6 +115,16 @@
   },
 );
 
+Given(
+  "the list of gateways has another one only",
+  async function (this: World) {
+    const { peers } = this.evacuating;
+    peers.put("gateway-2", { address: "127.0.0.1:1", capacity: 1 });
+    peers.put("gateway-1", undefined);
+    await waitUntil(() => peers.isCaughtUp);
+  },
+);
+
 Given("their answers wait", function (this: World) {
   this.heldAnswers = [];
   for (const runner of this.evacuatedRunners.values()) {
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -275,6 +275,7 @@
   return {
     selfHash: hash32(self),
     otherHashes: isKnown ? others.map((name) => hash32(name)) : undefined,
+    isUnlisted: isKnown && !peers.has(self),
   };
 }
 
