Count requests to cold runners when they are sent

Cause: a send was counted when its runner was chosen. Requests that wait for connections, of a runner that has just returned for instance, reach it together with those of the next second; one that was placed before the runner became cold was not counted against the limit.

Change: just before a request is sent, its count moves to that moment if the limit allows it then; else it is withdrawn and placed again.

Measured: cold_limit.feature, "Requests that wait for connections are counted when they are sent", failed before.

--- a/packages/core/src/limits/cold_limit.feature
+++ b/packages/core/src/limits/cold_limit.feature
@@ -32,6 +32,17 @@
     When 46 routers send all they may for 3 seconds to a runner that is cold for 3000 ms and tolerates 23 requests a second
     Then no second has more than 23 requests
 
+  Scenario: Requests that wait for connections are counted when they are sent
+    Given a router that knows no other has sent 23 requests to a runner that is cold and tolerates 23 requests a second
+    And they wait for connections for 1200 ms, while the router sends 23 more
+    When their connections open
+    Then none of the requests that waited may be sent
+
+  Scenario: Requests that wait for connections briefly are sent
+    Given a router that knows no other has sent 23 requests to a runner that is cold and tolerates 23 requests a second
+    When their connections open
+    Then all of the requests that waited may be sent
+
   Scenario: A runner that is no longer cold has no limit
     When 24 routers send all they may for 2 seconds to a runner that is cold for 1000 ms and tolerates 23 requests a second
     Then the runner gets at least 1000 requests
--- a/packages/core/src/limits/cold_limit.ts
+++ b/packages/core/src/limits/cold_limit.ts
@@ -53,4 +53,16 @@
   recordSend(nowMs: number): void {
     this.#sent.record(nowMs);
   }
+
+  /**
+   * Records that a request is sent only now, which was recorded as sent earlier
+   * and has waited for a connection since. Returns false if the limit does not
+   * allow it any more; then it counts no longer.
+   */
+  trySend(recordedAtMs: number, use: ColdLimitUse): boolean {
+    this.#sent.remove(recordedAtMs);
+    if (this.getWaitMs(use) > 0) return false;
+    this.recordSend(use.nowMs);
+    return true;
+  }
 }
--- a/packages/core/src/limits/cold_limit_test.ts
+++ b/packages/core/src/limits/cold_limit_test.ts
@@ -24,6 +24,8 @@
   isUnlisted?: boolean;
   sentAtMs: number[];
   cold: ColdLimit;
+  openedAtMs: number;
+  mayBeSent: boolean[];
 };
 
 const seed = 20_261_206;
@@ -213,3 +215,39 @@
     assert.equal(this.cold.getWaitMs(use), waitMs);
   },
 );
+
+const waiting = { runnerHash, sharers: alone, perSecond: 23 };
+
+Given(
+  "a router that knows no other has sent {int} requests to a runner that is cold and tolerates {int} requests a second",
+  function (this: World, count: number, _perSecond: number) {
+    this.cold = ColdLimit.create();
+    this.cold.record(5000, 0);
+    for (let sent = 0; sent < count; sent++) this.cold.recordSend(0);
+    this.openedAtMs = 30;
+  },
+);
+
+Given(
+  "they wait for connections for {int} ms, while the router sends {int} more",
+  function (this: World, openedAtMs: number, count: number) {
+    this.openedAtMs = openedAtMs;
+    const nowMs = openedAtMs - 100;
+    for (let sent = 0; sent < count; sent++) this.cold.recordSend(nowMs);
+  },
+);
+
+When("their connections open", function (this: World) {
+  const use = { ...waiting, nowMs: this.openedAtMs };
+  this.mayBeSent = Array.from(
+    { length: 23 },
+    () => this.cold.trySend(0, use),
+  );
+});
+
+Then(
+  /^(all|none) of the requests that waited may be sent$/,
+  function (this: World, which: string) {
+    assert.ok(this.mayBeSent.every((may) => may === (which === "all")));
+  },
+);
--- a/packages/core/src/limits/sliding_window.ts
+++ b/packages/core/src/limits/sliding_window.ts
@@ -16,6 +16,12 @@
     this.#timesMs.push(nowMs);
   }
 
+  /** Removes an event, unless it is out of the window. */
+  remove(timeMs: number): void {
+    const index = this.#timesMs.lastIndexOf(timeMs);
+    if (index >= 0) this.#timesMs.splice(index, 1);
+  }
+
   /**
    * Gets the time until one more event keeps each span within the limit.
    *
--- a/packages/core/src/pools/runner_availability.ts
+++ b/packages/core/src/pools/runner_availability.ts
@@ -61,6 +61,14 @@
     this.cold.recordSend(nowMs);
   }
 
+  /**
+   * Records that a request is sent now which `recordSend` counted before it
+   * waited for a connection; false if the process is cold and may not get it.
+   */
+  trySend(recordedAtMs: number, use: ColdLimitUse): boolean {
+    return this.cold.trySend(recordedAtMs, use);
+  }
+
   /** Gets how long the process still wants no requests; 0 if it accepts them. */
   getPauseLeftMs(nowMs: number): number {
     return Math.max(0, this.#pausedUntilMs - nowMs);
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -37,6 +37,7 @@
   placeAttempt,
   type Placement,
   type PlacementOptions,
+  trySend,
 } from "./place_attempt.ts";
 import { RelayedVersion } from "./relayed_version.ts";
 import { createRequestKey } from "./request_key.ts";
@@ -210,7 +211,8 @@
     const { upstream } = placement;
     this.#attempts += 1;
     this.#triedIds.add(upstream.id);
-    upstream.availability.recordSend(context.timers.nowMs());
+    const placedAtMs = context.timers.nowMs();
+    upstream.availability.recordSend(placedAtMs);
     const running: RunningAttempt = RunningAttempt.create({
       upstream,
       number: this.#attempts,
@@ -229,7 +231,7 @@
       onSent: () => this.#runs += 1,
       onNotRun: () => this.#runs -= 1,
       prepareSend: () => this.#version.prepareSend(upstream),
-      maySend: () => context.directory.isReady(upstream),
+      maySend: () => trySend(upstream, { placedAtMs }, context),
       onSilence: (silence) =>
         this.#run(() => this.#handleSilence(running, silence)),
     });
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -1,3 +1,4 @@
+import type { ColdLimitUse } from "@jasminetide/core/limits";
 import {
   chooseCopySource,
   chooseEngine,
@@ -90,17 +91,36 @@
   return false;
 }
 
+/**
+ * Records that an attempt is sent now, after it has waited for a connection;
+ * false if its runner may get it no more.
+ */
+export function trySend(
+  upstream: Upstream,
+  { placedAtMs }: { placedAtMs: number },
+  context: LimitContext & Pick<GatewayContext, "directory">,
+): boolean {
+  const use = createLimitUse(upstream, context);
+  return context.directory.isReady(upstream) &&
+    upstream.availability.trySend(placedAtMs, use);
+}
+
 /** Gets the time until the limits of a runner allow a request; 0 if they do. */
-function getLimitWaitMs(
-  { availability, idHash, record }: Upstream,
+function getLimitWaitMs(upstream: Upstream, context: LimitContext): number {
+  const use = createLimitUse(upstream, context);
+  return upstream.availability.getLimitWaitMs(use);
+}
+
+function createLimitUse(
+  { idHash, record }: Upstream,
   { getKnownRouters, getRoutes, timers }: LimitContext,
-): number {
-  return availability.getLimitWaitMs({
+): ColdLimitUse {
+  return {
     nowMs: timers.nowMs(),
     runnerHash: idHash,
     sharers: getKnownRouters(),
     perSecond: getRoutes()?.findService(record.service)?.coldPerSecond,
-  });
+  };
 }
 
 function placePlain(
