Compute shares of cold limits only when they change; measure the choice with them

Cause: a gateway ranked itself among all others for each cold runner in each choice.

Change: StatedLimit's memory of its share is a class of its own, which ColdLimit uses as well. The measuring tool measures pools with evacuated and cold runners.

--- a/packages/core/src/limits/cold_limit.feature
+++ b/packages/core/src/limits/cold_limit.feature
@@ -55,3 +55,8 @@
   Scenario: A runner without a declared limit is not limited
     When 24 routers send all they may for 1 seconds to a cold runner without a declared limit
     Then the runner gets at least 1000 requests
+
+  Scenario: A share is computed once while the routers are the same
+    Given a share of a limit among 300 routers
+    When it is asked for 50 times, before and after they change
+    Then it was computed 2 times
--- a/packages/core/src/limits/cold_limit.ts
+++ b/packages/core/src/limits/cold_limit.ts
@@ -1,3 +1,4 @@
+import { KnownShare } from "./known_share.ts";
 import { getRequestShare } from "./limit_share.ts";
 import { SlidingWindow } from "./sliding_window.ts";
 import type { LimitUse } from "./stated_limit.ts";
@@ -15,6 +16,7 @@
  */
 export class ColdLimit {
   readonly #sent = SlidingWindow.create();
+  readonly #share = KnownShare.create(getRequestShare);
   #coldUntilMs = Number.NEGATIVE_INFINITY;
 
   private constructor() {}
@@ -42,7 +44,7 @@
   getWaitMs({ nowMs, perSecond, ...shared }: ColdLimitUse): number {
     const leftMs = this.getLeftMs(nowMs);
     if (leftMs === 0 || perSecond === undefined) return 0;
-    const share = getRequestShare(
+    const share = this.#share.get(
       { perSecond, runnerHash: shared.runnerHash },
       shared.sharers,
     );
--- a/packages/core/src/limits/cold_limit_test.ts
+++ b/packages/core/src/limits/cold_limit_test.ts
@@ -4,6 +4,8 @@
 import { hash32, type KnownRouters } from "../hashing/mod.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { ColdLimit } from "./cold_limit.ts";
+import { KnownShare } from "./known_share.ts";
+import { getRequestShare } from "./limit_share.ts";
 
 type Run = {
   routers: number;
@@ -26,6 +28,8 @@
   cold: ColdLimit;
   openedAtMs: number;
   mayBeSent: boolean[];
+  computed: number;
+  share: KnownShare;
 };
 
 const seed = 20_261_206;
@@ -251,3 +255,28 @@
     assert.ok(this.mayBeSent.every((may) => may === (which === "all")));
   },
 );
+
+Given("a share of a limit among 300 routers", function (this: World) {
+  this.computed = 0;
+  this.share = KnownShare.create((limit, routers) => {
+    this.computed += 1;
+    return getRequestShare(limit, routers);
+  });
+});
+
+When(
+  "it is asked for {int} times, before and after they change",
+  function (this: World, times: number) {
+    const otherHashes = Array.from({ length: 299 }, (_, index) => index);
+    for (const others of [otherHashes, otherHashes.slice(1)]) {
+      const routers = { selfHash: 300, otherHashes: others };
+      for (let time = 0; time < times; time++) {
+        this.share.get({ perSecond: 400, runnerHash }, routers);
+      }
+    }
+  },
+);
+
+Then("it was computed {int} times", function (this: World, count: number) {
+  assert.equal(this.computed, count);
+});
--- a/packages/core/src/limits/stated_limit.ts
+++ b/packages/core/src/limits/stated_limit.ts
@@ -1,5 +1,6 @@
 import type { KnownRouters } from "../hashing/mod.ts";
-import { getLimitShare, type SharedLimit } from "./limit_share.ts";
+import { KnownShare } from "./known_share.ts";
+import { getLimitShare } from "./limit_share.ts";
 import type { Quota } from "./quota.ts";
 import { QuotaBucket } from "./quota_bucket.ts";
 
@@ -29,9 +30,6 @@
 
 type Statement = { perSecond: number; bucket: QuotaBucket };
 
-/** A share that was computed, and from what. */
-type KnownShare = { of: SharedLimit; sharers: KnownRouters; share: number };
-
 /**
  * Limit on the requests of all routers together that a runner process states in
  * its answers, for as long as it does. This router keeps to its share of it.
@@ -40,7 +38,7 @@
   #statement: Statement | undefined;
   #statedAtMs = Number.NEGATIVE_INFINITY;
   #heardAtMs = Number.NEGATIVE_INFINITY;
-  #knownShare: KnownShare | undefined;
+  readonly #share = KnownShare.create(getLimitShare);
 
   private constructor() {}
 
@@ -106,7 +104,9 @@
   getWaitMs(use: LimitUse): number {
     const statement = this.#getStatement(use.nowMs);
     if (statement === undefined) return 0;
-    const perSecond = statement.perSecond * this.#getShare(statement, use);
+    const { runnerHash, sharers } = use;
+    const of = { perSecond: statement.perSecond, runnerHash };
+    const perSecond = statement.perSecond * this.#share.get(of, sharers);
     const { requests } = refill(statement.bucket, perSecond, use.nowMs);
     if (requests >= 1) return 0;
     return Math.ceil((1 - requests) / perSecond * 1000);
@@ -122,20 +122,6 @@
     const isBelieved = this.getAgeMs(nowMs) < maxStatementAgeMs;
     return isBelieved ? this.#statement : undefined;
   }
-
-  #getShare(
-    { perSecond }: Statement,
-    { runnerHash, sharers }: LimitUse,
-  ): number {
-    const known = this.#knownShare;
-    const isKnown = known?.sharers === sharers &&
-      known.of.perSecond === perSecond && known.of.runnerHash === runnerHash;
-    if (isKnown) return known.share;
-    const of = { perSecond, runnerHash };
-    const share = getLimitShare(of, sharers);
-    this.#knownShare = { of, sharers, share };
-    return share;
-  }
 }
 
 function refill(
--- a/packages/load/src/measure/engine_choice_bench.ts
+++ b/packages/load/src/measure/engine_choice_bench.ts
@@ -4,6 +4,7 @@
   chooseEngine,
   type PoolRunner,
   PrefixHolders,
+  RunnerAvailability,
   RunnerHealth,
   RunnerLoad,
 } from "@jasminetide/core/pools";
@@ -15,8 +16,16 @@
   runners: number;
   outstanding: number;
   seed: number;
+  /**
+   * Gateways that share the limits of cold runners. If given, one failure domain
+   * in four is evacuated, and half of the other runners are cold.
+   */
+  gateways?: number;
 };
 
+/** A runner and the limits that its process has. */
+type LimitedRunner = PoolRunner & { availability: RunnerAvailability };
+
 /** Time that a gateway takes to choose an engine for a prompt. */
 export type EngineChoiceFigures = {
   p50Microseconds: number;
@@ -36,8 +45,9 @@
 ): EngineChoiceFigures {
   const runners = createLoadedRunners(options);
   const holders = PrefixHolders.create({ maxPrefixes: prefixes });
+  const isWithinLimits = createLimitCheck(options);
   const choose = (prefix: string) => {
-    const choice = chooseEngine(runners, {
+    const choice = chooseEngine(runners.filter(isWithinLimits), {
       prefixId: prefix,
       sharedTokens,
       holders: holders.getHolders(prefix, 0),
@@ -55,7 +65,24 @@
   };
 }
 
-function createLoadedRunners(options: EngineChoiceOptions): PoolRunner[] {
+/** Creates the check of the limits of runners, as a gateway asks it. */
+function createLimitCheck(
+  { gateways = 1 }: EngineChoiceOptions,
+): (runner: LimitedRunner) => boolean {
+  const [selfHash, ...otherHashes] = Array.from(
+    { length: gateways },
+    (_, index) => hash32(`gateway-${index}`),
+  );
+  const sharers = { selfHash, otherHashes };
+  return ({ availability, idHash }) => {
+    const use = { nowMs: 0, runnerHash: idHash, sharers, perSecond: 23 };
+    return availability.isAvailable(0) &&
+      availability.getLimitWaitMs(use) === 0;
+  };
+}
+
+/** Creates the runners of the domains that are not evacuated. */
+function createLoadedRunners(options: EngineChoiceOptions): LimitedRunner[] {
   const random = createSeededRandom(options.seed);
   const slots = Math.ceil(2 * options.outstanding / options.runners);
   const runners = Array.from({ length: options.runners }, (_, index) => ({
@@ -66,11 +93,17 @@
     slots,
     load: RunnerLoad.create(),
     health: RunnerHealth.create(),
+    availability: RunnerAvailability.create(),
   }));
   for (let request = 0; request < options.outstanding; request++) {
     runners[random.getInteger(runners.length)].load.ownOutstanding += 1;
   }
-  return runners;
+  if (options.gateways === undefined) return runners;
+  const listed = runners.filter((_, index) => index % 4 > 0);
+  listed.forEach(({ availability }, index) => {
+    if (index % 2 === 0) availability.cold.record(10_000, 0);
+  });
+  return listed;
 }
 
 function measureChoices(choose: (prefix: string) => void) {
--- a/packages/load/src/measure/main.ts
+++ b/packages/load/src/measure/main.ts
@@ -29,6 +29,8 @@
   { runners: 31, outstanding: 1000 },
   { runners: 100, outstanding: 3000 },
   { runners: 660, outstanding: 10_000 },
+  { runners: 100, outstanding: 3000, gateways: 24 },
+  { runners: 100, outstanding: 3000, gateways: 300 },
 ];
 
 const program = command({
