Evacuate failure domains and let them return cold in the fault soak

Change: in episodes without requests that crash runners, a failure domain may be evacuated for 4 to 9 s, or its runners killed and started again, cold for 3 s. Only such episodes declare cold runners, give gateways the limit of evacuations and put runners of each service in each domain. A cold runner exits at 40 requests a second; it tolerates 6. Checks: no request in an evacuated domain later than 3 s by a gateway in touch with the store; at most 14 requests in a second at a cold runner, which only held up links and runners excuse.

--- a/packages/fault_soak/src/check_history.ts
+++ b/packages/fault_soak/src/check_history.ts
@@ -25,6 +25,7 @@
   type RetryBudgetLimits,
 } from "./fleet_checks.ts";
 import { findJoinedVersions } from "./software_versions.ts";
+import { findColdExcess, findEvacuatedArrivals } from "./domain_checks.ts";
 import { findExcessRequests } from "./limit_checks.ts";
 import type { CallRecord, History, RunnerEvent } from "./history.ts";
 import { type CheckName, formatCall, type Violation } from "./violation.ts";
@@ -87,6 +88,8 @@
     ...findLateArrivals(history),
     ...findRequestsAtRest(history),
     ...findExcessRequests(history),
+    ...findEvacuatedArrivals(history),
+    ...findColdExcess(history),
     ...findVersionRollbacks(history),
     ...findRepeatedCrashes(history),
     ...findStarvedRequests(history),
--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -18,6 +18,7 @@
   "runner-announcing",
   "declaration-changed",
   "runner-silent",
+  "domain-evacuated",
   ...peerFaultKinds,
 ];
 
--- a/packages/fault_soak/src/episode_switches.ts
+++ b/packages/fault_soak/src/episode_switches.ts
@@ -14,6 +14,8 @@
   hasSoftwareVersions: boolean;
   /** Whether callers rush to gateways without processor time in some episodes. */
   hasRushes: boolean;
+  /** Whether failure domains are evacuated or return cold in some episodes. */
+  hasDomainFaults: boolean;
 };
 
 /** Behaviour that episodes include unless they are run without it. */
@@ -25,4 +27,5 @@
   hasPeerFaults: true,
   hasSoftwareVersions: true,
   hasRushes: true,
+  hasDomainFaults: true,
 };
--- a/packages/fault_soak/src/fault_kinds.ts
+++ b/packages/fault_soak/src/fault_kinds.ts
@@ -71,6 +71,12 @@
 /** Little processor time for a gateway while callers rush to it, drawn last. */
 export const rushFaultKinds = ["gateway-rushed"] as const;
 
+/** Evacuations of a failure domain, drawn last. */
+export const evacuationFaultKinds = ["domain-evacuated"] as const;
+
+/** Runners that are killed and come back cold, a failure domain at once. */
+export const coldFaultKinds = ["runner-cold"] as const;
+
 /** Every kind of fault. */
 export const faultKinds = [
   ...gatewayFaultKinds,
@@ -85,6 +91,8 @@
   ...requestFaultKinds,
   ...peerFaultKinds,
   ...rushFaultKinds,
+  ...evacuationFaultKinds,
+  ...coldFaultKinds,
 ] as const;
 
 /** Kind of a fault. */
@@ -93,7 +101,10 @@
 /** A planned fault; its times are relative to the start of the episode. */
 export type PlannedFault = {
   kind: FaultKind;
-  /** Index of the gateway or runner; unused by faults of the fleet. */
+  /**
+   * Index of the gateway, runner or failure domain; unused by faults of the
+   * fleet.
+   */
   target: number;
   startMs: number;
   durationMs: number;
@@ -117,6 +128,7 @@
     ...separateRunnerFaultKinds,
     ...silenceFaultKinds,
     ...limitFaultKinds,
+    ...coldFaultKinds,
   ].some((known) => known === kind);
 }
 
@@ -130,3 +142,9 @@
   return [...fleetFaultKinds, ...separateFleetFaultKinds]
     .some((known) => known === kind);
 }
+
+/** Whether a fault affects all runners of a failure domain. */
+export function isDomainFault(kind: FaultKind): boolean {
+  return [...evacuationFaultKinds, ...coldFaultKinds]
+    .some((known) => known === kind);
+}
--- a/packages/fault_soak/src/fault_soak_test.ts
+++ b/packages/fault_soak/src/fault_soak_test.ts
@@ -254,6 +254,7 @@
     hasCrashingRequest: true,
     hasPeerFaults: true,
     hasRushes: true,
+    hasDomainFaults: true,
   });
 }
 
--- a/packages/fault_soak/src/fleet_gateway.ts
+++ b/packages/fault_soak/src/fleet_gateway.ts
@@ -3,6 +3,8 @@
 import { join } from "node:path";
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
+import type { EpisodeSwitches } from "./episode_switches.ts";
+import { evacuationLimitMs } from "./failure_domains.ts";
 import type { HostedLink, LinkHost } from "./link_host.ts";
 import { ManagedProcess } from "./managed_process.ts";
 import { reservePort } from "./ports.ts";
@@ -31,6 +33,7 @@
   folder: string;
   storeAddress: string;
   objects: SoakObjects;
+  switches: EpisodeSwitches;
 };
 
 /** Retry budget in the settings of every gateway. */
@@ -46,7 +49,7 @@
   index: number,
   options: FleetGatewayOptions,
 ): Promise<SoakGateway> {
-  const { folder, links, objects, random, storeAddress } = options;
+  const { folder, links, objects, random, storeAddress, switches } = options;
   const reserveAddress = async () => `127.0.0.1:${await reservePort(random)}`;
   const callerAddress = await reserveAddress();
   const readinessAddress = await reserveAddress();
@@ -64,7 +67,10 @@
       callerAddress,
       readinessAddress,
       peerAddress,
-      platform: { address: storeLink.address },
+      platform: {
+        address: storeLink.address,
+        ...(switches.hasDomainFaults ? { evacuationLimitMs } : {}),
+      },
       stop: { noticeMs: 800, graceSeconds },
       repeats: retryBudget,
       log: { sampleShare: 1, linesPerSecond: 2000 },
--- a/packages/fault_soak/src/fleet_runner.ts
+++ b/packages/fault_soak/src/fleet_runner.ts
@@ -1,6 +1,7 @@
 /** Runners of a fleet under test: their links and processes. */
 import { join } from "node:path";
 import type { RandomSource } from "@jasminetide/core/random";
+import { coldMs } from "./failure_domains.ts";
 import type { History, RunnerEvent } from "./history.ts";
 import type { HostedLink, LinkHost } from "./link_host.ts";
 import { ManagedProcess } from "./managed_process.ts";
@@ -63,7 +64,7 @@
 export function startRunner(
   runner: Pick<
     SoakRunner,
-    "id" | "index" | "port" | "service" | "softwareVersion"
+    "id" | "incarnation" | "index" | "port" | "service" | "softwareVersion"
   >,
   { folder, history, programs, switches }: Omit<FleetRunnerOptions, "links">,
 ): ManagedProcess {
@@ -76,6 +77,7 @@
       String(runner.port),
       String(switches.hasUnframedAnswers),
       runner.softwareVersion,
+      String(getColdMs(runner, switches)),
     ],
     logFile: join(folder, `runner-${runner.index}.log`),
     onLine: (line) =>
@@ -84,6 +86,14 @@
   });
 }
 
+/** Gets the time for which a process is cold; the first ones never are. */
+export function getColdMs(
+  { incarnation }: Pick<SoakRunner, "incarnation">,
+  { hasDomainFaults }: Pick<EpisodeSwitches, "hasDomainFaults">,
+): number {
+  return hasDomainFaults && incarnation > 0 ? coldMs : 0;
+}
+
 /**
  * Chooses the version of a runner's next process. With several versions, half of
  * the runners of a service begin with either, and each restart changes it.
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -99,6 +99,16 @@
 /** A runner and when the store listed it as draining. */
 export type DrainedRunner = { runner: string; atMs: number };
 
+/** A failure domain and the times at which its evacuation was written and ended. */
+export type EvacuatedDomain = {
+  domain: string;
+  fromMs: number;
+  untilMs: number;
+};
+
+/** A process of a runner that was cold. */
+export type ColdRunner = { runner: string; fromMs: number; untilMs: number };
+
 /** A runner and when its process was seen to have exited. */
 export type RunnerExit = { runner: string; atMs: number };
 
@@ -110,6 +120,10 @@
   declared: DeclaredVersion[];
   drained: DrainedRunner[];
   exits: RunnerExit[];
+  evacuated: EvacuatedDomain[];
+  cold: ColdRunner[];
+  /** Failure domain of each runner that was listed. */
+  domains: Map<string, string>;
   /** Time from which all faults are over and every call must be served. */
   settledAtMs: number;
 };
@@ -123,6 +137,9 @@
     declared: [],
     drained: [],
     exits: [],
+    evacuated: [],
+    cold: [],
+    domains: new Map(),
     settledAtMs: Infinity,
   };
 }
--- a/packages/fault_soak/src/inject_fault.ts
+++ b/packages/fault_soak/src/inject_fault.ts
@@ -1,6 +1,7 @@
 /** Injects each kind of fault into a fleet under test and ends it. */
 import { setTimeout } from "node:timers/promises";
 import type { LinkDirection } from "@jasminetide/testing/fault_link";
+import { coldMs, soakDomains } from "./failure_domains.ts";
 import type { FaultKind, FaultSpan, PlannedFault } from "./fault_kinds.ts";
 import type { Callers } from "./callers.ts";
 import { injectCrashes } from "./inject_crashes.ts";
@@ -38,6 +39,7 @@
     durationMs,
     gateway: fleet.gateways[target % fleet.gateways.length],
     runner: fleet.runners[target % fleet.runners.length],
+    domain: soakDomains[target % soakDomains.length],
   });
   span.endMs = Date.now();
 }
@@ -46,6 +48,7 @@
 type FaultContext = InjectOptions & {
   gateway: SoakGateway;
   runner: SoakRunner;
+  domain: string;
   durationMs: number;
 };
 
@@ -123,6 +126,13 @@
       ...context,
       send: (durationMs) => context.callers.sendCrashingRequest(durationMs),
     }),
+  "domain-evacuated": ({ domain, durationMs, fleet }) =>
+    fleet.evacuate(domain, durationMs),
+  "runner-cold": async ({ fleet, runner }) => {
+    runner.process.sendSignal("SIGKILL");
+    await fleet.restartRunner(runner);
+    await setTimeout(coldMs);
+  },
   "gateway-rushed": rushGateway,
   "runner-limited": async ({ runner }) => {
     runner.process.sendSignal("SIGCHLD");
--- a/packages/fault_soak/src/mod.ts
+++ b/packages/fault_soak/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./coverage.ts";
 export * from "./episode_switches.ts";
 export * from "./fleet_checks.ts";
+export * from "./failure_domains.ts";
 export * from "./fault_kinds.ts";
 export * from "./faults.ts";
 export * from "./history.ts";
--- a/packages/fault_soak/src/run_episode.ts
+++ b/packages/fault_soak/src/run_episode.ts
@@ -5,7 +5,11 @@
 import { createSeededRandom } from "@jasminetide/core/random";
 import { Callers } from "./callers.ts";
 import { checkHistory } from "./check_history.ts";
-import type { FleetSize, PlannedFault } from "./fault_kinds.ts";
+import {
+  type FleetSize,
+  isDomainFault,
+  type PlannedFault,
+} from "./fault_kinds.ts";
 import { drawFaults } from "./faults.ts";
 import { retryBudget } from "./fleet_gateway.ts";
 import { createHistory, type History, isServed } from "./history.ts";
@@ -55,6 +59,8 @@
   mkdirSync(folder, { recursive: true });
   const random = createSeededRandom(seed);
   const faults = drawFaults(random, { ...size, ...switches });
+  // Runners are cold, and domains arranged for it, only where it was drawn.
+  switches.hasDomainFaults = faults.some(({ kind }) => isDomainFault(kind));
   const history = createHistory();
   const { calls } = history;
   await using fleet = await SoakFleet.create({
--- a/packages/fault_soak/src/soak_declaration.ts
+++ b/packages/fault_soak/src/soak_declaration.ts
@@ -1,6 +1,7 @@
 /** Routing declarations that the soak publishes. */
 import type {
   DeclaredRoute,
+  DeclaredService,
   RoutingDeclaration,
 } from "@jasminetide/core/routes";
 import type { CallKind } from "./history.ts";
@@ -24,7 +25,10 @@
 };
 
 /** Creates a version; each has one more route than the version before it. */
-export function createSoakDeclaration(version: number): RoutingDeclaration {
+export function createSoakDeclaration(
+  version: number,
+  services?: readonly DeclaredService[],
+): RoutingDeclaration {
   const added = Array.from(
     { length: version },
     (_, index) => createRoute("added", index + 1),
@@ -46,6 +50,7 @@
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15_000,
     },
+    ...(services === undefined ? {} : { services: [...services] }),
   };
 }
 
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -1,6 +1,11 @@
 /** Gateways, runners, links and store of one episode. */
 import { setTimeout } from "node:timers/promises";
 import type { RandomSource } from "@jasminetide/core/random";
+import {
+  coldServices,
+  getRunnerDomain,
+  soakDomains,
+} from "./failure_domains.ts";
 import type { FleetSize } from "./fault_kinds.ts";
 import {
   createGateway,
@@ -12,6 +17,7 @@
   chooseSoftwareVersion,
   createRunner,
   formatRunnerId,
+  getColdMs,
   type SoakRunner,
   startRunner,
 } from "./fleet_runner.ts";
@@ -74,11 +80,41 @@
   /** Writes a new version with one more route to the store. */
   putNextDeclaration(): void {
     this.#version += 1;
-    this.store.objects.putDeclaration(createSoakDeclaration(this.#version));
+    this.#putDeclaration();
     const atMs = Date.now();
     this.#options.history.declared.push({ version: this.#version, atMs });
   }
 
+  #putDeclaration(): void {
+    const { hasDomainFaults } = this.#options.switches;
+    const services = hasDomainFaults ? coldServices : undefined;
+    const declaration = createSoakDeclaration(this.#version, services);
+    this.store.objects.putDeclaration(declaration);
+  }
+
+  /** Evacuates a failure domain for a time. */
+  async evacuate(domain: string, durationMs: number): Promise<void> {
+    const { objects } = this.store;
+    const { evacuated } = this.#options.history;
+    objects.setEvacuated(domain, true);
+    const entry = { domain, fromMs: Date.now(), untilMs: Infinity };
+    evacuated.push(entry);
+    await setTimeout(durationMs);
+    entry.untilMs = Date.now();
+    this.#putEvacuations();
+  }
+
+  /** Writes what the operator asks for now, also over what a copy brought back. */
+  #putEvacuations(): void {
+    const { evacuated } = this.#options.history;
+    for (const domain of soakDomains) {
+      const isEvacuated = evacuated.some((each) =>
+        each.domain === domain && each.untilMs === Infinity
+      );
+      this.store.objects.setEvacuated(domain, isEvacuated);
+    }
+  }
+
   /** Starts a new process of a gateway once the old one has exited. */
   async restartGateway(gateway: SoakGateway): Promise<void> {
     const { incarnation } = gateway;
@@ -96,6 +132,7 @@
   }
 
   async #replaceRunner(runner: SoakRunner): Promise<void> {
+    const { history } = this.#options;
     const { id } = runner;
     await runner.process.waitForExit();
     runner.incarnation += 1;
@@ -106,32 +143,50 @@
     runner.softwareVersion = chooseSoftwareVersion(runner, this.#options);
     runner.process = startRunner(runner, this.#options);
     this.putRunner(runner, { isDraining: false });
+    const untilMs = runner.process.startedAtMs + this.#getColdMs(runner);
+    history.cold.push({ runner: runner.id, fromMs: Date.now(), untilMs });
+  }
+
+  #getColdMs(runner: SoakRunner): number {
+    return getColdMs(runner, this.#options.switches);
   }
 
   /** Writes a runner's entry in the store. */
   putRunner(runner: SoakRunner, state: { isDraining: boolean }): void {
+    const { startedAtMs } = runner.process;
+    const coldLeftMs = startedAtMs + this.#getColdMs(runner) - Date.now();
     runner.isDraining = state.isDraining;
     this.#heartbeat += 1;
+    this.#options.history.domains.set(runner.id, this.#getDomain(runner));
     this.store.objects.putRunner({
       id: runner.id,
       service: runner.service,
       address: runner.link.address,
-      failureDomain: `domain-${runner.index % 2}`,
+      failureDomain: this.#getDomain(runner),
       slots: runnerSlots,
       isDraining: state.isDraining,
-      startedAtMs: runner.process.startedAtMs,
+      startedAtMs,
       softwareVersion: runner.softwareVersion,
       heartbeat: this.#heartbeat,
+      ...(coldLeftMs > 0 ? { coldLeftMs } : {}),
     });
   }
 
+  /** Each domain has runners of every service where domains fail as a whole. */
+  #getDomain(runner: SoakRunner): string {
+    return this.#options.switches.hasDomainFaults
+      ? getRunnerDomain(runner)
+      : soakDomains[runner.index % soakDomains.length];
+  }
+
   /**
    * Writes again, after the store was restored, what operator and runners had
    * written. Entries of runners that are gone expire.
    */
   async writeAgain(): Promise<void> {
     const { objects } = this.store;
-    objects.putDeclaration(createSoakDeclaration(this.#version));
+    this.#putDeclaration();
+    this.#putEvacuations();
     for (const runner of this.runners) {
       if (runner.restart === undefined) this.putRunner(runner, runner);
     }
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import process from "node:process";
+import { coldCrashPerSecond } from "./failure_domains.ts";
 import type { RunnerEvent } from "./history.ts";
 import { hasCrashingPart } from "./prompts.ts";
 import {
@@ -28,6 +29,8 @@
   wire: SoakWire;
   /** Whether some answers have neither a length nor chunks. */
   hasUnframedAnswers: boolean;
+  /** Time for which it is cold; 0 if it is not. */
+  coldMs: number;
 };
 
 /** Number of requests that a runner runs concurrently. */
@@ -89,9 +92,13 @@
   #restsUntilMs = 0;
   #isLimitedUntilMs = 0;
   #isLeaving = false;
+  readonly #coldUntilMs: number;
+  /** Times of the arrivals while it is cold. */
+  readonly #coldArrivalsMs: number[] = [];
 
   private constructor(options: SoakRunnerOptions) {
     this.#options = options;
+    this.#coldUntilMs = Date.now() + options.coldMs;
   }
 
   /** Creates a runner that reacts to the signals of the soak. */
@@ -115,12 +122,22 @@
     const { id, wire } = this.#options;
     const attempt = wire.readAttemptHeaders(request.headers);
     this.#report("arrived", attempt.attemptId);
+    this.#countWhileCold();
     if (attempt.runnerId !== id) void this.#refuse(421, attempt, response);
     else if (this.#running >= runnerSlots || this.#getRestLeftMs() > 0) {
       void this.#refuse(503, attempt, response);
     } else void this.#run(attempt, request, response);
   }
 
+  /** Exits if more requests arrive in a second than it stands while cold. */
+  #countWhileCold(): void {
+    const nowMs = Date.now();
+    if (nowMs >= this.#coldUntilMs) return;
+    const count = this.#coldArrivalsMs.push(nowMs);
+    const earlierMs = this.#coldArrivalsMs[count - coldCrashPerSecond - 1];
+    if (earlierMs > nowMs - 1000) process.exit(crashExitCode);
+  }
+
   async #refuse(
     status: 421 | 503,
     { attemptId }: AttemptHeaders,
--- a/packages/fault_soak/src/violation.ts
+++ b/packages/fault_soak/src/violation.ts
@@ -16,6 +16,8 @@
   "announced-leaving",
   "resting-runners",
   "stated-limits",
+  "evacuated-domains",
+  "cold-runners",
   "cancellation",
   "late-work",
   "planned-stops",
--- a/packages/fault_soak/src/wire.ts
+++ b/packages/fault_soak/src/wire.ts
@@ -54,6 +54,8 @@
   putDeclaration: (declaration: RoutingDeclaration) => void;
   putRunner: (record: RunnerRecord) => void;
   removeRunner: (id: string) => void;
+  /** Writes or removes the entry by which a failure domain is evacuated. */
+  setEvacuated: (domain: string, isEvacuated: boolean) => void;
   /** Writes odd entries of another writer among those of the runners. */
   putOddEntries: (service: string) => void;
   listRunnerIds: () => string[];
@@ -72,8 +74,8 @@
   /** Script of a gateway; the variable names its settings file. */
   gateway: { script: string; settingsVariable: string };
   /**
-   * Script of a runner; its arguments are id, service, port and whether some
-   * answers are unframed.
+   * Script of a runner; its arguments are id, service, port, whether some
+   * answers are unframed, software version and the time for which it is cold.
    */
   runnerScript: string;
 };
