--- a/packages/core/src/limits/cold_limit_test.ts
+++ b/packages/core/src/limits/cold_limit_test.ts
@@ -4,6 +4,8 @@
 import { hash32, type KnownRouters } from "../hashing/mod.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { ColdLimit } from "./cold_limit.ts";
+import { KnownShare } from "./known_share.ts";
+import { getRequestShare } from "./limit_share.ts";
 
 type Run = {
   routers: number;
@@ -13,14 +15,21 @@
   areKnown: boolean;
   /** Routers, the last ones, that only each of them knows. */
   joined?: number;
+  /** Whether each of these knows the others but not those that joined. */
+  isUnlisted?: boolean;
   hasRequest: (nowMs: number) => boolean;
 };
 
 type World = {
   areUnknown?: boolean;
   joined?: number;
+  isUnlisted?: boolean;
   sentAtMs: number[];
   cold: ColdLimit;
+  openedAtMs: number;
+  mayBeSent: boolean[];
+  computed: number;
+  share: KnownShare;
 };
 
 const seed = 20_261_206;
@@ -52,16 +61,20 @@
   return sentAtMs;
 }
 
-function listSharers({ areKnown, joined = 0, routers }: Run): KnownRouters[] {
+function listSharers(
+  { areKnown, isUnlisted = false, joined = 0, routers }: Run,
+): KnownRouters[] {
   const hashes = Array.from(
     { length: routers },
     (_, index) => hash32(`gateway-${index}`),
   );
   const before = hashes.slice(0, routers - joined);
   return hashes.map((selfHash, index) => {
-    const known = index < before.length ? before : hashes;
+    const isJoined = index >= before.length;
+    const known = isJoined && !isUnlisted ? hashes : before;
     return {
       selfHash,
+      isUnlisted: isJoined && isUnlisted,
       otherHashes: areKnown
         ? known.filter((hash) => hash !== selfHash)
         : undefined,
@@ -94,6 +107,14 @@
   },
 );
 
+Given(
+  "{int} of the routers are in no list yet, and know {int} others",
+  function (this: World, joined: number, _others: number) {
+    this.joined = joined;
+    this.isUnlisted = true;
+  },
+);
+
 When(
   "{int} routers send all they may for {int} seconds to a runner that is cold for {int} ms and tolerates {int} requests a second",
   function (
@@ -110,6 +131,7 @@
       perSecond,
       areKnown: this.areUnknown !== true,
       joined: this.joined,
+      isUnlisted: this.isUnlisted,
       hasRequest: () => true,
     });
   },
@@ -197,3 +219,64 @@
     assert.equal(this.cold.getWaitMs(use), waitMs);
   },
 );
+
+const waiting = { runnerHash, sharers: alone, perSecond: 23 };
+
+Given(
+  "a router that knows no other has sent {int} requests to a runner that is cold and tolerates {int} requests a second",
+  function (this: World, count: number, _perSecond: number) {
+    this.cold = ColdLimit.create();
+    this.cold.record(5000, 0);
+    for (let sent = 0; sent < count; sent++) this.cold.recordSend(0);
+    this.openedAtMs = 30;
+  },
+);
+
+Given(
+  "they wait for connections for {int} ms, while the router sends {int} more",
+  function (this: World, openedAtMs: number, count: number) {
+    this.openedAtMs = openedAtMs;
+    const nowMs = openedAtMs - 100;
+    for (let sent = 0; sent < count; sent++) this.cold.recordSend(nowMs);
+  },
+);
+
+When("their connections open", function (this: World) {
+  const use = { ...waiting, nowMs: this.openedAtMs };
+  this.mayBeSent = Array.from(
+    { length: 23 },
+    () => this.cold.trySend(0, use),
+  );
+});
+
+Then(
+  /^(all|none) of the requests that waited may be sent$/,
+  function (this: World, which: string) {
+    assert.ok(this.mayBeSent.every((may) => may === (which === "all")));
+  },
+);
+
+Given("a share of a limit among 300 routers", function (this: World) {
+  this.computed = 0;
+  this.share = KnownShare.create((limit, routers) => {
+    this.computed += 1;
+    return getRequestShare(limit, routers);
+  });
+});
+
+When(
+  "it is asked for {int} times, before and after they change",
+  function (this: World, times: number) {
+    const otherHashes = Array.from({ length: 299 }, (_, index) => index);
+    for (const others of [otherHashes, otherHashes.slice(1)]) {
+      const routers = { selfHash: 300, otherHashes: others };
+      for (let time = 0; time < times; time++) {
+        this.share.get({ perSecond: 400, runnerHash }, routers);
+      }
+    }
+  },
+);
+
+Then("it was computed {int} times", function (this: World, count: number) {
+  assert.equal(this.computed, count);
+});
