--- a/packages/gateway/src/evacuations/evacuation_failures_test.ts
+++ b/packages/gateway/src/evacuations/evacuation_failures_test.ts
@@ -203,7 +203,13 @@
 
 Then("the attempt is withdrawn, to be placed again", function (this: World) {
   assert.equal(this.attemptEnd.type, "withdrawn");
-  const progress = { hasBegun: false, runs: 0, maxRuns: 1, attempts: 1 };
+  const progress = {
+    hasBegun: false,
+    runs: 0,
+    maxRuns: 1,
+    maxReturns: 0,
+    attempts: 1,
+  };
   const route = { kind: "nonIdempotent" as const, isResumable: false };
   const step = decideNext(this.attemptEnd, { ...progress, ...route });
   assert.equal(step, "repeat");
