Find entries that never match and limits that contradict each other in checked documents

Cause: `jasminetide check` reported what the schemas refuse, but not routes, exceptions and limits that are valid and have no effect or contradict others, and not what differs from the version in force.

Change: findings with a code and a severity, decided in core on parsed documents; a kind of document for the routes of gateways, also in the notation of the platform's store; `--strict`; `--against` compares with the version in force, a gateway or a file, most affected first.

--- a/packages/core/src/configuration/documents.ts
+++ b/packages/core/src/configuration/documents.ts
@@ -170,9 +170,12 @@
   }
   if (!(schema instanceof z.ZodObject) || !isObject(value)) return [];
   const shape: { [name: string]: z.core.$ZodType } = schema.shape;
+  const isLoose = schema.def.catchall instanceof z.ZodUnknown;
   return Object.entries(value).flatMap(([name, field]) =>
     Object.hasOwn(shape, name)
       ? findUnknownFields(shape[name], field, [...path, name])
+      : isLoose
+      ? []
       : [{
         path: [...path, name],
         found: "an unknown field",
@@ -209,6 +212,18 @@
   return located.sort((left, right) => left.line - right.line);
 }
 
+/**
+ * Creates a function that finds the line of the value at a path of a document,
+ * or of the deepest existing value that contains it.
+ */
+export function createLineFinder(
+  text: string,
+): (path: PropertyKey[]) => number {
+  const tree = parseTree(text, [], { allowTrailingComma: true });
+  return (path) =>
+    tree === undefined ? 1 : getLine(text, findOffset(tree, path));
+}
+
 /** Gets the offset of the deepest existing node on a path. */
 function findOffset(tree: Node, path: PropertyKey[]): number {
   let node = tree;
--- a/packages/core/src/routes/route_table.ts
+++ b/packages/core/src/routes/route_table.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from "../random/mod.ts";
+import { normalizeHost } from "./normalize_host.ts";
 import type {
   DeclaredRoute,
   DeclaredService,
@@ -77,7 +78,3 @@
   }
   return route.services.findLast(({ weight }) => weight > 0)?.service;
 }
-
-function normalizeHost(host: string): string {
-  return host.replace(/:\d+$/, "").toLowerCase();
-}
--- a/packages/operator/src/changes/compare.ts
+++ b/packages/operator/src/changes/compare.ts
@@ -16,19 +16,30 @@
   reason?: string;
 };
 
+/** A change, with its path as keys: the list or section, then the entry. */
+export type LocatedChange = { change: Change; keys: readonly string[] };
+
+/** A document with its lists as objects, keyed by the entries' names. */
+export type Tree = { [name: string]: unknown };
+
 /** Compares two declarations; list entries are matched by name, not index. */
 export function compareDeclarations(
   before: Configuration | undefined,
   after: Configuration,
 ): Change[] {
-  const left = before === undefined ? {} : createTree(before);
-  return compareValues(left, createTree(after), { path: "" });
+  const left = before === undefined ? {} : createConfigurationTree(before);
+  return compareTrees(left, createConfigurationTree(after)).map(({ change }) =>
+    change
+  );
 }
 
-type Tree = { [name: string]: unknown };
+/** Compares two trees field by field. */
+export function compareTrees(before: Tree, after: Tree): LocatedChange[] {
+  return compareValues(before, after, { keys: [] });
+}
 
 /** Converts a declaration's lists to objects keyed by the entries' names. */
-function createTree(configuration: Configuration): Tree {
+export function createConfigurationTree(configuration: Configuration): Tree {
   return {
     defaults: configuration.defaults,
     classes: createKeyedTree(configuration.classes, (entry) => entry.name),
@@ -48,7 +59,8 @@
     .join(",");
 }
 
-function createKeyedTree<Entry>(
+/** Converts a list to an object; equal keys get a number. */
+export function createKeyedTree<Entry>(
   entries: readonly Entry[],
   getKey: (entry: Entry) => string,
 ): Tree {
@@ -62,33 +74,34 @@
   return tree;
 }
 
-type CompareScope = { path: string; reason?: string };
+type CompareScope = { keys: readonly string[]; reason?: string };
 
 function compareValues(
   before: unknown,
   after: unknown,
   scope: CompareScope,
-): Change[] {
+): LocatedChange[] {
   if (formatCanonical(before ?? null) === formatCanonical(after ?? null)) {
     return [];
   }
   const reason = getReason(after) ?? getReason(before) ?? scope.reason;
-  const { path } = scope;
+  const { keys } = scope;
   if (isObject(before) && isObject(after)) {
     return listNames(before, after).flatMap((name) =>
       compareValues(before[name], after[name], {
-        path: formatChildPath(path, name),
+        keys: [...keys, name],
         ...(reason === undefined ? {} : { reason }),
       })
     );
   }
-  return [{
+  const change = {
     type: getType(before, after),
-    path,
+    path: formatKeys(keys),
     ...(before === undefined ? {} : { before }),
     ...(after === undefined ? {} : { after }),
     ...(reason === undefined ? {} : { reason }),
-  }];
+  };
+  return [{ change, keys }];
 }
 
 function getType(before: unknown, after: unknown): Change["type"] {
@@ -110,11 +123,18 @@
   "classes",
   "workspaces",
   "models",
+  "routes",
   "services",
   "exceptions",
 ]);
 
-function formatChildPath(path: string, name: string): string {
-  if (path === "") return name;
-  return listFields.has(path) ? `${path}[${name}]` : `${path}.${name}`;
+function formatKeys(keys: readonly string[]): string {
+  const [first, ...others] = keys;
+  return others.reduce(
+    (path, key, index) =>
+      index === 0 && listFields.has(first)
+        ? `${path}[${key}]`
+        : `${path}.${key}`,
+    first ?? "",
+  );
 }
--- a/packages/operator/src/changes/format_changes.ts
+++ b/packages/operator/src/changes/format_changes.ts
@@ -1,4 +1,5 @@
 import { formatTable, formatValue, type Style } from "../output/mod.ts";
+import { formatAffected, type RankedChange } from "./affected.ts";
 import type { Change } from "./compare.ts";
 
 const hashPrefixLength = 8;
@@ -7,19 +8,37 @@
 export function formatChanges(
   changes: readonly Change[],
   style: Style,
+): string {
+  if (changes.length === 0) return "No differences";
+  return formatTable(changes.map((change) => formatRow(change, style)), {
+    head,
+    style,
+  });
+}
+
+/** Formats changes as a table that says how many entries each affects. */
+export function formatRankedChanges(
+  changes: readonly RankedChange[],
+  style: Style,
 ): string {
   if (changes.length === 0) return "No differences";
   const rows = changes.map((change) => [
+    ...formatRow(change, style),
+    formatAffected(change.affected),
+  ]);
+  return formatTable(rows, { head: [...head, "affects"], style });
+}
+
+const head = ["", "path", "before", "after", "reason"];
+
+function formatRow(change: Change, style: Style): string[] {
+  return [
     formatSign(change, style),
     change.path,
     formatSide(change.before),
     formatSide(change.after),
     change.reason ?? "",
-  ]);
-  return formatTable(rows, {
-    head: ["", "path", "before", "after", "reason"],
-    style,
-  });
+  ];
 }
 
 /** Shortens key hashes for display; readers have no use for the full hash. */
--- a/packages/operator/src/check/check_documents.ts
+++ b/packages/operator/src/check/check_documents.ts
@@ -1,18 +1,24 @@
 import { readdir, stat } from "node:fs/promises";
 import { basename, dirname, join } from "node:path";
 import {
+  createLineFinder,
   type Fault,
   findConfigurationFaults,
+  formatPath,
   parseDocument,
   type ValueFault,
 } from "@jasminetide/core/configuration";
+import type { Finding } from "@jasminetide/core/findings";
 import { AppError } from "@jasminetide/core/results";
 import { z } from "zod";
 import { loadText } from "../declaration/mod.ts";
 import {
+  type DocumentFormat,
   type DocumentKind,
-  documentSchemas,
+  type DocumentReader,
+  documentReaders,
   getDocumentKind,
+  type VersionedBody,
 } from "./document_kind.ts";
 import {
   findDuplicateValues,
@@ -23,13 +29,44 @@
   type RawDocument,
 } from "./fleet_names.ts";
 
-/** Result of a check: the files read and all faults found. */
+/** A finding with its place in a file. */
+export type LocatedFinding = Omit<Finding, "path"> & {
+  file: string;
+  /** Line number, from 1. */
+  line: number;
+  /** Dotted path with indices, such as `routes[3].goalMs`. */
+  path: string;
+};
+
+/** Result of a check: the files read, all faults, and what else was found. */
 export type CheckReport = {
   files: { file: string; kind: DocumentKind }[];
   faults: Fault[];
+  /** Findings in the documents without faults. */
+  findings: LocatedFinding[];
+};
+
+/** A document of which versions are put in force, and its file. */
+export type VersionedDocument = VersionedBody & { file: string };
+
+/** A report, and the documents that can be compared with other versions. */
+export type CheckResult = {
+  report: CheckReport;
+  versioned: VersionedDocument[];
 };
 
-type CheckedDocument = RawDocument & { text: string; kind: DocumentKind };
+/** Options of a check. */
+export type CheckOptions = {
+  /** Notations of documents besides the product's own. */
+  formats?: readonly DocumentFormat[];
+};
+
+type CheckedDocument = RawDocument & {
+  text: string;
+  kind: DocumentKind;
+  /** Undefined if the kind is unknown. */
+  read: DocumentReader | undefined;
+};
 
 /**
  * Checks files and folders. The documents below one path belong to one fleet
@@ -39,16 +76,27 @@
  */
 export async function checkDocuments(
   paths: readonly string[],
-): Promise<CheckReport> {
-  const reports: CheckReport[] = [];
+  options: CheckOptions = {},
+): Promise<CheckResult> {
+  const results: CheckResult[] = [];
   for (const path of paths) {
     const files = await listDocuments(path);
-    const documents = await Promise.all(files.map(loadDocument));
-    reports.push(checkFleet(documents));
+    const documents = await Promise.all(
+      files.map((file) => loadDocument(file, options)),
+    );
+    results.push(checkFleet(documents));
   }
   return {
-    files: reports.flatMap((report) => report.files),
-    faults: reports.flatMap((report) => report.faults),
+    report: mergeReports(results.map(({ report }) => report)),
+    versioned: results.flatMap(({ versioned }) => versioned),
+  };
+}
+
+function mergeReports(reports: readonly CheckReport[]): CheckReport {
+  return {
+    files: reports.flatMap(({ files }) => files),
+    faults: reports.flatMap(({ faults }) => faults),
+    findings: reports.flatMap(({ findings }) => findings),
   };
 }
 
@@ -69,30 +117,38 @@
   throw AppError.create("invalidSettings", `No .jsonc file in "${path}"`);
 }
 
-async function loadDocument(file: string): Promise<CheckedDocument> {
+async function loadDocument(
+  file: string,
+  { formats = [] }: CheckOptions,
+): Promise<CheckedDocument> {
   const text = await loadText(file);
   const result = parseDocument(text, { file, schema: z.unknown() });
   const value = result.type === "parsed" ? result.value : undefined;
-  return { file, text, value, kind: getDocumentKind(file, value) };
+  const format = formats.find(({ isMatch }) => isMatch(value));
+  if (format !== undefined) return { file, text, value, ...format };
+  const kind = getDocumentKind(file, value);
+  const read = kind === "unknown" ? undefined : documentReaders[kind];
+  return { file, text, value, kind, read };
 }
 
-function checkFleet(documents: readonly CheckedDocument[]): CheckReport {
+function checkFleet(documents: readonly CheckedDocument[]): CheckResult {
   const settings = documents.filter((document) =>
     document.kind === "router" || document.kind === "sidecar"
   );
   const declaration = documents.find(isDeclaration);
   const names = listFleetNames(settings, declaration);
   const seen = new Map<string, string>();
+  const results = documents.map((document) =>
+    checkDocument(document, (value) => [
+      ...findFleetFaults(document, names),
+      ...(settings.includes(document)
+        ? findDuplicateValues(value, seen, formatShortPath(document.file))
+        : []),
+    ])
+  );
   return {
-    files: documents.map(({ file, kind }) => ({ file, kind })),
-    faults: documents.flatMap((document) =>
-      checkDocument(document, (value) => [
-        ...findFleetFaults(document, names),
-        ...(settings.includes(document)
-          ? findDuplicateValues(value, seen, formatShortPath(document.file))
-          : []),
-      ])
-    ),
+    report: mergeReports(results.map(({ report }) => report)),
+    versioned: results.flatMap(({ versioned }) => versioned),
   };
 }
 
@@ -124,18 +180,36 @@
 function checkDocument(
   document: CheckedDocument,
   findFaults: (value: unknown) => ValueFault[],
-): Fault[] {
-  const { file, text, kind } = document;
-  if (kind === "unknown") {
-    return [{
-      file,
-      line: 1,
-      path: "",
-      found: "a document of unknown kind",
-      wanted: "a declaration or the settings of a process",
-    }];
+): CheckResult {
+  const { file, kind, read, text } = document;
+  const files = [{ file, kind }];
+  const result = read?.(text, { file, findFaults }) ??
+    { type: "faulty", faults: [createUnknownKind(file)] };
+  if (result.type === "faulty") {
+    const report = { files, faults: result.faults, findings: [] };
+    return { report, versioned: [] };
   }
-  const schema = documentSchemas[kind];
-  const result = parseDocument(text, { file, schema, findFaults });
-  return result.type === "parsed" ? [] : result.faults;
+  const findLine = createLineFinder(text);
+  const findings = result.findings.map(({ path, ...finding }) => ({
+    file,
+    line: findLine(path),
+    path: formatPath(path),
+    ...finding,
+  })).sort((left, right) => left.line - right.line);
+  return {
+    report: { files, faults: [], findings },
+    versioned: result.versioned === undefined
+      ? []
+      : [{ file, ...result.versioned }],
+  };
+}
+
+function createUnknownKind(file: string): Fault {
+  return {
+    file,
+    line: 1,
+    path: "",
+    found: "a document of unknown kind",
+    wanted: "a declaration, routes or the settings of a process",
+  };
 }
--- a/packages/operator/src/check/check_test.ts
+++ b/packages/operator/src/check/check_test.ts
@@ -13,7 +13,7 @@
 When(
   "the documents of {string} are checked",
   async function (this: World, folder: string) {
-    this.report = await checkDocuments([join(root, folder)]);
+    this.report = (await checkDocuments([join(root, folder)])).report;
   },
 );
 
@@ -61,7 +61,7 @@
 });
 
 When("the copy is checked", async function (this: World) {
-  this.report = await checkDocuments([this.checkFolder]);
+  this.report = (await checkDocuments([this.checkFolder])).report;
 });
 
 Then(
--- a/packages/operator/src/check/report_check.ts
+++ b/packages/operator/src/check/report_check.ts
@@ -1,20 +1,60 @@
 import { exitCodes } from "@jasminetide/runtime/process";
-import { type CommandResult, formatTable, type Style } from "../output/mod.ts";
-import type { CheckReport } from "./check_documents.ts";
+import { formatHashes, formatRankedChanges } from "../changes/mod.ts";
+import {
+  type CommandResult,
+  type ExitCode,
+  formatTable,
+  type Style,
+} from "../output/mod.ts";
+import type { CheckReport, LocatedFinding } from "./check_documents.ts";
+import type { Comparison } from "./compare_in_force.ts";
 
-/** Reports the result of a check; any fault fails the command. */
-export function reportCheck(report: CheckReport): CommandResult {
-  const hasFaults = report.faults.length > 0;
+/** Options of a report. */
+export type ReportCheckOptions = {
+  /** Whether warnings fail the command too. */
+  isStrict: boolean;
+  comparison: Comparison | undefined;
+};
+
+/** Reports the result of a check; faults and errors fail the command. */
+export function reportCheck(
+  report: CheckReport,
+  options: ReportCheckOptions,
+): CommandResult {
+  const { comparison, isStrict } = options;
   return {
-    exitCode: hasFaults ? exitCodes.failed : exitCodes.ok,
-    document: report,
+    exitCode: getCheckExitCode(report, isStrict),
+    document: {
+      ...report,
+      ...(comparison === undefined
+        ? {}
+        : { comparison: formatHashes(comparison) }),
+    },
     formatText: (style) =>
-      hasFaults
-        ? formatFaultTable(report, style)
-        : style.green(`${report.files.length} files without faults`),
+      [
+        ...(report.faults.length === 0
+          ? []
+          : [formatFaultTable(report, style)]),
+        ...(report.findings.length === 0
+          ? []
+          : [formatFindings(report.findings, style)]),
+        formatSummary(report, style),
+        ...(comparison === undefined
+          ? []
+          : [formatComparison(comparison, style)]),
+      ].join("\n\n"),
   };
 }
 
+function getCheckExitCode(
+  { faults, findings }: CheckReport,
+  isStrict: boolean,
+): ExitCode {
+  const isFailed = faults.length > 0 ||
+    findings.some(({ severity }) => isStrict || severity === "error");
+  return isFailed ? exitCodes.failed : exitCodes.ok;
+}
+
 function formatFaultTable(report: CheckReport, style: Style): string {
   const rows = report.faults.map((fault) => [
     `${fault.file}:${fault.line}`,
@@ -22,10 +62,52 @@
     style.red(fault.found),
     fault.wanted,
   ]);
-  const table = formatTable(rows, {
+  return formatTable(rows, {
     head: ["file", "path", "found", "expected"],
     style,
   });
-  return `${table}\n\n${report.faults.length} faults in ` +
-    `${report.files.length} files`;
+}
+
+function formatFindings(
+  findings: readonly LocatedFinding[],
+  style: Style,
+): string {
+  const rows = findings.map(({ code, file, line, path, severity, text }) => [
+    `${file}:${line}`,
+    path,
+    severity === "error" ? style.red(severity) : style.yellow(severity),
+    code,
+    text,
+  ]);
+  return formatTable(rows, {
+    head: ["file", "path", "severity", "finding", "detail"],
+    style,
+  });
+}
+
+function formatSummary(
+  { faults, files, findings }: CheckReport,
+  style: Style,
+): string {
+  const fileCount = `${files.length} files`;
+  const text = faults.length === 0
+    ? style.green(`${fileCount} without faults`)
+    : `${faults.length} faults in ${fileCount}`;
+  if (findings.length === 0) return text;
+  const errors = findings.filter(({ severity }) => severity === "error");
+  return `${text}; ${errors.length} errors, ` +
+    `${findings.length - errors.length} warnings`;
+}
+
+function formatComparison(
+  { against, changes, file, version }: Comparison,
+  style: Style,
+): string {
+  if (changes === undefined) {
+    return `${file} against ${against}: no version is in force`;
+  }
+  return [
+    `${file} against ${against}${version === 0 ? "" : `, version ${version}`}:`,
+    formatRankedChanges(changes, style),
+  ].join("\n");
 }
--- a/packages/operator/src/commands/declaration_commands.ts
+++ b/packages/operator/src/commands/declaration_commands.ts
@@ -1,14 +1,5 @@
-/** Commands on the declaration: check, plan, apply, explain. */
-import {
-  command,
-  number,
-  option,
-  optional,
-  positional,
-  restPositionals,
-  string,
-} from "cmd-ts";
-import { dirname } from "node:path";
+/** Commands on the declaration: plan, apply, explain. */
+import { command, number, option, optional, positional, string } from "cmd-ts";
 import { AppError, normalizeError } from "@jasminetide/core/results";
 import type { HostRecord, PlatformClient } from "@jasminetide/runtime/platform";
 import {
@@ -19,8 +10,6 @@
   reportApply,
   reportPlan,
 } from "../apply/mod.ts";
-import { checkDocuments, reportCheck } from "../check/mod.ts";
-import { resolveConnection } from "../connection/mod.ts";
 import { loadDeclaration, loadDeclarationFile } from "../declaration/mod.ts";
 import {
   explainSubject,
@@ -28,55 +17,8 @@
   reportExplanation,
 } from "../explain/mod.ts";
 import type { Output } from "../output/mod.ts";
-import {
-  connectionFlags,
-  fileFlag,
-  getConnectionFlags,
-  jsonFlag,
-} from "./flags.ts";
-import {
-  type CommandContext,
-  runCommand,
-  runFleetCommand,
-} from "./run_command.ts";
-
-/** Creates `check`. */
-export function createCheckCommand(output: Output) {
-  return command({
-    name: "check",
-    description: "Check declarations and process settings",
-    examples: [
-      {
-        description:
-          "Check every file of a fleet, including references between files",
-        command: "jasminetide check examples/vozikovy",
-      },
-      {
-        description: "Check the local fleet from a script",
-        command: "jasminetide check --json",
-      },
-    ],
-    args: {
-      ...jsonFlag,
-      profile: connectionFlags.profile,
-      paths: restPositionals({
-        type: string,
-        displayName: "path",
-        description: "Files and folders (default: the folder of the fleet)",
-      }),
-    },
-    handler: (flags) =>
-      runCommand(flags, output, async () => {
-        const { fleetFile } = await resolveConnection(
-          getConnectionFlags(flags),
-        );
-        const paths = flags.paths.length > 0
-          ? flags.paths
-          : [dirname(fleetFile)];
-        return reportCheck(await checkDocuments(paths));
-      }),
-  });
-}
+import { connectionFlags, fileFlag, jsonFlag } from "./flags.ts";
+import { type CommandContext, runFleetCommand } from "./run_command.ts";
 
 /** Creates `plan`. */
 export function createPlanCommand(output: Output) {
--- a/packages/operator/src/commands/program.ts
+++ b/packages/operator/src/commands/program.ts
@@ -2,10 +2,11 @@
 import { productVersion } from "@jasminetide/core";
 import { exitCodes } from "@jasminetide/runtime/process";
 import { runSafely, subcommands } from "cmd-ts";
+import type { DocumentFormat } from "../check/mod.ts";
 import type { ExitCode, Output } from "../output/mod.ts";
+import { createCheckCommand } from "./check_command.ts";
 import {
   createApplyCommand,
-  createCheckCommand,
   createExplainCommand,
   createPlanCommand,
 } from "./declaration_commands.ts";
@@ -23,14 +24,20 @@
   "3 conflict with another editor; 4 the platform does not answer.",
 ].join("\n");
 
-function createProgram(output: Output) {
+/** Options of the operator's program. */
+export type OperatorOptions = {
+  /** Notations of documents besides the product's own. */
+  formats?: readonly DocumentFormat[];
+};
+
+function createProgram(output: Output, options: OperatorOptions) {
   return subcommands({
     name: "jasminetide",
     version: productVersion,
     description: "Declares and inspects a router fleet. " +
       "Without flags it connects to the local fleet.\n" + exitCodeHelp,
     cmds: {
-      check: createCheckCommand(output),
+      check: createCheckCommand(output, options),
       plan: createPlanCommand(output),
       apply: createApplyCommand(output),
       explain: createExplainCommand(output),
@@ -52,8 +59,9 @@
 export async function runOperator(
   argv: readonly string[],
   output: Output,
+  options: OperatorOptions = {},
 ): Promise<ExitCode> {
-  const result = await runSafely(createProgram(output), [...argv]);
+  const result = await runSafely(createProgram(output, options), [...argv]);
   if (result._tag === "ok") return await readExitCode(result.value);
   const { message, into } = result.error.config;
   if (into === "stdout") output.write(message);
