--- a/packages/local_fleet/src/operator_program.feature
+++ b/packages/local_fleet/src/operator_program.feature
@@ -53,6 +53,16 @@
     When the operator runs "plan --file mine"
     Then it exits with 4 and prints "5003"
 
+  Scenario: A check shows what differs from the version in force
+    Given copy "mine" sets defaults "load.minimumTokens" to 9000
+    When the operator runs "check mine --against current"
+    Then it exits with 0 and prints "1 workspace, 2 services"
+    Given the platform is down
+    When the operator runs "check mine --against current"
+    Then it exits with 4 and prints "5003"
+    When the operator runs "check mine"
+    Then it exits with 0 and prints "1 files without faults"
+
   Scenario: The explanation of a service names the exception and its reason
     When the operator runs "explain deposit-ledger"
     Then it exits with 0 and prints "Counter staff and travellers wait"
--- a/packages/operator/src/changes/compare_routes.ts
+++ b/packages/operator/src/changes/compare_routes.ts
@@ -15,22 +15,19 @@
   before: RoutesDocument,
   after: RoutesDocument,
 ): LocatedChange[] {
-  const hasServices = before.services !== undefined &&
-    after.services !== undefined;
-  return compareTrees(
-    createRoutesTree(before, hasServices),
-    createRoutesTree(after, hasServices),
-  );
+  return compareTrees(createRoutesTree(before), createRoutesTree(after));
 }
 
-function createRoutesTree(
-  document: RoutesDocument,
-  hasServices: boolean,
-): Tree {
+function createRoutesTree(document: RoutesDocument): Tree {
   const { callerLimits, routes, services = [], workspaces } = document;
+  // Gateways know only the services that have limits.
+  const limited = services.filter(({ coldPerSecond }) =>
+    coldPerSecond !== undefined
+  );
   return {
     callerLimits,
     routes: createKeyedTree(routes, ({ name }) => name),
+    services: createKeyedTree(limited, ({ name }) => name),
     ...(workspaces === undefined ? {} : {
       workspaces: createKeyedTree(
         workspaces.map((workspace) => ({
@@ -40,15 +37,6 @@
         ({ name }) => name,
       ),
     }),
-    // Gateways know only the services that have limits.
-    ...(hasServices
-      ? {
-        services: createKeyedTree(
-          services.filter(({ coldPerSecond }) => coldPerSecond !== undefined),
-          ({ name }) => name,
-        ),
-      }
-      : {}),
   };
 }
 
--- a/packages/operator/src/check/document_kind.ts
+++ b/packages/operator/src/check/document_kind.ts
@@ -60,7 +60,7 @@
 /** Creates the reader of documents with a schema. */
 export function createReader<Schema extends z.ZodType>(
   schema: Schema,
-  inspect: (value: z.output<Schema>) => Omit<
+  getContent: (value: z.output<Schema>) => Omit<
     Extract<ReadResult, { type: "read" }>,
     "type"
   > = () => ({ findings: [] }),
@@ -68,7 +68,7 @@
   return (text, options) => {
     const result = parseDocument(text, { ...options, schema });
     if (result.type === "faulty") return result;
-    return { type: "read", ...inspect(result.value) };
+    return { type: "read", ...getContent(result.value) };
   };
 }
 
