Describe checks of configurations; find too few runners for a declaration

Cause: operators had no page of the findings, and a declaration that needs more runners than the folder's settings have was not noticed.

--- a/packages/core/src/configuration/configuration_faults.feature
+++ b/packages/core/src/configuration/configuration_faults.feature
@@ -21,6 +21,7 @@
       | an exception for an unknown workspace| exceptions[0].match.workspace      | unknown workspace |
       | an unknown class by default          | defaults.request.class             | unknown class     |
       | a key of two workspaces              | workspaces[1].keyHashes[0]         | listed before     |
+      | a workspace without keys             | workspaces[0].keyHashes            | at least 1        |
       | a workspace declared twice           | workspaces[1].id                   | duplicate         |
       | a key in place of its hash           | workspaces[0].keyHashes[0]         | text of 9 char    |
 
--- a/packages/core/src/configuration/configuration_faults_test.ts
+++ b/packages/core/src/configuration/configuration_faults_test.ts
@@ -60,6 +60,7 @@
     draft.defaults["request"] = { class: "none" },
   "a key of two workspaces": (draft) =>
     draft.workspaces[1].keyHashes = [hashes[0]],
+  "a workspace without keys": (draft) => draft.workspaces[0].keyHashes = [],
   "a workspace declared twice": (draft) => draft.workspaces[1].id = "w1",
   "a key in place of its hash": (draft) =>
     draft.workspaces[0].keyHashes = [key],
--- a/packages/core/src/findings/finding.ts
+++ b/packages/core/src/findings/finding.ts
@@ -30,6 +30,7 @@
   resumeOfNonStream: "error",
   sharesWithoutSum: "warning",
   stopBeforeNotice: "warning",
+  tooFewRunners: "warning",
 } as const satisfies { [code: string]: Severity };
 
 /** Kind of a finding. */
--- a/packages/core/src/findings/mod.ts
+++ b/packages/core/src/findings/mod.ts
@@ -3,3 +3,4 @@
 export * from "./finding.ts";
 export * from "./gateway_findings.ts";
 export * from "./route_findings.ts";
+export * from "./runner_findings.ts";
--- a/packages/operator/src/check/check_documents.ts
+++ b/packages/operator/src/check/check_documents.ts
@@ -8,7 +8,11 @@
   parseDocument,
   type ValueFault,
 } from "@jasminetide/core/configuration";
-import type { Finding } from "@jasminetide/core/findings";
+import {
+  type Finding,
+  findRunnerFindings,
+  type FleetRunners,
+} from "@jasminetide/core/findings";
 import { AppError } from "@jasminetide/core/results";
 import { z } from "zod";
 import { loadText } from "../declaration/mod.ts";
@@ -26,6 +30,7 @@
   findUnknownPools,
   type FleetNames,
   listFleetNames,
+  listRunners,
   type RawDocument,
 } from "./fleet_names.ts";
 
@@ -138,13 +143,17 @@
   const declaration = documents.find(isDeclaration);
   const names = listFleetNames(settings, declaration);
   const seen = new Map<string, string>();
+  const runners = listRunners(settings);
   const results = documents.map((document) =>
-    checkDocument(document, (value) => [
-      ...findFleetFaults(document, names),
-      ...(settings.includes(document)
-        ? findDuplicateValues(value, seen, formatShortPath(document.file))
-        : []),
-    ])
+    checkDocument(document, {
+      runners,
+      findFaults: (value) => [
+        ...findFleetFaults(document, names),
+        ...(settings.includes(document)
+          ? findDuplicateValues(value, seen, formatShortPath(document.file))
+          : []),
+      ],
+    })
   );
   return {
     report: mergeReports(results.map(({ report }) => report)),
@@ -179,7 +188,10 @@
 
 function checkDocument(
   document: CheckedDocument,
-  findFaults: (value: unknown) => ValueFault[],
+  { findFaults, runners }: {
+    findFaults: (value: unknown) => ValueFault[];
+    runners: FleetRunners | undefined;
+  },
 ): CheckResult {
   const { file, kind, read, text } = document;
   const files = [{ file, kind }];
@@ -189,19 +201,29 @@
     const report = { files, faults: result.faults, findings: [] };
     return { report, versioned: [] };
   }
+  const { findings, versioned } = result;
+  const ofRunners = versioned?.type === "declaration" && runners !== undefined
+    ? findRunnerFindings(versioned.body, runners)
+    : [];
+  const located = getLocatedFindings([...findings, ...ofRunners], document);
+  return {
+    report: { files, faults: [], findings: located },
+    versioned: versioned === undefined ? [] : [{ file, ...versioned }],
+  };
+}
+
+function getLocatedFindings(
+  findings: readonly Finding[],
+  { file, text }: CheckedDocument,
+): LocatedFinding[] {
   const findLine = createLineFinder(text);
-  const findings = result.findings.map(({ path, ...finding }) => ({
+  const located = findings.map(({ path, ...finding }) => ({
     file,
     line: findLine(path),
     path: formatPath(path),
     ...finding,
-  })).sort((left, right) => left.line - right.line);
-  return {
-    report: { files, faults: [], findings },
-    versioned: result.versioned === undefined
-      ? []
-      : [{ file, ...result.versioned }],
-  };
+  }));
+  return located.sort((left, right) => left.line - right.line);
 }
 
 function createUnknownKind(file: string): Fault {
--- a/packages/operator/src/check/findings.feature
+++ b/packages/operator/src/check/findings.feature
@@ -30,9 +30,11 @@
       | resumeOfNonStream      | error    | 1    |
       | sharesWithoutSum       | warning  | 0    |
       | stopBeforeNotice       | warning  | 0    |
+      | tooFewRunners          | warning  | 0    |
 
   Scenario: There is an example of every kind of finding
     Then the examples are those of all kinds of findings
+    And the operators' page lists all of them with their severity
 
   Scenario: The example fleets have no findings, and their report is as before
     When the operator checks "examples/local"
--- a/packages/operator/src/check/findings_test.ts
+++ b/packages/operator/src/check/findings_test.ts
@@ -34,7 +34,6 @@
 const examples = join(root, "packages/operator/src/check/examples");
 const timers = RealTimerService.create();
 
-/** Checks documents; arguments that are paths of the repository are resolved. */
 async function runCheck(...args: string[]): Promise<Run> {
   let text = "";
   const write = (chunk: string) => void (text += chunk);
@@ -45,9 +44,10 @@
   return { exitCode, text };
 }
 
+/** Gets the file of an example, or its folder if it is a fleet. */
 function getExample(code: string): string {
   const name = code.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
-  return join(examples, `${name}.jsonc`);
+  return join(examples, code === "tooFewRunners" ? name : `${name}.jsonc`);
 }
 
 When(
@@ -64,7 +64,7 @@
     const { findings } = JSON.parse(this.findingsRun.text) as JsonReport;
     const found = findings.map((finding) => [finding.code, finding.severity]);
     assert.deepEqual(found, [[this.example, severity]]);
-    const lines = (await readFile(getExample(this.example), "utf8")).split(
+    const lines = (await readFile(findings[0].file, "utf8")).split(
       "\n",
     );
     assert.match(
@@ -94,6 +94,18 @@
   },
 );
 
+Then(
+  "the operators' page lists all of them with their severity",
+  async function () {
+    const page = join(root, "docs/operators/checking-a-configuration.md");
+    const rows = (await readFile(page, "utf8")).matchAll(
+      /^\| `(\w+)` +\| (error|warning) +\|/gm,
+    );
+    const listed = [...rows].map(([, code, severity]) => [code, severity]);
+    assert.deepEqual(Object.fromEntries(listed), findingSeverities);
+  },
+);
+
 When("the operator checks {string}", async function (
   this: World,
   line: string,
--- a/packages/operator/src/check/fleet_names.ts
+++ b/packages/operator/src/check/fleet_names.ts
@@ -1,4 +1,5 @@
 import { isObject, type ValueFault } from "@jasminetide/core/configuration";
+import type { FleetRunners } from "@jasminetide/core/findings";
 
 /** A parsed document that no schema has validated yet. */
 export type RawDocument = { file: string; value: unknown };
@@ -25,6 +26,26 @@
   };
 }
 
+/** Collects the runners of sidecars' settings; undefined if there are none. */
+export function listRunners(
+  settings: readonly RawDocument[],
+): FleetRunners | undefined {
+  const sidecars = settings.flatMap(({ value }) =>
+    isObject(value) && "runner" in value ? [value] : []
+  );
+  if (sidecars.length === 0) return undefined;
+  const [engines, services] = ["engine", "service"].map((kind) =>
+    sidecars.filter((sidecar) => sidecar["kind"] === kind)
+  );
+  const served = services.flatMap(({ pools }): unknown[] =>
+    Array.isArray(pools) ? pools : []
+  );
+  return {
+    engineCount: engines.length,
+    services: new Set(served.filter((pool) => typeof pool === "string")),
+  };
+}
+
 function listFieldValues(
   documents: readonly RawDocument[],
   field: string,
