--- a/packages/operator/src/check/compare_in_force.ts
+++ b/packages/operator/src/check/compare_in_force.ts
@@ -71,10 +71,9 @@
     return { against, version, file, ...(changes && { changes }) };
   }
   if (report.faults.length > 0) return undefined;
-  const kind = type === "routes" ? "routes" : "declaration";
   throw AppError.create(
     "invalidRequest",
-    `Cannot compare with "${against}": no checked file is a ${kind} document`,
+    `Cannot compare with "${against}": no checked document is of kind ${type}`,
   );
 }
 
