Show exceptions that have moved and override others in checks against a version

Cause: the difference tells exceptions apart by their match, so a change of their order, which may change what is in effect, was no difference.

--- a/packages/core/src/findings/exception_findings.ts
+++ b/packages/core/src/findings/exception_findings.ts
@@ -136,11 +136,14 @@
 /** Whether another value may apply to the same subject before a value. */
 function canPrecede(value: SetValue): (other: SetValue) => boolean {
   return (other) =>
-    other.index < value.index &&
-    isPossible({ ...other.match, ...value.match }) &&
-    listFields(other.match).every((field) =>
-      value.match[field] === undefined ||
-      value.match[field] === other.match[field]
+    other.index < value.index && canMatchTogether(value.match, other.match);
+}
+
+/** Whether a request or a runner may have all fields of two matches. */
+export function canMatchTogether(match: Match, other: Match): boolean {
+  return isPossible({ ...other, ...match }) &&
+    listFields(other).every((field) =>
+      match[field] === undefined || match[field] === other[field]
     );
 }
 
--- a/packages/operator/src/check/compare_in_force.ts
+++ b/packages/operator/src/check/compare_in_force.ts
@@ -4,6 +4,7 @@
 import { fetchNewerState } from "@jasminetide/gateway/peers";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 import {
+  compareExceptionOrder,
   compareRoutes,
   compareTrees,
   createConfigurationTree,
@@ -89,11 +90,12 @@
   if (versioned?.type === "declaration" && document.type === "declaration") {
     const [before, after] = [versioned.body, document.body];
     const countAffected = createDeclarationCounter({ before, after });
+    const changes = compareTrees(
+      createConfigurationTree(before),
+      createConfigurationTree(after),
+    );
     return rankChanges(
-      compareTrees(
-        createConfigurationTree(before),
-        createConfigurationTree(after),
-      ),
+      [...changes, ...compareExceptionOrder(before, after)],
       countAffected,
     );
   }
--- a/packages/operator/src/check/comparison.feature
+++ b/packages/operator/src/check/comparison.feature
@@ -21,6 +21,12 @@
       | exceptions[service=desk].set.load.capMultiple     | 1 service                |
       | exceptions[host=h].set.load.capMultiple           | -                        |
 
+  Scenario: An exception that has moved overrides another one
+    When a declaration is checked against one with the opposite order of exceptions
+    Then the changes are, in this order:
+      | path                               | affects     |
+      | exceptions[workspace=w1]           | 1 workspace |
+
   Scenario: What differs from the routes in force at a gateway
     Given a gateway with its test routes in force
     When the operator checks those routes with another time limit against it
--- a/packages/operator/src/check/comparison_test.ts
+++ b/packages/operator/src/check/comparison_test.ts
@@ -148,6 +148,28 @@
   },
 );
 
+When(
+  "a declaration is checked against one with the opposite order of exceptions",
+  async function (this: World) {
+    const fleet = createFleet(1);
+    const createException = (match: object, maximumAttempts: number) => ({
+      match,
+      set: { retry: { maximumAttempts } },
+      reason: "Test",
+    });
+    const exceptions = [
+      createException({ host: "h" }, 7),
+      createException({ service: "desk" }, 8),
+      createException({ workspace: "w1" }, 9),
+    ];
+    const [host, desk, workspace] = exceptions;
+    await compareFiles(this, {
+      before: { ...fleet, exceptions: [workspace, desk, host] },
+      after: { ...fleet, exceptions: [desk, workspace, host] },
+    });
+  },
+);
+
 Then(
   "the changes are, in this order:",
   function (this: World, table: DataTable) {
