--- a/packages/operator/src/check/compare_in_force.ts
+++ b/packages/operator/src/check/compare_in_force.ts
@@ -1,6 +1,7 @@
 import { isIP } from "node:net";
 import { formatFaults } from "@jasminetide/core/configuration";
 import { AppError, normalizeError } from "@jasminetide/core/results";
+import { routesDocumentSchema } from "@jasminetide/core/routes";
 import { fetchNewerState } from "@jasminetide/gateway/peers";
 import type { PlatformClient } from "@jasminetide/runtime/platform";
 import {
@@ -137,15 +138,17 @@
       version: 0,
       position: latestPosition,
     });
-    return {
-      type: "routes",
-      version: declaration?.version ?? 0,
-      versioned: declaration && { type: "routes", body: declaration },
-    };
+    if (declaration === undefined) {
+      return { type: "routes", version: 0, versioned: undefined };
+    }
+    const body = routesDocumentSchema.parse(declaration);
+    const { version } = body;
+    return { type: "routes", version, versioned: { type: "routes", body } };
   } catch (thrown) {
     throw AppError.create(
       "platformUnavailable",
-      `Gateway ${address} did not answer: ${normalizeError(thrown).message}`,
+      `Cannot load the routes of gateway ${address}: ` +
+        normalizeError(thrown).message,
       { cause: thrown },
     );
   }
