--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -136,7 +136,11 @@
       return;
     }
     // The caller may have left, which cancels the attempt.
-    if (this.#hasEnded || !this.#options.maySend()) {
+    if (this.#hasEnded) {
+      connections.release(connection);
+      return;
+    }
+    if (!this.#options.maySend()) {
       connections.release(connection);
       this.#end({ type: "withdrawn" });
       return;
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -75,6 +75,8 @@
   #finish: () => void = () => {};
   #reject: (thrown: unknown) => void = () => {};
   #attempts = 0;
+  /** Attempts that were withdrawn before they were sent. */
+  #withdrawals = 0;
   /** Whether the runner refused the last attempt as not run. */
   #wasRefused = false;
   /** Runners at which the request may have run, one for each attempt. */
@@ -193,7 +195,7 @@
       context,
     );
     if (placement === undefined) return "no runner available";
-    const attempts = this.#attempts;
+    const attempts = this.#attempts - this.#withdrawals;
     if (!takeRetry({ attempts, service }, context)) {
       return "retry budget exhausted";
     }
@@ -290,6 +292,7 @@
     const { admitted: { service }, context } = this.#options;
     context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
+    if (end.type === "withdrawn") this.#withdrawals += 1;
     this.#wasRefused = end.type === "notRun";
     if (this.#wasRefused) this.#refusedIds.add(running.upstream.id);
     observeOutcome(running, { end, service }, context);
