Ask the owner of a prefix which engines hold it

Cause: each gateway sees a prefix once in many requests of the fleet and doesn't know where the others have sent it.

Change: each prefix has one gateway by rendezvous hashing that is told of placements and asked before one, by datagrams; without an answer in 20 ms the request goes on with what its gateway knows.

--- a/packages/core/src/pools/prefix_holders.ts
+++ b/packages/core/src/pools/prefix_holders.ts
@@ -26,14 +26,29 @@
 
   /** Gets the engines that recently processed a prefix. */
   getHolders(prefixId: string, nowMs: number): ReadonlySet<string> {
-    const holders = this.#holders.get(prefixId) ?? [];
     return new Set(
-      holders
-        .filter(({ usedAtMs }) => nowMs - usedAtMs < holderTtlMs)
-        .map(({ runnerId }) => runnerId),
+      this.listHolders(prefixId, nowMs).map(({ runnerId }) => runnerId),
     );
   }
 
+  /** Lists the engines that recently processed a prefix, the latest first. */
+  listHolders(
+    prefixId: string,
+    nowMs: number,
+  ): { runnerId: string; ageMs: number }[] {
+    const holders = this.#holders.get(prefixId) ?? [];
+    return holders
+      .map(({ runnerId, usedAtMs }) => ({ runnerId, ageMs: nowMs - usedAtMs }))
+      .filter(({ ageMs }) => ageMs < holderTtlMs);
+  }
+
+  /** Gets the time since an engine processed a prefix; infinite if unknown. */
+  getAgeMs(prefixId: string, runnerId: string, nowMs: number): number {
+    const holder = this.#holders.get(prefixId)
+      ?.find((each) => each.runnerId === runnerId);
+    return nowMs - (holder?.usedAtMs ?? Number.NEGATIVE_INFINITY);
+  }
+
   /** Records that an engine processes a prefix. */
   record(prefixId: string, runnerId: string, nowMs: number): void {
     const holders = (this.#holders.get(prefixId) ?? [])
--- a/packages/gateway/src/load_reports/datagram_port.ts
+++ b/packages/gateway/src/datagrams/datagram_port.ts
@@ -18,14 +18,17 @@
  */
 export async function openDatagramPort(
   address: string,
-  onDatagram: (bytes: Buffer) => void,
+  onDatagram: (bytes: Buffer, from: string) => void,
 ): Promise<DatagramPort> {
   const socket = createSocket("udp4");
   const { ip, port } = parseAddress(address);
   const listening = once(socket, "listening");
   socket.bind(port, ip);
   await listening;
-  socket.on("message", onDatagram);
+  socket.on(
+    "message",
+    (bytes, { address, port }) => onDatagram(bytes, `${address}:${port}`),
+  );
   // Errors of single datagrams; a lost one is replaced by the next.
   socket.on("error", () => {});
   return createPort(socket);
--- /dev/null
+++ b/packages/gateway/src/datagrams/mod.ts
@@ -0,0 +1,3 @@
+/** Messages between gateways that may be lost. */
+export * from "./datagram_port.ts";
+export * from "./messages.ts";
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -17,6 +17,7 @@
   type PeerRecord,
   type PeerRegistry,
 } from "./peers/mod.ts";
+import type { DatagramPeer } from "./prefix_owners/mod.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { StateSync } from "./state_sync.ts";
 import { Directory, type RunnerRecord } from "./upstreams/mod.ts";
@@ -52,7 +53,7 @@
   #routes: RouteTable | undefined;
   #peers: ReadonlyMap<string, PeerRecord> = new Map();
   #knownRouters: KnownRouters;
-  #reportAddresses: readonly string[] = [];
+  #datagramPeers: readonly DatagramPeer[] = [];
   #hasRunners = false;
   #hasEvacuations: boolean;
   #wasReady = false;
@@ -82,7 +83,7 @@
       record: {
         address: settings.peerAddress,
         capacity: getHostCapacity(settings.host),
-        reportAddress: settings.loadReports?.address,
+        datagramAddress: settings.datagrams?.address,
       },
       registry,
     }));
@@ -151,9 +152,9 @@
     return [...addresses];
   }
 
-  /** Addresses for reports of loads of the other gateways. */
-  listReportAddresses(): readonly string[] {
-    return this.#reportAddresses;
+  /** The other gateways that take datagrams. */
+  listDatagramPeers(): readonly DatagramPeer[] {
+    return this.#datagramPeers;
   }
 
   /** State as written to a dump. */
@@ -233,7 +234,7 @@
     const before = this.#peers.size;
     this.#peers = new Map(peers);
     this.#knownRouters = createKnownRouters(peers, this.#options.settings.name);
-    this.#reportAddresses = listReportAddresses(
+    this.#datagramPeers = listDatagramPeers(
       peers,
       this.#options.settings.name,
     );
@@ -277,12 +278,14 @@
   }
 }
 
-function listReportAddresses(
+function listDatagramPeers(
   peers: ReadonlyMap<string, PeerRecord>,
   self: string,
-): string[] {
-  return [...peers].flatMap(([name, { reportAddress }]) =>
-    name === self || reportAddress === undefined ? [] : [reportAddress]
+): DatagramPeer[] {
+  return [...peers].flatMap(([name, { datagramAddress: address }]) =>
+    name === self || address === undefined
+      ? []
+      : [{ nameHash: hash32(name), address }]
   );
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,5 @@
+import type { Buffer } from "node:buffer";
+import { hash32 } from "@jasminetide/core/hashing";
 import {
   CapacityForecast,
   PrefixHolders,
@@ -12,6 +14,13 @@
 import { EventLoopLoad, StallDetector } from "@jasminetide/runtime/clock";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
+import {
+  type DatagramMessage,
+  type DatagramPort,
+  decodeMessage,
+  encodeMessage,
+  openDatagramPort,
+} from "./datagrams/mod.ts";
 import type { Evacuation } from "./evacuations/mod.ts";
 import { FleetView } from "./fleet_view.ts";
 import type { ObjectSource } from "./following/mod.ts";
@@ -26,11 +35,8 @@
   waitForClose,
 } from "./listening/mod.ts";
 import { LimitNews } from "./limits/mod.ts";
-import {
-  type DatagramPort,
-  LoadReports,
-  openDatagramPort,
-} from "./load_reports/mod.ts";
+import { LoadReports } from "./load_reports/mod.ts";
+import { PrefixOwners } from "./prefix_owners/mod.ts";
 import { createMemoryBudgets } from "./memory_budgets.ts";
 import {
   createNewsHandler,
@@ -80,7 +86,9 @@
   readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
   readonly #loadReports: LoadReports;
-  #reportPort: DatagramPort | undefined;
+  readonly #prefixOwners: PrefixOwners;
+  readonly #holders = PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes });
+  #datagramPort: DatagramPort | undefined;
   readonly #streamVersions: StreamVersions;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
@@ -135,9 +143,20 @@
       random: this.#random,
       metrics: this.#metrics,
       directory: this.#fleet.directory,
-      fanout: options.settings.loadReports?.fanout ?? 0,
-      listPeers: () => this.#fleet.listReportAddresses(),
-      send: (bytes, address) => this.#reportPort?.send(bytes, address),
+      fanout: options.settings.datagrams?.loadFanout ?? 0,
+      listPeers: () => this.#fleet.listDatagramPeers(),
+      send: (message, address) => this.#sendDatagram(message, address),
+    }));
+    this.#prefixOwners = this.#resources.use(PrefixOwners.create({
+      ...options,
+      directory: this.#fleet.directory,
+      holders: this.#holders,
+      selfHash: hash32(options.settings.name),
+      listPeers: () =>
+        options.settings.datagrams?.asksHolders === true
+          ? this.#fleet.listDatagramPeers()
+          : [],
+      send: (message, address) => this.#sendDatagram(message, address),
     }));
     this.#resources.use(StallDetector.create({
       timers: options.timers,
@@ -272,15 +291,27 @@
       getDump: () => this.#getDump(),
     });
     this.#peerAddress = this.#resources.use(control).address;
-    if (settings.loadReports === undefined) return;
-    this.#reportPort = this.#resources.use(
+    if (settings.datagrams === undefined) return;
+    this.#datagramPort = this.#resources.use(
       await openDatagramPort(
-        settings.loadReports.address,
-        (bytes) => this.#loadReports.receive(bytes),
+        settings.datagrams.address,
+        (bytes, from) => this.#receiveDatagram(bytes, from),
       ),
     );
   }
 
+  #sendDatagram(message: DatagramMessage, address: string): void {
+    this.#datagramPort?.send(encodeMessage(message), address);
+  }
+
+  #receiveDatagram(bytes: Buffer, from: string): void {
+    const message = decodeMessage(bytes);
+    if (message === undefined) this.#metrics.countMalformedDatagram();
+    else if (message.type === "loads") {
+      this.#loadReports.receive(message.reports);
+    } else this.#prefixOwners.receive(message, from);
+  }
+
   #getDump() {
     return {
       process: { type: "gateway", name: this.#options.settings.name },
@@ -297,7 +328,8 @@
     return {
       protocol,
       directory: this.#fleet.directory,
-      holders: PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes }),
+      prefixOwners: this.#prefixOwners,
+      holders: this.#holders,
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
       loadReports: this.#loadReports,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -15,6 +15,7 @@
 import type { Logger } from "@jasminetide/runtime/logging";
 import type { LimitNews } from "./limits/mod.ts";
 import type { LoadReports } from "./load_reports/mod.ts";
+import type { PrefixOwners } from "./prefix_owners/mod.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { MemoryBudgets } from "./memory_budgets.ts";
 import type { WireProtocol } from "./protocol.ts";
@@ -27,6 +28,8 @@
   protocol: WireProtocol;
   directory: Directory;
   holders: PrefixHolders;
+  /** Gateways that know which engines hold a prefix. */
+  prefixOwners: PrefixOwners;
   /** Keeps prompts that crash runners from them. */
   crashGuard: CrashGuard;
   /** Limits that runners state, shared with the other gateways. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -7,6 +7,7 @@
   name: string;
   type: "counter" | "histogram";
   unit:
+    | "datagrams"
     | "reports"
     | "requests"
     | "attempts"
@@ -92,10 +93,10 @@
     meaning: "Loads of runners that other gateways have told this one",
   },
   {
-    name: "load-reports-malformed",
+    name: "datagrams-malformed",
     type: "counter",
-    unit: "reports",
-    meaning: "Datagrams for reports of loads that could not be read",
+    unit: "datagrams",
+    meaning: "Datagrams of other gateways that could not be read",
   },
   {
     name: "store-lost-KIND",
@@ -194,8 +195,8 @@
     this.#metrics.count("load-reports", count);
   }
 
-  countMalformedReport(): void {
-    this.#metrics.count("load-reports-malformed");
+  countMalformedDatagram(): void {
+    this.#metrics.count("datagrams-malformed");
   }
 
   countKeptFromCold(): void {
--- a/packages/gateway/src/load_reports/load_reports.ts
+++ b/packages/gateway/src/load_reports/load_reports.ts
@@ -1,28 +1,26 @@
-import type { Buffer } from "node:buffer";
 import type { ReportedLoad } from "@jasminetide/core/pools";
 import type { RandomSource } from "@jasminetide/core/random";
 import type { TimerService, TimerSubscription } from "@jasminetide/core/timers";
-import type { GatewayMetrics } from "../gateway_metrics.ts";
-import type { Directory, Upstream } from "../upstreams/mod.ts";
 import {
-  decodeReports,
-  encodeReports,
+  type DatagramMessage,
   getProcessTag,
   type LoadReport,
-} from "./report_codec.ts";
+} from "../datagrams/mod.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { Directory, Upstream } from "../upstreams/mod.ts";
 
 /** Options of the reports of loads. */
 export type LoadReportsOptions = {
   timers: TimerService;
   random: RandomSource;
   directory: Directory;
-  metrics: Pick<GatewayMetrics, "countLoadReports" | "countMalformedReport">;
+  metrics: Pick<GatewayMetrics, "countLoadReports">;
   /** Gateways to which each report is sent; none are sent if it is 0. */
   fanout: number;
-  /** Addresses for reports of the other gateways. */
-  listPeers: () => readonly string[];
-  /** Sends a datagram that may be lost. */
-  send: (bytes: Buffer, address: string) => void;
+  /** The other gateways. */
+  listPeers: () => readonly { address: string }[];
+  /** Sends a message that may be lost. */
+  send: (message: DatagramMessage, address: string) => void;
 };
 
 /** A load that a runner reported at a time, to this gateway or another one. */
@@ -61,14 +59,9 @@
     this.#timer ??= timers.schedule(collectMs, () => this.#flush());
   }
 
-  /** Takes in a datagram of another gateway. */
-  receive(bytes: Buffer): void {
+  /** Takes in what another gateway tells. */
+  receive(reports: readonly LoadReport[]): void {
     const { metrics, timers } = this.#options;
-    const reports = decodeReports(bytes);
-    if (reports === undefined) {
-      metrics.countMalformedReport();
-      return;
-    }
     metrics.countLoadReports(reports.length);
     const nowMs = timers.nowMs();
     for (const report of reports) this.#receiveReport(report, nowMs);
@@ -101,13 +94,11 @@
     const nowMs = timers.nowMs();
     const heard = [...this.#heard.values()]
       .filter(({ atMs }) => nowMs - atMs < maxRelayAgeMs);
-    const reports = [...this.#collected.values(), ...heard];
+    const reports = [...this.#collected.values(), ...heard]
+      .map((report) => describeReport(report, nowMs));
     this.#collected = new Map();
-    const bytes = encodeReports(
-      reports.map((report) => describeReport(report, nowMs)),
-    );
-    for (const address of drawPeers(listPeers(), { fanout, random })) {
-      send(bytes, address);
+    for (const { address } of drawPeers(listPeers(), { fanout, random })) {
+      send({ type: "loads", reports }, address);
     }
   }
 }
@@ -125,16 +116,16 @@
 }
 
 /** Draws some peers at random, all if they are few. */
-function drawPeers(
-  peers: readonly string[],
+function drawPeers<Peer>(
+  peers: readonly Peer[],
   { fanout, random }: { fanout: number; random: RandomSource },
-): readonly string[] {
+): Iterable<Peer> {
   if (peers.length <= fanout) return peers;
-  const drawn = new Set<string>();
+  const drawn = new Set<Peer>();
   while (drawn.size < fanout) {
     drawn.add(peers[random.getInteger(peers.length)]);
   }
-  return [...drawn];
+  return drawn;
 }
 
 /** Time for which reports are collected before they are sent together. */
--- a/packages/gateway/src/load_reports/load_reports_test.ts
+++ b/packages/gateway/src/load_reports/load_reports_test.ts
@@ -9,19 +9,20 @@
 import { createRunnerRecord } from "../test_support/mod.ts";
 import { Directory, type Upstream } from "../upstreams/mod.ts";
 import {
+  type DatagramMessage,
   type DatagramPort,
-  decodeReports,
-  encodeReports,
+  decodeMessage,
+  encodeMessage,
   getProcessTag,
-  LoadReports,
   openDatagramPort,
-} from "./mod.ts";
+} from "../datagrams/mod.ts";
+import { LoadReports } from "./mod.ts";
 
 type World = {
   reportTimers: VirtualTimerService;
   reportDirectory: Directory;
   loadReports: LoadReports;
-  sentReports: { bytes: Buffer; address: string }[];
+  sentReports: { message: DatagramMessage; address: string }[];
   malformed: number;
   reportPort: DatagramPort | undefined;
 };
@@ -38,6 +39,13 @@
   return { running: held, waiting: 0, slots: 96 };
 }
 
+/** Hands a datagram to the gateway, as its port does. */
+function receive(world: World, bytes: Buffer): void {
+  const message = decodeMessage(bytes);
+  if (message?.type === "loads") world.loadReports.receive(message.reports);
+  else world.malformed += 1;
+}
+
 function encodeHeld(
   runnerId: string,
   held: number,
@@ -45,9 +53,10 @@
 ): Buffer {
   const runnerHash = hash32(runnerId);
   const processTag = getProcessTag(startedAtMs);
-  return encodeReports([
-    { runnerHash, processTag, ageMs, load: createLoad(held) },
-  ]);
+  return encodeMessage({
+    type: "loads",
+    reports: [{ runnerHash, processTag, ageMs, load: createLoad(held) }],
+  });
 }
 
 Given(
@@ -76,12 +85,14 @@
       directory: this.reportDirectory,
       metrics: {
         countLoadReports: () => {},
-        countMalformedReport: () => this.malformed += 1,
       },
       fanout,
       listPeers: () =>
-        Array.from({ length: others }, (_, index) => `127.0.0.1:${index + 1}`),
-      send: (bytes, address) => this.sentReports.push({ bytes, address }),
+        Array.from(
+          { length: others },
+          (_, index) => ({ address: `127.0.0.1:${index + 1}` }),
+        ),
+      send: (message, address) => this.sentReports.push({ message, address }),
     });
   },
 );
@@ -112,9 +123,9 @@
     const addresses = this.sentReports.map(({ address }) => address);
     assert.equal(addresses.length, count);
     assert.equal(new Set(addresses).size, count);
-    for (const { bytes } of this.sentReports) {
-      const reports = decodeReports(bytes);
-      const held = reports?.map(({ load }) => load.running);
+    for (const { message } of this.sentReports) {
+      assert.ok(message.type === "loads");
+      const held = message.reports.map(({ load }) => load.running);
       assert.deepEqual(held, [first, second]);
     }
   },
@@ -123,19 +134,19 @@
 When(
   "another gateway tells that {string} held {int} requests {int} ms ago",
   function (this: World, id: string, held: number, ageMs: number) {
-    this.loadReports.receive(encodeHeld(id, held, { ageMs }));
+    receive(this, encodeHeld(id, held, { ageMs }));
   },
 );
 
 When(
   "another gateway tells of an earlier process that {string} held {int} requests",
   function (this: World, id: string, held: number) {
-    this.loadReports.receive(encodeHeld(id, held, { startedAtMs: 0 }));
+    receive(this, encodeHeld(id, held, { startedAtMs: 0 }));
   },
 );
 
 When("a datagram with {string} comes", function (this: World, hex: string) {
-  this.loadReports.receive(Buffer.from(hex, "hex"));
+  receive(this, Buffer.from(hex, "hex"));
 });
 
 When(
@@ -165,7 +176,7 @@
   async function (this: World) {
     this.reportPort = await openDatagramPort(
       "127.0.0.1:0",
-      (bytes) => this.loadReports.receive(bytes),
+      (bytes) => receive(this, bytes),
     );
   },
 );
--- a/packages/gateway/src/peers/peer_registry.ts
+++ b/packages/gateway/src/peers/peer_registry.ts
@@ -6,8 +6,8 @@
   address: string;
   /** What its host can serve, in cores of a host with a good connection. */
   capacity: number;
-  /** `ip:port` for reports of loads, by UDP; absent if it takes none. */
-  reportAddress?: string;
+  /** `ip:port` for datagrams (UDP); absent if it takes none. */
+  datagramAddress?: string;
 };
 
 /** Registry in the store by which gateways find each other. */
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -36,6 +36,18 @@
   mayQueue: boolean;
 };
 
+/**
+ * Learns from other gateways which engines hold the prefix of a prompt; resolves
+ * at once if it has none, and soon in any case.
+ */
+export async function learnHolders(
+  caller: CallerRequest,
+  { prefixOwners }: Pick<GatewayContext, "prefixOwners">,
+): Promise<void> {
+  const home = getHome(caller);
+  if (home !== undefined) await prefixOwners.learn(home.prefixId);
+}
+
 /** Chooses a runner for an attempt; undefined when there is none to try. */
 export function placeAttempt(
   options: PlacementOptions,
@@ -155,7 +167,7 @@
   options: PlacementOptions & { home: Home },
 ): Placement | undefined {
   const { home, mayQueue, service, triedIds } = options;
-  const { directory, holders, timers } = context;
+  const { directory, holders, prefixOwners, timers } = context;
   const nowMs = timers.nowMs();
   const held = holders.getHolders(home.prefixId, nowMs);
   const choice = chooseEngine(runners, {
@@ -170,7 +182,7 @@
       directory.listSources(service).filter(({ id }) => !triedIds.has(id)),
       { nowMs, prefixId: home.prefixId, copierId: choice.runner.id },
     );
-  holders.record(home.prefixId, choice.runner.id, nowMs);
+  prefixOwners.record(home.prefixId, choice.runner);
   return {
     upstream: choice.runner,
     cacheSource: source?.record.address,
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -12,6 +12,7 @@
 import type { RequestTrace } from "../request_log.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { Exchange } from "./exchange.ts";
+import { learnHolders } from "./place_attempt.ts";
 
 /** Answers one request of a caller; never rejects. */
 export async function serveRequest(
@@ -85,6 +86,7 @@
   memory.retain();
   if (body === undefined) return recordLeft(trace, context);
   const softwareVersion = await chooseVersion(read, admission, context);
+  await learnHolders(caller, context);
   if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
   assertOpen(context);
   const deadlineMs = arrivedAtMs + admission.limitMs;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,12 +37,14 @@
      */
     keepMissingMs: durationMs.default(2500),
   }),
-  /** What gateways tell each other of loads; absent if they tell nothing. */
-  loadReports: z.strictObject({
+  /** What gateways tell each other in datagrams; absent if they tell nothing. */
+  datagrams: z.strictObject({
     /** Address for datagrams of the other gateways. */
     address: addressSchema,
-    /** Gateways to which each report is sent. */
-    fanout: z.number().int().positive().default(3),
+    /** Gateways to which each report of a runner's load is sent. */
+    loadFanout: z.number().int().positive().default(3),
+    /** Whether gateways ask each other for the engines that hold a prefix. */
+    asksHolders: z.boolean().default(true),
   }).optional(),
   admission: z.strictObject({
     /** Whether plain requests that would wait past their goal are refused. */
