--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -334,7 +334,6 @@
       limitNews: this.#limitNews,
       loadReports: this.#loadReports,
       limitsWait: settings.admission.limitsWait,
-      maxReturns: settings.repeats.maxReturns,
       streamVersions: this.#streamVersions,
       ...createMemoryBudgets(),
       failureDomain: settings.failureDomain,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -36,8 +36,6 @@
   limitNews: LimitNews;
   /** Loads of runners, shared with some other gateways. */
   loadReports: LoadReports;
-  /** Times that an idempotent request returns to runners that failed it. */
-  maxReturns: number;
   /** Whether plain requests that would wait past their goal are refused. */
   limitsWait: boolean;
   /** Lets streams go on only at the software version that began them. */
--- a/packages/gateway/src/requests/decide_next.ts
+++ b/packages/gateway/src/requests/decide_next.ts
@@ -11,10 +11,6 @@
   runs: number;
   /** Limit on the attempts in which the request may run. */
   maxRuns: number;
-  /**
-   * Runs beyond that for an idempotent request, at runners that have failed it.
-   */
-  maxReturns: number;
   /** Attempts so far, including unsent and refused ones. */
   attempts: number;
 };
@@ -71,9 +67,8 @@
 
 /** Whether a request that may have run may be sent to another runner. */
 export function canRunAgain(progress: RequestProgress): boolean {
-  const { hasBegun, kind, maxReturns, maxRuns, runs } = progress;
-  const returns = kind === "idempotent" ? maxReturns : 0;
-  if (runs >= maxRuns + returns) return false;
+  const { hasBegun, runs, maxRuns } = progress;
+  if (runs >= maxRuns) return false;
   return progress.isResumable || (isRepeatable(progress) && !hasBegun);
 }
 
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -79,8 +79,8 @@
   #withdrawals = 0;
   /** Whether the runner refused the last attempt as not run. */
   #wasRefused = false;
-  /** Runners at which the request may have run, one for each attempt. */
-  readonly #ranAt: string[] = [];
+  /** Attempts in which the request may have run. */
+  #runs = 0;
   #hasEnded = false;
   #lastAnswer: WholeAnswer | undefined;
 
@@ -134,14 +134,13 @@
   }
 
   #getProgress() {
-    const { answer, admitted: { route }, context } = this.#options;
+    const { answer, admitted: { route } } = this.#options;
     return {
       kind: route.kind,
       isResumable: route.isResumable,
       hasBegun: answer.hasBegun,
-      runs: this.#ranAt.length,
+      runs: this.#runs,
       maxRuns: route.maxAttempts,
-      maxReturns: context.maxReturns,
       attempts: this.#attempts,
     };
   }
@@ -151,7 +150,7 @@
     // A runner that has just refused has no capacity a moment later either.
     const reason = this.#startAttempt({
       mayReturn: !this.#wasRefused,
-      mayQueue: this.#ranAt.length > 0,
+      mayQueue: this.#runs > 0,
     });
     if (reason !== undefined) this.#endWithoutRunner(reason);
   }
@@ -188,7 +187,6 @@
         goalMs: route.goalMs,
         softwareVersion: this.#version.current,
         triedIds,
-        onlyIds: this.#listLastRunners(),
         mayReturn,
         mayQueue,
       },
@@ -211,16 +209,6 @@
     return undefined;
   }
 
-  /**
-   * Lists the runners to which the request may still go once it may have run at
-   * as many as its route allows; undefined before.
-   */
-  #listLastRunners(): ReadonlySet<string> | undefined {
-    const ids = new Set(this.#ranAt);
-    const { maxAttempts } = this.#options.admitted.route;
-    return ids.size >= maxAttempts ? ids : undefined;
-  }
-
   #createAttempt(placement: Placement): RunningAttempt {
     const { admitted, context } = this.#options;
     const { upstream } = placement;
@@ -243,8 +231,8 @@
       stream: this.#createStream(() => running),
       context,
       isReplaceable: isRepeatable(admitted.route),
-      onSent: () => this.#ranAt.push(upstream.id),
-      onNotRun: () => this.#ranAt.splice(this.#ranAt.indexOf(upstream.id), 1),
+      onSent: () => this.#runs += 1,
+      onNotRun: () => this.#runs -= 1,
       prepareSend: () => this.#version.prepareSend(upstream),
       maySend: () => trySend(upstream, { placedAtMs }, context),
       onSilence: (silence) =>
@@ -350,7 +338,7 @@
     this.#log("gave-up", { reason, attempts: this.#attempts });
     const { answer } = this.#options;
     if (answer.hasBegun) answer.breakOff();
-    else if (this.#ranAt.length > 0) {
+    else if (this.#runs > 0) {
       this.#fail("No further attempt was possible");
     } else this.#refuse("No runner is available");
     this.#end();
@@ -374,7 +362,7 @@
   #expire(): void {
     if (this.#hasEnded) return;
     const { answer } = this.#options;
-    const mayHaveRun = this.#ranAt.length > 0;
+    const mayHaveRun = this.#runs > 0;
     // Later attempts had less time, so their silence says little.
     const { first } = this.#running;
     const wasSilent = first?.isAwaitingFirstByte ?? false;
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -28,8 +28,6 @@
   softwareVersion: string | undefined;
   /** Ids of the runners that were tried before. */
   triedIds: ReadonlySet<string>;
-  /** Ids of the only runners that may be chosen; any if undefined. */
-  onlyIds: ReadonlySet<string> | undefined;
   /** Whether runners that were tried before may be chosen if all were. */
   mayReturn: boolean;
   /** Whether a runner may be chosen where the request waits, if all are full. */
@@ -53,14 +51,12 @@
   options: PlacementOptions,
   context: GatewayContext,
 ): Placement | undefined {
-  const { caller, mayReturn, onlyIds, service, softwareVersion, triedIds } =
-    options;
+  const { caller, mayReturn, service, softwareVersion, triedIds } = options;
   const nowMs = context.timers.nowMs();
   const all = context.directory.listReady(service)
     .filter((upstream) =>
       (softwareVersion === undefined ||
         upstream.record.softwareVersion === softwareVersion) &&
-      (onlyIds === undefined || onlyIds.has(upstream.id)) &&
       upstream.availability.isAvailable(nowMs) &&
       isWithinLimits(upstream, context)
     );
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -64,13 +64,6 @@
     Then the caller gets status 500
     And 2 requests reached runners
 
-  Scenario: A failed idempotent request returns to one of its runners
-    Given a gateway that lets lookups return once, and runners "first", "second" and "third"
-    And two of its answers in a row fail, the next is "balance 12"
-    When a caller sends "/lookup/1"
-    Then the caller gets status 200 and "balance 12" with the runner's mark
-    And 3 requests reached 2 runners
-
   Scenario: A non-idempotent request that may have run is not retried
     Given a runner "second"
     And both runners close every connection without an answer
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -125,43 +125,6 @@
   },
 );
 
-Given(
-  "a gateway that lets lookups return once, and runners {string}, {string} and {string}",
-  async function (this: World, first: string, second: string, third: string) {
-    await this.gatewayUnderTest.gateway[Symbol.asyncDispose]();
-    const repeats = { ratio: 1, slack: 1000, maxReturns: 1 };
-    await startFleet(this, first, { repeats });
-    await addRunner(this, second);
-    await addRunner(this, third);
-    const { gateway } = this.gatewayUnderTest;
-    while (gateway.runnerCount < 3) await wait(timers, 1);
-  },
-);
-
-Given(
-  "two of its answers in a row fail, the next is {string}",
-  function (this: World, body: string) {
-    let failed = 0;
-    setScript(this, ({ attemptId, socket }) => {
-      failed += 1;
-      const answer = failed <= 2
-        ? formatAnswer(attemptId, "no", { status: "500 Failed" })
-        : formatAnswer(attemptId, body);
-      socket.write(answer);
-    });
-  },
-);
-
-Then(
-  "{int} requests reached {int} runners",
-  function (this: World, requests: number, runners: number) {
-    const counts = [...this.scriptedRunners.values()]
-      .map((runner) => runner.requests.length);
-    assert.equal(counts.reduce((sum, count) => sum + count, 0), requests);
-    assert.equal(counts.filter((count) => count > 0).length, runners);
-  },
-);
-
 After(async function (this: World) {
   if (this.gatewayUnderTest === undefined) return;
   for (const caller of this.rawCallers) caller[Symbol.dispose]();
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -68,11 +68,6 @@
     ratio: z.number().nonnegative().default(0.1),
     slack: z.number().nonnegative().default(10),
     windowSeconds: z.number().positive().default(10),
-    /**
-     * Times that an idempotent request returns to runners that have failed it,
-     * once it was at as many as its route allows.
-     */
-    maxReturns: z.number().int().nonnegative().default(0),
   }),
   log: z.strictObject({
     level: z.enum(["error", "warn", "info", "debug"]).default("info"),
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -123,7 +123,7 @@
   /** Whether its store is unavailable from the start. */
   isStoreUnavailable?: boolean;
   /** Retry budget; allows nearly every retry if absent. */
-  repeats?: { ratio: number; slack: number; maxReturns?: number };
+  repeats?: { ratio: number; slack: number };
   /** Whether it follows evacuations. */
   hasEvacuations?: boolean;
 };
