Use an evacuated domain as a last resort within its limit, where settings say so

Change: with lastResortShare, runners of a domain whose evacuation has just begun stay in use for services without any other runner, counted from the latest time at which there was no entry.

--- a/packages/gateway/src/evacuations/evacuation_failures_test.ts
+++ b/packages/gateway/src/evacuations/evacuation_failures_test.ts
@@ -207,7 +207,7 @@
     hasBegun: false,
     runs: 0,
     maxRuns: 1,
-    maxReturns: 0,
+
     attempts: 1,
   };
   const route = { kind: "nonIdempotent" as const, isResumable: false };
--- a/packages/gateway/src/evacuations/evacuations.feature
+++ b/packages/gateway/src/evacuations/evacuations.feature
@@ -22,6 +22,29 @@
     Then they are refused as not run, with a time to come back
     And no runner has seen one of them
 
+  Scenario: A service without another runner goes on for a part of the limit
+    Given a gateway with a last resort of 2000 ms, and runner "a1" in "a"
+    When "a" is evacuated
+    And 1 lookups are sent to it
+    Then they are answered by "a1" only
+    When 2500 ms pass at the gateway
+    And 5 lookups are sent to it
+    Then they are refused as not run, with a time to come back
+    And no runner has seen one of them
+
+  Scenario: A last resort ends as soon as another runner serves
+    Given a gateway with a last resort of 2000 ms, and runner "a1" in "a"
+    When "a" is evacuated
+    And runner "b1" in "b" is added
+    And 20 lookups are sent to it
+    Then they are answered by "b1" only
+
+  Scenario: A gateway that starts after the evacuation knows no last resort
+    Given a gateway with a last resort of 2000 ms, which starts while "a" is evacuated, and runner "a1" in "a"
+    When 5 lookups are sent to it
+    Then they are refused as not run, with a time to come back
+    And no runner has seen one of them
+
   Scenario: The failure domain returns, and is evacuated once more
     Given a gateway that follows evacuations, and runners "a1" in "a" and "b1" in "b"
     When "a" is evacuated
--- a/packages/gateway/src/evacuations/evacuations_test.ts
+++ b/packages/gateway/src/evacuations/evacuations_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { wait } from "@jasminetide/core/timers";
+import { type TimerService, wait } from "@jasminetide/core/timers";
 import { RealTimerService } from "@jasminetide/runtime/clock";
 import {
   createDeclaration,
@@ -23,6 +23,8 @@
   /** Requests that wait for their answers. */
   heldAnswers: { attemptId: string; socket: Socket }[];
   copiedEvacuations: TestSourceCopy<Evacuation>;
+  /** How far the gateway's clock was set forward. */
+  shiftMs: number;
 };
 
 const timers = RealTimerService.create();
@@ -65,6 +67,70 @@
   },
 );
 
+/** Timers of which the steady clock can be set forward. */
+function createShiftedTimers(world: World): TimerService {
+  return {
+    nowMs: () => timers.nowMs() + world.shiftMs,
+    wallMs: () => timers.wallMs() + world.shiftMs,
+    subscribe: (periodMs, handler) => timers.subscribe(periodMs, handler),
+    schedule: (delayMs, handler) => timers.schedule(delayMs, handler),
+  };
+}
+
+/** Starts a gateway whose last resort is 0.4 of the limit for evacuations. */
+async function startWithLastResort(world: World): Promise<void> {
+  world.shiftMs = 0;
+  world.evacuatedRunners = new Map();
+  world.evacuationCallers = [];
+  world.evacuating = await startTestGateway({
+    hasEvacuations: true,
+    lastResortShare: 0.4,
+    timers: createShiftedTimers(world),
+    isStoreUnavailable: true,
+  });
+  world.evacuating.declarations.put("main", createDeclaration(1));
+}
+
+async function makeReady(world: World): Promise<void> {
+  const { declarations, evacuations, gateway, runners } = world.evacuating;
+  for (const source of [declarations, evacuations, runners]) {
+    source.setUnavailable(false);
+  }
+  await waitUntil(() => gateway.isReady && gateway.runnerCount === 1);
+}
+
+Given(
+  "a gateway with a last resort of 2000 ms, and runner {string} in {string}",
+  async function (this: World, id: string, domain: string) {
+    await startWithLastResort(this);
+    await addRunner(this, { id, domain });
+    await makeReady(this);
+  },
+);
+
+Given(
+  "a gateway with a last resort of 2000 ms, which starts while {string} is evacuated, and runner {string} in {string}",
+  async function (this: World, evacuated: string, id: string, domain: string) {
+    await startWithLastResort(this);
+    this.evacuating.evacuations.put(evacuated, { failureDomain: evacuated });
+    await addRunner(this, { id, domain });
+    await makeReady(this);
+  },
+);
+
+When("{int} ms pass at the gateway", function (this: World, ms: number) {
+  this.shiftMs += ms;
+});
+
+When(
+  "runner {string} in {string} is added",
+  async function (this: World, id: string, domain: string) {
+    await addRunner(this, { id, domain });
+    const { gateway } = this.evacuating;
+    await waitUntil(() => gateway.runnerCount === 2);
+  },
+);
+
 Given(
   "another one with it as a seed, which the store turns away",
   async function (this: World) {
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -68,7 +68,9 @@
     this.#hasEvacuations = settings.platform.evacuationLimitMs === undefined;
     const selfHash = hash32(settings.name);
     this.#knownRouters = { selfHash, otherHashes: undefined };
-    this.directory = Directory.create(options);
+    const { evacuationLimitMs = 0, lastResortShare } = settings.platform;
+    const lastResortMs = evacuationLimitMs * lastResortShare;
+    this.directory = Directory.create({ ...options, lastResortMs });
     this.#sync = this.#resources.use(StateSync.create({
       ...options,
       listGateways: () => this.#peers,
@@ -254,10 +256,11 @@
     const { logger } = this.#options;
     const before = this.directory.evacuatedDomains;
     const domains = listEvacuatedDomains(evacuations);
-    this.directory.setEvacuated(
-      domains,
-      (service) => this.#routes?.findService(service)?.coldStartMs ?? 0,
-    );
+    this.directory.setEvacuated(domains, {
+      ageMs: this.#sync.evacuationsAgeMs,
+      getColdMs: (service) =>
+        this.#routes?.findService(service)?.coldStartMs ?? 0,
+    });
     for (const domain of domains) {
       if (!before.has(domain)) logger.info("domain-evacuated", { domain });
     }
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -66,6 +66,8 @@
   #expiries = 0;
   #calledAtMs = 0;
   #failedCallAtMs = 0;
+  /** Age of the copy just before its last change. */
+  #ageAtChangeMs = Number.POSITIVE_INFINITY;
   #isPaused = false;
   #resume: () => void = () => {};
   #isStopped = false;
@@ -104,6 +106,14 @@
     return this.#confirmation.getAgeMs();
   }
 
+  /**
+   * Time before the last change in which it may have been made: since the copy
+   * had been known to be up to date. Infinite for the first list.
+   */
+  get ageAtChangeMs(): number {
+    return this.#ageAtChangeMs;
+  }
+
   /** Pauses or resumes the calls to the store. */
   setPaused(isPaused: boolean): void {
     this.#isPaused = isPaused;
@@ -136,6 +146,7 @@
   /** Applies what another process has sent. */
   applyNews(news: ObjectNews<Value>): void {
     if (!isLaterPosition(news.position, this.position)) return;
+    this.#ageAtChangeMs = this.getAgeMs();
     this.#table.keepMissingFor(news.keepMissingMs);
     if (news.isWhole) {
       const objects = news.changes.flatMap(({ name, value }) =>
@@ -177,6 +188,7 @@
     if (this.#position === undefined) {
       const { objects, position } = await source.list();
       this.#recordSuccess();
+      this.#ageAtChangeMs = this.getAgeMs();
       // Another process may have sent a later list meanwhile.
       if (!isLaterPosition(this.position, position)) {
         this.#applyList(objects, position);
@@ -201,6 +213,7 @@
       return;
     }
     this.#expiries = 0;
+    this.#ageAtChangeMs = this.getAgeMs();
     this.#confirmation.record();
     if (!isLaterPosition(result.position, this.position)) return;
     this.#applyChanges(result.changes, result.position);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -31,6 +31,11 @@
      * failure domain that is evacuated; absent where none ever is.
      */
     evacuationLimitMs: durationMs.optional(),
+    /**
+     * Share of that time in which services without any other runner still use
+     * those of an evacuated failure domain; 0 refuses their requests at once.
+     */
+    lastResortShare: z.number().min(0).max(0.8).default(0),
     /**
      * Time after an outage for which missing runners are kept. Runners that
      * are still alive register again within two seconds.
--- a/packages/gateway/src/state_sync.ts
+++ b/packages/gateway/src/state_sync.ts
@@ -133,6 +133,11 @@
     return this.#evacuations?.position;
   }
 
+  /** How long before they came the last changes of evacuations may have been. */
+  get evacuationsAgeMs(): number {
+    return this.#evacuations?.ageAtChangeMs ?? Number.POSITIVE_INFINITY;
+  }
+
   /** Lists the evacuations for another gateway. */
   listEvacuations(): ObjectNews<Evacuation> | undefined {
     return this.#evacuations?.listAll();
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -126,6 +126,8 @@
   repeats?: { ratio: number; slack: number };
   /** Whether it follows evacuations. */
   hasEvacuations?: boolean;
+  /** Share of the limit for evacuations in which these are a last resort. */
+  lastResortShare?: number;
 };
 
 /** Creates the settings of a test gateway. */
@@ -142,6 +144,7 @@
     platform: {
       address: "127.0.0.1:1",
       ...(options.hasEvacuations ? { evacuationLimitMs: 5000 } : {}),
+      lastResortShare: options.lastResortShare,
     },
     stop: { noticeMs: 1, graceSeconds: 5 },
     repeats: options.repeats ?? { ratio: 1, slack: 1000 },
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -8,7 +8,23 @@
 import { type RunnerRecord, Upstream } from "./upstream.ts";
 
 /** Options of the directory of runners. */
-export type DirectoryOptions = { timers: TimerService; logger: Logger };
+export type DirectoryOptions = {
+  timers: TimerService;
+  logger: Logger;
+  /**
+   * Time after its evacuation in which a failure domain is still used by services
+   * that have no other runner; 0 if absent.
+   */
+  lastResortMs?: number;
+};
+
+/** Circumstances of a change of the evacuated failure domains. */
+export type EvacuationChange = {
+  /** How long the change may have been made before. */
+  ageMs: number;
+  /** Gets how long the runners of a service may be cold. */
+  getColdMs: (service: string) => number;
+};
 
 /** A runner that is listed no more, and what its process stated. */
 type DepartedRunner = {
@@ -29,7 +45,8 @@
   readonly #allByService = new Map<string, Upstream[]>();
   readonly #byHash = new Map<number, Upstream>();
   readonly #sourcesByService = new Map<string, Upstream[]>();
-  #evacuated: ReadonlySet<string> = new Set();
+  /** Evacuated failure domains, and until when they are a last resort. */
+  #evacuated: ReadonlyMap<string, number> = new Map();
 
   private constructor(options: DirectoryOptions) {
     this.#options = options;
@@ -42,10 +59,11 @@
 
   /**
    * Runners of a service that may get new requests by what the platform states:
-   * those that do not drain, outside evacuated failure domains.
+   * those that do not drain, outside evacuated failure domains. If there is none,
+   * those of domains whose evacuation has just begun.
    */
   listReady(service: string): readonly Upstream[] {
-    return this.#readyByService.get(service) ?? [];
+    return this.#readyByService.get(service) ?? this.#listLastResort(service);
   }
 
   /** All runners of a service, including draining ones. */
@@ -63,7 +81,7 @@
 
   /** Failure domains whose runners get nothing. */
   get evacuatedDomains(): ReadonlySet<string> {
-    return this.#evacuated;
+    return new Set(this.#evacuated.keys());
   }
 
   /** Whether a runner is in a failure domain that is evacuated. */
@@ -73,27 +91,32 @@
 
   /** Whether a runner may get new requests, see `listReady`. */
   isReady(upstream: Upstream): boolean {
-    return this.#upstreams.get(upstream.id) === upstream &&
-      !upstream.record.isDraining && !this.isEvacuated(upstream);
+    const { isDraining, service } = upstream.record;
+    if (this.#upstreams.get(upstream.id) !== upstream) return false;
+    if (!this.isEvacuated(upstream)) return !isDraining;
+    return this.listReady(service).includes(upstream);
   }
 
   /**
    * Replaces the failure domains whose runners get nothing. The runners of those
    * that return count as cold, since their entries may be older than that.
-   *
-   * @param getColdMs how long the runners of a service may be cold.
    */
   setEvacuated(
     domains: ReadonlySet<string>,
-    getColdMs: (service: string) => number,
+    { ageMs, getColdMs }: EvacuationChange,
   ): void {
-    const nowMs = this.#options.timers.nowMs();
+    const { lastResortMs = 0, timers } = this.#options;
+    const nowMs = timers.nowMs();
     for (const upstream of this.#upstreams.values()) {
       const { availability, failureDomain, record: { service } } = upstream;
       const returns = this.isEvacuated(upstream) && !domains.has(failureDomain);
       if (returns) availability.cold.record(getColdMs(service), nowMs);
     }
-    this.#evacuated = domains;
+    const untilMs = nowMs + lastResortMs - ageMs;
+    const before = this.#evacuated;
+    this.#evacuated = new Map(
+      [...domains].map((domain) => [domain, before.get(domain) ?? untilMs]),
+    );
     this.#index();
   }
 
@@ -144,6 +167,13 @@
     return choice === "restored" ? restored : listed;
   }
 
+  #listLastResort(service: string): readonly Upstream[] {
+    const nowMs = this.#options.timers.nowMs();
+    return this.listAll(service).filter(({ failureDomain, record }) =>
+      !record.isDraining && nowMs < (this.#evacuated.get(failureDomain) ?? 0)
+    );
+  }
+
   #put(record: RunnerRecord): void {
     const known = this.#upstreams.get(record.id);
     if (known === undefined) {
