Test owners of prefixes; forget what a process that ended held

Cause: a gateway that owns a prefix went on to name an engine that had restarted (prefix_owners.feature, "An engine that was restarted holds nothing", failed).

Change: holders of a runner are forgotten when its process is listed no more.

--- a/packages/core/src/pools/prefix_holders.ts
+++ b/packages/core/src/pools/prefix_holders.ts
@@ -49,6 +49,15 @@
     return nowMs - (holder?.usedAtMs ?? Number.NEGATIVE_INFINITY);
   }
 
+  /** Forgets what an engine holds, since its process has ended. */
+  forgetRunner(runnerId: string): void {
+    for (const [prefixId, holders] of this.#holders.entries()) {
+      if (!holders.some((holder) => holder.runnerId === runnerId)) continue;
+      const others = holders.filter((holder) => holder.runnerId !== runnerId);
+      this.#holders.set(prefixId, others);
+    }
+  }
+
   /** Records that an engine processes a prefix. */
   record(prefixId: string, runnerId: string, nowMs: number): void {
     const holders = (this.#holders.get(prefixId) ?? [])
--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -35,6 +35,8 @@
   registry: PeerRegistry;
   /** Called with each declaration that is applied. */
   onDeclaration: (declaration: RoutingDeclaration) => void;
+  /** Called with the id of a runner whose process is listed no more. */
+  onRunnerRemoved: (id: string) => void;
   /** Called with all listed runners when they have changed. */
   onRunners: (runners: readonly RunnerRecord[]) => void;
 };
@@ -70,7 +72,11 @@
     this.#knownRouters = { selfHash, otherHashes: undefined };
     const { evacuationLimitMs = 0, lastResortShare } = settings.platform;
     const lastResortMs = evacuationLimitMs * lastResortShare;
-    this.directory = Directory.create({ ...options, lastResortMs });
+    this.directory = Directory.create({
+      ...options,
+      lastResortMs,
+      onRemoved: options.onRunnerRemoved,
+    });
     this.#sync = this.#resources.use(StateSync.create({
       ...options,
       listGateways: () => this.#peers,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -117,6 +117,7 @@
       random: this.#random,
       metrics: this.#metrics,
       onDeclaration: ({ callerLimits }) => listener.setLimits(callerLimits),
+      onRunnerRemoved: (id) => this.#holders.forgetRunner(id),
       onRunners: (runners) => this.#streamVersions.observeRunners(runners),
     }));
     this.#crashGuard = this.#resources.use(CrashGuard.create({
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -16,6 +16,8 @@
    * that have no other runner; 0 if absent.
    */
   lastResortMs?: number;
+  /** Called with the id of a runner whose process is listed no more. */
+  onRemoved?: (id: string) => void;
 };
 
 /** Circumstances of a change of the evacuated failure domains. */
@@ -224,6 +226,7 @@
       this.#departed.delete(earliest);
     }
     this.#log("runner-removed", record);
+    this.#options.onRemoved?.(id);
   }
 
   #index(): void {
