--- a/packages/fault_soak/src/disturbances.ts
+++ b/packages/fault_soak/src/disturbances.ts
@@ -130,6 +130,17 @@
   );
 }
 
+/** Whether requests may have waited on their way to a runner, or in it. */
+export function isRunnerHeldUp(
+  faults: readonly FaultSpan[],
+  { fromMs, index, toMs }: { index: number; fromMs: number; toMs: number },
+): boolean {
+  return faults.some((fault) =>
+    /^runner-(paused|link-)/.test(fault.kind) && fault.target === index &&
+    isOverlapping(fault, fromMs, toMs)
+  );
+}
+
 /** Whether connections of any runner were cut or made silent by their link. */
 export function areRunnerLinksCut(
   faults: readonly FaultSpan[],
--- a/packages/fault_soak/src/domain_checks.feature
+++ b/packages/fault_soak/src/domain_checks.feature
@@ -45,6 +45,7 @@
       | runner-link-silent | there is no violation                    |
       | runner-paused      | there is no violation                    |
       | runner-cold        | "cold-runners" is the only violated check |
+      | runner-killed      | "cold-runners" is the only violated check |
       | gateway-killed     | "cold-runners" is the only violated check |
       | all-killed         | "cold-runners" is the only violated check |
       | store-down         | "cold-runners" is the only violated check |
--- a/packages/fault_soak/src/domain_checks.ts
+++ b/packages/fault_soak/src/domain_checks.ts
@@ -2,7 +2,7 @@
  * Checks that evacuated failure domains get no requests, and cold runners no
  * more than they tolerate.
  */
-import { areRunnersDisturbed, isStoreAccessDisturbed } from "./disturbances.ts";
+import { isRunnerHeldUp, isStoreAccessDisturbed } from "./disturbances.ts";
 import { coldPerSecond, evacuationLimitMs } from "./failure_domains.ts";
 import type {
   CallRecord,
@@ -64,7 +64,7 @@
 
 /** Finds the first second with too many arrivals at a cold runner. */
 function findExcess(
-  { fromMs, runner, untilMs }: ColdRunner,
+  { fromMs, index, runner, untilMs }: ColdRunner,
   arrivals: readonly Arrival[],
   { faults }: History,
 ): Violation[] {
@@ -78,14 +78,13 @@
   const excessMs = timesMs.find((atMs) =>
     count(atMs) > maxPerWindow &&
     // What a pause or a link has held up may have been sent earlier.
-    !areRunnersHeldUp(faults, atMs)
+    !isRunnerHeldUp(faults, {
+      index,
+      fromMs: atMs - heldUpMs,
+      toMs: atMs + windowMs,
+    })
   );
   if (excessMs === undefined) return [];
   const detail = `${count(excessMs)} requests from ${excessMs} on at ${runner}`;
   return [{ check: "cold-runners", detail }];
 }
-
-function areRunnersHeldUp(faults: History["faults"], atMs: number): boolean {
-  const others = faults.filter(({ kind }) => kind !== "runner-cold");
-  return areRunnersDisturbed(others, atMs - heldUpMs, atMs + windowMs);
-}
--- a/packages/fault_soak/src/domain_checks_test.ts
+++ b/packages/fault_soak/src/domain_checks_test.ts
@@ -24,7 +24,8 @@
   function (this: World, text: string, cold: string) {
     const count = Number(text);
     const untilMs = violationMs + (cold === "is cold" ? 2000 : 0);
-    this.history.cold.push({ runner, fromMs: violationMs - 500, untilMs });
+    const fromMs = violationMs - 500;
+    this.history.cold.push({ runner, index: 0, fromMs, untilMs });
     for (let index = 0; index < count; index++) {
       const sentAtMs = violationMs + index * 900 / count;
       addRun(this, addCall(this, "lookup", { sentAtMs }), { runner });
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -107,7 +107,13 @@
 };
 
 /** A process of a runner that was cold. */
-export type ColdRunner = { runner: string; fromMs: number; untilMs: number };
+export type ColdRunner = {
+  runner: string;
+  /** Place of the runner among all. */
+  index: number;
+  fromMs: number;
+  untilMs: number;
+};
 
 /** A runner and when its process was seen to have exited. */
 export type RunnerExit = { runner: string; atMs: number };
--- a/packages/fault_soak/src/soak_fleet.ts
+++ b/packages/fault_soak/src/soak_fleet.ts
@@ -144,7 +144,8 @@
     runner.process = startRunner(runner, this.#options);
     this.putRunner(runner, { isDraining: false });
     const untilMs = runner.process.startedAtMs + this.#getColdMs(runner);
-    history.cold.push({ runner: runner.id, fromMs: Date.now(), untilMs });
+    const { id: newId, index } = runner;
+    history.cold.push({ runner: newId, index, fromMs: Date.now(), untilMs });
   }
 
   #getColdMs(runner: SoakRunner): number {
