--- a/packages/core/src/limits/cold_limit.feature
+++ b/packages/core/src/limits/cold_limit.feature
@@ -17,6 +17,9 @@
   Scenario: No second exceeds the limit, however requests come
     Then in 200 random runs no second has more requests than a cold runner tolerates
 
+  Scenario: Routers disagree on which others live
+    Then in 200 random fleets whose routers each still list some that are gone, the shares stay within what a cold runner tolerates
+
   Scenario: Routers that have joined are not known to the others yet
     Given 6 of the routers are not known to the others
     When 24 routers send all they may for 3 seconds to a runner that is cold for 3000 ms and tolerates 23 requests a second
--- a/packages/core/src/limits/cold_limit_test.ts
+++ b/packages/core/src/limits/cold_limit_test.ts
@@ -280,3 +280,34 @@
 Then("it was computed {int} times", function (this: World, count: number) {
   assert.equal(this.computed, count);
 });
+
+Then(
+  "in {int} random fleets whose routers each still list some that are gone, the shares stay within what a cold runner tolerates",
+  function (numRuns: number) {
+    const fleets = fc.record({
+      live: fc.integer({ min: 1, max: 60 }),
+      gone: fc.integer({ min: 0, max: 60 }),
+      perSecond: fc.integer({ min: 1, max: 80 }),
+      runSeed: fc.integer(),
+    });
+    fc.assert(
+      fc.property(fleets, ({ gone, live, perSecond, runSeed }) => {
+        const random = createSeededRandom(runSeed);
+        const hashes = Array.from(
+          { length: live + gone },
+          (_, index) => hash32(`gateway-${runSeed}-${index}`),
+        );
+        const shares = hashes.slice(0, live).map((selfHash) => {
+          const otherHashes = hashes.filter((hash, index) =>
+            hash !== selfHash && (index < live || random.getFloat() < 0.5)
+          );
+          const routers = { selfHash, otherHashes };
+          return getRequestShare({ perSecond, runnerHash }, routers);
+        });
+        const sum = shares.reduce((total, share) => total + share, 0);
+        assert.ok(sum <= perSecond, `${sum} of ${perSecond}`);
+      }),
+      { numRuns, seed },
+    );
+  },
+);
