--- a/packages/fault_soak/src/fleet_gateway.ts
+++ b/packages/fault_soak/src/fleet_gateway.ts
@@ -44,6 +44,17 @@
 const startLimitMs = 15_000;
 const pollMs = 25;
 
+/**
+ * Creates settings with which gateways tell each other of loads and prefixes, at
+ * the UDP port of the same number, and refuse what would wait too long.
+ */
+function createSharing(peerAddress: string) {
+  return {
+    datagrams: { address: peerAddress },
+    admission: { limitsWait: true },
+  };
+}
+
 /** Writes the settings of a gateway and starts its links and process. */
 export async function createGateway(
   index: number,
@@ -71,6 +82,7 @@
         address: storeLink.address,
         ...(switches.hasDomainFaults ? { evacuationLimitMs } : {}),
       },
+      ...(switches.hasDomainFaults ? createSharing(peerAddress) : {}),
       stop: { noticeMs: 800, graceSeconds },
       repeats: retryBudget,
       log: { sampleShare: 1, linesPerSecond: 2000 },
