--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -3,6 +3,10 @@
 
 const durationMs = z.number().int().positive();
 
+/** Memory and descriptors of a host whose settings state none. */
+const defaultMemoryMb = 512;
+const defaultDescriptors = 4096;
+
 /** Schema of a gateway's settings. */
 export const gatewaySettingsSchema = z.strictObject({
   /** Name of the process, unique in the fleet. */
@@ -43,6 +47,10 @@
     /** Speed of a core, relative to others. */
     coreSpeed: z.number().positive().default(1),
     linkMbps: z.number().positive().default(1000),
+    /** Memory that the process may use. */
+    memoryMb: z.number().positive().default(defaultMemoryMb),
+    /** File descriptors that the process may use. */
+    maxDescriptors: z.number().int().positive().default(defaultDescriptors),
   }).prefault({}),
   stop: z.strictObject({
     /** Time within which the load balancer notices a planned stop. */
