Bound what a connection of a caller costs in work, memory and descriptors

Cause: the HTTP library parses all that it reads and keeps every request; a read of 64 KB holds some 2,400 pipelined requests, each of which went to a runner at once. Answers that nobody reads and idle connections to runners had no limit.

Change: a gate hands over 2 KB at a time and holds the rest, also in the kernel, while a pipelined request waits; requests of a connection are handled one at a time, and pipelined ones share turns of the event loop. Connections are bounded by the host's memory and descriptors, and the one that waits longest for its caller gives way, by address. Held requests and unread answers share a memory budget and have a time limit. Idle connections to runners are bounded.

--- a/packages/gateway/src/fleet_view.ts
+++ b/packages/gateway/src/fleet_view.ts
@@ -32,6 +32,8 @@
   runners: ObjectSource<RunnerRecord>;
   evacuations: ObjectSource<Evacuation>;
   registry: PeerRegistry;
+  /** Limit on idle connections to all runners. */
+  maxIdleConnections: number;
   /** Called with each declaration that is applied. */
   onDeclaration: (declaration: RoutingDeclaration) => void;
   /** Called with all listed runners when they have changed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,8 +17,10 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GraceEnd } from "./grace_end.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { getHostLimits } from "./host_limits.ts";
 import {
   CallerListener,
+  ConnectionGuard,
   formatMetrics,
   startControlListener,
   startReadinessListener,
@@ -56,6 +58,13 @@
   streams: StreamRegistry;
 };
 
+/** What the listeners of a gateway use. */
+type ListeningParts = {
+  listener: CallerListener;
+  guard: ConnectionGuard;
+  metrics: GatewayMetrics;
+};
+
 /**
  * A router without sidecars: forwards each request that matches a declared
  * route to a runner of the route's service.
@@ -63,7 +72,8 @@
 export class Gateway {
   readonly #options: GatewayOptions;
   readonly #resources = ResourceStack.create();
-  readonly #metrics = GatewayMetrics.create();
+  readonly #metrics: GatewayMetrics;
+  readonly #guard: ConnectionGuard;
   readonly #random = createSystemRandom();
   readonly #firstByteTimes = new Map<string, LatencyTracker>();
   readonly #retryBudgets = new Map<string, WindowedRetryBudget>();
@@ -83,11 +93,15 @@
   #openRequests = 0;
   readonly #graceEnd = GraceEnd.create();
 
-  private constructor(options: GatewayOptions, listener: CallerListener) {
+  private constructor(options: GatewayOptions, parts: ListeningParts) {
+    const { listener } = parts;
     this.#options = options;
+    this.#metrics = parts.metrics;
+    this.#guard = parts.guard;
     this.#startedAtMs = options.timers.nowMs();
     this.#settings = options.settings;
     this.#listener = this.#resources.use(listener);
+    const limits = getHostLimits(options.settings.host);
     this.#streamVersions = this.#resources.use(StreamVersions.create({
       ...options,
       name: options.settings.name,
@@ -99,6 +113,7 @@
       ...options,
       random: this.#random,
       metrics: this.#metrics,
+      maxIdleConnections: limits.idleRunnerConnections,
       onDeclaration: ({ callerLimits }) => listener.setLimits(callerLimits),
       onRunners: (runners) => this.#streamVersions.observeRunners(runners),
     }));
@@ -145,10 +160,16 @@
 
   /** Starts a gateway and its listeners. */
   static async create(options: GatewayOptions): Promise<Gateway> {
-    const { settings, logger, timers } = options;
-    const address = settings.callerAddress;
-    const listener = await CallerListener.create({ address, timers });
-    const gateway = new Gateway(options, listener);
+    const { settings, logger } = options;
+    const { callerConnections, heldBytes } = getHostLimits(settings.host);
+    const metrics = GatewayMetrics.create();
+    const guard = ConnectionGuard.create({ ...options, metrics, heldBytes });
+    const listener = await CallerListener.create({
+      address: settings.callerAddress,
+      maxConnections: callerConnections,
+      guard,
+    });
+    const gateway = new Gateway(options, { listener, guard, metrics });
     await gateway.#startInternalListeners();
     logger.info("gateway-started", { callers: listener.address });
     return gateway;
@@ -235,13 +256,20 @@
 
   async #startInternalListeners(): Promise<void> {
     const { settings } = this.#options;
+    const guard = this.#guard;
+    const limits = getHostLimits(settings.host);
     this.#resources.use(
-      await startReadinessListener(
-        settings.readinessAddress,
-        () => this.isReady,
-      ),
+      await startReadinessListener({
+        address: settings.readinessAddress,
+        maxConnections: limits.readinessConnections,
+        guard,
+      }, () => this.isReady),
     );
-    const control = await startControlListener(settings.peerAddress, {
+    const control = await startControlListener({
+      address: settings.peerAddress,
+      maxConnections: limits.peerConnections,
+      guard,
+    }, {
       handlePeer: createPeerHandler({
         getState: () => this.#fleet.getState(),
         explainRequest: (query) => explainRequest(query, this.#context),
@@ -261,6 +289,13 @@
       process: { type: "gateway", name: this.#options.settings.name },
       isReady: this.isReady,
       openRequests: this.#openRequests,
+      callers: {
+        ...this.#listener.getSnapshot(),
+        heldBytes: this.#guard.heldBytes,
+        bodyBytes: this.#context.bodyMemory.usedBytes,
+        answerBytes: this.#context.answerMemory.usedBytes,
+        limits: getHostLimits(this.#options.settings.host),
+      },
       fleet: this.#fleet.getSnapshot(),
       quarantine: this.#crashGuard.getSnapshot(),
       metrics: this.#metrics.getSnapshot(),
@@ -276,7 +311,7 @@
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
       streamVersions: this.#streamVersions,
-      ...createMemoryBudgets(),
+      ...createMemoryBudgets(getHostLimits(settings.host)),
       failureDomain: settings.failureDomain,
       timers,
       random: this.#random,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -6,7 +6,14 @@
 export type MetricDescription = {
   name: string;
   type: "counter" | "histogram";
-  unit: "requests" | "attempts" | "outages" | "crashes" | "parts" | "ms";
+  unit:
+    | "requests"
+    | "attempts"
+    | "outages"
+    | "crashes"
+    | "parts"
+    | "connections"
+    | "ms";
   meaning: string;
 };
 
@@ -40,6 +47,15 @@
     unit: "requests",
     meaning: "Requests whose caller disconnected before the end of the answer",
   },
+  {
+    name: "connections-closed-REASON",
+    type: "counter",
+    unit: "connections",
+    meaning: "Connections closed by a limit on callers; displaced: they " +
+      "waited for their caller and gave way to new ones; refused: new ones " +
+      "while all others were served; memory: they held most of the memory " +
+      "for callers; unread: their answer was not read in time",
+  },
   {
     name: "attempts-END",
     type: "counter",
@@ -146,6 +162,11 @@
     this.#metrics.count("callers-left");
   }
 
+  /** @param reason limit by which the connection was closed. */
+  countClosedConnection(reason: string): void {
+    this.#metrics.count(`connections-closed-${reason}`);
+  }
+
   /** @param end outcome of the attempt. */
   countAttempt(end: string): void {
     this.#metrics.count(`attempts-${end}`);
--- a/packages/gateway/src/listening/caller_listener.ts
+++ b/packages/gateway/src/listening/caller_listener.ts
@@ -2,13 +2,20 @@
 import type { AddressInfo, Socket } from "node:net";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { CallerLimits } from "@jasminetide/core/routes";
-import type { TimerService } from "@jasminetide/core/timers";
 import { paceConnections } from "@jasminetide/runtime/http";
 import { parseAddress } from "@jasminetide/runtime/settings";
-import { CallerConnections } from "./caller_connections.ts";
+import type {
+  CallerConnections,
+  ConnectionsSnapshot,
+} from "./caller_connections.ts";
+import type { ConnectionGuard } from "./connection_guard.ts";
 
 /** Options of a listener. */
-export type CallerListenerOptions = { address: string; timers: TimerService };
+export type CallerListenerOptions = {
+  address: string;
+  guard: ConnectionGuard;
+  maxConnections: number;
+};
 
 /** HTTP server for callers. */
 export class CallerListener {
@@ -17,10 +24,17 @@
   readonly #connections: CallerConnections;
   #isClosingIdle = false;
 
-  private constructor(server: Server, timers: TimerService) {
+  private constructor(
+    server: Server,
+    { guard, maxConnections }: CallerListenerOptions,
+  ) {
     this.#server = server;
     this.#closed = once(server, "close");
-    this.#connections = CallerConnections.create(timers);
+    this.#connections = guard.createConnections({
+      maxConnections,
+      countsRequests: false,
+      getUnreadLimitMs: () => server.keepAliveTimeout,
+    });
     server.on("connection", (socket) => this.#connections.add(socket));
     // The library would close connections whose answer isn't sent yet.
     server.closeIdleConnections = () => this.#connections.closeIdle();
@@ -28,7 +42,7 @@
 
   /** Starts to listen at `ip:port`. */
   static async create(
-    { address, timers }: CallerListenerOptions,
+    options: CallerListenerOptions,
   ): Promise<CallerListener> {
     const server = createServer({
       maxHeaderSize: maxHeaderBytes,
@@ -36,12 +50,12 @@
       noDelay: true,
     });
     paceConnections(server);
-    const { ip, port } = parseAddress(address);
+    const { ip, port } = parseAddress(options.address);
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen({ host: ip, port, backlog: acceptBacklog }, resolve);
     });
-    return new CallerListener(server, timers);
+    return new CallerListener(server, options);
   }
 
   /** `ip:port` that the server is bound to. */
@@ -58,15 +72,19 @@
   /** Sets the handler of requests. */
   setHandler(handler: RequestListener): void {
     this.#server.on("request", (request, response) => {
-      this.#connections.recordRequest(request, response);
       response.once("finish", () => {
         // Close before the caller sends another request, which would be lost.
         if (this.#isClosingIdle) request.socket.destroySoon();
       });
-      handler(request, response);
+      this.#connections.serve(request, response, handler);
     });
   }
 
+  /** State of the connections, for dumps. */
+  getSnapshot(): ConnectionsSnapshot {
+    return this.#connections.getSnapshot();
+  }
+
   /** Sets the declared limits on callers' connections. */
   setLimits(limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs + limitMarginMs;
--- a/packages/gateway/src/listening/control_listener.ts
+++ b/packages/gateway/src/listening/control_listener.ts
@@ -2,6 +2,7 @@
 import { newsPath } from "../peers/mod.ts";
 import {
   type InternalServer,
+  type InternalServerOptions,
   startInternalServer,
 } from "./start_internal_server.ts";
 
@@ -19,10 +20,10 @@
 
 /** Starts the listener for other gateways and for operators' tools. */
 export function startControlListener(
-  address: string,
+  options: InternalServerOptions,
   handlers: ControlHandlers,
 ): Promise<InternalServer> {
-  return startInternalServer(address, (request, response) => {
+  return startInternalServer(options, (request, response) => {
     const [path] = (request.url ?? "").split("?");
     switch (path) {
       case newsPath:
--- a/packages/gateway/src/listening/readiness_listener.ts
+++ b/packages/gateway/src/listening/readiness_listener.ts
@@ -1,14 +1,15 @@
 import {
   type InternalServer,
+  type InternalServerOptions,
   startInternalServer,
 } from "./start_internal_server.ts";
 
 /** Starts a server at which the load balancer checks readiness. */
 export function startReadinessListener(
-  address: string,
+  options: InternalServerOptions,
   isReady: () => boolean,
 ): Promise<InternalServer> {
-  return startInternalServer(address, (_request, response) => {
+  return startInternalServer(options, (_request, response) => {
     response.writeHead(isReady() ? 200 : 503, { "Content-Length": "0" });
     response.end();
   });
--- a/packages/gateway/src/listening/start_internal_server.ts
+++ b/packages/gateway/src/listening/start_internal_server.ts
@@ -2,6 +2,7 @@
 import { createServer, type RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
 import { parseAddress } from "@jasminetide/runtime/settings";
+import type { ConnectionGuard } from "./connection_guard.ts";
 
 /** HTTP server; disposing of it closes it and its connections. */
 export type InternalServer = AsyncDisposable & {
@@ -9,12 +10,32 @@
   address: string;
 };
 
+/** Address and limits of an internal server. */
+export type InternalServerOptions = {
+  address: string;
+  guard: ConnectionGuard;
+  maxConnections: number;
+};
+
 /** Starts an HTTP server at `ip:port` for the platform, peers or operators. */
 export async function startInternalServer(
-  address: string,
+  { address, guard, maxConnections }: InternalServerOptions,
   handler: RequestListener,
 ): Promise<InternalServer> {
-  const server = createServer(handler);
+  const server = createServer({
+    headersTimeout: requestLimitMs,
+    requestTimeout: requestLimitMs,
+  });
+  const connections = guard.createConnections({
+    maxConnections,
+    countsRequests: true,
+    getUnreadLimitMs: () => requestLimitMs,
+  });
+  server.on("connection", (socket) => connections.add(socket));
+  server.on(
+    "request",
+    (request, response) => connections.serve(request, response, handler),
+  );
   const { ip, port } = parseAddress(address);
   server.listen(port, ip);
   await once(server, "listening");
@@ -29,3 +50,6 @@
     },
   };
 }
+
+/** Time in which a request must arrive, and its answer be read. */
+const requestLimitMs = 10_000;
--- a/packages/gateway/src/memory_budgets.ts
+++ b/packages/gateway/src/memory_budgets.ts
@@ -1,4 +1,5 @@
 import { MemoryBudget } from "@jasminetide/core/limits";
+import type { HostLimits } from "./host_limits.ts";
 
 /** Memory that requests and answers in flight may use. */
 export type MemoryBudgets = {
@@ -9,13 +10,11 @@
 };
 
 /** Creates the budgets of a gateway. */
-export function createMemoryBudgets(): MemoryBudgets {
+export function createMemoryBudgets(
+  { answerBytes, bodyBytes }: HostLimits,
+): MemoryBudgets {
   return {
-    answerMemory: MemoryBudget.create({ limitBytes: maxAnswersBytes }),
-    bodyMemory: MemoryBudget.create({ limitBytes: maxBodiesBytes }),
+    answerMemory: MemoryBudget.create({ limitBytes: answerBytes }),
+    bodyMemory: MemoryBudget.create({ limitBytes: bodyBytes }),
   };
 }
-
-/** Each is a dozen of the largest answers or bodies. */
-const maxAnswersBytes = 48 * 1024 * 1024;
-const maxBodiesBytes = 48 * 1024 * 1024;
--- a/packages/gateway/src/upstreams/connection_pool.ts
+++ b/packages/gateway/src/upstreams/connection_pool.ts
@@ -1,5 +1,6 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import type { ReadScheduler } from "@jasminetide/runtime/clock";
+import type { IdleConnections } from "./idle_connections.ts";
 import { RunnerConnection } from "./runner_connection.ts";
 
 /** Options of a pool of connections to one runner. */
@@ -7,6 +8,8 @@
   address: string;
   timers: TimerService;
   reads: ReadScheduler;
+  /** Idle connections to all runners; unlimited if absent. */
+  allIdle?: IdleConnections;
 };
 
 /** Connections to one runner; the most recently used one is reused first. */
@@ -58,8 +61,12 @@
   /** Returns a connection to the pool. */
   release(connection: RunnerConnection): void {
     const nowMs = this.#options.timers.nowMs();
-    if (this.#isClosing || !connection.isUsable(nowMs)) connection.destroy();
-    else this.#idle.push(connection);
+    if (this.#isClosing || !connection.isUsable(nowMs)) {
+      connection.destroy();
+      return;
+    }
+    this.#idle.push(connection);
+    this.#options.allIdle?.add(connection);
   }
 
   /**
@@ -78,10 +85,14 @@
   /** Closes idle connections now and the others when they are released. */
   close(): void {
     this.#isClosing = true;
-    for (const connection of this.#idle.splice(0)) connection.destroy();
+    for (const connection of [...this.#idle]) {
+      this.#remove(connection);
+      connection.destroy();
+    }
   }
 
   #remove(connection: RunnerConnection): void {
+    this.#options.allIdle?.remove(connection);
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
   }
--- a/packages/gateway/src/upstreams/directory.ts
+++ b/packages/gateway/src/upstreams/directory.ts
@@ -5,10 +5,16 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import { ReadScheduler } from "@jasminetide/runtime/clock";
 import type { Logger } from "@jasminetide/runtime/logging";
+import { IdleConnections } from "./idle_connections.ts";
 import { type RunnerRecord, Upstream } from "./upstream.ts";
 
 /** Options of the directory of runners. */
-export type DirectoryOptions = { timers: TimerService; logger: Logger };
+export type DirectoryOptions = {
+  timers: TimerService;
+  logger: Logger;
+  /** Limit on idle connections to all runners. */
+  maxIdleConnections?: number;
+};
 
 /** A runner that is listed no more, and what its process stated. */
 type DepartedRunner = {
@@ -23,6 +29,7 @@
 export class Directory {
   readonly #options: DirectoryOptions;
   readonly #reads = ReadScheduler.create();
+  readonly #allIdle: IdleConnections;
   readonly #upstreams = new Map<string, Upstream>();
   readonly #departed = new Map<string, DepartedRunner>();
   readonly #readyByService = new Map<string, Upstream[]>();
@@ -32,6 +39,9 @@
 
   private constructor(options: DirectoryOptions) {
     this.#options = options;
+    this.#allIdle = IdleConnections.create(
+      options.maxIdleConnections ?? Infinity,
+    );
   }
 
   /** Creates an empty directory. */
@@ -174,8 +184,12 @@
     const isSameProcess = departed !== undefined &&
       !isOtherProcess(record, departed.record);
     const availability = isSameProcess ? departed.availability : undefined;
-    const reads = this.#reads;
-    return Upstream.create(record, { timers, reads, availability });
+    return Upstream.create(record, {
+      timers,
+      reads: this.#reads,
+      allIdle: this.#allIdle,
+      availability,
+    });
   }
 
   #remove(id: string, upstream: Upstream): void {
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -7,6 +7,7 @@
 import type { TimerService } from "@jasminetide/core/timers";
 import type { ReadScheduler } from "@jasminetide/runtime/clock";
 import { ConnectionPool } from "./connection_pool.ts";
+import type { IdleConnections } from "./idle_connections.ts";
 
 /** The platform's record of one runner. */
 export type RunnerRecord = {
@@ -34,6 +35,8 @@
   timers: TimerService;
   /** Shares the event loop among the connections to all runners. */
   reads: ReadScheduler;
+  /** Idle connections to all runners; unlimited if absent. */
+  allIdle?: IdleConnections;
   /** What the same process has stated before; new if absent. */
   availability?: RunnerAvailability;
 };
@@ -49,16 +52,14 @@
   record: RunnerRecord;
 
   private constructor(record: RunnerRecord, options: UpstreamOptions) {
-    const { availability = RunnerAvailability.create(), reads, timers } =
-      options;
+    const { availability = RunnerAvailability.create(), timers } = options;
     this.record = record;
     this.idHash = hash32(record.id);
     this.listedAtMs = timers.nowMs();
     this.availability = availability;
     this.connections = ConnectionPool.create({
+      ...options,
       address: record.address,
-      timers,
-      reads,
     });
   }
 
