Limit the time and the announced size of a body

Cause: a body could arrive a byte at a time without end, past the deadline of its request, and an oversized one was read up to the limit before its refusal.

Change: a body that pauses for longer than the declared idle time, or is not whole at the deadline, is refused as not run (408); one that is announced too large is refused at once; heads that are not complete and calls of peers count in the memory held for callers. Tests of the listeners.

--- a/packages/core/src/results/codes.ts
+++ b/packages/core/src/results/codes.ts
@@ -37,6 +37,7 @@
   promptQuarantined: row(2007, 503, "no", "Prompt crashes runners"),
   requestQuarantined: row(2008, 503, "no", "Request crashes runners"),
   memoryLimited: row(2009, 503, "no", "Too many large request bodies"),
+  bodyLate: row(2010, 408, "no", "Request body did not arrive in time"),
   noRunner: row(3001, 503, "no", "No live runner"),
   runnerLeaving: row(3002, 503, "no", "Runner is leaving"),
   epochMismatch: row(3003, 409, "no", "Runner was restarted"),
--- a/packages/gateway/src/listening/caller_connection.ts
+++ b/packages/gateway/src/listening/caller_connection.ts
@@ -112,6 +112,7 @@
     response.once("close", () => this.#complete());
     const begin = () => {
       this.#current = request;
+      if (!this.#options.countsRequests) this.#requestBytes = 0;
       this.#sinceMs = this.#options.timers.nowMs();
       handler(request, response);
     };
@@ -171,9 +172,11 @@
     this.#countHeld();
   }
 
+  /** Counts a head of which a part is missing, and bodies if no one else does. */
   #countRead(bytes: number): void {
-    if (!this.#options.countsRequests) return;
+    if (this.#openRequests > 0 && !this.#options.countsRequests) return;
     this.#requestBytes += bytes;
+    if (this.#requestBytes <= usualHeadBytes) return;
     this.#countHeld();
   }
 
@@ -196,5 +199,8 @@
 /** Memory of a request that waits, with the objects of the HTTP library. */
 const waitingBytes = 4096;
 
+/** Bytes up to which a head that is not complete need not be counted. */
+const usualHeadBytes = 2048;
+
 /** Work of a pipelined request: so many as fit are begun in a turn. */
 const pipelinedCost = 64 * 1024;
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -64,6 +64,10 @@
   const handle = createHTTPHandler({
     router: createPeerProcedures(handlers),
     basePath: `${rpcPath}/`,
+    maxBodySize: maxCallBytes,
   });
   return (request, response) => void handle(request, response);
 }
+
+/** Limit on a call, as on the answers that gateways take from each other. */
+const maxCallBytes = 16 * 1024 * 1024;
--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -6,11 +6,12 @@
   type DeclaredWorkspace,
   type RouteTable,
 } from "@jasminetide/core/routes";
-import { hasCallerLeft, readBody } from "@jasminetide/runtime/http";
+import { hasCallerLeft } from "@jasminetide/runtime/http";
 import type { GatewayContext } from "../gateway_context.ts";
 import type { CallerRequest } from "../protocol.ts";
 import type { RequestTrace } from "../request_log.ts";
 import { CallerAnswer } from "./caller_answer.ts";
+import { CallerBody } from "./caller_body.ts";
 import { Exchange } from "./exchange.ts";
 
 /** Answers one request of a caller; never rejects. */
@@ -74,20 +75,17 @@
     firstAttemptId: caller.takeUp?.firstAttemptId,
     connectionAgeMs: Math.round(context.getConnectionAgeMs(request.socket)),
   });
-  let discard: (error: AppError) => void = () => {};
-  using memory = context.bodyMemory.hold(() => discard(createMemoryError()));
-  const body = await readBody(request, admission.maxBodyBytes, {
-    onReading: (discardBody) => {
-      discard = discardBody;
-    },
-    onSize: (bytes) => memory.set(bytes),
-  }).catch(ignoreDisconnect);
-  memory.retain();
+  const deadlineMs = arrivedAtMs + admission.limitMs;
+  using reading = CallerBody.create(request, {
+    ...admission,
+    ...context,
+    deadlineMs,
+  });
+  const body = await reading.read().catch(ignoreDisconnect);
   if (body === undefined) return recordLeft(trace, context);
   const softwareVersion = await chooseVersion(read, admission, context);
   if (hasCallerLeft(request.socket)) return recordLeft(trace, context);
   assertOpen(context);
-  const deadlineMs = arrivedAtMs + admission.limitMs;
   const admitted = { ...admission, deadlineMs, body, caller, softwareVersion };
   await Exchange.serve({ ...read, context, admitted });
   if (!answer.hasBegun) return;
@@ -96,14 +94,6 @@
   context.metrics.countAnswered(answer.status);
 }
 
-function createMemoryError(): AppError {
-  return AppError.create(
-    "memoryLimited",
-    "The bodies of requests in flight exceed their memory",
-    { retryAfterMs: memoryRetryAfterMs },
-  );
-}
-
 function recordLeft(
   trace: RequestTrace,
   { metrics }: GatewayContext,
@@ -166,6 +156,7 @@
   /** Priority of the workspace or else of the route; 0 is served first. */
   priority: number;
   maxBodyBytes: number;
+  idleTimeoutMs: number;
   /** Time limit from the request's arrival to the end of its answer. */
   limitMs: number;
 };
@@ -200,7 +191,7 @@
       retryAfterMs: startRetryAfterMs,
     });
   }
-  const { maxBodyBytes } = routes.declaration.callerLimits;
+  const { idleTimeoutMs, maxBodyBytes } = routes.declaration.callerLimits;
   const limitMs = Math.min(route.timeoutMs, caller.timeoutMs ?? Infinity);
   return {
     route,
@@ -208,6 +199,7 @@
     workspace: workspace?.name,
     priority: workspace?.priority ?? route.priority,
     maxBodyBytes,
+    idleTimeoutMs,
     limitMs,
   };
 }
@@ -250,8 +242,5 @@
 /** Time in which the router that began a stream may write its version. */
 const unknownRetryAfterMs = 500;
 
-/** Time in which bodies of other requests have been sent on. */
-const memoryRetryAfterMs = 500;
-
 /** Time in which a newly started router loads its declaration and runners. */
 const startRetryAfterMs = 300;
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -124,6 +124,8 @@
   isStoreUnavailable?: boolean;
   /** Retry budget; allows nearly every retry if absent. */
   repeats?: { ratio: number; slack: number };
+  /** Memory and descriptors of its host. */
+  host?: { memoryMb?: number; maxDescriptors?: number };
   /** Whether it follows evacuations. */
   hasEvacuations?: boolean;
 };
@@ -143,6 +145,7 @@
       address: "127.0.0.1:1",
       ...(options.hasEvacuations ? { evacuationLimitMs: 5000 } : {}),
     },
+    host: options.host ?? {},
     stop: { noticeMs: 1, graceSeconds: 5 },
     repeats: options.repeats ?? { ratio: 1, slack: 1000 },
     log: { sampleShare: options.sampleShare ?? 0 },
