Keep turns of the event loop short while callers connect

Cause: the event loop accepts one connection a turn; turns of 80 ms, full of tiny pieces, kept 600 connections and ordinary callers waiting for seconds.

Change: the gate measures what it hands over and leaves the rest to a later turn after two milliseconds; a turn that accepts leaves it less.

--- a/packages/gateway/src/listening/caller_connection.ts
+++ b/packages/gateway/src/listening/caller_connection.ts
@@ -203,4 +203,4 @@
 const usualHeadBytes = 2048;
 
 /** Work of a pipelined request: so many as fit are begun in a turn. */
-const pipelinedCost = 64 * 1024;
+const pipelinedCost = 128 * 1024;
--- a/packages/gateway/src/listening/caller_connections.ts
+++ b/packages/gateway/src/listening/caller_connections.ts
@@ -49,6 +49,7 @@
    */
   add(socket: Socket): void {
     const address = socket.remoteAddress ?? "";
+    this.#options.turns.recordWork(acceptCost);
     if (this.#connections.size >= this.#options.maxConnections) {
       const held = chooseConnectionToClose(
         this.#listHeld(),
@@ -124,3 +125,6 @@
     else this.#addresses.delete(address);
   }
 }
+
+/** Work that others put off in a turn in which a connection was accepted. */
+const acceptCost = 768 * 1024;
--- a/packages/gateway/src/listening/request_gate.ts
+++ b/packages/gateway/src/listening/request_gate.ts
@@ -1,9 +1,11 @@
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import type { TimerService } from "@jasminetide/core/timers";
 import type { ReadScheduler } from "@jasminetide/runtime/clock";
 
 /** Options of a gate. */
 export type RequestGateOptions = {
+  timers: TimerService;
   /** Spreads what is put off over the turns of the event loop. */
   turns: ReadScheduler;
   /** Called with the number of bytes of each read. */
@@ -23,7 +25,7 @@
   #pending: (Buffer | null)[] = [];
   #pendingBytes = 0;
   #isHeld = false;
-  #isPutOff = false;
+  #isDeferred = false;
 
   private constructor(socket: Socket, options: RequestGateOptions) {
     this.#socket = socket;
@@ -63,16 +65,16 @@
    * that has just begun is there; until then the library would keep each piece.
    */
   defer(): void {
-    if (this.#pending.length === 0 || this.#isPutOff) return;
-    this.#isPutOff = true;
+    if (this.#pending.length === 0 || this.#isDeferred) return;
+    this.#isDeferred = true;
     this.#options.turns.defer(() => {
-      this.#isPutOff = false;
+      this.#isDeferred = false;
       this.#pump();
     });
   }
 
   get #isOpen(): boolean {
-    return !this.#isHeld && !this.#isPutOff && !this.#socket.isPaused();
+    return !this.#isHeld && !this.#isDeferred && !this.#socket.isPaused();
   }
 
   #take(chunk: Buffer | null): boolean {
@@ -96,14 +98,25 @@
     }
   }
 
-  /** Hands pieces over; returns whether more should be read. */
+  /**
+   * Hands pieces over, as many as the turn of the event loop allows: it accepts
+   * one connection a turn, so that long turns would keep new callers waiting.
+   *
+   * @returns whether more should be read.
+   */
   #pump(): boolean {
+    const { timers, turns } = this.#options;
     let wantsMore = true;
+    let nowMs = timers.nowMs();
     while (this.#isOpen) {
       const piece = this.#pending.shift();
       if (piece === undefined) return wantsMore;
       this.#pendingBytes -= piece?.length ?? 0;
       wantsMore = this.#push(piece);
+      const startMs = nowMs;
+      nowMs = timers.nowMs();
+      turns.recordWork((nowMs - startMs) * workPerMs);
+      if (!turns.hasCapacity) this.defer();
     }
     return false;
   }
@@ -114,5 +127,8 @@
   }
 }
 
+/** Work of a millisecond; a turn has capacity for two. */
+const workPerMs = 512 * 1024;
+
 /** Size of the pieces: an ordinary request fits into one. */
 const pieceBytes = 2048;
