Send a second attempt at late lookups within a limit

Cause: a few slow answers set the slowest lookups of callers, while most runners are idle.

Change: one policy in core decides for gateways and routers when a request is late, and whether a second attempt fits the operator's share, the retry budget and the room at the service; the first whole answer wins.

--- a/packages/core/src/pools/windowed_retry_budget.ts
+++ b/packages/core/src/pools/windowed_retry_budget.ts
@@ -59,6 +59,24 @@
    */
   tryTake(nowMs: number, routers: number | undefined): boolean {
     const slice = this.#getSlice(nowMs);
+    const { limit, retries } = this.#getUse(nowMs, routers);
+    if (retries + 1 > limit) return false;
+    slice.retries += 1;
+    return true;
+  }
+
+  /** Checks whether at least half of this router's share is left. */
+  hasHalfLeft(nowMs: number, routers: number | undefined): boolean {
+    const { limit, retries } = this.#getUse(nowMs, routers);
+    return retries <= limit / 2;
+  }
+
+  /** Gets the retries in the window and how many are allowed. */
+  #getUse(
+    nowMs: number,
+    routers: number | undefined,
+  ): { retries: number; limit: number } {
+    this.#getSlice(nowMs);
     let requests = 0;
     let retries = 0;
     for (const each of this.#slices) {
@@ -72,9 +90,7 @@
       : usableShare;
     const limit = share *
       (ratio * requests + slack / Math.max(1, routers ?? assumedRouters));
-    if (retries + 1 > limit) return false;
-    slice.retries += 1;
-    return true;
+    return { retries, limit };
   }
 
   #getSlice(nowMs: number): Slice {
--- a/packages/core/src/retries/limits.ts
+++ b/packages/core/src/retries/limits.ts
@@ -26,12 +26,15 @@
 }
 
 /**
- * Gets the delay after which a hedged second attempt at a lookup is sent;
+ * Gets the delay after which a lookup is late and may be hedged;
  * undefined with too few observed latencies.
  */
 export function getHedgeDelayMs(
   tracker: LatencyTracker,
-  options: { hedge: Settings["hedge"]; nowMs: number },
+  options: {
+    hedge: Pick<Settings["hedge"], "afterQuantile">;
+    nowMs: number;
+  },
 ): number | undefined {
   return tracker.getQuantileMs(options.hedge.afterQuantile, options.nowMs);
 }
--- a/packages/core/src/retries/retry_budget.ts
+++ b/packages/core/src/retries/retry_budget.ts
@@ -34,6 +34,11 @@
     return this.#tokens;
   }
 
+  /** Whether at least half of the capacity is left. */
+  get hasHalfLeft(): boolean {
+    return this.#tokens >= this.#maximumTokens / 2;
+  }
+
   /** Records a first attempt. */
   recordAttempt(): void {
     this.#tokens = Math.min(this.#maximumTokens, this.#tokens + this.#ratio);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { ObjectSource } from "./following/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { GraceEnd } from "./grace_end.ts";
+import { HedgePolicies } from "./hedge_policies.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   CallerListener,
@@ -66,6 +67,7 @@
   readonly #metrics = GatewayMetrics.create();
   readonly #random = createSystemRandom();
   readonly #firstByteTimes = new Map<string, LatencyTracker>();
+  readonly #hedging: HedgePolicies;
   readonly #retryBudgets = new Map<string, WindowedRetryBudget>();
   readonly #capacityForecasts = new Map<string, CapacityForecast>();
   readonly #listener: CallerListener;
@@ -87,6 +89,7 @@
     this.#options = options;
     this.#startedAtMs = options.timers.nowMs();
     this.#settings = options.settings;
+    this.#hedging = HedgePolicies.create(options.settings);
     this.#listener = this.#resources.use(listener);
     this.#streamVersions = this.#resources.use(StreamVersions.create({
       ...options,
@@ -191,13 +194,15 @@
 
   /**
    * Applies the settings that may change while the process runs: the retry
-   * budget and the times of a planned stop. The others require a restart.
+   * budget, the limit on hedges and the times of a planned stop. The others
+   * require a restart.
    */
   applySettings(settings: GatewaySettings): void {
     const { repeats, stop } = settings;
     this.#settings = { ...this.#settings, repeats, stop };
     const limits = this.#getRetryLimits();
     for (const budget of this.#retryBudgets.values()) budget.setLimits(limits);
+    this.#hedging.applySettings(settings);
   }
 
   /**
@@ -263,6 +268,7 @@
       openRequests: this.#openRequests,
       fleet: this.#fleet.getSnapshot(),
       quarantine: this.#crashGuard.getSnapshot(),
+      hedging: this.#hedging.getSnapshot(this.#options.timers.nowMs()),
       metrics: this.#metrics.getSnapshot(),
     };
   }
@@ -287,6 +293,7 @@
       isComplete: () => this.#fleet.isComplete,
       waitUntilComplete: (limitMs) => this.#fleet.waitUntilComplete(limitMs),
       getRoutes: () => this.#fleet.routes,
+      hedging: this.#hedging,
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getCapacityForecast: (service) => this.#getCapacityForecast(service),
       getFirstByteTimes: (service, kind) =>
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,6 +9,7 @@
 import type { LatencyTracker } from "@jasminetide/core/retries";
 import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
+import type { HedgePolicies } from "./hedge_policies.ts";
 import type { GraceEnd } from "./grace_end.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { Logger } from "@jasminetide/runtime/logging";
@@ -48,6 +49,8 @@
   getRoutes: () => RouteTable | undefined;
   /** Retry budget of a service. */
   getRetryBudget: (service: string) => WindowedRetryBudget;
+  /** Policies by which late requests get a second attempt. */
+  hedging: HedgePolicies;
   /** Forecast of when runners of a service will have capacity. */
   getCapacityForecast: (service: string) => CapacityForecast;
   /** Times to the first byte of a service's answers, by kind of request. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -62,6 +62,26 @@
     unit: "requests",
     meaning: "Requests not retried because the retry budget was used up",
   },
+  {
+    name: "hedges",
+    type: "counter",
+    unit: "attempts",
+    meaning: "Second attempts at lookups that were late; each is a repeat too",
+  },
+  {
+    name: "hedges-won",
+    type: "counter",
+    unit: "attempts",
+    meaning: "Hedges that were answered before the first attempt",
+  },
+  {
+    name: "hedges-refused",
+    type: "counter",
+    unit: "requests",
+    meaning:
+      "Late lookups that got no second attempt: no budget, no room at the " +
+      "service, or no other runner",
+  },
   {
     name: "kept-from-cold",
     type: "counter",
@@ -159,6 +179,18 @@
     this.#metrics.count("repeats-refused");
   }
 
+  countHedge(): void {
+    this.#metrics.count("hedges");
+  }
+
+  countHedgeWon(): void {
+    this.#metrics.count("hedges-won");
+  }
+
+  countRefusedHedge(): void {
+    this.#metrics.count("hedges-refused");
+  }
+
   countKeptFromCold(): void {
     this.#metrics.count("kept-from-cold");
   }
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -27,6 +27,7 @@
   type WholeAnswer,
 } from "./final_answer.ts";
 import { formatRunnerRequest } from "./format_runner_request.ts";
+import { Hedge } from "./hedge.ts";
 import {
   describeBreak,
   describeEnd,
@@ -57,7 +58,7 @@
 
 /**
  * Sends one admitted request to runners until its caller is answered. While a
- * runner is silent, another one is tried as well; the first whose answer
+ * runner is silent, or a lookup is late, another one is tried as well; the first whose answer
  * progresses goes on with the request, and the others are cancelled.
  */
 export class Exchange {
@@ -70,6 +71,7 @@
   /** The request as the quarantine knows it. */
   #suspect: SuspectRequest;
   readonly #running: RunningAttempts;
+  readonly #hedge: Hedge;
   readonly #finished: Promise<void>;
   #finish: () => void = () => {};
   #reject: (thrown: unknown) => void = () => {};
@@ -87,6 +89,11 @@
     this.#relay = StreamRelay.create(options.answer);
     const { admitted, context: { metrics }, request, trace } = options;
     this.#running = RunningAttempts.create({ trace, metrics });
+    this.#hedge = Hedge.create({
+      ...options,
+      start: (triedIds) => this.#tryHedge(triedIds),
+      run: (step) => this.#run(step),
+    });
     this.#suspect = {
       caller: admitted.caller,
       requestKey: createRequestKey(admitted, request),
@@ -164,9 +171,18 @@
     if (reason !== undefined) this.#log("kept-waiting", { reason });
   }
 
+  /** Tries another runner beside the first, which is late. */
+  #tryHedge(triedIds: ReadonlySet<string>): string | undefined {
+    if (this.#attempts > 1) return "another attempt under way";
+    if (!canTakeOver(this.#getProgress())) return "no attempt left";
+    return this.#startAttempt({ mayReturn: false, mayQueue: false, triedIds });
+  }
+
   /** Starts an attempt; returns the reason if none can be started. */
   #startAttempt(
-    { mayQueue, mayReturn }: Pick<PlacementOptions, "mayQueue" | "mayReturn">,
+    { mayQueue, mayReturn, triedIds = this.#triedIds }:
+      & Pick<PlacementOptions, "mayQueue" | "mayReturn">
+      & Partial<Pick<PlacementOptions, "triedIds">>,
   ): string | undefined {
     const { admitted: { caller, service }, context } = this.#options;
     const quarantined = context.crashGuard.findQuarantined(this.#suspect);
@@ -176,7 +192,6 @@
       context.metrics.countQuarantineRefusal();
       return `quarantined ${quarantined.partId}`;
     }
-    const triedIds = this.#triedIds;
     const placement = placeAttempt(
       {
         caller,
@@ -226,7 +241,10 @@
       stream: this.#createStream(() => running),
       context,
       isReplaceable: isRepeatable(admitted.route),
-      onSent: () => this.#runs += 1,
+      onSent: () => {
+        this.#runs += 1;
+        this.#hedge.recordSent(running);
+      },
       onNotRun: () => this.#runs -= 1,
       prepareSend: () => this.#version.prepareSend(upstream),
       maySend: () => context.directory.isReady(upstream),
@@ -272,6 +290,7 @@
     // Attempts that were cancelled are no longer under way.
     if (!this.#running.remove(running)) return;
     running.stop();
+    this.#hedge.recordEnd(running, end);
     const { admitted: { service }, context } = this.#options;
     context.metrics.countAttempt(end.type);
     if (end.type === "answered") this.#lastAnswer = end;
@@ -323,6 +342,7 @@
   /** Ends the request and cancels the attempts that are still under way. */
   #end(): void {
     this.#hasEnded = true;
+    this.#hedge[Symbol.dispose]();
     this.#running.cancel();
     this.#finish();
   }
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -38,6 +38,9 @@
     const forecast = context.getCapacityForecast(service);
     forecast.recordCompletion(context.timers.nowMs());
   }
+  if (end.type === "notRun") {
+    context.hedging.get(service)?.recordRefusal(context.timers.nowMs());
+  }
   const outcome = getRunnerOutcome(end);
   // A silent attempt was counted as lost already.
   if (outcome === undefined || (outcome === "lost" && isSilent)) return;
--- a/packages/gateway/src/requests/take_retry.ts
+++ b/packages/gateway/src/requests/take_retry.ts
@@ -14,12 +14,26 @@
   const nowMs = context.timers.nowMs();
   if (attempts === 0) {
     budget.recordRequest(nowMs);
+    context.hedging.get(service)?.recordRequest(nowMs);
     return true;
   }
-  const hasList = context.getKnownRouters().otherHashes !== undefined;
-  const routers = hasList ? context.countRouters() : undefined;
-  const isTaken = budget.tryTake(nowMs, routers);
+  const isTaken = budget.tryTake(nowMs, countSharers(context));
   if (isTaken) context.metrics.countRetry();
   else context.metrics.countRefusedRetry();
   return isTaken;
 }
+
+/** Whether retries of a service leave half of their budget to others. */
+export function hasRetriesToSpare(
+  service: string,
+  context: GatewayContext,
+): boolean {
+  const budget = context.getRetryBudget(service);
+  return budget.hasHalfLeft(context.timers.nowMs(), countSharers(context));
+}
+
+/** Counts the routers that share the budget; undefined if it isn't known. */
+function countSharers(context: GatewayContext): number | undefined {
+  const hasList = context.getKnownRouters().otherHashes !== undefined;
+  return hasList ? context.countRouters() : undefined;
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -56,6 +56,14 @@
     slack: z.number().nonnegative().default(10),
     windowSeconds: z.number().positive().default(10),
   }),
+  /** Second attempts at late lookups; none if absent. */
+  hedging: z.strictObject({
+    /** Hedges per request of a service, within every window at most. */
+    maxShare: z.number().min(0).max(1),
+    /** Quantile of a route's own answers after which a lookup is late. */
+    quantile: z.number().min(0.5).max(0.999).default(0.95),
+    windowSeconds: z.number().positive().default(60),
+  }).optional(),
   log: z.strictObject({
     level: z.enum(["error", "warn", "info", "debug"]).default("info"),
     /** Share of successful requests whose decisions are logged, 0 to 1. */
--- a/packages/router/src/attempts/dispatch_request.ts
+++ b/packages/router/src/attempts/dispatch_request.ts
@@ -219,6 +219,13 @@
   "runnerLeaving",
 ]);
 
+/** Refusals by which a pool has no room for extra work. */
+const fullRefusals = new Set([
+  "deadlineUnreachable",
+  "overLoadCap",
+  "overloaded",
+]);
+
 function isUncountedRefusal(error: AppError): boolean {
   return uncountedRefusals.has(error.result);
 }
@@ -229,6 +236,9 @@
   context: DispatchContext,
 ): void {
   context.metrics.count(`attempt-failed-${error.result}`);
+  if (fullRefusals.has(error.result)) {
+    context.pool.hedges.recordRefusal(context.timers.nowMs());
+  }
   if (error.result === "runnerFailed" || error.result === "runnerUnreachable") {
     context.pool.circuit.record("failed", context.timers.nowMs());
     context.membership.recordFailure(runner.id);
--- a/packages/router/src/attempts/hedge_request.ts
+++ b/packages/router/src/attempts/hedge_request.ts
@@ -18,23 +18,44 @@
   dispatch: DispatchRequest,
   context: DispatchContext,
 ): Promise<DispatchResult> {
-  context.pool.hedges.recordAttempt();
+  const { hedges } = context.pool;
+  const sentAtMs = context.timers.nowMs();
+  hedges.recordRequest(sentAtMs);
   const delayMs = getHedgeDelayMs(context.pool.firstByteTimes, {
     hedge: dispatch.settings.hedge,
-    nowMs: context.timers.nowMs(),
+    nowMs: sentAtMs,
   });
   const chosen = new Set<string>();
   const tracked = trackChosenRunners(dispatch, chosen);
   const first = dispatchRequest(tracked, context);
   if (delayMs === undefined) return first;
   if (await isSettledWithin(first, { delayMs, context })) return first;
-  if (!context.pool.hedges.tryTake()) return first;
   const hasOtherRunner = dispatch.chooseRunner(chosen) !== undefined;
   if (!hasOtherRunner) return first;
+  if (!tryTakeHedge(context, sentAtMs + delayMs)) return first;
   context.metrics.count("hedges");
   return raceDispatches(first, dispatchRequest(tracked, context));
 }
 
+/** Takes a hedge from its budget and from that of the retries. */
+function tryTakeHedge(
+  { metrics, pool: { hedges, retries }, timers }: DispatchContext,
+  dueAtMs: number,
+): boolean {
+  const nowMs = timers.nowMs();
+  const refusal = hedges.findRefusal({
+    nowMs,
+    hasRetriesToSpare: retries.hasHalfLeft,
+    timerDelayMs: nowMs - dueAtMs,
+  });
+  if (refusal !== undefined || !retries.tryTake()) {
+    metrics.count("hedges-refused");
+    return false;
+  }
+  hedges.recordHedge(nowMs);
+  return true;
+}
+
 /** Prefers runners that neither of the two dispatches has chosen yet. */
 function trackChosenRunners(
   dispatch: DispatchRequest,
--- a/packages/router/src/attempts/pool_state.ts
+++ b/packages/router/src/attempts/pool_state.ts
@@ -1,4 +1,5 @@
 import type { Settings } from "@jasminetide/core/configuration";
+import { HedgePolicy } from "@jasminetide/core/hedging";
 import {
   CircuitBreaker,
   LatencyTracker,
@@ -8,7 +9,7 @@
 /** Retry, hedging and latency state that a router keeps for one pool. */
 export type PoolState = {
   retries: RetryBudget;
-  hedges: RetryBudget;
+  hedges: HedgePolicy;
   circuit: CircuitBreaker;
   /** Times from sending an attempt to the head of its answer. */
   firstByteTimes: LatencyTracker;
@@ -49,9 +50,16 @@
 function createState(settings: Settings): PoolState {
   return {
     retries: RetryBudget.create({ ratio: settings.retry.budgetRatio }),
-    hedges: RetryBudget.create({ ratio: settings.hedge.budgetRatio }),
+    hedges: HedgePolicy.create({
+      maxShare: settings.hedge.budgetRatio,
+      quantile: settings.hedge.afterQuantile,
+      windowMs: hedgeWindowMs,
+    }),
     circuit: CircuitBreaker.create(),
     firstByteTimes: LatencyTracker.create(),
     silences: LatencyTracker.create(),
   };
 }
+
+/** Sliding window in which hedges are limited to a share of the requests. */
+const hedgeWindowMs = 60_000;
