Test hedges without a network; count late runners as half lost

Cause: a hedge that wins cancels the first attempt before its limit on silence, so that the health of a lost runner was never told, and bookings went on to it.

Change: such a runner is late, which counts as a failure and half a loss; old durations are dropped after an idle time; tests and replays of hedges.

--- a/packages/core/src/hedging/hedge_policy.ts
+++ b/packages/core/src/hedging/hedge_policy.ts
@@ -115,7 +115,7 @@
 }
 
 /** Age up to which answers decide what is late, in two windows. */
-const answerWindowMs = 30_000;
+const answerWindowMs = 60_000;
 
 /** Shortest delay: the network and the event loop vary by as much. */
 const minDelayMs = 5;
--- a/packages/core/src/hedging/select_hedge_runners.ts
+++ b/packages/core/src/hedging/select_hedge_runners.ts
@@ -2,7 +2,7 @@
 
 /** Why no runner of a service gets a hedge. */
 export type NoHedgeRunner =
-  /** Another runner than the late one reported lately that requests wait. */
+  /** Half of the other runners or more reported lately that requests wait. */
   | "requests wait"
   /** The runners hold too many requests for extra work. */
   | "service full"
@@ -17,7 +17,7 @@
 /**
  * Selects the runners that may get a second attempt at a request: sound ones
  * with a free slot, in another failure domain than the late runner if there are
- * any. A queue at the late runner does not count, since the hedge leaves it.
+ * any. A queue at the late runner does not count, since the request leaves it.
  */
 export function selectHedgeRunners<Runner extends PoolRunner>(
   runners: readonly Runner[],
@@ -27,13 +27,16 @@
   },
 ): HedgeSelection<Runner> {
   const others = runners.filter(({ id }) => id !== late.id);
-  if (others.some(({ load }) => load.hasQueue(nowMs))) {
+  if (others.length === 0) return { type: "none", reason: "no sound runner" };
+  const queues = others.filter(({ load }) => load.hasQueue(nowMs));
+  if (queues.length >= others.length * maxQueueShare) {
     return { type: "none", reason: "requests wait" };
   }
-  if (others.length > 0 && getLoadShare(others, nowMs) > maxLoadShare) {
+  if (getLoadShare(others, nowMs) > maxLoadShare) {
     return { type: "none", reason: "service full" };
   }
   const sound = others.filter(({ health, load, slots }) =>
+    !load.hasQueue(nowMs) &&
     !health.isAvoided(nowMs) &&
     health.getFailureShare(nowMs) < maxFailureShare &&
     load.getEstimate(nowMs) < slots
@@ -55,6 +58,9 @@
   return held / slots;
 }
 
+/** Share of runners with a queue from which extra work would make more. */
+const maxQueueShare = 0.5;
+
 /** Share of the slots in use from which a service has no room for extra work. */
 const maxLoadShare = 0.7;
 
--- /dev/null
+++ b/packages/core/src/hedging/test_support/hedge_runner.ts
@@ -0,0 +1,82 @@
+import type { TimerService, TimerSubscription } from "../../timers/mod.ts";
+import type { ReportedLoad } from "../../pools/mod.ts";
+
+/** A request at a model of a runner. */
+export type RunnerJob = {
+  workMs: number;
+  onDone: (load: ReportedLoad) => void;
+  onRefused: (load: ReportedLoad) => void;
+};
+
+/** Cancels a request; its slot is free at once. */
+export type CancelJob = () => void;
+
+/** Slots of each runner. */
+export const runnerSlots = 6;
+
+const maxWaiting = 24;
+
+/** A model of a runner with slots and a queue. */
+export class HedgeRunner {
+  readonly #timers: TimerService;
+  readonly #running = new Map<RunnerJob, TimerSubscription>();
+  #queue: RunnerJob[] = [];
+  /** Factor on the work of requests that begin now. */
+  slowness = 1;
+  /** Whether nothing gets to the runner or from it. */
+  isLost = false;
+  /** Work done, in vain or not. */
+  busyMs = 0;
+
+  private constructor(timers: TimerService) {
+    this.#timers = timers;
+  }
+
+  /** Creates a runner without requests. */
+  static create(timers: TimerService): HedgeRunner {
+    return new HedgeRunner(timers);
+  }
+
+  /** Runs or queues a request, or refuses it. */
+  accept(job: RunnerJob): CancelJob {
+    if (this.isLost) return () => {};
+    if (this.#running.size < runnerSlots) this.#begin(job);
+    else if (this.#queue.length < maxWaiting) this.#queue.push(job);
+    else job.onRefused(this.#describe());
+    return () => this.#cancel(job);
+  }
+
+  #begin(job: RunnerJob): void {
+    const startedAtMs = this.#timers.nowMs();
+    const timer = this.#timers.schedule(job.workMs * this.slowness, () => {
+      this.#end(job);
+      if (!this.isLost) job.onDone(this.#describe());
+    });
+    this.#running.set(job, {
+      [Symbol.dispose]: () => {
+        timer[Symbol.dispose]();
+        this.busyMs += this.#timers.nowMs() - startedAtMs;
+      },
+    });
+  }
+
+  #end(job: RunnerJob): void {
+    this.#running.get(job)?.[Symbol.dispose]();
+    this.#running.delete(job);
+    const next = this.#queue.shift();
+    if (next !== undefined) this.#begin(next);
+  }
+
+  #cancel(job: RunnerJob): void {
+    if (this.#running.has(job)) this.#end(job);
+    else this.#queue = this.#queue.filter((waiting) => waiting !== job);
+  }
+
+  #describe(): ReportedLoad {
+    return {
+      running: this.#running.size,
+      waiting: this.#queue.length,
+      slots: runnerSlots,
+    };
+  }
+}
--- a/packages/core/src/pools/runner_health.ts
+++ b/packages/core/src/pools/runner_health.ts
@@ -3,6 +3,8 @@
   | "succeeded"
   /** The runner answered with an error or refused to run the request. */
   | "failed"
+  /** Another runner, to which the request was sent later, answered first. */
+  | "late"
   /** The connection broke or no data arrived in time. */
   | "lost";
 
@@ -42,15 +44,16 @@
     const failure = outcome === "succeeded" ? 0 : 1;
     this.#failureShare = share + outcomeWeight * (failure - share);
     this.#observedAtMs = nowMs;
-    if (outcome !== "lost") {
+    if (outcome === "succeeded" || outcome === "failed") {
       this.#lostInARow = 0;
       if (outcome === "failed") return undefined;
       this.#avoidedUntilMs = 0;
       return wasAvoided ? { type: "trusted" } : undefined;
     }
-    this.#lostInARow += 1;
+    this.#lostInARow += outcome === "late" ? lateWeight : 1;
     if (this.#lostInARow < avoidanceThreshold) return undefined;
-    const doublings = Math.min(this.#lostInARow - avoidanceThreshold, 3);
+    const excess = Math.floor(this.#lostInARow - avoidanceThreshold);
+    const doublings = Math.min(excess, 3);
     const durationMs = firstAvoidanceMs * 2 ** doublings;
     this.#avoidedUntilMs = nowMs + durationMs;
     if (wasAvoided) return undefined;
@@ -83,3 +86,9 @@
 
 /** Duration of the first avoidance; each further loss doubles it, up to 8x. */
 const firstAvoidanceMs = 500;
+
+/**
+ * Lost requests as which a late one counts: the runner may be slow, or lost and
+ * known as such only after its limit on silence.
+ */
+const lateWeight = 0.5;
--- a/packages/core/src/retries/latency_tracker.ts
+++ b/packages/core/src/retries/latency_tracker.ts
@@ -53,9 +53,12 @@
   }
 
   #updateWindow(nowMs: number): void {
-    if (nowMs - this.#windowStartMs < this.#windowMs) return;
+    const ageMs = nowMs - this.#windowStartMs;
+    if (ageMs < this.#windowMs) return;
     this.#windowStartMs = nowMs;
-    this.#previous = this.#current;
+    this.#previous = ageMs < 2 * this.#windowMs
+      ? this.#current
+      : createHistogram(significantDigits);
     this.#current = createHistogram(significantDigits);
   }
 }
--- a/packages/gateway/src/requests/hedge.ts
+++ b/packages/gateway/src/requests/hedge.ts
@@ -9,6 +9,7 @@
 import type { AdmittedRequest } from "./admitted_request.ts";
 import type { AttemptEnd } from "./attempt.ts";
 import { describeAttempt } from "./describe_attempt.ts";
+import { observeRunner } from "./observe_end.ts";
 import type { RunningAttempt } from "./running_attempt.ts";
 import { hasRetriesToSpare } from "./take_retry.ts";
 
@@ -95,8 +96,12 @@
   }
 
   #recordOutcome(running: RunningAttempt, isHedge: boolean): void {
-    const { context: { metrics }, trace } = this.#options;
-    if (isHedge) metrics.countHedgeWon();
+    const { context, trace } = this.#options;
+    const { metrics } = context;
+    if (isHedge) {
+      metrics.countHedgeWon();
+      if (this.#first) observeRunner(this.#first.upstream, "late", context);
+    }
     trace.record(
       isHedge ? "hedge-won" : "hedge-lost",
       describeAttempt(running),
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -117,6 +117,7 @@
   logger?: Logger;
   timers?: TimerService;
   sampleShare?: number;
+  linesPerSecond?: number;
   seedAddresses?: string[];
   /** Gateway whose stores it uses; it has its own if absent. */
   sharedWith?: TestGateway;
@@ -124,6 +125,8 @@
   isStoreUnavailable?: boolean;
   /** Retry budget; allows nearly every retry if absent. */
   repeats?: { ratio: number; slack: number };
+  /** Limit on hedges; none are sent if absent. */
+  hedging?: { maxShare: number };
   /** Whether it follows evacuations. */
   hasEvacuations?: boolean;
 };
@@ -145,7 +148,11 @@
     },
     stop: { noticeMs: 1, graceSeconds: 5 },
     repeats: options.repeats ?? { ratio: 1, slack: 1000 },
-    log: { sampleShare: options.sampleShare ?? 0 },
+    hedging: options.hedging,
+    log: {
+      sampleShare: options.sampleShare ?? 0,
+      linesPerSecond: options.linesPerSecond,
+    },
   });
 }
 
