--- a/packages/core/src/hedging/hedge_policy.ts
+++ b/packages/core/src/hedging/hedge_policy.ts
@@ -90,8 +90,7 @@
     const times = this.#answerTimes.get(route);
     if (times === undefined) return undefined;
     const afterQuantile = this.#limits.quantile;
-    const delayMs = getHedgeDelayMs(times, { hedge: { afterQuantile }, nowMs });
-    return delayMs === undefined ? undefined : Math.max(minDelayMs, delayMs);
+    return getHedgeDelayMs(times, { hedge: { afterQuantile }, nowMs });
   }
 
   /** Gets why a late request gets no hedge; undefined if it may get one. */
@@ -117,9 +116,6 @@
 /** Age up to which answers decide what is late, in two windows. */
 const answerWindowMs = 60_000;
 
-/** Shortest delay: the network and the event loop vary by as much. */
-const minDelayMs = 5;
-
 /** Lateness of a timer beyond which answers may lie unread. */
 const maxTimerDelayMs = 25;
 
--- a/packages/core/src/hedging/hedging.feature
+++ b/packages/core/src/hedging/hedging.feature
@@ -4,22 +4,28 @@
     Given hedges of at most 0.03 of the requests in 60 s, after quantile 0.95
 
   Scenario: A request is late after the quantile of its own route's answers
+    When route "fast" was answered 90 times within 20 to 30 ms
+    And route "fast" was answered 10 times within 200 to 400 ms
+    And route "slow" was answered 90 times within 200 to 300 ms
+    And route "slow" was answered 10 times within 2000 to 4000 ms
+    Then requests of "fast" are late after 280 to 320 ms
+    And requests of "slow" are late after 2800 to 3200 ms
+
+  Scenario: A request is not late before three times the median
     When route "fast" was answered 100 times within 20 to 40 ms
-    And route "slow" was answered 100 times within 200 to 400 ms
-    Then requests of "fast" are late after 38 to 40 ms
-    And requests of "slow" are late after 380 to 400 ms
+    Then requests of "fast" are late after 87 to 93 ms
 
   Scenario: No request is late until enough answers of its route are known
-    When route "fast" was answered 19 times within 20 to 40 ms
+    When route "fast" was answered 19 times within 20 to 21 ms
     Then no request of "fast" is late
-    When route "fast" was answered 1 times within 20 to 40 ms
-    Then requests of "fast" are late after 38 to 40 ms
+    When route "fast" was answered 1 times within 20 to 21 ms
+    Then requests of "fast" are late after 60 to 63 ms
 
   Scenario: Answers of long ago do not decide what is late
-    When route "fast" was answered 100 times within 20 to 40 ms
+    When route "fast" was answered 100 times within 20 to 21 ms
     And 121 s pass at the policy
-    And route "fast" was answered 20 times within 200 to 400 ms
-    Then requests of "fast" are late after 380 to 400 ms
+    And route "fast" was answered 20 times within 200 to 210 ms
+    Then requests of "fast" are late after 600 to 630 ms
 
   Scenario Outline: A late request gets a hedge only if nothing speaks against it
     Given 100 requests, 2 of them hedged
--- a/packages/core/src/pools/pools.feature
+++ b/packages/core/src/pools/pools.feature
@@ -50,6 +50,28 @@
     When 12000 ms pass without requests
     Then it gets some of 100 requests
 
+  Scenario Outline: Late requests in a row count as half as many that are lost
+    Given 4 plain runners
+    When runner 2 is late with <late> requests in a row
+    And runner 3 loses <lost> requests in a row
+    And <quiet> ms pass without requests
+    Then <avoided> of runners 2 and 3 are avoided
+
+    Examples:
+      | late | lost | quiet | avoided |
+      | 3    | 1    | 0     | 0       |
+      | 4    | 2    | 499   | 2       |
+      | 4    | 2    | 500   | 0       |
+      | 6    | 3    | 999   | 2       |
+      | 6    | 3    | 1000  | 0       |
+
+  Scenario: A runner that is late gets fewer requests
+    Given 4 plain runners
+    When runner 2 is late with 1 requests in a row
+    Then it gets none of 100 requests
+    When 20000 ms pass without requests
+    Then it gets some of 100 requests
+
   Scenario: A runner that fails some of its requests gets fewer
     Given 4 plain runners
     When runner 2 fails 10 of 20 requests
--- a/packages/core/src/pools/pools_test.ts
+++ b/packages/core/src/pools/pools_test.ts
@@ -222,6 +222,25 @@
   },
 );
 
+When(
+  "runner {int} is late with {int} requests in a row",
+  function (this: World, index: number, count: number) {
+    for (let late = 0; late < count; late++) {
+      this.pool[index].health.observe("late", this.poolNowMs);
+    }
+  },
+);
+
+Then(
+  "{int} of runners {int} and {int} are avoided",
+  function (this: World, count: number, left: number, right: number) {
+    const avoided = [left, right].filter((index) =>
+      this.pool[index].health.isAvoided(this.poolNowMs)
+    );
+    assert.equal(avoided.length, count);
+  },
+);
+
 When(
   "every runner loses {int} requests in a row",
   function (this: World, count: number) {
--- a/packages/core/src/retries/limits.ts
+++ b/packages/core/src/retries/limits.ts
@@ -26,15 +26,26 @@
 }
 
 /**
- * Gets the delay after which a lookup is late and may be hedged;
- * undefined with too few observed latencies.
+ * Gets the delay after which a lookup is late and may be hedged: a quantile of
+ * the observed latencies, and a multiple of their median at least. A hedge itself
+ * takes about the median, so it would win seldom where the slow answers are little
+ * slower than the others. Undefined with too few observed latencies.
  */
 export function getHedgeDelayMs(
   tracker: LatencyTracker,
-  options: {
+  { hedge, nowMs }: {
     hedge: Pick<Settings["hedge"], "afterQuantile">;
     nowMs: number;
   },
 ): number | undefined {
-  return tracker.getQuantileMs(options.hedge.afterQuantile, options.nowMs);
+  const delayMs = tracker.getQuantileMs(hedge.afterQuantile, nowMs);
+  const medianMs = tracker.getQuantileMs(0.5, nowMs);
+  if (delayMs === undefined || medianMs === undefined) return undefined;
+  return Math.max(minHedgeDelayMs, delayMs, medianMs * minMedianMultiple);
 }
+
+/** Shortest delay: the network and the event loop vary by as much. */
+const minHedgeDelayMs = 5;
+
+/** Shortest delay as a multiple of the median. */
+const minMedianMultiple = 3;
--- a/packages/gateway/src/requests/hedge.feature
+++ b/packages/gateway/src/requests/hedge.feature
@@ -10,6 +10,7 @@
     And lookups stay unanswered by their first runner until one is hedged
     Then the caller gets status 200 and "second" with the runner's mark
     And the connection of the late attempt is closed
+    And the late runner counts as failing for a while
     And the lines of the request name a hedge that won
     And the dump counts its requests and hedges
 
--- a/packages/gateway/src/requests/hedge_test.ts
+++ b/packages/gateway/src/requests/hedge_test.ts
@@ -6,12 +6,14 @@
   createSilentLogger,
   type LogFields,
 } from "@jasminetide/runtime/logging";
+import { fetchExplanation } from "../peers/mod.ts";
 import {
   createTestSettings,
   formatAnswer,
   RawCaller,
   type ReceivedRequest,
   type Script,
+  testHost,
 } from "../test_support/mod.ts";
 import {
   hasCompleteAnswer,
@@ -175,6 +177,20 @@
   return this.lastReceived[0].closed;
 });
 
+Then(
+  "the late runner counts as failing for a while",
+  async function (this: World) {
+    const { peerAddress } = this.gatewayUnderTest.gateway;
+    const query = { host: testHost, path: "/lookup/1" };
+    const { services } = await fetchExplanation(peerAddress, query);
+    const [late] = this.lastReceived;
+    const runner = services[0].runners.find(({ id }) =>
+      this.scriptedRunners.get(id)?.requests.includes(late)
+    );
+    assert.ok(runner !== undefined && runner.failureShare > 0);
+  },
+);
+
 Then("the connection of the losing hedge is closed", function (this: World) {
   return this.lastReceived[1].closed;
 });
