--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import type { ObjectSource } from "./following/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { GraceEnd } from "./grace_end.ts";
+import { HedgePolicies } from "./hedge_policies.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { getHostLimits } from "./host_limits.ts";
 import {
@@ -88,6 +89,7 @@
   readonly #guard: ConnectionGuard;
   readonly #random = createSystemRandom();
   readonly #firstByteTimes = new Map<string, LatencyTracker>();
+  readonly #hedging: HedgePolicies;
   readonly #retryBudgets = new Map<string, WindowedRetryBudget>();
   readonly #serviceTimes = new Map<string, ServiceTime>();
   readonly #capacityForecasts = new Map<string, CapacityForecast>();
@@ -117,6 +119,7 @@
     this.#guard = parts.guard;
     this.#startedAtMs = options.timers.nowMs();
     this.#settings = options.settings;
+    this.#hedging = HedgePolicies.create(options.settings);
     this.#listener = this.#resources.use(listener);
     const limits = getHostLimits(options.settings.host);
     this.#streamVersions = this.#resources.use(StreamVersions.create({
@@ -250,13 +253,15 @@
 
   /**
    * Applies the settings that may change while the process runs: the retry
-   * budget and the times of a planned stop. The others require a restart.
+   * budget, the limit on hedges and the times of a planned stop. The others
+   * require a restart.
    */
   applySettings(settings: GatewaySettings): void {
     const { repeats, stop } = settings;
     this.#settings = { ...this.#settings, repeats, stop };
     const limits = this.#getRetryLimits();
     for (const budget of this.#retryBudgets.values()) budget.setLimits(limits);
+    this.#hedging.applySettings(settings);
   }
 
   /**
@@ -355,6 +360,7 @@
       },
       fleet: this.#fleet.getSnapshot(),
       quarantine: this.#crashGuard.getSnapshot(),
+      hedging: this.#hedging.getSnapshot(this.#options.timers.nowMs()),
       metrics: this.#metrics.getSnapshot(),
     };
   }
@@ -382,6 +388,7 @@
       isComplete: () => this.#fleet.isComplete,
       waitUntilComplete: (limitMs) => this.#fleet.waitUntilComplete(limitMs),
       getRoutes: () => this.#fleet.routes,
+      hedging: this.#hedging,
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getCapacityForecast: (service) =>
         getOrCreate(
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -117,6 +117,7 @@
   logger?: Logger;
   timers?: TimerService;
   sampleShare?: number;
+  linesPerSecond?: number;
   seedAddresses?: string[];
   /** Gateway whose stores it uses; it has its own if absent. */
   sharedWith?: TestGateway;
@@ -126,6 +127,8 @@
   repeats?: { ratio: number; slack: number };
   /** Memory and descriptors of its host. */
   host?: { memoryMb?: number; maxDescriptors?: number };
+  /** Limit on hedges; none are sent if absent. */
+  hedging?: { maxShare: number };
   /** Whether it follows evacuations. */
   hasEvacuations?: boolean;
   /** Share of the limit for evacuations in which these are a last resort. */
@@ -151,7 +154,11 @@
     host: options.host ?? {},
     stop: { noticeMs: 1, graceSeconds: 5 },
     repeats: options.repeats ?? { ratio: 1, slack: 1000 },
-    log: { sampleShare: options.sampleShare ?? 0 },
+    hedging: options.hedging,
+    log: {
+      sampleShare: options.sampleShare ?? 0,
+      linesPerSecond: options.linesPerSecond,
+    },
   });
 }
 
