Split the gateway: states of services, datagrams of peers

Change: what a gateway knows of each service is a class of its own, as are the datagrams with what they carry; the context has one object for the former.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,26 +1,10 @@
-import type { Buffer } from "node:buffer";
-import { hash32 } from "@jasminetide/core/hashing";
-import {
-  CapacityForecast,
-  PrefixHolders,
-  type RetryLimits,
-  ServiceTime,
-  WindowedRetryBudget,
-} from "@jasminetide/core/pools";
+import { PrefixHolders } from "@jasminetide/core/pools";
 import { createSystemRandom } from "@jasminetide/core/random";
-import { LatencyTracker } from "@jasminetide/core/retries";
 import type { RoutingDeclaration } from "@jasminetide/core/routes";
 import { type TimerService, wait } from "@jasminetide/core/timers";
 import { EventLoopLoad, StallDetector } from "@jasminetide/runtime/clock";
 import { ResourceStack } from "@jasminetide/runtime/disposal";
 import type { Logger } from "@jasminetide/runtime/logging";
-import {
-  type DatagramMessage,
-  type DatagramPort,
-  decodeMessage,
-  encodeMessage,
-  openDatagramPort,
-} from "./datagrams/mod.ts";
 import type { Evacuation } from "./evacuations/mod.ts";
 import { FleetView } from "./fleet_view.ts";
 import type { ObjectSource } from "./following/mod.ts";
@@ -38,8 +22,6 @@
   waitForClose,
 } from "./listening/mod.ts";
 import { LimitNews } from "./limits/mod.ts";
-import { LoadReports } from "./load_reports/mod.ts";
-import { PrefixOwners } from "./prefix_owners/mod.ts";
 import { createMemoryBudgets } from "./memory_budgets.ts";
 import {
   createNewsHandler,
@@ -49,10 +31,12 @@
   sendEvidence,
   sendLimits,
 } from "./peers/mod.ts";
+import { PeerDatagrams } from "./peer_datagrams.ts";
 import type { WireProtocol } from "./protocol.ts";
 import { CrashGuard } from "./quarantine/mod.ts";
 import { RequestLog } from "./request_log.ts";
 import { explainRequest, serveRequest } from "./requests/mod.ts";
+import { ServiceStates } from "./service_states.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { type StreamRegistry, StreamVersions } from "./stream_versions/mod.ts";
 import type { RunnerRecord } from "./upstreams/mod.ts";
@@ -88,26 +72,20 @@
   readonly #metrics: GatewayMetrics;
   readonly #guard: ConnectionGuard;
   readonly #random = createSystemRandom();
-  readonly #firstByteTimes = new Map<string, LatencyTracker>();
   readonly #hedging: HedgePolicies;
-  readonly #retryBudgets = new Map<string, WindowedRetryBudget>();
-  readonly #serviceTimes = new Map<string, ServiceTime>();
-  readonly #capacityForecasts = new Map<string, CapacityForecast>();
+  readonly #services: ServiceStates;
   readonly #listener: CallerListener;
   readonly #fleet: FleetView;
   readonly #crashGuard: CrashGuard;
   readonly #limitNews: LimitNews;
-  readonly #loadReports: LoadReports;
-  readonly #prefixOwners: PrefixOwners;
+  readonly #datagrams: PeerDatagrams;
   readonly #holders = PrefixHolders.create({ maxPrefixes: maxTrackedPrefixes });
-  #datagramPort: DatagramPort | undefined;
   readonly #streamVersions: StreamVersions;
   readonly #context: GatewayContext;
   #settings: GatewaySettings;
   #peerAddress = "";
   #isStopping = false;
   #isClosing = false;
-  readonly #startedAtMs: number;
   /** Requests whose answers are not sent yet. */
   #openRequests = 0;
   readonly #graceEnd = GraceEnd.create();
@@ -117,7 +95,10 @@
     this.#options = options;
     this.#metrics = parts.metrics;
     this.#guard = parts.guard;
-    this.#startedAtMs = options.timers.nowMs();
+    this.#services = ServiceStates.create({
+      ...options,
+      startedAtMs: options.timers.nowMs(),
+    });
     this.#settings = options.settings;
     this.#hedging = HedgePolicies.create(options.settings);
     this.#listener = this.#resources.use(listener);
@@ -157,25 +138,13 @@
         send: sendLimits,
       },
     }));
-    this.#loadReports = this.#resources.use(LoadReports.create({
+    this.#datagrams = this.#resources.use(PeerDatagrams.create({
       ...options,
       random: this.#random,
       metrics: this.#metrics,
       directory: this.#fleet.directory,
-      fanout: options.settings.datagrams?.loadFanout ?? 0,
-      listPeers: () => this.#fleet.listDatagramPeers(),
-      send: (message, address) => this.#sendDatagram(message, address),
-    }));
-    this.#prefixOwners = this.#resources.use(PrefixOwners.create({
-      ...options,
-      directory: this.#fleet.directory,
       holders: this.#holders,
-      selfHash: hash32(options.settings.name),
-      listPeers: () =>
-        options.settings.datagrams?.asksHolders === true
-          ? this.#fleet.listDatagramPeers()
-          : [],
-      send: (message, address) => this.#sendDatagram(message, address),
+      listPeers: () => this.#fleet.listDatagramPeers(),
     }));
     this.#resources.use(StallDetector.create({
       timers: options.timers,
@@ -259,8 +228,7 @@
   applySettings(settings: GatewaySettings): void {
     const { repeats, stop } = settings;
     this.#settings = { ...this.#settings, repeats, stop };
-    const limits = this.#getRetryLimits();
-    for (const budget of this.#retryBudgets.values()) budget.setLimits(limits);
+    this.#services.applySettings(settings);
     this.#hedging.applySettings(settings);
   }
 
@@ -325,25 +293,7 @@
       getDump: () => this.#getDump(),
     });
     this.#peerAddress = this.#resources.use(control).address;
-    if (settings.datagrams === undefined) return;
-    this.#datagramPort = this.#resources.use(
-      await openDatagramPort(
-        settings.datagrams.address,
-        (bytes, from) => this.#receiveDatagram(bytes, from),
-      ),
-    );
-  }
-
-  #sendDatagram(message: DatagramMessage, address: string): void {
-    this.#datagramPort?.send(encodeMessage(message), address);
-  }
-
-  #receiveDatagram(bytes: Buffer, from: string): void {
-    const message = decodeMessage(bytes);
-    if (message === undefined) this.#metrics.countMalformedDatagram();
-    else if (message.type === "loads") {
-      this.#loadReports.receive(message.reports);
-    } else this.#prefixOwners.receive(message, from);
+    await this.#datagrams.open();
   }
 
   #getDump() {
@@ -370,11 +320,11 @@
     return {
       protocol,
       directory: this.#fleet.directory,
-      prefixOwners: this.#prefixOwners,
+      prefixOwners: this.#datagrams.owners,
       holders: this.#holders,
       crashGuard: this.#crashGuard,
       limitNews: this.#limitNews,
-      loadReports: this.#loadReports,
+      loadReports: this.#datagrams.loads,
       limitsWait: settings.admission.limitsWait,
       streamVersions: this.#streamVersions,
       ...createMemoryBudgets(getHostLimits(settings.host)),
@@ -389,17 +339,7 @@
       waitUntilComplete: (limitMs) => this.#fleet.waitUntilComplete(limitMs),
       getRoutes: () => this.#fleet.routes,
       hedging: this.#hedging,
-      getRetryBudget: (service) => this.#getRetryBudget(service),
-      getCapacityForecast: (service) =>
-        getOrCreate(
-          this.#capacityForecasts,
-          service,
-          () => CapacityForecast.create(),
-        ),
-      getServiceTime: (service) =>
-        getOrCreate(this.#serviceTimes, service, () => ServiceTime.create()),
-      getFirstByteTimes: (service, kind) =>
-        this.#getFirstByteTimes(`${service} ${kind}`),
+      services: this.#services,
       countRouters: () => Math.max(this.#fleet.gatewayCount, minAssumedRouters),
       getKnownRouters: () => this.#fleet.knownRouters,
       graceEnd: this.#graceEnd,
@@ -407,51 +347,8 @@
       isClosing: () => this.#isClosing,
     };
   }
-
-  #getFirstByteTimes(name: string): LatencyTracker {
-    return getOrCreate(
-      this.#firstByteTimes,
-      name,
-      () => LatencyTracker.create({ windowMs: firstByteWindowMs }),
-    );
-  }
-
-  #getRetryLimits(): RetryLimits {
-    const { ratio, slack, windowSeconds } = this.#settings.repeats;
-    return { ratio, slack, windowMs: windowSeconds * 1000 };
-  }
-
-  #getRetryBudget(service: string): WindowedRetryBudget {
-    return getOrCreate(
-      this.#retryBudgets,
-      service,
-      () =>
-        WindowedRetryBudget.create({
-          ...this.#getRetryLimits(),
-          startedAtMs: this.#startedAtMs,
-        }),
-    );
-  }
-}
-
-function getOrCreate<Value>(
-  values: Map<string, Value>,
-  key: string,
-  create: () => Value,
-): Value {
-  const known = values.get(key);
-  if (known !== undefined) return known;
-  const created = create();
-  values.set(key, created);
-  return created;
 }
 
-/**
- * Window of the times to the first byte; short, because overload shows in them
- * within seconds.
- */
-const firstByteWindowMs = 5000;
-
 /** Period at which a stopping gateway checks for requests in flight. */
 const stopCheckPeriodMs = 50;
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,14 +1,8 @@
 import type { Socket } from "node:net";
 import type { KnownRouters } from "@jasminetide/core/hashing";
-import type {
-  CapacityForecast,
-  PrefixHolders,
-  ServiceTime,
-  WindowedRetryBudget,
-} from "@jasminetide/core/pools";
+import type { PrefixHolders } from "@jasminetide/core/pools";
 import type { RandomSource } from "@jasminetide/core/random";
-import type { LatencyTracker } from "@jasminetide/core/retries";
-import type { RequestKind, RouteTable } from "@jasminetide/core/routes";
+import type { RouteTable } from "@jasminetide/core/routes";
 import type { TimerService } from "@jasminetide/core/timers";
 import type { HedgePolicies } from "./hedge_policies.ts";
 import type { GraceEnd } from "./grace_end.ts";
@@ -21,6 +15,7 @@
 import type { MemoryBudgets } from "./memory_budgets.ts";
 import type { WireProtocol } from "./protocol.ts";
 import type { CrashGuard } from "./quarantine/mod.ts";
+import type { ServiceStates } from "./service_states.ts";
 import type { StreamVersions } from "./stream_versions/mod.ts";
 import type { Directory } from "./upstreams/mod.ts";
 
@@ -56,16 +51,10 @@
   waitUntilComplete: (limitMs: number) => Promise<void>;
   /** Current declared routes; undefined before the first version. */
   getRoutes: () => RouteTable | undefined;
-  /** Retry budget of a service. */
-  getRetryBudget: (service: string) => WindowedRetryBudget;
+  /** What is known of each service, and what may be sent there. */
+  services: ServiceStates;
   /** Policies by which late requests get a second attempt. */
   hedging: HedgePolicies;
-  /** Forecast of when runners of a service will have capacity. */
-  getCapacityForecast: (service: string) => CapacityForecast;
-  /** Time that runners of a service take for a plain request. */
-  getServiceTime: (service: string) => ServiceTime;
-  /** Times to the first byte of a service's answers, by kind of request. */
-  getFirstByteTimes: (service: string, kind: RequestKind) => LatencyTracker;
   /** Number of routers that share the retry budgets, including this one. */
   countRouters: () => number;
   /** All routers; replaced when they change. */
--- a/packages/gateway/src/requests/answer_silence.ts
+++ b/packages/gateway/src/requests/answer_silence.ts
@@ -8,7 +8,7 @@
 export type AnswerSilenceOptions = {
   route: DeclaredRoute;
   service: string;
-  context: Pick<GatewayContext, "getFirstByteTimes" | "metrics" | "timers">;
+  context: Pick<GatewayContext, "metrics" | "services" | "timers">;
   /** Called each time an answer is silent for its limit. */
   onSilence: (silence: Silence) => void;
 };
@@ -101,6 +101,6 @@
 
   #getFirstByteTimes(): LatencyTracker {
     const { context, route, service } = this.#options;
-    return context.getFirstByteTimes(service, route.kind);
+    return context.services.getFirstByteTimes(service, route.kind);
   }
 }
--- a/packages/gateway/src/requests/final_answer.ts
+++ b/packages/gateway/src/requests/final_answer.ts
@@ -38,12 +38,13 @@
     answer.sendError(createQuarantineError(quarantined, returnMs));
     return;
   }
-  const forecastMs = context.getCapacityForecast(service).recordRefusal({
-    nowMs: context.timers.nowMs(),
-    leftMs: Math.max(0, leftMs),
-    returnWithinMs: getReturnMs(admitted, context),
-    random: context.random.getFloat(),
-  });
+  const forecastMs = context.services.getCapacityForecast(service)
+    .recordRefusal({
+      nowMs: context.timers.nowMs(),
+      leftMs: Math.max(0, leftMs),
+      returnWithinMs: getReturnMs(admitted, context),
+      random: context.random.getFloat(),
+    });
   const retryAfterMs = forecastMs + getRunnerWaitMs(service, context);
   answer.sendError(AppError.create("overloaded", message, { retryAfterMs }));
 }
@@ -59,7 +60,10 @@
   }
   const { goalMs } = route;
   const nowMs = context.timers.nowMs();
-  const serviceMs = context.getServiceTime(service).getMs({ goalMs, nowMs });
+  const serviceMs = context.services.getServiceTime(service).getMs({
+    goalMs,
+    nowMs,
+  });
   return getReturnWithinMs({ goalMs, serviceMs });
 }
 
--- a/packages/gateway/src/requests/observe_end.ts
+++ b/packages/gateway/src/requests/observe_end.ts
@@ -35,7 +35,7 @@
   context: GatewayContext,
 ): void {
   if (end.type === "relayed" || end.type === "answered") {
-    const forecast = context.getCapacityForecast(service);
+    const forecast = context.services.getCapacityForecast(service);
     forecast.recordCompletion(context.timers.nowMs());
   }
   if (end.type === "notRun") {
--- a/packages/gateway/src/requests/place_attempt.ts
+++ b/packages/gateway/src/requests/place_attempt.ts
@@ -146,7 +146,10 @@
   const { failureDomain, random, timers } = context;
   const nowMs = timers.nowMs();
   const choice = { nowMs, random, failureDomain };
-  const serviceMs = context.getServiceTime(service).getMs({ goalMs, nowMs });
+  const serviceMs = context.services.getServiceTime(service).getMs({
+    goalMs,
+    nowMs,
+  });
   const upstream = mayQueue || !context.limitsWait
     ? choosePlainRunner(runners, choice)
     : chooseRunnerInTime(runners, { ...choice, goalMs, serviceMs });
--- a/packages/gateway/src/requests/running_attempt.ts
+++ b/packages/gateway/src/requests/running_attempt.ts
@@ -140,7 +140,10 @@
     if (route.kind === "stream" || status >= 300) return;
     const nowMs = context.timers.nowMs();
     const durationMs = nowMs - this.#startedAtMs;
-    context.getServiceTime(service).observe(durationMs, { load, nowMs });
+    context.services.getServiceTime(service).observe(durationMs, {
+      load,
+      nowMs,
+    });
   }
 
   #recordBytes(): void {
--- a/packages/gateway/src/requests/take_retry.ts
+++ b/packages/gateway/src/requests/take_retry.ts
@@ -10,7 +10,7 @@
   { attempts, service }: { attempts: number; service: string },
   context: GatewayContext,
 ): boolean {
-  const budget = context.getRetryBudget(service);
+  const budget = context.services.getRetryBudget(service);
   const nowMs = context.timers.nowMs();
   if (attempts === 0) {
     budget.recordRequest(nowMs);
@@ -28,7 +28,7 @@
   service: string,
   context: GatewayContext,
 ): boolean {
-  const budget = context.getRetryBudget(service);
+  const budget = context.services.getRetryBudget(service);
   return budget.hasHalfLeft(context.timers.nowMs(), countSharers(context));
 }
 
