--- a/packages/gateway/src/requests/serve_request.ts
+++ b/packages/gateway/src/requests/serve_request.ts
@@ -77,9 +77,11 @@
   });
   const deadlineMs = arrivedAtMs + admission.limitMs;
   using reading = CallerBody.create(request, {
-    ...admission,
-    ...context,
+    maxBodyBytes: admission.maxBodyBytes,
+    idleTimeoutMs: admission.idleTimeoutMs,
     deadlineMs,
+    timers: context.timers,
+    bodyMemory: context.bodyMemory,
   });
   const body = await reading.read().catch(ignoreDisconnect);
   if (body === undefined) return recordLeft(trace, context);
