--- a/packages/gateway/src/listening/caller_connection.ts
+++ b/packages/gateway/src/listening/caller_connection.ts
@@ -56,6 +56,9 @@
     this.#options = options;
     this.acceptedAtMs = options.timers.nowMs();
     this.#sinceMs = this.acceptedAtMs;
+    socket.on("timeout", () => {
+      if (this.#unreadSinceMs !== undefined) this.close("unread");
+    });
     this.#gate = RequestGate.create(socket, {
       ...options,
       onRead: (bytes) => this.#countRead(bytes),
@@ -139,10 +142,13 @@
     this.#hasServed = true;
     this.#current = undefined;
     this.#sinceMs = this.#options.timers.nowMs();
+    const wasUnread = this.#unreadSinceMs !== undefined;
     this.#unreadSinceMs = undefined;
     this.#unreadBytes = 0;
     this.#requestBytes = 0;
     if (this.#waiting.length > 0) {
+      // The limit on the last answer does not hold for the next request.
+      if (wasUnread) this.socket.setTimeout(0);
       this.#options.turns.defer(() => this.#beginNext());
     }
     this.#countHeld();
@@ -166,9 +172,6 @@
     this.#unreadSinceMs = this.#options.timers.nowMs();
     // Applies while nothing is sent; the library sets its own limit afterwards.
     socket.setTimeout(this.#options.getUnreadLimitMs());
-    socket.once("timeout", () => {
-      if (this.#unreadSinceMs !== undefined) this.close("unread");
-    });
     this.#countHeld();
   }
 
