Leave requests for another process out of what cold runners have got

Change: the runner reports such requests as misdirected; neither it nor the checks of failure domains count them.

--- a/packages/fault_soak/src/domain_checks.feature
+++ b/packages/fault_soak/src/domain_checks.feature
@@ -35,6 +35,10 @@
       | 14    | that is cold               | there is no violation                    |
       | 15    | that was cold until before | there is no violation                    |
 
+  Scenario: Requests for the process before are not counted
+    And 15 lookups for another runner within 900 ms at a runner that is cold
+    Then there is no violation
+
   Scenario Outline: Only what holds requests up excuses them
     And 15 lookups within 900 ms at a runner that is cold
     And a fault "<kind>" at that time
--- a/packages/fault_soak/src/domain_checks.ts
+++ b/packages/fault_soak/src/domain_checks.ts
@@ -25,13 +25,13 @@
 
 type Arrival = { event: RunnerEvent; call: CallRecord };
 
+/** Lists the requests that reached the runners for which they were meant. */
 function listArrivals({ calls, runnerEvents }: History): Arrival[] {
   const byAttempt = new Map(calls.map((call) => [call.attemptId, call]));
   return runnerEvents.flatMap((event) => {
     const call = byAttempt.get(event.attemptId);
-    return event.type === "arrived" && call !== undefined
-      ? [{ event, call }]
-      : [];
+    const isMeant = event.type === "arrived" && event.isMisdirected !== true;
+    return isMeant && call !== undefined ? [{ event, call }] : [];
   });
 }
 
--- a/packages/fault_soak/src/history.ts
+++ b/packages/fault_soak/src/history.ts
@@ -85,6 +85,8 @@
   service: string;
   /** Whether its answer has neither a length nor chunks. */
   isUnframed?: boolean;
+  /** Whether the request was meant for another runner, and is refused. */
+  isMisdirected?: boolean;
   /** Whether its answer states that the runner is about to leave. */
   isLeaving?: boolean;
   /** Limit that its answer states, in requests a second. */
--- a/packages/fault_soak/src/soak_runner.ts
+++ b/packages/fault_soak/src/soak_runner.ts
@@ -121,10 +121,14 @@
   handle(request: IncomingMessage, response: ServerResponse): void {
     const { id, wire } = this.#options;
     const attempt = wire.readAttemptHeaders(request.headers);
-    this.#report("arrived", attempt.attemptId);
+    const isMisdirected = attempt.runnerId !== id;
+    this.#report("arrived", attempt.attemptId, { isMisdirected });
+    if (isMisdirected) {
+      void this.#refuse(421, attempt, response);
+      return;
+    }
     this.#countWhileCold();
-    if (attempt.runnerId !== id) void this.#refuse(421, attempt, response);
-    else if (this.#running >= runnerSlots || this.#getRestLeftMs() > 0) {
+    if (this.#running >= runnerSlots || this.#getRestLeftMs() > 0) {
       void this.#refuse(503, attempt, response);
     } else void this.#run(attempt, request, response);
   }
@@ -180,7 +184,7 @@
       silence: this.#silence,
       hasUnframedAnswers,
     };
-    this.#report("ran", attemptId, isUnframedRun(run));
+    this.#report("ran", attemptId, { isUnframed: isUnframedRun(run) });
     this.#repeatRefusal(request);
     const isFailing = Date.now() < this.#failsUntilMs;
     const end = await (isFailing ? answerFailure(run) : answerRun(run));
@@ -216,7 +220,7 @@
   #report(
     type: RunnerEvent["type"],
     attemptId: string,
-    hasUnframedAnswer = false,
+    { isMisdirected = false, isUnframed = false } = {},
   ): void {
     const { id, service } = this.#options;
     const event: RunnerEvent = {
@@ -227,7 +231,8 @@
       service,
       ...(this.#isLeaving ? { isLeaving: true } : {}),
       limitPerSecond: this.#getLimit(),
-      ...(hasUnframedAnswer ? { isUnframed: true } : {}),
+      ...(isUnframed ? { isUnframed } : {}),
+      ...(isMisdirected ? { isMisdirected } : {}),
       ...(type === "refused" ? { restsUntilMs: this.#restsUntilMs } : {}),
     };
     process.stdout.write(`${JSON.stringify(event)}\n`);
