--- a/packages/fault_soak/src/faults.ts
+++ b/packages/fault_soak/src/faults.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from "@jasminetide/core/random";
 import type { EpisodeSwitches } from "./episode_switches.ts";
 import { limitMs } from "./soak_runner.ts";
-import { isInDomain, soakDomains } from "./failure_domains.ts";
+import { drawDomainFaults } from "./domain_faults.ts";
 import {
   type FaultKind,
   fleetFaultKinds,
@@ -81,9 +81,6 @@
 
 /** Chance that domains are evacuated or return cold, where nothing crashes. */
 const domainFaultChance = 0.9;
-const maxDomainFaults = 3;
-/** Long enough for the limit of an evacuation and some time without requests. */
-const evacuationDurations = { smallestMs: 4000, rangeMs: 5000 };
 
 /** Options of the draw. */
 export type DrawOptions =
@@ -145,7 +142,8 @@
   const hasCrashes = faults.some(({ kind }) => kind.endsWith("-crashing"));
   const areMoved = !hasCrashes && random.getFloat() < domainFaultChance;
   if (hasDomainFaults && areMoved) {
-    faults.push(...drawDomainFaults(random, size));
+    const starts = { fromMs: firstFaultMs, toMs: faultWindowMs };
+    faults.push(...drawDomainFaults(random, { ...size, ...starts }));
   }
   return faults.sort((left, right) => left.startMs - right.startMs);
 }
@@ -184,37 +182,6 @@
   }));
 }
 
-/** Draws evacuations and cold returns of failure domains; they may overlap. */
-function drawDomainFaults(
-  random: RandomSource,
-  size: FleetSize,
-): PlannedFault[] {
-  const count = 1 + random.getInteger(maxDomainFaults);
-  return Array.from({ length: count }, () => {
-    const domain = random.getInteger(soakDomains.length);
-    const startMs = firstFaultMs +
-      random.getInteger(faultWindowMs - firstFaultMs);
-    const durationMs = evacuationDurations.smallestMs +
-      random.getInteger(evacuationDurations.rangeMs);
-    const span = { startMs, durationMs };
-    return random.getFloat() < 0.5
-      ? [{ kind: "domain-evacuated" as const, target: domain, ...span }]
-      : drawColdReturn(domain, { size, ...span });
-  }).flat();
-}
-
-/** All runners of a failure domain are killed, and come back cold. */
-function drawColdReturn(
-  domain: number,
-  { size, ...span }: Omit<PlannedFault, "kind" | "target"> & {
-    size: FleetSize;
-  },
-): PlannedFault[] {
-  return Array.from({ length: size.runners }, (_, target) => target)
-    .filter((target) => isInDomain({ index: target }, domain))
-    .map((target) => ({ kind: "runner-cold", target, ...span }));
-}
-
 /** Draws runners that state a limit from about the same time on. */
 function drawLimits(random: RandomSource, size: FleetSize): PlannedFault[] {
   const count = 1 +
