--- a/packages/core/src/hedging/test_support/hedge_runner.ts
+++ b/packages/core/src/hedging/test_support/hedge_runner.ts
@@ -1,5 +1,11 @@
 import type { TimerService, TimerSubscription } from "../../timers/mod.ts";
-import type { ReportedLoad } from "../../pools/mod.ts";
+import { hash32 } from "../../hashing/mod.ts";
+import {
+  type PoolRunner,
+  type ReportedLoad,
+  RunnerHealth,
+  RunnerLoad,
+} from "../../pools/mod.ts";
 
 /** A request at a model of a runner. */
 export type RunnerJob = {
@@ -11,8 +17,13 @@
 /** Cancels a request; its slot is free at once. */
 export type CancelJob = () => void;
 
-/** Slots of each runner. */
-export const runnerSlots = 6;
+/** Number of runners in a replay. */
+export const runnerCount = 10;
+
+/** Failure domains of the runners, in turn. */
+export const failureDomains = ["a", "b", "c"];
+
+const runnerSlots = 6;
 
 const maxWaiting = 24;
 
@@ -80,3 +91,16 @@
     };
   }
 }
+
+/** Creates what a router knows of the runners at its start. */
+export function createPoolRunners(): PoolRunner[] {
+  return Array.from({ length: runnerCount }, (_, index) => ({
+    id: `runner-${index}`,
+    idHash: hash32(`runner-${index}`),
+    listedAtMs: 0,
+    failureDomain: failureDomains[index % failureDomains.length],
+    slots: runnerSlots,
+    load: RunnerLoad.create(),
+    health: RunnerHealth.create(),
+  }));
+}
--- a/packages/core/src/hedging/test_support/replay_hedges.ts
+++ b/packages/core/src/hedging/test_support/replay_hedges.ts
@@ -1,15 +1,17 @@
-import { hash32 } from "../../hashing/mod.ts";
 import {
   choosePlainRunner,
   type PoolRunner,
-  RunnerHealth,
-  RunnerLoad,
   WindowedRetryBudget,
 } from "../../pools/mod.ts";
 import { createSeededRandom, type RandomSource } from "../../random/mod.ts";
 import { VirtualTimerService } from "../../timers/mod.ts";
 import { type HedgeLimits, HedgePolicy, selectHedgeRunners } from "../mod.ts";
-import { HedgeRunner, runnerSlots } from "./hedge_runner.ts";
+import {
+  createPoolRunners,
+  failureDomains,
+  HedgeRunner,
+  runnerCount,
+} from "./hedge_runner.ts";
 
 /** Load, disturbance and limits of a replay. */
 export type HedgeReplayOptions = {
@@ -37,8 +39,6 @@
 
 /** Share of the requests that may be repeated. */
 const lookupShare = 0.3;
-const runnerCount = 10;
-const failureDomains = ["a", "b", "c"];
 const meanWorkMs = 20;
 /** One way between a router and a runner. */
 const linkMs = 1;
@@ -260,18 +260,6 @@
   }
 }
 
-function createPoolRunners(): PoolRunner[] {
-  return Array.from({ length: runnerCount }, (_, index) => ({
-    id: `runner-${index}`,
-    idHash: hash32(`runner-${index}`),
-    listedAtMs: 0,
-    failureDomain: failureDomains[index % failureDomains.length],
-    slots: runnerSlots,
-    load: RunnerLoad.create(),
-    health: RunnerHealth.create(),
-  }));
-}
-
 const routeName = "lookup";
 
 const disturbancePeriodMs = 100;
--- a/packages/core/src/pools/pools.feature
+++ b/packages/core/src/pools/pools.feature
@@ -101,6 +101,15 @@
     When each has 50 requests a second for 30 s and tries to retry each
     Then no span of 10 s exceeds the budget, and at least 200 retries were allowed
 
+  Scenario: Whether half of a router's share of the retry budget is left
+    Given 1 routers with a budget of 0.2 retries per request plus 0 per 10 s
+    When the router has 100 requests and retries 7 times
+    Then half of its share is left
+    When the router has 0 requests and retries 1 times
+    Then half of its share is not left
+    When the router has 20 requests and retries 0 times
+    Then half of its share is left
+
   # Guards against a router that spends its share of the budget again after each
   # restart, within the window in which its predecessor has.
   Scenario Outline: Routers that restart in turn stay within the retry budget
--- a/packages/core/src/pools/pools_test.ts
+++ b/packages/core/src/pools/pools_test.ts
@@ -364,6 +364,24 @@
   },
 );
 
+When(
+  "the router has {int} requests and retries {int} times",
+  function (this: World, requests: number, retries: number) {
+    const [budget] = this.budgets;
+    for (let sent = 0; sent < requests; sent++) budget.recordRequest(0);
+    for (let sent = 0; sent < retries; sent++) {
+      assert.ok(budget.tryTake(0, 1));
+    }
+  },
+);
+
+Then(
+  /^half of its share is (left|not left)$/,
+  function (this: World, state: string) {
+    assert.equal(this.budgets[0].hasHalfLeft(0, 1), state === "left");
+  },
+);
+
 /** Creates the budget of a router whose process starts. */
 function createRetryBudget(
   { retryLimits }: World,
--- a/packages/gateway/src/requests/hedge.ts
+++ b/packages/gateway/src/requests/hedge.ts
@@ -100,7 +100,7 @@
     const { metrics } = context;
     if (isHedge) {
       metrics.countHedgeWon();
-      if (this.#first) observeRunner(this.#first.upstream, "late", context);
+      this.#recordLate();
     }
     trace.record(
       isHedge ? "hedge-won" : "hedge-lost",
@@ -108,6 +108,12 @@
     );
   }
 
+  /** Records that the first attempt is late; a silent one counts as lost. */
+  #recordLate(): void {
+    if (this.#first === undefined || this.#first.isSilent) return;
+    observeRunner(this.#first.upstream, "late", this.#options.context);
+  }
+
   async #handleLate(timerDelayMs: number): Promise<void> {
     // The answer may have arrived and not been read yet.
     await waitForReads();
