Count bytes that wait at the gate as the beginning of a request

Cause: a connection with a part of a request at its gate counted as idle, and was closed as such while a gateway stops.

Change: it is idle only if nothing waits at the gate.

--- a/packages/gateway/src/listening/caller_connection.ts
+++ b/packages/gateway/src/listening/caller_connection.ts
@@ -84,7 +84,7 @@
    * another request has arrived.
    */
   get isIdle(): boolean {
-    return this.#openRequests === 0 &&
+    return this.#openRequests === 0 && this.#gate.pendingBytes === 0 &&
       this.socket.bytesRead === this.#bytesBefore;
   }
 
