--- a/packages/gateway/src/load_reports/load_reports.feature
+++ b/packages/gateway/src/load_reports/load_reports.feature
@@ -5,7 +5,7 @@
 
   Scenario: Reports of a moment are sent together to a few others
     When answers of "r1" and "r2" report 7 and 9 requests
-    And 20 ms pass for the reports
+    And 100 ms pass for the reports
     Then 2 different gateways got one datagram with 7 and 9 requests
 
   Scenario: Another gateway's report counts with its age
@@ -24,7 +24,7 @@
   Scenario: What another gateway told is told on with the next report
     When another gateway tells that "r1" held 30 requests 100 ms ago
     And an answer of "r2" reports 9 requests
-    And 20 ms pass for the reports
+    And 100 ms pass for the reports
     Then 2 different gateways got one datagram with 9 and 30 requests
 
   Scenario Outline: A datagram in another format is counted and ignored
--- a/packages/gateway/src/load_reports/load_reports.ts
+++ b/packages/gateway/src/load_reports/load_reports.ts
@@ -129,7 +129,7 @@
 }
 
 /** Time for which reports are collected before they are sent together. */
-const collectMs = 20;
+const collectMs = 100;
 
 /** Reports of others that are sent on with each datagram. */
 const maxRelayed = 12;
