--- a/packages/gateway/src/load_reports/load_reports.ts
+++ b/packages/gateway/src/load_reports/load_reports.ts
@@ -50,10 +50,10 @@
 
   /** Records what an answer to this gateway reports, and tells others soon. */
   observe(upstream: Upstream, load: ReportedLoad): void {
-    const { fanout, timers } = this.#options;
+    const { fanout, listPeers, timers } = this.#options;
     const atMs = timers.nowMs();
     upstream.load.observe(load, atMs);
-    if (fanout === 0) return;
+    if (fanout === 0 || listPeers().length < minPeers) return;
     this.#heard.delete(upstream.id);
     this.#collected.set(upstream.id, { upstream, load, atMs });
     this.#timer ??= timers.schedule(collectMs, () => this.#flush());
@@ -128,6 +128,12 @@
   return drawn;
 }
 
+/**
+ * Peers from which reports are sent. In a smaller fleet each gateway gets enough
+ * answers of its own.
+ */
+const minPeers = 7;
+
 /** Time for which reports are collected before they are sent together. */
 const collectMs = 100;
 
--- a/packages/gateway/src/load_reports/load_reports_test.ts
+++ b/packages/gateway/src/load_reports/load_reports_test.ts
@@ -131,6 +131,10 @@
   },
 );
 
+Then("no gateway got a datagram", function (this: World) {
+  assert.equal(this.sentReports.length, 0);
+});
+
 When(
   "another gateway tells that {string} held {int} requests {int} ms ago",
   function (this: World, id: string, held: number, ageMs: number) {
