--- a/packages/gateway/src/load_reports/load_reports.feature
+++ b/packages/gateway/src/load_reports/load_reports.feature
@@ -11,9 +11,9 @@
   Scenario: A small fleet sends no reports, since each gateway gets many answers
     Given a gateway that tells 2 of 6 others of the loads of runners "r1" and "r2"
     When answers of "r1" and "r2" report 7 and 9 requests
-    And 100 ms pass for the reports
+    Then "r1" is known to hold 7 requests
+    When 100 ms pass for the reports
     Then no gateway got a datagram
-    And "r1" is known to hold 7 requests
 
   Scenario: Another gateway's report counts with its age
     When another gateway tells that "r1" held 30 requests 100 ms ago
