--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -59,8 +59,8 @@
 
 /**
  * Sends one admitted request to runners until its caller is answered. While a
- * runner is silent, or a lookup is late, another one is tried as well; the first whose answer
- * progresses goes on with the request, and the others are cancelled.
+ * runner is silent, or a lookup is late, another one is tried as well; the first
+ * whose answer progresses goes on with the request, and the others are cancelled.
  */
 export class Exchange {
   readonly #options: ExchangeOptions;
