--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -37,6 +37,12 @@
     log("the case took too long");
     void finish("failed");
   }, limitMs);
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => {
+      log(`ended by ${signal}`);
+      void finish("failed");
+    });
+  }
   log(hasTrouble ? "with the disruption" : "without the disruption");
   try {
     await finish(await run(log, atEnd) ? "broken" : "held");
--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -4,6 +4,7 @@
   createWriteStream,
   mkdtempSync,
   readFileSync,
+  rmSync,
   writeFileSync,
 } from "node:fs";
 import { createServer } from "node:net";
@@ -23,7 +24,7 @@
   }
 
   /** Starts a gateway and waits until it is ready. */
-  static async start({ name, storePort, limits, isAwaited = true }) {
+  static async start({ name, storePort, limits }) {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const [callers, readiness, control, internal] = await findPorts(4);
     const ports = { callers, readiness, control, internal };
@@ -35,7 +36,12 @@
     );
     const gateway = new Gateway({ name, file, folder, ports });
     gateway.spawn();
-    if (isAwaited) await gateway.waitUntilReady();
+    try {
+      await gateway.waitUntilReady();
+    } catch (error) {
+      await gateway.stop();
+      throw error;
+    }
     return gateway;
   }
 
@@ -54,6 +60,7 @@
       this.process.once("exit", (code, signal) => resolve({ code, signal }))
     );
     const log = createWriteStream(join(this.folder, "log"), { flags: "a" });
+    log.on("error", () => {});
     this.process.stdout.pipe(log, { end: false });
     this.process.stderr.pipe(log, { end: false });
   }
@@ -70,6 +77,7 @@
   async stop() {
     this.process.kill("SIGKILL");
     await this.exited;
+    rmSync(this.folder, { recursive: true, force: true });
   }
 }
 
