Resume a connection to a runner when its answer ends

Cause: a write that exceeds the caller's buffer pauses the connection to the runner until the response emits "drain". If the answer ends in the same read, the response is ended, which never emits it, and the connection returned to its pool paused; the next request on it cleared the flag but not the pause.

Change: a pause ends with its answer. An attempt that has ended no longer resumes the connection that it had, which may carry another request by then. Other pauses (request gate, pacer of bodies) end in the next turn; nothing else keeps one.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -225,6 +225,8 @@
   }
 
   #setPaused(isPaused: boolean): void {
+    // The connection may carry another request by the time the caller has read.
+    if (this.#hasEnded) return;
     this.#connection?.setPaused(isPaused);
     this.#options.onPause(isPaused);
   }
--- a/packages/gateway/src/upstreams/runner_connection.feature
+++ b/packages/gateway/src/upstreams/runner_connection.feature
@@ -28,3 +28,14 @@
     Given a connection to a runner, in a turn whose work is used up
     When the connection is destroyed
     Then the runner notices a reset
+
+  # Guards against a kept connection that is never read again, since the caller of
+  # an earlier request was slow when its answer ended (review/7).
+  Scenario: A pause for a slow caller ends with the answer
+    Given a connection to a runner, in a turn whose work is used up
+    And its caller is slow
+    When the runner sends the answer "first"
+    Then the answer "first" is complete in the next turn
+    When another caller, who is not slow, sends a request on the connection
+    And the runner sends the answer "second"
+    Then the answer "second" is complete in the next turn
--- a/packages/gateway/src/upstreams/runner_connection.ts
+++ b/packages/gateway/src/upstreams/runner_connection.ts
@@ -152,13 +152,15 @@
     this.#recordCarried(request.attemptId);
     this.#isHeadRequest = request.method === "HEAD";
     this.#isStray = false;
-    this.#isCallerSlow = false;
     this.#strayAnswers = 0;
     this.#strayBytes = 0;
     this.#socket.write(encodeRequest(request));
   }
 
-  /** Pauses or resumes reading, for a caller that reads slowly. */
+  /**
+   * Pauses or resumes reading, for a caller that reads slowly. A pause ends with
+   * the answer, since the connection may carry another caller's request next.
+   */
   setPaused(isPaused: boolean): void {
     this.#isCallerSlow = isPaused;
     this.#updatePaused();
@@ -254,6 +256,7 @@
     }
     const listener = this.#listener;
     this.#listener = undefined;
+    this.setPaused(false);
     // A runner that answers before it has read the whole request would parse
     // the rest of the body as the next request.
     const isWritten = this.#socket.writableLength === 0;
--- a/packages/gateway/src/upstreams/runner_connection_test.ts
+++ b/packages/gateway/src/upstreams/runner_connection_test.ts
@@ -19,6 +19,8 @@
   answeringRunner: ScriptedRunner | undefined;
   connection: RunnerConnection;
   received: ReceivedRequest;
+  /** Whether the caller is slow once it was sent a part of an answer. */
+  isCallerSlow: boolean;
   startedTurns: (() => void)[];
   body: string;
   isComplete: boolean;
@@ -41,6 +43,7 @@
     this.startedTurns = [];
     this.body = "";
     this.isComplete = false;
+    this.isCallerSlow = false;
     this.answeringRunner = await ScriptedRunner.create(() => {});
     const reads = ReadScheduler.create({
       turnCost: 1,
@@ -52,25 +55,36 @@
       reads,
       onClosed: () => {},
     });
-    const received = this.answeringRunner.waitForRequest();
-    this.connection.send({
-      attemptId,
-      method: "GET",
-      target: "/",
-      headers: ["x-attempt-id", attemptId],
-      body: Buffer.alloc(0),
-    }, {
-      isOwnAnswer: () => true,
-      onHead: () => {},
-      onBody: (bytes) => void (this.body += bytes.toString()),
-      onComplete: () => void (this.isComplete = true),
-      onBroken: (reason) => void (this.brokenReason = reason),
-    });
-    this.received = await received;
+    await sendRequest(this);
     reads.recordWork(1);
   },
 );
 
+/** Sends a request on the connection; resolves when the runner has it. */
+async function sendRequest(world: World): Promise<void> {
+  assert.ok(world.answeringRunner);
+  const received = world.answeringRunner.waitForRequest();
+  world.body = "";
+  world.isComplete = false;
+  world.connection.send({
+    attemptId,
+    method: "GET",
+    target: "/",
+    headers: ["x-attempt-id", attemptId],
+    body: Buffer.alloc(0),
+  }, {
+    isOwnAnswer: () => true,
+    onHead: () => {},
+    onBody: (bytes) => {
+      world.body += bytes.toString();
+      if (world.isCallerSlow) world.connection.setPaused(true);
+    },
+    onComplete: () => void (world.isComplete = true),
+    onBroken: (reason) => void (world.brokenReason = reason),
+  });
+  world.received = await received;
+}
+
 /** Waits until what was sent to the connection was read. */
 async function settle(): Promise<void> {
   await wait(timers, 20);
@@ -102,6 +116,18 @@
   },
 );
 
+Given("its caller is slow", function (this: World) {
+  this.isCallerSlow = true;
+});
+
+When(
+  "another caller, who is not slow, sends a request on the connection",
+  async function (this: World) {
+    this.isCallerSlow = false;
+    await sendRequest(this);
+  },
+);
+
 When("the caller has read what it was sent", async function (this: World) {
   this.connection.setPaused(false);
   await settle();
