Close idle connections after a call that was not answered in time

Cause: a call that times out destroyed its own connection only. The next one was sent on another idle connection of the pool, which had fallen silent at the same time, and cost another 750 ms; and so on until none was left.

Change: a call that exceeds a time limit closes the idle connections to its address, for the store and between gateways. Its error names the limit: "The operation was aborted" didn't tell a silent connection from a cancelled call in the log.

--- a/packages/runtime/src/http/send_request.ts
+++ b/packages/runtime/src/http/send_request.ts
@@ -1,6 +1,7 @@
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { SilenceLimit, type SilenceLimitOptions } from "../clock/mod.ts";
 import { parseAddress } from "../settings/mod.ts";
+import { closeIdleConnections } from "./close_idle.ts";
 import { collectBody } from "./collect_body.ts";
 import { ReadPacer } from "./read_pacer.ts";
 
@@ -31,16 +32,33 @@
 /**
  * Sends a request with the HTTP client of Node.js, which servers load in any
  * case. Rejects when the connection breaks, a limit is exceeded or `onHead`
- * throws.
+ * throws. When a time limit is exceeded, idle connections to the address are
+ * closed, since they may be as silent as the one that was used.
  */
 export async function sendRequest(call: HttpCall): Promise<HttpAnswer> {
+  const agent = call.agent === "shared" ? sharedAgent : call.agent;
   using limit = SilenceLimit.create(call.limits);
-  return await new Promise((resolve, reject) => {
+  try {
+    return await sendLimited(call, { agent, limit });
+  } catch (thrown) {
+    if (!limit.signal.aborted) throw thrown;
+    closeIdleConnections(agent, call.address);
+    // Unlike the error of the library, it tells which limit was exceeded.
+    throw limit.signal.reason;
+  }
+}
+
+type LimitedCallOptions = { agent: Agent; limit: SilenceLimit };
+
+function sendLimited(
+  call: HttpCall,
+  { agent, limit }: LimitedCallOptions,
+): Promise<HttpAnswer> {
+  return new Promise((resolve, reject) => {
     const { ip, port } = parseAddress(call.address);
     const headers = call.body === undefined
       ? {}
       : { "Content-Type": "application/json" };
-    const agent = call.agent === "shared" ? sharedAgent : call.agent;
     const { method, path } = call;
     const options = { host: ip, port, method, path, headers, agent };
     const { maxBytes } = call.limits;
