Replace the platform's pool after a call that was not answered in time

When all open connections are silent, each call in turn waits on another of them until its limit.

Change: such a call replaces the pool. Requests that the old one carries may still be answered; it closes after them.

Found by reading related paths, not seen in a run.

--- a/packages/runtime/src/platform/transport.ts
+++ b/packages/runtime/src/platform/transport.ts
@@ -46,12 +46,16 @@
  */
 export class PlatformTransport {
   readonly epoch = StoreEpoch.create();
-  readonly #pool: Pool;
+  readonly #address: string;
+  #pool: Pool;
+  /** Replaced pools that still carry requests. */
+  readonly #retired = new Set<Pool>();
   /** Cancels of the calls whose answer is not complete. */
   readonly #pending = new Set<AbortController>();
 
   private constructor(address: string) {
-    this.#pool = new Pool(`http://${address}`, { connections: maxConnections });
+    this.#address = address;
+    this.#pool = createPool(address);
     this.epoch.subscribe(() => this.#cancelPending());
   }
 
@@ -61,7 +65,8 @@
   }
 
   /**
-   * Sends a request and reads the answer.
+   * Sends a request and reads the answer. After one that was not answered in
+   * time, the next ones use new connections.
    *
    * @throws AppError `platformUnavailable` for an answer of an earlier epoch, or
    * if a write succeeded in another epoch than expected; the error of the
@@ -75,8 +80,9 @@
     const pending = new AbortController();
     const signals = [timeout, pending.signal, request.signal];
     this.#pending.add(pending);
+    const pool = this.#pool;
     try {
-      const response = await this.#pool.request({
+      const response = await pool.request({
         method: request.method,
         path: request.path,
         headers: createHeaders(request),
@@ -89,13 +95,29 @@
       const answer = await readAnswer(response, epoch);
       checkExpectedEpoch(request, answer);
       return answer;
+    } catch (thrown) {
+      if (timeout.aborted) this.#replacePool(pool);
+      throw thrown;
     } finally {
       this.#pending.delete(pending);
     }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await this.#pool.destroy();
+    const pools = [this.#pool, ...this.#retired];
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  /**
+   * Replaces a pool of which a connection fell silent, as its other connections
+   * may have. Requests that it carries may still be answered.
+   */
+  #replacePool(pool: Pool): void {
+    if (pool !== this.#pool) return;
+    this.#pool = createPool(this.#address);
+    this.#retired.add(pool);
+    const forget = () => void this.#retired.delete(pool);
+    pool.close().then(forget, forget);
   }
 
   #observeEpoch(
@@ -121,6 +143,10 @@
   }
 }
 
+function createPool(address: string): Pool {
+  return new Pool(`http://${address}`, { connections: maxConnections });
+}
+
 function createHeaders(request: PlatformRequest): Record<string, string> {
   const { expectedEpoch, headers } = request;
   if (expectedEpoch === undefined) return headers ?? {};
