Keep missing runners only after an outage, not after one lost call

Cause: one failed call counted as an outage of the store, in which entries of sound runners expire, so that missing entries were kept for 2.5 s from the start of that call. A watch that the store cut off had the same effect.

Change: two calls in a row have to fail. The second one uses a new connection, so it says something of the store; an outage within one call is shorter than the three heartbeats after which entries expire. "store-regained" states whether it was an outage.

--- a/packages/gateway/src/following/following.feature
+++ b/packages/gateway/src/following/following.feature
@@ -21,6 +21,20 @@
     When runner "b" expires
     Then the follower has runners "a"
 
+  # Guards against runners that are used after their bound, since a connection that
+  # fell silent counted as an outage of the store (review/9).
+  Scenario: A runner that is removed while one call is lost is gone with the next
+    Given a follower with runners "a b"
+    When one call to the store is lost, and runner "b" is removed before the next
+    Then the follower has runners "a"
+
+  # Guards against the same after a watch that the store cut off (review/9).
+  Scenario: A runner that is removed after one call was lost is removed at once
+    Given a follower with runners "a b"
+    When one call to the store is lost and the next one is answered
+    And runner "b" expires
+    Then the follower has runners "a"
+
   Scenario: A store that does not answer receives few calls
     Given a follower with runners "a"
     When the store is unavailable for 10000 ms
--- a/packages/gateway/src/following/following_test.ts
+++ b/packages/gateway/src/following/following_test.ts
@@ -77,6 +77,30 @@
   },
 );
 
+/** Fails the call that waits; later ones are answered. */
+async function loseCall(world: World): Promise<void> {
+  world.followedSource.setUnavailable(true);
+  await settle();
+  world.followedSource.setUnavailable(false);
+}
+
+When(
+  "one call to the store is lost, and runner {string} is removed before the next",
+  async function (this: World, name: string) {
+    await loseCall(this);
+    this.followedSource.put(name, undefined);
+    await advance(this, 200);
+  },
+);
+
+When(
+  "one call to the store is lost and the next one is answered",
+  async function (this: World) {
+    await loseCall(this);
+    await advance(this, 200);
+  },
+);
+
 When("the store is available again", async function (this: World) {
   this.followedSource.setUnavailable(false);
   await advance(this, 900);
--- a/packages/gateway/src/following/object_follower.ts
+++ b/packages/gateway/src/following/object_follower.ts
@@ -289,10 +289,13 @@
   /** Records that the store answered; ends an outage if there was one. */
   #recordSuccess(): void {
     this.#hasAnswered = true;
-    if (this.#failures === 0) return;
-    const { keepMissingMs, logger, name, timers } = this.#options;
-    logger.info("store-regained", { kind: name, failures: this.#failures });
+    const failures = this.#failures;
+    if (failures === 0) return;
     this.#failures = 0;
+    const { keepMissingMs, logger, name, timers } = this.#options;
+    const wasOutage = failures >= minOutageFailures;
+    logger.info("store-regained", { kind: name, failures, wasOutage });
+    if (!wasOutage) return;
     // The store may have returned as early as during the last failed call.
     const sinceMs = timers.nowMs() - this.#failedCallAtMs;
     this.#table.keepMissingFor(keepMissingMs - sinceMs);
@@ -321,6 +324,13 @@
   }
 }
 
+/**
+ * Failed calls in a row from which the store counts as unavailable. A single one
+ * may have lost its connection while the store answered others; what is missing
+ * then was removed.
+ */
+const minOutageFailures = 2;
+
 /** Pause after changes; well below the permitted delay of changes. */
 const burstPauseMs = 150;
 
