Fail answers whose first line is no status line at once

Cause: the library takes three digits for a status, whatever follows them, any digit for the version of HTTP, and clears the highest bit of each byte of a head. Statuses below 200 counted as interim answers, so that the final one was waited for; so did 101, after which another protocol follows.

Change: the first line is checked by RFC 9112. Heads are decoded as Latin-1, which also keeps header values with bytes above 127. Statuses from 600 to 999 are passed on unchanged, as before: they are valid lines, and RFC 9110 lets the recipient handle them like 500.

Measured: the seven rows of "An answer that is none fails while its connection stays open" failed before (no answer within 5 s, or 200) and pass now.

--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -51,6 +51,23 @@
       | a success without the mark        | closes |
       | a header that cannot be sent on   | closes |
 
+  # Guards against callers that wait for their time limit, or get an answer with a
+  # status that the runner didn't send, when the first line is no status line.
+  Scenario Outline: An answer that is none fails while its connection stays open
+    Given the runner cuts its answer short: <how>, then it waits
+    When a caller sends "/payout/1"
+    Then the caller gets status 502
+
+    Examples:
+      | how                                    |
+      | status 000                             |
+      | status 099                             |
+      | a status of four digits                |
+      | a status that runs into its reason     |
+      | another protocol that nobody asked for |
+      | a version that is not HTTP/1           |
+      | a status line with a high bit set      |
+
   Scenario: A repeated answer is not mistaken for the next one
     Given the runner repeats its previous answer before each new one
     When a caller sends "/lookup/1" and then "/lookup/2"
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -195,19 +195,32 @@
   "a success without the mark": (id) =>
     `HTTP/1.1 200 OK\r\n${testHeaders.attempt}: ${id}\r\n` +
     "Content-Length: 2\r\n\r\nok",
+  "status 000": (id) => formatAnswer(id, "ok", { status: "000 Trouble" }),
+  "status 099": (id) => formatAnswer(id, "ok", { status: "099 Trouble" }),
+  "a status of four digits": (id) =>
+    formatAnswer(id, "ok", { status: "2000 OK" }),
+  "a status that runs into its reason": (id) =>
+    formatAnswer(id, "ok", { status: "200OK" }),
+  "another protocol that nobody asked for": (id) =>
+    formatHead(id, "101 Switching Protocols") +
+    "Connection: upgrade\r\nUpgrade: other\r\n\r\nbytes",
+  "a version that is not HTTP/1": (id) =>
+    formatAnswer(id, "ok").replace("HTTP/1.1", "HTTP/7.1"),
+  "a status line with a high bit set": (id) =>
+    formatAnswer(id, "ok").replace("HTTP/1.1 2", "HTTP/1.1 \xb2"),
 };
 
 Given(
-  /^the runner cuts its answer short: (.+), then it (closes|resets)$/,
+  /^the runner cuts its answer short: (.+), then it (closes|resets|waits)$/,
   function (this: World, how: string, end: string) {
     const format = faultyAnswers[how];
     assert.ok(format, how);
     setScript(
       this,
       ({ attemptId, socket }) =>
-        socket.write(format(attemptId), () => {
+        socket.write(format(attemptId), "latin1", () => {
           if (end === "closes") socket.end();
-          else resetSocket(socket);
+          else if (end === "resets") resetSocket(socket);
         }),
     );
   },
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -4,6 +4,7 @@
 import { ByteCollector } from "@jasminetide/runtime/streams";
 import { HTTPParser } from "http-parser-js";
 import type { AnswerHead } from "../protocol.ts";
+import { checkStatusLine } from "./check_status_line.ts";
 import { ChunkedBody } from "./chunked_body.ts";
 import { parseHeaderLine } from "./parse_header_line.ts";
 
@@ -17,12 +18,16 @@
   onComplete: (hasMore: boolean) => void;
 };
 
+// Header values may have bytes above 127, which "ascii" would change.
+Object.assign(HTTPParser, { encoding: "latin1" });
+
 /** Fields of the library's parser that its type declarations omit. */
 type ParserState = {
   chunk: Buffer;
   offset: number;
   end: number;
   state: string;
+  consumeLine: () => string | undefined;
   parseHeader: (line: string, headers: string[]) => void;
   BODY_CHUNKHEAD: () => void;
 };
@@ -53,6 +58,7 @@
   private constructor(events: AnswerEvents, isHeadRequest: () => boolean) {
     this.#events = events;
     const parser = this.#parser;
+    this.#state.consumeLine = this.#createLineReader();
     this.#state.parseHeader = (line, headers) =>
       this.#parseHeader(line, headers);
     this.#state.BODY_CHUNKHEAD = () => this.#readChunks();
@@ -112,6 +118,18 @@
     return count;
   }
 
+  /** Creates a function that reads a line and checks it if it is the first. */
+  #createLineReader(): () => string | undefined {
+    const state = this.#state;
+    const readLine = state.consumeLine.bind(this.#parser);
+    return () => {
+      const line = readLine();
+      const isFirst = state.state === "RESPONSE_LINE";
+      if (isFirst && line !== undefined && line !== "") checkStatusLine(line);
+      return line;
+    };
+  }
+
   #createChunks(): ChunkedBody {
     return ChunkedBody.create((bytes) => this.#appendBody(bytes));
   }
