Read no body after heads that allow none

Callers saw: a 103 with a length and a body, followed by a whole answer, gave a 200 whose body began with that of the interim answer (MIXED). A 304 with a length, which HTTP allows, left them waiting until their deadline.

Cause: the library reads a body wherever a head states a length, also after interim answers, 204 and 304; only HEAD requests were excepted.

Change: these heads end their answers. Bytes that follow have to be the next answer, or the connection is closed.

Measured: "An answer that is none fails while its connection stays open", row "an interim answer with a body" (200 before), and "An answer without a body ends with its head, whatever its length" (no answer within 5 s before) pass now. On the parser before: onBody("other"), then onBody("ok"), for one 200.

--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -67,6 +67,12 @@
       | another protocol that nobody asked for |
       | a version that is not HTTP/1           |
       | a status line with a high bit set      |
+      | an interim answer with a body          |
+
+  Scenario: An answer without a body ends with its head, whatever its length
+    Given the runner answers with status 304 and a length of 20
+    When a caller sends "/payout/1"
+    Then the caller gets status 304
 
   Scenario: A repeated answer is not mistaken for the next one
     Given the runner repeats its previous answer before each new one
--- a/packages/gateway/src/requests/requests_test.ts
+++ b/packages/gateway/src/requests/requests_test.ts
@@ -88,6 +88,8 @@
 export function hasCompleteAnswer({ hasEnded, text }: RawCaller): boolean {
   const end = text.indexOf("\r\n\r\n");
   if (end < 0) return hasEnded;
+  // A status without a body ends with its head.
+  if (text.startsWith("HTTP/1.1 304 ")) return true;
   const length = /content-length: (\d+)/i.exec(text.slice(0, end))?.[1];
   if (length !== undefined) return text.length >= end + 4 + Number(length);
   return hasEnded || text.endsWith("0\r\n\r\n");
@@ -208,6 +210,9 @@
     formatAnswer(id, "ok").replace("HTTP/1.1", "HTTP/7.1"),
   "a status line with a high bit set": (id) =>
     formatAnswer(id, "ok").replace("HTTP/1.1 2", "HTTP/1.1 \xb2"),
+  "an interim answer with a body": (id) =>
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nother" +
+    formatAnswer(id, "ok"),
 };
 
 Given(
@@ -226,6 +231,20 @@
   },
 );
 
+Given(
+  "the runner answers with status {int} and a length of {int}",
+  function (this: World, status: number, length: number) {
+    setScript(
+      this,
+      ({ attemptId, socket }) =>
+        socket.write(
+          `${formatHead(attemptId, `${status} Status`)}` +
+            `Content-Length: ${length}\r\n\r\n`,
+        ),
+    );
+  },
+);
+
 Given(
   "the runner repeats its previous answer before each new one",
   function (this: World) {
--- a/packages/gateway/src/upstreams/answer_parser.ts
+++ b/packages/gateway/src/upstreams/answer_parser.ts
@@ -63,16 +63,19 @@
       this.#parseHeader(line, headers);
     this.#state.BODY_CHUNKHEAD = () => this.#readChunks();
     parser[HTTPParser.kOnHeadersComplete] = (info) => {
-      const isFramed = checkFraming(info.headers) ||
-        statusesWithoutBody.has(info.statusCode) || isHeadRequest();
+      const hasLength = checkFraming(info.headers);
+      const endsWithHead = info.statusCode < 200 || isHeadRequest() ||
+        statusesWithoutBody.has(info.statusCode);
       checkForwardable(info.headers);
       this.#isInterim = info.statusCode < 200;
-      if (this.#isInterim) return 0;
-      events.onHead(
-        { status: info.statusCode, rawHeaders: info.headers, isFramed },
-        info.shouldKeepAlive,
-      );
-      return isHeadRequest() ? 1 : 0;
+      if (!this.#isInterim) {
+        const isFramed = hasLength || endsWithHead;
+        events.onHead(
+          { status: info.statusCode, rawHeaders: info.headers, isFramed },
+          info.shouldKeepAlive,
+        );
+      }
+      return endsWithHead ? skipBody : readBody;
     };
     parser[HTTPParser.kOnBody] = (bytes) => this.#appendBody(bytes);
     parser[HTTPParser.kOnMessageComplete] = () => this.#complete();
@@ -224,6 +227,10 @@
 
 const statusesWithoutBody = new Set([204, 304]);
 
+/** What the library does after a head: read the body, or expect none. */
+const readBody = 0;
+const skipBody = 1;
+
 /**
  * Rejects answers whose length is ambiguous.
  *
