Join to a stream only what goes on with it

Cause: any answer below 300 on a stream route counted as the stream, and a resumed one as its continuation; nothing checked what the runner made of the request to go on. The same held for streams that callers take up, for streams without ids, which were resumed from their start, and for first answers that are no stream, which were relayed until they were cut.

Change: an answer is relayed as a stream only with status 200, no encoding, and the type of event streams or none. Once a stream has begun, other successes are given up like broken answers. The first event of a continuation needs a later id than the last one relayed; comments may precede it. Without any event it isn't complete. A stream without ids is not resumed. First answers of 2xx that are no stream are read whole before they are sent.

What remains: ids need not be consecutive, so a gap before a continuation can't be told.

--- a/packages/gateway/src/evacuations/evacuation_failures_test.ts
+++ b/packages/gateway/src/evacuations/evacuation_failures_test.ts
@@ -100,7 +100,7 @@
       protocol: testProtocol,
       memory: createMemoryBudgets(testBudgets).answerMemory,
       sink: {
-        accepts: () => false,
+        chooseUse: () => "buffer",
         begin: () => {},
         keptBytes: 0,
         write: () => "continue",
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -33,12 +33,22 @@
   /** The caller must read before more is relayed. */
   | "pause"
   /** The part cannot be relayed because its end is missing. */
-  | "tooLong";
+  | "tooLong"
+  /** The part does not go on with the stream that was relayed before. */
+  | "misplaced";
+
+/** What is done with an answer. */
+export type AnswerUse =
+  /** It is relayed while it arrives. */
+  | "relay"
+  /** It is read whole first. */
+  | "buffer"
+  /** It cannot be used, since it does not go on with what was relayed. */
+  | "reject";
 
 /** Receives an answer that is relayed while it arrives. */
 export type AnswerSink = {
-  /** Whether the answer is relayed; otherwise it is buffered. */
-  accepts(head: AnswerHead): boolean;
+  chooseUse(head: AnswerHead): AnswerUse;
   begin(head: AnswerHead): void;
   /** Bytes that are kept until more arrive. */
   readonly keptBytes: number;
@@ -198,9 +208,21 @@
       this.#breakOff("the answer lacks the runner's mark");
       return;
     }
-    if (answer.isNotRun || !this.#options.sink.accepts(head)) return;
-    this.#isRelayed = true;
-    this.#options.sink.begin(head);
+    if (!answer.isNotRun) this.#use(head);
+  }
+
+  #use(head: AnswerHead): void {
+    const { sink } = this.#options;
+    switch (sink.chooseUse(head)) {
+      case "buffer":
+        return;
+      case "reject":
+        this.#breakOff("the answer does not go on with the stream");
+        return;
+      case "relay":
+        this.#isRelayed = true;
+        sink.begin(head);
+    }
   }
 
   #handleBody(bytes: Buffer): void {
@@ -221,6 +243,9 @@
         return;
       case "tooLong":
         this.#breakOff("an event of the answer has no end");
+        return;
+      case "misplaced":
+        this.#breakOff("the events do not go on with the stream");
     }
   }
 
--- a/packages/gateway/src/requests/exchange.ts
+++ b/packages/gateway/src/requests/exchange.ts
@@ -89,8 +89,12 @@
   private constructor(options: ExchangeOptions) {
     this.#options = options;
     this.#version = RelayedVersion.create(options);
-    this.#relay = StreamRelay.create(options.answer);
     const { admitted, context: { metrics }, request, trace } = options;
+    const { caller, route } = admitted;
+    this.#relay = StreamRelay.create(
+      options.answer,
+      route.isResumable ? caller.takeUp?.lastEventId : undefined,
+    );
     this.#running = RunningAttempts.create({ trace, metrics });
     this.#hedge = Hedge.create({
       ...options,
@@ -144,7 +148,7 @@
     const { answer, admitted: { route } } = this.#options;
     return {
       kind: route.kind,
-      isResumable: route.isResumable,
+      isResumable: route.isResumable && this.#relay.canGoOn,
       hasBegun: answer.hasBegun,
       runs: this.#runs,
       maxRuns: route.maxAttempts,
@@ -270,7 +274,7 @@
     const { admitted: { route }, context: { timers } } = this.#options;
     return AttemptStream.create({
       relay: this.#relay,
-      accepts: (head) => route.kind === "stream" && head.status < 300,
+      isStream: route.kind === "stream",
       onBegin: () => {
         if (this.#running.size === 1) return true;
         timers.schedule(maxOverlapMs, () => this.#running.prefer(getRunning()));
--- a/packages/gateway/src/requests/stream_relay.ts
+++ b/packages/gateway/src/requests/stream_relay.ts
@@ -1,7 +1,12 @@
 import type { Buffer } from "node:buffer";
 import type { AnswerHead } from "../protocol.ts";
-import type { AnswerSink, WriteResult } from "./attempt.ts";
+import type { AnswerSink, AnswerUse, WriteResult } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
+import {
+  checkContinuation,
+  hasEvent,
+  type StreamPosition,
+} from "./check_continuation.ts";
 import { EventSplitter } from "./event_splitter.ts";
 
 /**
@@ -10,15 +15,43 @@
  */
 export class StreamRelay {
   readonly #answer: CallerAnswer;
+  /** Last event that the caller had before, if it takes a stream up. */
+  readonly #takenUpId: string | undefined;
   #lastEventId: string | undefined;
+  #hasEvents = false;
 
-  private constructor(answer: CallerAnswer) {
+  private constructor(answer: CallerAnswer, takenUpId: string | undefined) {
     this.#answer = answer;
+    this.#takenUpId = takenUpId;
   }
 
-  /** Creates a relay to a caller that has received nothing yet. */
-  static create(answer: CallerAnswer): StreamRelay {
-    return new StreamRelay(answer);
+  /**
+   * Creates a relay to a caller that has received nothing yet.
+   *
+   * @param takenUpId id of the event after which the caller takes the stream up.
+   */
+  static create(
+    answer: CallerAnswer,
+    takenUpId: string | undefined,
+  ): StreamRelay {
+    return new StreamRelay(answer, takenUpId);
+  }
+
+  /** Whether the caller has been sent a status. */
+  get hasBegun(): boolean {
+    return this.#answer.hasBegun;
+  }
+
+  /** Whether a runner can be told where to go on. */
+  get canGoOn(): boolean {
+    return !this.#hasEvents || this.#lastEventId !== undefined;
+  }
+
+  /** Where the next events have to go on; undefined if they may be any. */
+  get position(): StreamPosition | undefined {
+    const lastEventId = this.#lastEventId ?? this.#takenUpId;
+    if (lastEventId === undefined) return undefined;
+    return { lastEventId, isSameAnswer: this.#hasEvents };
   }
 
   /** Id of the last whole event that was relayed. */
@@ -33,6 +66,7 @@
 
   /** Relays whole events; returns false when the caller must read first. */
   write(events: Buffer, lastEventId: string | undefined): boolean {
+    this.#hasEvents ||= lastEventId !== undefined || hasEvent(events);
     this.#lastEventId = lastEventId ?? this.#lastEventId;
     return this.#answer.write(events);
   }
@@ -51,8 +85,8 @@
 /** Options of the stream of one attempt. */
 export type AttemptStreamOptions = {
   relay: StreamRelay;
-  /** Whether the answer is relayed; otherwise it is buffered. */
-  accepts: (head: AnswerHead) => boolean;
+  /** Whether answers to the request are streams. */
+  isStream: boolean;
   /**
    * Called when the stream has begun; returns whether its head is sent to the
    * caller at once. It is held back while another attempt may still go on.
@@ -70,6 +104,8 @@
   readonly #options: AttemptStreamOptions;
   readonly #splitter = EventSplitter.create();
   #head: AnswerHead | undefined;
+  /** Whether its first event goes on where it should. */
+  #isInOrder = false;
   /** Bytes received since the last progress of the stream. */
   #bytesSinceProgress = 0;
   #hasProgressed = false;
@@ -98,8 +134,11 @@
     return this.#splitter.partialBytes;
   }
 
-  accepts(head: AnswerHead): boolean {
-    return this.#options.accepts(head);
+  chooseUse(head: AnswerHead): AnswerUse {
+    const { isStream, relay } = this.#options;
+    if (!isStream || head.status >= 300) return "buffer";
+    if (isEventStream(head)) return "relay";
+    return relay.hasBegun ? "reject" : "buffer";
   }
 
   begin(head: AnswerHead): void {
@@ -116,6 +155,7 @@
     }
     if (this.#splitter.partialBytes > maxEventBytes) return "tooLong";
     if (whole.length === 0) return "continue";
+    if (!this.#checkOrder(whole)) return "misplaced";
     return this.#relay(whole) ? "continue" : "pause";
   }
 
@@ -132,11 +172,30 @@
     if (rest.length > 0 && this.#head?.isFramed === false) {
       return "the stream ended inside an event";
     }
+    if (!this.#checkOrder(rest)) return "the last event does not go on";
+    if (this.#isAwaited) return "no event goes on with the stream";
     this.#relay(rest);
     this.#options.relay.end();
     return undefined;
   }
 
+  /** Whether an event has to follow those that were relayed before. */
+  get #isAwaited(): boolean {
+    const { position } = this.#options.relay;
+    return !this.#isInOrder && position?.isSameAnswer === true;
+  }
+
+  /** Checks, up to its first event, whether the stream goes on where it should. */
+  #checkOrder(events: Buffer): boolean {
+    if (this.#isInOrder) return true;
+    const { position } = this.#options.relay;
+    const order = position === undefined
+      ? "follows"
+      : checkContinuation(events, position);
+    this.#isInOrder = order === "follows";
+    return order !== "misplaced";
+  }
+
   #relay(events: Buffer): boolean {
     const { onEvents, relay } = this.#options;
     onEvents();
@@ -145,6 +204,23 @@
   }
 }
 
+/**
+ * Whether an answer is a stream of events that can be read. Runners may leave out
+ * the type of the content.
+ */
+function isEventStream({ rawHeaders, status }: AnswerHead): boolean {
+  if (status !== 200) return false;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index].toLowerCase();
+    const value = rawHeaders[index + 1].toLowerCase();
+    if (name === "content-type" && !eventStreamType.test(value)) return false;
+    if (name === "content-encoding" && value !== "identity") return false;
+  }
+  return true;
+}
+
+const eventStreamType = /^text\/event-stream\s*(;|$)/;
+
 /** Bytes without the end of an event that count as progress of a stream. */
 const minProgressBytes = 1024;
 
