--- a/packages/gateway/src/following/following_test.ts
+++ b/packages/gateway/src/following/following_test.ts
@@ -78,7 +78,7 @@
 );
 
 /** Fails the call that waits; later ones are answered. */
-async function loseCall(world: World): Promise<void> {
+async function failCall(world: World): Promise<void> {
   world.followedSource.setUnavailable(true);
   await settle();
   world.followedSource.setUnavailable(false);
@@ -87,7 +87,7 @@
 When(
   "one call to the store is lost, and runner {string} is removed before the next",
   async function (this: World, name: string) {
-    await loseCall(this);
+    await failCall(this);
     this.followedSource.put(name, undefined);
     await advance(this, 200);
   },
@@ -96,7 +96,7 @@
 When(
   "one call to the store is lost and the next one is answered",
   async function (this: World) {
-    await loseCall(this);
+    await failCall(this);
     await advance(this, 200);
   },
 );
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -48,6 +48,7 @@
 
 /** Receives an answer that is relayed while it arrives. */
 export type AnswerSink = {
+  /** Chooses what is done with an answer. */
   chooseUse(head: AnswerHead): AnswerUse;
   begin(head: AnswerHead): void;
   /** Bytes that are kept until more arrive. */
