Name three mistakes that the check of a configuration passed over

The kind of a document was sought in a value that could not be parsed, and the faults of the parser were dropped.

Change: findings repeatedService and noColdRequest, both warnings since requests are still served. A document of unknown kind that is malformed gets the faults of the parser, with their lines.

--- a/packages/core/src/findings/route_findings.ts
+++ b/packages/core/src/findings/route_findings.ts
@@ -14,9 +14,11 @@
     ...document.routes.flatMap((route, index) => [
       ...findPrefixFindings(route, index),
       ...findShareFindings(route, index),
+      ...findRepeatedServices(route, index),
       ...findRouteLimitFindings(route, index),
     ]),
     ...findServiceFindings(document),
+    ...findColdRates(document),
     ...findWorkspaceFindings(document),
     ...findRepeatedNames(document),
   ];
@@ -151,6 +153,36 @@
   );
 }
 
+function findRepeatedServices(
+  { name, services }: Route,
+  index: number,
+): Finding[] {
+  const seen = new Set<string>();
+  return services.flatMap(({ service }, place) => {
+    if (!seen.has(service)) {
+      seen.add(service);
+      return [];
+    }
+    return [createFinding("repeatedService", {
+      path: ["routes", index, "services", place, "service"],
+      text: `Route "${name}" lists service "${service}" before too; its ` +
+        "weights are added up",
+    })];
+  });
+}
+
+function findColdRates({ services = [] }: RoutesDocument): Finding[] {
+  return services.flatMap(({ coldPerSecond, name }, index) => {
+    if (coldPerSecond === undefined || coldPerSecond > 0) return [];
+    return [createFinding("noColdRequest", {
+      path: ["services", index, "coldPerSecond"],
+      text:
+        `Runners of service "${name}" get no request while they are cold; ` +
+        "without a rate, they get any",
+    })];
+  });
+}
+
 function findRepeatedNames(document: RoutesDocument): Finding[] {
   return (["routes", "workspaces", "services"] as const).flatMap((list) => {
     const seen = new Set<string>();
--- a/packages/operator/src/check/check.feature
+++ b/packages/operator/src/check/check.feature
@@ -17,6 +17,13 @@
     Then the report has a fault in "gateways/gateway_1.jsonc" at "repeats.slack" with "number"
     And the report has a fault in "gateways/gateway_1.jsonc" at "callerAddress" with "string"
 
+  # Guards against a document that stops in its middle and is called one of unknown
+  # kind, without the place where it stops.
+  Scenario: A document that stops in its middle is reported with the place
+    Given a document "stored.jsonc" that stops on line 3
+    When the copy is checked
+    Then all faults of the report are in "stored.jsonc" on line 3
+
   Scenario Outline: Faults across the documents of a fleet are found
     Given a copy of the local fleet whose "<file>" has <found> in place of <old>
     When the copy is checked
--- a/packages/operator/src/check/check_documents.ts
+++ b/packages/operator/src/check/check_documents.ts
@@ -68,6 +68,8 @@
 
 type CheckedDocument = RawDocument & {
   text: string;
+  /** Why the text could not be parsed, if so. */
+  textFaults: readonly Fault[];
   kind: DocumentKind;
   /** Undefined if the kind is unknown. */
   read: DocumentReader | undefined;
@@ -129,11 +131,12 @@
   const text = await loadText(file);
   const result = parseDocument(text, { file, schema: z.unknown() });
   const value = result.type === "parsed" ? result.value : undefined;
+  const textFaults = result.type === "faulty" ? result.faults : [];
   const format = formats.find(({ isMatch }) => isMatch(value));
-  if (format !== undefined) return { file, text, value, ...format };
+  if (format !== undefined) return { file, text, textFaults, value, ...format };
   const kind = getDocumentKind(file, value);
   const read = kind === "unknown" ? undefined : documentReaders[kind];
-  return { file, text, value, kind, read };
+  return { file, text, textFaults, value, kind, read };
 }
 
 function checkFleet(documents: readonly CheckedDocument[]): CheckResult {
@@ -196,7 +199,7 @@
   const { file, kind, read, text } = document;
   const files = [{ file, kind }];
   const result = read?.(text, { file, findFaults }) ??
-    { type: "faulty", faults: [createUnknownKind(file)] };
+    { type: "faulty", faults: getFaultsOfUnknown(document) };
   if (result.type === "faulty") {
     const report = { files, faults: result.faults, findings: [] };
     return { report, versioned: [] };
@@ -226,6 +229,11 @@
   return located.sort((left, right) => left.line - right.line);
 }
 
+/** Gets the faults of a document whose kind cannot be told. */
+function getFaultsOfUnknown({ file, textFaults }: CheckedDocument): Fault[] {
+  return textFaults.length > 0 ? [...textFaults] : [createUnknownKind(file)];
+}
+
 function createUnknownKind(file: string): Fault {
   return {
     file,
--- a/packages/operator/src/check/check_test.ts
+++ b/packages/operator/src/check/check_test.ts
@@ -54,6 +54,29 @@
   },
 );
 
+Given(
+  "a document {string} that stops on line {int}",
+  async function (this: World, file: string, line: number) {
+    this.checkFolder = await mkdtemp(join(tmpdir(), "jasminetide-"));
+    const lines = ['{"Version": 1,', '"Routes": [', '{"Name": "tick'];
+    assert.equal(lines.length, line);
+    await writeFile(join(this.checkFolder, file), lines.join("\n"));
+  },
+);
+
+Then(
+  "all faults of the report are in {string} on line {int}",
+  function (this: World, file: string, line: number) {
+    const { faults } = this.report;
+    assert.ok(faults.length > 0);
+    for (const fault of faults) {
+      assert.equal(fault.file, join(this.checkFolder, file));
+      assert.equal(fault.line, line);
+      assert.match(fault.found, /malformed/);
+    }
+  },
+);
+
 After(async function (this: World) {
   if (this.checkFolder !== undefined) {
     await rm(this.checkFolder, { recursive: true });
--- a/packages/operator/src/check/findings.feature
+++ b/packages/operator/src/check/findings.feature
@@ -14,6 +14,7 @@
       | hiddenRoute            | warning  | 0    |
       | hiddenServiceRoute     | warning  | 0    |
       | noCallerKey            | error    | 1    |
+      | noColdRequest          | warning  | 0    |
       | pauseGoalWithoutStream | warning  | 0    |
       | prefixNeverMatches     | error    | 1    |
       | routeWithoutService    | error    | 1    |
@@ -27,6 +28,7 @@
       | noRetryAllowed         | warning  | 0    |
       | repeatedKey            | error    | 1    |
       | repeatedName           | error    | 1    |
+      | repeatedService        | warning  | 0    |
       | resumeOfNonStream      | error    | 1    |
       | sharesWithoutSum       | warning  | 0    |
       | stopBeforeNotice       | warning  | 0    |
