--- a/packages/gateway/src/requests/continuations.feature
+++ b/packages/gateway/src/requests/continuations.feature
@@ -53,6 +53,8 @@
     When a caller sends "/story/1"
     Then the caller gets events "3 4" once each and a proper end
 
+  # Guards against events that a caller who takes a stream up gets twice, since the
+  # runner begins at its start.
   Scenario Outline: A stream that a caller takes up goes on after its last event
     Given a gateway and a runner "first"
     And a runner "second"
--- a/packages/gateway/src/requests/requests.feature
+++ b/packages/gateway/src/requests/requests.feature
@@ -69,6 +69,7 @@
       | a status line with a high bit set      |
       | an interim answer with a body          |
 
+  # Guards against callers that wait for a body that a 304 with a length never has.
   Scenario: An answer without a body ends with its head, whatever its length
     Given the runner answers with status 304 and a length of 20
     When a caller sends "/payout/1"
