--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -2,7 +2,7 @@
 import { spawn } from "node:child_process";
 import { createServer as createHttpServer, request } from "node:http";
 import { appendFileSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer as createNetServer } from "node:net";
+import { connect, createServer as createNetServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import process from "node:process";
@@ -379,6 +379,76 @@
   process.exit(code);
 }
 
+/** Link to an address that can be cut: connections are reset and refused. */
+export class Link {
+  #target;
+  #server;
+  #port;
+  #sockets = new Set();
+
+  static async open(address) {
+    const link = new Link();
+    link.#target = Number(address.split(":")[1]);
+    link.#port = await reservePort();
+    await link.heal();
+    return link;
+  }
+
+  get address() {
+    return `127.0.0.1:${this.#port}`;
+  }
+
+  /** Resets all connections and refuses new ones. */
+  cut() {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
+  /** Accepts connections again. */
+  async heal() {
+    this.#server = createNetServer((near) => {
+      const far = connect({ host: "127.0.0.1", port: this.#target });
+      for (const socket of [near, far]) {
+        this.#sockets.add(socket);
+        socket.on("error", () => {});
+        socket.on("close", () => {
+          this.#sockets.delete(socket);
+          near.destroy();
+          far.destroy();
+        });
+      }
+      near.pipe(far);
+      far.pipe(near);
+    });
+    await new Promise((resolve) =>
+      this.#server.listen(this.#port, "127.0.0.1", resolve)
+    );
+  }
+
+  close() {
+    this.cut();
+  }
+}
+
+/** Fetches what a gateway dumps of its state. */
+export function getDump(gateway) {
+  return new Promise((resolve, reject) => {
+    const sent = request({
+      host: "127.0.0.1",
+      port: gateway.ports.peers,
+      path: "/dump",
+      agent: false,
+    });
+    sent.on("response", async (response) => {
+      let text = "";
+      for await (const piece of response) text += piece;
+      resolve(JSON.parse(text));
+    });
+    sent.on("error", reject);
+    sent.end();
+  });
+}
+
 /** Sends a request on a kept connection; status 0 if the channel ended. */
 export function sendRequest(port, agent, { body, headers, method, path }) {
   return new Promise((resolve) => {
