--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,84 +1,86 @@
 /**
- * A few callers send bodies in very small chunks and stop just short of the end;
- * ordinary callers open new channels meanwhile.
+ * The gateway that reads the store for seven others loses its path to the store
+ * for a moment, while a runner leaves without reporting that it drains.
  */
 import { Agent, createServer } from "node:http";
-import { connect } from "node:net";
 import {
   createDesiredState,
   createEntry,
   createRoute,
+  getDump,
   hasTrouble,
+  Link,
   runCase,
   sendRequest,
   sleep,
 } from "../lib-3/fleet.mjs";
 
-/** Time limit of the route, and the half second that the rule allows beyond it. */
-const timeoutMs = 1500;
-const allowedMs = timeoutMs + 500;
+/** Time within which nothing more may reach a runner that is gone. */
+const drainMs = 2000;
 
-/** Callers that we do not control: their number and what each sends. */
-const crowdSize = 5;
-const chunksPerBody = 600_000;
-const bytesPerSecond = 1_000_000;
+/** Time for which the runner serves beyond it before it exits. */
+const lingerMs = 300;
 
-/** Ordinary callers: one new channel each period. */
-const periodMs = 100;
-const calmMs = 3000;
-const afterMs = 6000;
-
-const chunksPerPiece = 2_000;
-const piece = Buffer.from("1\r\nx\r\n".repeat(chunksPerPiece));
+/** Work of a payout, and slots of a runner. */
+const workMs = 64;
+const slots = 6;
 
-/** Sends a body in chunks of one byte, without its last chunk, and stays open. */
-async function sendSmallChunks(port, id, record) {
-  const socket = connect(port, "127.0.0.1");
-  socket.on("error", () => {});
-  socket.on(
-    "data",
-    (bytes) =>
-      record.add(`${id} got ${JSON.stringify(String(bytes).slice(0, 40))}`),
-  );
-  socket.write(
-    "POST /upload/1 HTTP/1.1\r\nHost: shop.example\r\n" +
-      `Attempt-Id: ${id}\r\nKey: key-a\r\nDeadline-Ms: 15000\r\n` +
-      "Transfer-Encoding: chunked\r\n\r\n",
-  );
-  for (let sent = 0; sent < chunksPerBody; sent += chunksPerPiece) {
-    if (socket.destroyed) break;
-    if (!socket.write(piece)) {
-      await new Promise((resolve) => {
-        socket.once("drain", resolve);
-        socket.once("close", resolve);
-      });
-    }
-    await sleep(piece.length / bytesPerSecond * 1000);
-  }
-  record.add(`${id} has sent all but the end of its body`);
-  return socket;
-}
+const gatewayCount = 8;
+const cutMs = 200;
+const periodMs = 100;
 
-function startRunner(record) {
+/** Starts a runner; `onRun` gets the id of each request that it begins. */
+function startRunner(id, onRun) {
+  let running = 0;
   const server = createServer((request, response) => {
     request.resume();
-    const id = request.headers["attempt-id"];
-    record.add(`runner runs ${id}`);
+    const attemptId = request.headers["attempt-id"];
+    const headers = {
+      "Attempt-Id": attemptId,
+      "Instance-Load": `${running},0,${slots}`,
+    };
+    if (request.headers["target-instance"] !== id || running >= slots) {
+      const status = running >= slots ? 503 : 421;
+      response.writeHead(status, { ...headers, "Not-Executed": "1" }).end();
+      return;
+    }
+    running += 1;
+    onRun(attemptId);
     setTimeout(() => {
-      response.writeHead(200, {
-        "Attempt-Id": id,
-        "Server-Seal": `s.${id}`,
-        "Content-Type": "application/json",
-      }).end("{}");
-    }, 20);
+      running -= 1;
+      const seal = `s.${attemptId}`;
+      response.writeHead(200, { ...headers, "Server-Seal": seal }).end("{}");
+    }, workMs);
   });
   return new Promise((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve(server))
   );
 }
 
+function stop(server) {
+  server.close();
+  server.closeAllConnections();
+}
+
+async function findReader({ gateways }, record) {
+  for (const gateway of gateways) {
+    const { fleet: { readerRole } } = await getDump(gateway);
+    if (readerRole !== "reader") continue;
+    record.add(`${gateway.name} reads the store for the others`);
+    return gateway;
+  }
+  throw new Error("no gateway reads the store for others");
+}
+
 await runCase(async ({ fleet, record, store }) => {
-  const runner = await startRunner(record);
+  const runs = [];
+  const leaving = await startRunner("i-x", (id) => {
+    runs.push({ id, atMs: Date.now() });
+  });
+  const staying = [];
+  for (const id of ["i-y", "i-z"]) {
+    staying.push(await startRunner(id, () => {}));
+  }
   store.put(
     "config",
     "main",
@@ -87,68 +89,81 @@
         Name: "payout",
         PathPrefix: "/payout/",
         Service: "ledger",
-        TimeoutMs: timeoutMs,
-      }),
-      createRoute({
-        Name: "upload",
-        PathPrefix: "/upload/",
-        Service: "ledger",
+        TimeoutMs: 1500,
       }),
     ]),
   );
-  const entry = createEntry("ledger", runner.address().port);
-  store.put("servers", "i-1", entry);
-  const storeAddress = await store.open();
-  const gateway = await fleet.start("edge-1", { storeAddress });
-  await fleet.waitUntilReady(gateway);
-  const { callers: port } = gateway.ports;
+  store.put("servers", "i-x", createEntry("ledger", leaving.address().port));
+  store.put("servers", "i-y", createEntry("ledger", staying[0].address().port));
+  store.put("servers", "i-z", createEntry("ledger", staying[1].address().port));
+  const links = new Map();
+  for (let index = 1; index <= gatewayCount; index += 1) {
+    const link = await Link.open(await store.open());
+    const storeAddress = link.address;
+    const gateway = await fleet.start(`edge-${index}`, { storeAddress });
+    links.set(gateway, link);
+  }
+  for (const gateway of fleet.gateways) await fleet.waitUntilReady(gateway);
+  await sleep(5000);
+  const reader = await findReader(fleet, record);
 
-  const calls = [];
-  const send = () => {
-    const id = `call-${calls.length + 1}`;
-    const call = { id, sentAtMs: Date.now(), durationMs: undefined };
-    calls.push(call);
-    const agent = new Agent();
-    void sendRequest(port, agent, {
-      method: "POST",
-      path: "/payout/1",
-      body: '{"amount":5}',
-      headers: { "Attempt-Id": id, "Deadline-Ms": "15000" },
-    }).then(({ status }) => {
-      call.durationMs = Date.now() - call.sentAtMs;
-      record.add(`${id} answered ${status} after ${call.durationMs} ms`);
-      agent.destroy();
-    });
+  const calls = new Map();
+  let isSending = true;
+  const sendTo = async (gateway, index) => {
+    const agent = new Agent({ keepAlive: true });
+    await sleep(index * periodMs / gatewayCount);
+    for (let count = 1; isSending; count += 1) {
+      const id = `${gateway.name}-${count}`;
+      const call = { sentAtMs: Date.now(), status: undefined };
+      calls.set(id, call);
+      void sendRequest(gateway.ports.callers, agent, {
+        method: "POST",
+        path: "/payout/1",
+        body: "{}",
+        headers: { "Attempt-Id": id, "Deadline-Ms": "1500" },
+      }).then(({ status }) => call.status = status);
+      await sleep(periodMs);
+    }
+    await sleep(2000);
+    agent.destroy();
   };
-  const sending = setInterval(send, periodMs);
-  await sleep(calmMs);
-  let crowd = [];
+  const senders = fleet.gateways
+    .filter((gateway) => gateway !== reader)
+    .map((gateway, index) => sendTo(gateway, index));
+  // In touch: nothing was disturbed for longer than ContactMs.
+  await sleep(4000);
   if (hasTrouble) {
-    record.add(`${crowdSize} callers begin to send in chunks of one byte`);
-    crowd = await Promise.all(
-      Array.from(
-        { length: crowdSize },
-        (_, index) => sendSmallChunks(port, `crowd-${index}`, record),
-      ),
-    );
-  } else await sleep(calmMs);
-  await sleep(afterMs);
-  clearInterval(sending);
-  await sleep(13_000);
-  for (const socket of crowd) socket.destroy();
-  runner.close();
-  runner.closeAllConnections();
+    record.add(`${reader.name} loses its path to the store`);
+    links.get(reader).cut();
+  }
+  await sleep(50);
+  store.remove("servers", "i-x");
+  const goneAtMs = Date.now();
+  record.add("the store removes i-x, which leaves");
+  await sleep(cutMs - 50);
+  if (hasTrouble) await links.get(reader).heal();
+  record.add("the path is back");
+  await sleep(goneAtMs + drainMs + lingerMs - Date.now());
+  stop(leaving);
+  record.add("i-x exits");
+  await sleep(1000);
+  isSending = false;
+  await Promise.all(senders);
+  for (const server of staying) stop(server);
+  for (const link of links.values()) link.close();
 
-  const isOpenAt = ({ durationMs = Infinity }, ms) => durationMs > ms;
-  const overdue = calls.filter((call) => isOpenAt(call, timeoutMs));
-  const unanswered = overdue.filter((call) => isOpenAt(call, allowedMs));
+  const late = runs.filter(({ atMs }) => atMs > goneAtMs + drainMs);
+  for (const { atMs, id } of late) {
+    const { sentAtMs, status } = calls.get(id);
+    record.add(
+      `i-x begins ${id} ${atMs - goneAtMs} ms after its removal; sent at ` +
+        `${sentAtMs - goneAtMs} ms, answered ${status}`,
+    );
+  }
+  const lost = late.filter(({ id }) => calls.get(id).status !== 200);
   record.add(
-    `${calls.length} ordinary calls; ${overdue.length} unanswered at ` +
-      `${timeoutMs} ms, ${unanswered.length} of these at ${allowedMs} ms`,
+    `i-x began ${runs.length} of ${calls.size} payouts, ${late.length} of ` +
+      `them too late; ${lost.length} of these ran and were not answered 200`,
   );
-  const isBroken = unanswered.length >= 8 &&
-    unanswered.length > overdue.length / 2;
-  return isBroken
-    ? [`CONFIG: ${unanswered.map(({ id }) => id).join(" ")}`]
-    : [];
+  return late.map(({ id }) => `DRAIN: ${id}`);
 });
